--- /dev/null
+++ b/features/machines/__init__.py
@@ -0,0 +1,1 @@
+"""Hypothesis state machines and their oracles."""
--- /dev/null
+++ b/features/steps/__init__.py
@@ -0,0 +1,1 @@
+"""Tests: behave features, their steps, builders and state machines."""
--- /dev/null
+++ b/features/steps/settings_steps.py
@@ -0,0 +1,37 @@
+"""Steps of settings.feature."""
+
+import json
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features import builders
+from guavadyke.errors import GuavadykeError
+from guavadyke.settings import load_settings
+
+
+@given('settings with an unknown key and a wrong port')
+def step_wrong_settings(context: Context) -> None:
+    document = builders.entry_document()
+    document['surprise'] = 1
+    document['caller'] = {'listen': {'ip': '127.0.0.1', 'port': 70000}}
+    context.document = document
+
+
+@when('the settings are checked')
+def step_check(context: Context) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / 'settings.json'
+        path.write_text(json.dumps(context.document), encoding='utf-8')
+        try:
+            load_settings(path)
+        except GuavadykeError as error:
+            context.findings = error.findings
+
+
+@then('the findings name "{first}" and "{second}"')
+def step_findings(context: Context, first: str, second: str) -> None:
+    places = {finding.place for finding in context.findings}
+    assert places == {first, second}, places
--- /dev/null
+++ b/guavadyke/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to the outside: platform, engines, services, peers, disk."""
--- /dev/null
+++ b/guavadyke/catalogue.py
@@ -0,0 +1,136 @@
+"""Models of catalogue objects: entries, owners, backend servers, policy."""
+
+from __future__ import annotations
+
+import json
+from typing import Annotated, Literal
+
+import pydantic
+
+from guavadyke.errors import ErrorCode, Finding, GuavadykeError
+from guavadyke.settings import SettingsModel, findings_of
+
+Name = Annotated[str, pydantic.Field(pattern='^[a-z0-9][a-z0-9._-]{0,62}$')]
+Share = Annotated[float, pydantic.Field(ge=0, le=1)]
+Address = Annotated[
+    str,
+    pydantic.Field(pattern=r'^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d+$'),
+]
+
+
+class Limits(SettingsModel):
+    """Limits over the whole fleet; None sets none."""
+
+    concurrency: Annotated[int, pydantic.Field(ge=0)] | None = None
+    requests_per_s: Annotated[float, pydantic.Field(ge=0)] | None = None
+    tokens_per_s: Annotated[float, pydantic.Field(ge=0)] | None = None
+    queue: Annotated[int, pydantic.Field(ge=0)] | None = None
+
+
+class _Entry(SettingsModel):
+    owner: Name
+    entry_class: Literal['online', 'batch', 'both'] = pydantic.Field(
+        default='both',
+        alias='class',
+    )
+    limits: Limits = Limits()
+
+
+class ModelEntry(_Entry):
+    """An entry that language model engines serve."""
+
+    kind: Literal['model'] = 'model'
+    idempotent: bool = True
+    model: str
+    version: str = '1'
+    adapters: tuple[str, ...] = ()
+    replicas: dict[str, Annotated[int, pydantic.Field(ge=0)]] = pydantic.Field(
+        default_factory=dict
+    )
+
+
+class ServiceEntry(_Entry):
+    """An entry that plain services serve."""
+
+    kind: Literal['service'] = 'service'
+    idempotent: bool = True
+
+
+class BackendServerEntry(SettingsModel):
+    """A backend server: an engine or a plain service.
+
+    ``slots`` is how many requests it runs at once. ``fencing`` says
+    whether it refuses an order with an old fencing number.
+    """
+
+    kind: Literal['backend_server'] = 'backend_server'
+    role: Literal['engine', 'service'] = 'engine'
+    zone: str
+    address: Address
+    serves: tuple[Name, ...] = ()
+    slots: Annotated[int, pydantic.Field(ge=1)] = 8
+    fencing: bool = False
+    managed: bool = False
+    leaving: bool = False
+
+
+class OwnerEntry(SettingsModel):
+    """An owner and the SHA-256 hashes (hex) of its callers' keys."""
+
+    kind: Literal['owner'] = 'owner'
+    key_hashes: tuple[
+        Annotated[str, pydantic.Field(pattern='^[0-9a-f]{64}$')],
+        ...,
+    ] = ()
+    limits: Limits = Limits()
+
+
+class PolicyEntry(SettingsModel):
+    """Fleet-wide policy.
+
+    ``tail_weight`` is 1 where only the online tail counts and 0 where only
+    batch throughput counts.
+    """
+
+    kind: Literal['policy'] = 'policy'
+    tail_weight: Share = 0.7
+
+
+CatalogueEntry = (
+    ModelEntry | ServiceEntry | BackendServerEntry | OwnerEntry | PolicyEntry
+)
+
+_ADAPTER: pydantic.TypeAdapter[CatalogueEntry] = pydantic.TypeAdapter(
+    Annotated[CatalogueEntry, pydantic.Field(discriminator='kind')],
+)
+
+POLICY_NAME = 'policy'
+
+
+def parse_entry(body: bytes) -> CatalogueEntry:
+    """Check a catalogue object given as JSON.
+
+    Raises:
+        GuavadykeError: ``bad_request`` with every finding.
+    """
+    try:
+        document = json.loads(body)
+    except ValueError as error:
+        raise GuavadykeError(
+            ErrorCode.bad_request,
+            'the body is not JSON',
+            findings=(Finding('$', str(error)),),
+        ) from error
+    try:
+        return _ADAPTER.validate_python(document)
+    except pydantic.ValidationError as error:
+        raise GuavadykeError(
+            ErrorCode.bad_request,
+            'the catalogue object is wrong',
+            findings=findings_of(error),
+        ) from error
+
+
+def entry_document(entry: CatalogueEntry) -> dict[str, object]:
+    """Return the object as plain JSON types, under its public names."""
+    return entry.model_dump(mode='json', by_alias=True)
--- /dev/null
+++ b/guavadyke/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Actors that own state and publish immutable snapshots."""
--- /dev/null
+++ b/guavadyke/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The chain of steps that each caller's request passes."""
--- /dev/null
+++ b/guavadyke/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool."""
--- /dev/null
+++ b/guavadyke/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entry hosts and their generated code."""
--- /dev/null
+++ b/guavadyke/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems outside the project."""
