--- /dev/null
+++ b/features/fleet_catalogue.feature
@@ -0,0 +1,36 @@
+Feature: The catalogue is edited by operators and in force on every host
+
+  Background:
+    Given a fleet of entry hosts in zones north and south
+
+  Scenario: An accepted edit is in force on every host
+    When an operator puts the owner "lammikko" and the entry "report"
+    Then the catalogue of every host holds "report" at version 1
+    When an operator puts the entry "report" again on another host
+    Then the catalogue of every host holds "report" at version 2
+    And the history of "report" tells who, when, why, before and after
+
+  Scenario: Of two racing edits one is refused with the present version
+    When an operator puts the owner "lammikko" and the entry "report"
+    And two operators edit "report" at version 1
+    Then one edit is accepted and the other is answered 412 with version 2
+
+  Scenario: A wrong edit is refused with every finding
+    When an operator puts an entry with an unknown owner and a wrong class
+    Then the edit is answered 400 with findings at "$.model.class"
+    When an operator puts an entry with an unknown owner
+    Then the edit is answered 400 with findings at "$.owner"
+
+  Scenario: Operators need their token
+    Then the operator port answers 401 without a token and 403 with a wrong one
+
+  Scenario: A deleted object does not come back
+    When an operator puts the owner "lammikko" and the entry "report"
+    And an operator deletes the entry "report" at version 1
+    Then no host holds "report"
+    And the platform still holds a record of the delete of "report"
+
+  Scenario: An edit whose answer was lost is settled
+    When an operator puts the owner "lammikko" and the entry "report"
+    And the platform loses the answer to the next edit of "report"
+    Then the edit was accepted once and the history shows it once
--- /dev/null
+++ b/features/steps/fleet_catalogue_steps.py
@@ -0,0 +1,207 @@
+"""Steps of fleet_catalogue.feature."""
+
+import threading
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features import builders_fleet as fleets
+
+_REASON = 'the line is busier'
+
+
+@given('a fleet of entry hosts in zones north and south')
+def step_fleet(context: Context) -> None:
+    context.platform = fleets.MemoryPlatform()
+    context.servers = fleets.MemoryServers()
+    context.hosts = fleets.fleet(
+        context.platform,
+        context.servers,
+        {'north': 2, 'south': 1},
+    )
+    for started in context.hosts:
+        context.add_cleanup(started.close)
+    fleets.eventually(
+        lambda: all(len(host.alive()) == 2 for host in context.hosts),
+        'all hosts know each other',
+    )
+
+
+def _put(host, name, document, **headers):
+    return host.operator.call('PUT', f'catalogue/{name}', document, **headers)
+
+
+@when('an operator puts the owner "{owner}" and the entry "{name}"')
+def step_put(context: Context, owner: str, name: str) -> None:
+    host = context.hosts[0]
+    answer = _put(host, owner, fleets.owner_entry())
+    assert answer.status == 201, answer.data
+    answer = _put(host, name, fleets.model_entry(owner))
+    assert answer.status == 201, answer.data
+    assert answer.headers['ETag'] == '"1"'
+    assert name in host.service.catalogue.current.entries
+
+
+@when('an operator puts the entry "{name}" again on another host')
+def step_put_again(context: Context, name: str) -> None:
+    answer = _put(
+        context.hosts[2],
+        name,
+        fleets.model_entry(version='2'),
+        If_Match='"1"',
+        Guavadyke_Operator='ada',
+        Guavadyke_Reason=_REASON,
+    )
+    assert answer.status == 200, answer.data
+
+
+@then('the catalogue of every host holds "{name}" at version {version:d}')
+def step_everywhere(context: Context, name: str, version: int) -> None:
+    fleets.eventually(
+        lambda: all(
+            host.service.catalogue.current.versions.get(name) == version
+            for host in context.hosts
+        ),
+        f'{name} at {version} everywhere',
+    )
+
+
+@then('the history of "{name}" tells who, when, why, before and after')
+def step_history(context: Context, name: str) -> None:
+    answer = context.hosts[1].operator.call(
+        'GET',
+        f'catalogue/{name}/history',
+    )
+    newest, oldest = answer.json()['changes']
+    assert newest['who'] == 'ada'
+    assert newest['why'] == _REASON
+    assert newest['at'] > oldest['at']
+    assert newest['before'] == oldest['after']
+    assert newest['after']['version'] == '2'
+    audit = context.hosts[1].operator.call('GET', 'audit').json()['changes']
+    assert [change['name'] for change in audit].count(name) == 2
+
+
+@when('two operators edit "{name}" at version {version:d}')
+def step_race(context: Context, name: str, version: int) -> None:
+    context.answers = []
+
+    def edit(host: fleets.EntryHost, model: str) -> None:
+        document = fleets.model_entry(model=model)
+        answer = _put(host, name, document, If_Match=f'"{version}"')
+        context.answers.append(answer)
+
+    threads = [
+        threading.Thread(target=edit, args=(host, f'model-{index}'))
+        for index, host in enumerate(context.hosts[:2])
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+@then(
+    'one edit is accepted and the other is answered 412 with version '
+    '{version:d}',
+)
+def step_one_accepted(context: Context, version: int) -> None:
+    answers = {answer.status: answer for answer in context.answers}
+    assert set(answers) == {200, 412}, answers
+    assert answers[412].headers['ETag'] == f'"{version}"'
+    assert answers[412].json()['version'] == version
+    assert answers[412].json()['error']['run'] == 'not_run'
+
+
+@when('an operator puts an entry with an unknown owner and a wrong class')
+def step_wrong_entry(context: Context) -> None:
+    document = fleets.model_entry('nobody')
+    document['class'] = 'sometimes'
+    context.answer = _put(context.hosts[0], 'report', document)
+
+
+@when('an operator puts an entry with an unknown owner')
+def step_unknown_owner(context: Context) -> None:
+    document = fleets.model_entry('nobody')
+    context.answer = _put(context.hosts[0], 'report', document)
+
+
+@then('the edit is answered 400 with findings at "{place}"')
+def step_findings_at(context: Context, place: str) -> None:
+    assert context.answer.status == 400, context.answer.data
+    findings = context.answer.json()['error']['findings']
+    assert {finding['place'] for finding in findings} == {place}, findings
+
+
+@then(
+    'the operator port answers 401 without a token and 403 with a wrong one',
+)
+def step_token(context: Context) -> None:
+    port = context.hosts[0].http.port
+    for token, status in (('', 401), ('wrong', 403)):
+        client = fleets.OperatorClient(port, token)
+        for method, path in (
+            ('GET', 'catalogue'),
+            ('PUT', 'catalogue/x'),
+            ('GET', 'fleet'),
+            ('POST', 'backend-servers/x/drain'),
+        ):
+            answer = client.call(method, path, {})
+            assert answer.status == status, (method, path, answer.status)
+            assert answer.json()['error']['run'] == 'not_run'
+
+
+@when('an operator deletes the entry "{name}" at version {version:d}')
+def step_delete(context: Context, name: str, version: int) -> None:
+    answer = context.hosts[0].operator.call(
+        'DELETE',
+        f'catalogue/{name}',
+        If_Match=f'"{version}"',
+    )
+    assert answer.status == 200, answer.data
+
+
+@then('no host holds "{name}"')
+def step_nowhere(context: Context, name: str) -> None:
+    fleets.eventually(
+        lambda: (
+            not any(
+                name in host.service.catalogue.current.entries
+                for host in context.hosts
+            )
+        ),
+        f'{name} is nowhere',
+    )
+    answer = context.hosts[1].operator.call('GET', f'catalogue/{name}')
+    assert answer.status == 404
+
+
+@then('the platform still holds a record of the delete of "{name}"')
+def step_tombstone(context: Context, name: str) -> None:
+    answer = context.hosts[1].operator.call(
+        'GET',
+        f'catalogue/{name}?history=1',
+    )
+    newest = answer.json()['changes'][0]
+    assert (newest['what'], newest['after']) == ('delete', None)
+
+
+@when('the platform loses the answer to the next edit of "{name}"')
+def step_lost_answer(context: Context, name: str) -> None:
+    host = context.hosts[0]
+    host.link.lost_answers = 1
+    context.answer = _put(
+        host,
+        name,
+        fleets.model_entry(version='2'),
+        If_Match='"1"',
+    )
+    assert host.link.lost_answers == 0
+
+
+@then('the edit was accepted once and the history shows it once')
+def step_accepted_once(context: Context) -> None:
+    assert context.answer.status == 200, context.answer.data
+    answer = context.hosts[0].operator.call('GET', 'catalogue/report/history')
+    versions = [change['version'] for change in answer.json()['changes']]
+    assert versions == [2, 1]
--- /dev/null
+++ b/guavadyke/catalogue_service.py
@@ -0,0 +1,90 @@
+"""The catalogue on one entry host: what is in force, edits, the watch."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from guavadyke.adapters.ports import Clock
+from guavadyke.adapters.settled import SettledStore
+from guavadyke.catalogue_routes import CatalogueRoutes
+from guavadyke.controllers.catalogue import (
+    CatalogueController,
+    CatalogueState,
+)
+from guavadyke.controllers.catalogue_edits import CatalogueEditor
+from guavadyke.controllers.catalogue_watch import CatalogueWatch
+from guavadyke.log import EventLogger
+from guavadyke.settings import EntrySettings
+from guavadyke.snapshots import CatalogueSnapshot, SnapshotCell
+
+
+class CatalogueService:
+    """Keeps the catalogue in force and takes edits.
+
+    Args:
+        settings: the entry host's settings.
+        store: the platform.
+        clock: time.
+        rng: spreads retries.
+        logger: logs events.
+        changed: called after each change of what is in force.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        store: SettledStore,
+        clock: Clock,
+        rng: random.Random,
+        logger: EventLogger,
+        changed: Callable[[], None],
+    ) -> None:
+        self.catalogue = SnapshotCell(CatalogueSnapshot())
+        self.state = SnapshotCell(CatalogueState())
+        self.controller = CatalogueController.start(
+            self.catalogue,
+            self.state,
+            logger,
+            changed,
+        )
+        self.editor = CatalogueEditor(
+            store,
+            self.state,
+            self.controller.ask,
+            clock,
+        )
+        self.routes = CatalogueRoutes(
+            settings.host_id,
+            self.state,
+            self.editor,
+            store,
+        )
+        self._watch = CatalogueWatch(
+            settings.platform,
+            store,
+            self.controller.ask,
+            clock,
+            rng,
+            logger,
+        )
+
+    def start(self) -> None:
+        """Follow the platform."""
+        self._watch.start()
+
+    def close(self) -> None:
+        """Stop following; what is in force stays readable."""
+        self._watch.close()
+        self.controller.stop()
+
+    def status(self) -> dict[str, object]:
+        """Return what is in force, as JSON types."""
+        state = self.state.current
+        return {
+            'revision': state.snapshot.revision,
+            'total': state.mark.total,
+            'digest': state.mark.digest,
+            'versions': dict(state.snapshot.versions),
+            'faults': dict(state.faults),
+        }
--- /dev/null
+++ b/guavadyke/controllers/catalogue.py
@@ -0,0 +1,240 @@
+"""Controller of the catalogue: owns what is in force and publishes it."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import itertools
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import pykka
+
+from guavadyke.catalogue import (
+    POLICY_NAME,
+    BackendServerEntry,
+    ModelEntry,
+    OwnerEntry,
+    PolicyEntry,
+    ServiceEntry,
+)
+from guavadyke.catalogue_objects import CatalogueObject
+from guavadyke.decisions.versions import (
+    CatalogueMark,
+    ObjectVersion,
+    Offer,
+    VersionBook,
+)
+from guavadyke.log import EventLogger
+from guavadyke.snapshots import CatalogueSnapshot, SnapshotCell
+
+
+@dataclasses.dataclass(frozen=True)
+class CatalogueState:
+    """The catalogue in force, with what hosts compare and what is wrong.
+
+    ``faults`` gives the reason for each object whose copy on the platform
+    is not the one in force.
+    """
+
+    snapshot: CatalogueSnapshot = dataclasses.field(
+        default_factory=CatalogueSnapshot,
+    )
+    mark: CatalogueMark = dataclasses.field(default_factory=CatalogueMark)
+    digests: tuple[int, ...] = ()
+    objects: Mapping[str, CatalogueObject] = dataclasses.field(
+        default_factory=dict,
+    )
+    faults: Mapping[str, str] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True)
+class Offered:
+    """Copies of objects from the platform, a peer, the disk or an edit."""
+
+    source: str
+    objects: tuple[CatalogueObject, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class FaultFound:
+    """The platform's copy of an object cannot be put in force."""
+
+    name: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Differing:
+    """Asks for the versions that differ from a peer's digests."""
+
+    digests: tuple[int, ...]
+
+
+PLATFORM = 'platform'
+
+
+class CatalogueController(pykka.ThreadingActor):
+    """Owns the catalogue in force on this host.
+
+    Args:
+        cell: gets the catalogue that request threads read.
+        state: gets all that is known of it.
+        logger: gets a line for each object put in force and each fault.
+        changed: called after each change.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(
+        self,
+        cell: SnapshotCell[CatalogueSnapshot],
+        state: SnapshotCell[CatalogueState],
+        logger: EventLogger,
+        changed: Callable[[], None],
+    ) -> None:
+        super().__init__()
+        self._cell = cell
+        self._state = state
+        self._logger = logger
+        self._changed = changed
+        self._book = VersionBook()
+        self._faults: dict[str, str] = {}
+        self._revision = 0
+
+    def on_receive(self, message: Any) -> Any:
+        """Handle a message; the answer depends on its type."""
+        return _handle(message, self)
+
+    def take(self, offered: Offered) -> int:
+        """Put newer copies in force.
+
+        Returns:
+            How many were newer.
+        """
+        faults = dict(self._faults)
+        outcomes = [
+            self._take_one(offered.source, one) for one in offered.objects
+        ]
+        taken = outcomes.count(Offer.newer)
+        if taken or faults != self._faults:
+            self._publish()
+        if taken:
+            self._changed()
+        return taken
+
+    def note_fault(self, fault: FaultFound) -> None:
+        """Report an object whose last good copy stays in force."""
+        if self._faults.get(fault.name) == fault.reason:
+            return
+        self._faults[fault.name] = fault.reason
+        self._logger.error(
+            'catalogue_object_refused',
+            name=fault.name,
+            reason=fault.reason,
+            in_force=self._book.version(fault.name),
+        )
+        self._publish()
+
+    def differing(self, query: Differing) -> tuple[ObjectVersion, ...]:
+        """Return the versions that differ from a peer's digests."""
+        return self._book.differing(query.digests)
+
+    def _take_one(self, source: str, one: CatalogueObject) -> Offer:
+        outcome = self._book.offer(one)
+        if outcome is Offer.older and source == PLATFORM:
+            self.note_fault(
+                FaultFound(one.name, f'older version {one.version}'),
+            )
+            return outcome
+        if source == PLATFORM:
+            self._faults.pop(one.name, None)
+        if outcome is Offer.newer:
+            self._logger.info(
+                'catalogue_in_force',
+                name=one.name,
+                version=one.version,
+                source=source,
+            )
+        return outcome
+
+    def _publish(self) -> None:
+        self._revision += 1
+        objects = dict(self._book.objects)
+        snapshot = build_snapshot(objects, self._revision)
+        self._state.publish(
+            CatalogueState(
+                snapshot,
+                self._book.mark,
+                self._book.digests,
+                objects,
+                dict(self._faults),
+            ),
+        )
+        self._cell.publish(snapshot)
+
+
+@functools.singledispatch
+def _handle(message: object, controller: CatalogueController) -> Any:
+    raise TypeError(f'unknown message {message!r}')
+
+
+@_handle.register
+def _handle_offered(message: Offered, controller: CatalogueController) -> int:
+    return controller.take(message)
+
+
+@_handle.register
+def _handle_fault(
+    message: FaultFound,
+    controller: CatalogueController,
+) -> None:
+    controller.note_fault(message)
+
+
+@_handle.register
+def _handle_differing(
+    message: Differing,
+    controller: CatalogueController,
+) -> tuple[ObjectVersion, ...]:
+    return controller.differing(message)
+
+
+def build_snapshot(
+    objects: Mapping[str, CatalogueObject],
+    revision: int,
+) -> CatalogueSnapshot:
+    """Return the snapshot that request threads read."""
+    live = {
+        name: one.entry
+        for name, one in objects.items()
+        if one.entry is not None
+    }
+    owners = {
+        name: entry
+        for name, entry in live.items()
+        if isinstance(entry, OwnerEntry)
+    }
+    policy = live.get(POLICY_NAME)
+    return CatalogueSnapshot(
+        revision=revision,
+        entries={
+            name: entry
+            for name, entry in live.items()
+            if isinstance(entry, ModelEntry | ServiceEntry)
+        },
+        owners=owners,
+        backend_servers={
+            name: entry
+            for name, entry in live.items()
+            if isinstance(entry, BackendServerEntry)
+        },
+        policy=policy if isinstance(policy, PolicyEntry) else PolicyEntry(),
+        versions={name: objects[name].version for name in live},
+        owners_by_key_hash=dict(
+            itertools.chain.from_iterable(
+                ((key_hash, name) for key_hash in owner.key_hashes)
+                for name, owner in owners.items()
+            ),
+        ),
+    )
--- /dev/null
+++ b/guavadyke/controllers/leaving.py
@@ -0,0 +1,265 @@
+"""Watches for leaving backend servers and takes operators' marks."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import threading
+from collections.abc import Callable, Iterable
+from concurrent.futures import ThreadPoolExecutor
+
+from guavadyke.adapters.ports import (
+    BackendServerError,
+    BackendServers,
+    Clock,
+    ListedHost,
+)
+from guavadyke.adapters.settled import SettledStore
+from guavadyke.catalogue import BackendServerEntry
+from guavadyke.controllers.catalogue_edits import (
+    Author,
+    CatalogueEditor,
+    Condition,
+    Edit,
+)
+from guavadyke.controllers.membership_messages import Contacts, Sighted
+from guavadyke.decisions.leaving import (
+    LeavingMark,
+    LeavingSource,
+    Sighting,
+)
+from guavadyke.decisions.rendezvous import first_host
+from guavadyke.errors import GuavadykeError
+from guavadyke.log import EventLogger
+from guavadyke.settings import EntrySettings
+from guavadyke.snapshots import (
+    CatalogueSnapshot,
+    FleetSnapshot,
+    SnapshotCell,
+)
+
+_INTERVAL_S = 1.0
+_LIST_INTERVAL_S = 20.0
+_LOAD_TIMEOUT_S = 0.5
+_POLL_THREADS = 8
+_LIST_KEY = 'host-list'
+
+
+@dataclasses.dataclass(frozen=True)
+class Sights:
+    """What the watch looks at and whom it tells."""
+
+    settings: EntrySettings
+    catalogue: SnapshotCell[CatalogueSnapshot]
+    fleet: SnapshotCell[FleetSnapshot]
+    servers: BackendServers
+    store: SettledStore
+    tell: Callable[[Sighted | Contacts], object]
+    clock: Clock
+    logger: EventLogger
+
+
+class LeavingWatch:
+    """Polls the backend servers and the host list that fall to this host.
+
+    Of the hosts of a zone each backend server has one that polls it, by
+    rendezvous; a zone without hosts is polled by all others.
+
+    Args:
+        sights: what it looks at and whom it tells.
+        rng: spreads the polls of the list.
+    """
+
+    def __init__(self, sights: Sights, rng: random.Random) -> None:
+        self._sights = sights
+        self._rng = rng
+        self._stop = threading.Event()
+        self._list_due: float = 0
+        self._pool = ThreadPoolExecutor(_POLL_THREADS, 'load-poll')
+        self._thread = threading.Thread(
+            target=self._run,
+            name='leaving-watch',
+            daemon=True,
+        )
+
+    def start(self) -> None:
+        """Watch in the background."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """End after the present round; does not wait for it."""
+        self._stop.set()
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            self._round()
+            self._stop.wait(_INTERVAL_S)
+
+    def _round(self) -> None:
+        try:
+            self._poll_list()
+            self._poll_servers()
+        except (GuavadykeError, RuntimeError) as error:
+            self._sights.logger.info('leaving_watch_skipped', reason=error)
+
+    def _poll_list(self) -> None:
+        now = self._sights.clock.monotonic()
+        if now < self._list_due and not self._first(_LIST_KEY):
+            return
+        try:
+            listed = self._sights.store.hosts()
+        except GuavadykeError:
+            return
+        self._list_due = now + self._rng.uniform(0.5, 1) * _LIST_INTERVAL_S
+        self._sights.tell(
+            Contacts(
+                frozenset((
+                    *self._sights.settings.peer.seeds,
+                    *(one.address for one in listed if one.role == 'entry'),
+                )),
+            ),
+        )
+        self._tell_sightings(self._listed(one, now) for one in listed)
+
+    def _listed(self, host: ListedHost, said_at: float) -> Sighting | None:
+        if host.role != 'backend':
+            return None
+        return self._sighting(
+            host.host_id,
+            LeavingSource.host_list,
+            host.leaving,
+            said_at,
+        )
+
+    def _poll_servers(self) -> None:
+        servers = self._sights.catalogue.current.backend_servers
+        mine = [
+            (server_id, server)
+            for server_id, server in servers.items()
+            if self._first(server_id, server.zone)
+        ]
+        self._tell_sightings(
+            self._pool.map(lambda pair: self._poll(*pair), mine),
+        )
+
+    def _poll(
+        self,
+        server_id: str,
+        server: BackendServerEntry,
+    ) -> Sighting | None:
+        asked_at = self._sights.clock.monotonic()
+        try:
+            load = self._sights.servers.load(server.address, _LOAD_TIMEOUT_S)
+        except BackendServerError:
+            return None
+        return self._sighting(
+            server_id,
+            LeavingSource.report,
+            load.leaving,
+            asked_at - load.age_s,
+        )
+
+    def _sighting(
+        self,
+        backend_id: str,
+        source: LeavingSource,
+        leaving: bool,
+        said_at: float,
+    ) -> Sighting:
+        return Sighting(
+            backend_id,
+            source,
+            leaving,
+            said_at,
+            int(self._sights.clock.wall() * 1000),
+        )
+
+    def _tell_sightings(self, sightings: Iterable[Sighting | None]) -> None:
+        seen = tuple(one for one in sightings if one is not None)
+        if seen:
+            self._sights.tell(Sighted(seen))
+
+    def _first(self, key: str, zone: str = '') -> bool:
+        """Return whether this host is the first to try for the key."""
+        settings = self._sights.settings
+        alive = [
+            peer
+            for peer in self._sights.fleet.current.peers
+            if peer.state == 'alive'
+        ]
+        near = [peer for peer in alive if peer.zone == (zone or settings.zone)]
+        hosts = {peer.host_id for peer in near}
+        if zone in {'', settings.zone}:
+            hosts.add(settings.host_id)
+        if not hosts:
+            hosts = {settings.host_id, *(peer.host_id for peer in alive)}
+        return first_host(key, hosts) == settings.host_id
+
+
+class Drains:
+    """Operators' marks: spread at once and written to the catalogue.
+
+    Args:
+        sights: whom to tell, and the catalogue in force on this host.
+        editor: writes the marks to the catalogue.
+        marks: returns all marks that this host knows.
+    """
+
+    def __init__(
+        self,
+        sights: Sights,
+        editor: CatalogueEditor,
+        marks: Callable[[], tuple[LeavingMark, ...]],
+    ) -> None:
+        self._sights = sights
+        self._editor = editor
+        self._marks = marks
+
+    def mark(
+        self,
+        backend_id: str,
+        *,
+        leaving: bool,
+        who: str,
+        why: str,
+    ) -> bool:
+        """Mark the backend server.
+
+        Returns:
+            Whether the mark is in the catalogue too; where the platform is
+            away it only spreads among the hosts.
+        """
+        clock = self._sights.clock
+        sighting = Sighting(
+            backend_id,
+            LeavingSource.operator,
+            leaving,
+            clock.monotonic(),
+            int(clock.wall() * 1000),
+        )
+        self._sights.tell(Sighted((sighting,)))
+        author = Author(who, why, self._sights.settings.host_id)
+        try:
+            self._write(backend_id, leaving, author)
+        except GuavadykeError:
+            return False
+        return True
+
+    def marks_of(self, backend_id: str) -> list[LeavingMark]:
+        """Return what each source says of the backend server."""
+        return [mark for mark in self._marks() if mark.backend_id == backend_id]
+
+    def _write(self, backend_id: str, leaving: bool, author: Author) -> None:
+        catalogue = self._sights.catalogue.current
+        server = catalogue.backend_servers[backend_id]
+        if server.leaving == leaving:
+            return
+        self._editor.apply(
+            Edit(
+                backend_id,
+                server.model_copy(update={'leaving': leaving}),
+                Condition(version=catalogue.versions[backend_id]),
+                author,
+            ),
+        )
--- /dev/null
+++ b/guavadyke/controllers/membership_messages.py
@@ -0,0 +1,70 @@
+"""Messages to the controller of membership."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from guavadyke.adapters.peer_codec import PeerDatagram
+from guavadyke.decisions.leaving import LeavingMark, Sighting
+from guavadyke.decisions.peers import PeerRecord
+from guavadyke.decisions.versions import CatalogueMark
+
+
+@dataclasses.dataclass(frozen=True)
+class Tick:
+    """Asks for what is due."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Received:
+    """A datagram that was checked."""
+
+    datagram: PeerDatagram
+
+
+@dataclasses.dataclass(frozen=True)
+class Contacts:
+    """Addresses that may hold peers."""
+
+    addresses: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True)
+class StandingChanged:
+    """The catalogue mark or the reach of the platform changed."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Sighted:
+    """What sources said of backend servers."""
+
+    sightings: tuple[Sighting, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class FleetLearnt:
+    """All that a host knows: it is pulled by a call."""
+
+    records: tuple[PeerRecord, ...]
+    leaving: tuple[LeavingMark, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class TellFleet:
+    """Asks for all that this host knows."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Leave:
+    """This host leaves the fleet."""
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerStanding:
+    """What a peer last said of itself; ``heard_at`` in seconds."""
+
+    address: str
+    zone: str
+    mark: CatalogueMark
+    platform_reachable: bool
+    heard_at: float
--- /dev/null
+++ b/guavadyke/controllers/membership_spread.py
@@ -0,0 +1,102 @@
+"""Fills datagrams with rumours and sends them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+
+from guavadyke.adapters.peer_sockets import DatagramPort
+from guavadyke.adapters.peers import (
+    HEAD_BYTES,
+    PAYLOAD_BYTES,
+    Load,
+    PeerDatagrams,
+)
+from guavadyke.decisions.leaving import LeavingBoard, LeavingMark
+from guavadyke.decisions.peers import Outgoing, PeerRecord
+from guavadyke.decisions.roster import Roster
+from guavadyke.decisions.rumours import RumourQueue
+
+_SAMPLED = 2
+_FANOUT = 4
+
+
+class Spreader:
+    """Sends messages, each filled up with rumours.
+
+    Args:
+        datagrams: packs them.
+        port: sends them.
+        roster: gives recipients and records.
+        board: gives marks of leaving backend servers.
+        rng: chooses recipients.
+    """
+
+    def __init__(
+        self,
+        datagrams: PeerDatagrams,
+        port: DatagramPort,
+        roster: Roster,
+        board: LeavingBoard,
+        rng: random.Random,
+    ) -> None:
+        self._datagrams = datagrams
+        self._port = port
+        self._roster = roster
+        self._board = board
+        self._rng = rng
+        self._queue: RumourQueue[PeerRecord | LeavingMark] = RumourQueue()
+
+    def put_record(self, record: PeerRecord) -> None:
+        """Spread a record from now on."""
+        self._queue.put(record.host_id, record, record.size_bytes)
+
+    def put_mark(self, mark: LeavingMark) -> None:
+        """Spread a mark from now on."""
+        self._queue.put(mark.key, mark, mark.size_bytes)
+
+    def send(self, outgoing: Iterable[Outgoing]) -> None:
+        """Send messages."""
+        for one in outgoing:
+            message = self._datagrams.pack(self._load(one))
+            self._port.send(one.address, message)
+
+    def spread(self) -> None:
+        """Tell a few peers at once what is new."""
+        alive = self._roster.alive()
+        chosen = self._rng.sample(alive, min(_FANOUT, len(alive)))
+        self.send(Outgoing(peer.address, None) for peer in chosen)
+
+    def _load(self, outgoing: Outgoing) -> Load:
+        room = PAYLOAD_BYTES - HEAD_BYTES - self._roster.me.size_bytes
+        room -= sum(record.size_bytes for record in outgoing.told)
+        rumours = self._queue.take(room, len(self._roster.members))
+        room -= sum(rumour.size_bytes for rumour in rumours)
+        sampled = _that_fit(
+            (*self._sampled_records(), *self._sampled_marks()),
+            room,
+        )
+        carried = (*outgoing.told, *rumours, *sampled)
+        return Load(
+            outgoing.signal,
+            tuple(one for one in carried if isinstance(one, PeerRecord)),
+            tuple(one for one in carried if isinstance(one, LeavingMark)),
+        )
+
+    def _sampled_records(self) -> list[PeerRecord]:
+        """Return a few records, so that hosts settle in the end."""
+        members = self._roster.members
+        chosen = self._rng.sample(list(members), min(_SAMPLED, len(members)))
+        return [members[host_id].record for host_id in chosen]
+
+    def _sampled_marks(self) -> list[LeavingMark]:
+        marks = self._board.marks
+        return self._rng.sample(marks, min(_SAMPLED, len(marks)))
+
+
+def _that_fit(
+    rumours: tuple[PeerRecord | LeavingMark, ...],
+    room: int,
+) -> tuple[PeerRecord | LeavingMark, ...]:
+    total = sum(rumour.size_bytes for rumour in rumours)
+    return rumours if total <= room else ()
--- /dev/null
+++ b/guavadyke/decisions/probing.py
@@ -0,0 +1,168 @@
+"""Probes of peers: direct, then through others, then suspicion."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import random
+from collections.abc import Iterator
+
+from guavadyke.decisions.peers import (
+    Ack,
+    MembershipPolicy,
+    Outgoing,
+    PeerRecord,
+    PeerState,
+    Ping,
+    PingRequest,
+)
+from guavadyke.decisions.roster import Roster
+
+_INDIRECT_PROBES = 3
+_TIMEOUTS_TO_SUSPICION = 3
+
+
+@dataclasses.dataclass
+class _Probe:
+    target: str
+    started_at: float
+    indirect: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class _Relay:
+    address: str
+    sequence: int
+    until: float
+
+
+class Prober:
+    """Outstanding probes of one host, and those that it makes for others.
+
+    Args:
+        roster: peers to probe.
+        policy: intervals and timeouts.
+        rng: orders the probes.
+    """
+
+    def __init__(
+        self,
+        roster: Roster,
+        policy: MembershipPolicy,
+        rng: random.Random,
+    ) -> None:
+        self._roster = roster
+        self._policy = policy
+        self._rng = rng
+        self._order: list[str] = []
+        self._probes: dict[int, _Probe] = {}
+        self._relays: dict[int, _Relay] = {}
+        self._sequences = itertools.count(1)
+
+    def ping(
+        self,
+        address: str,
+        told: tuple[PeerRecord, ...] = (),
+    ) -> Outgoing:
+        """Return a ping whose answer nobody waits for."""
+        return Outgoing(address, Ping(next(self._sequences)), told)
+
+    def start(self, now: float) -> list[Outgoing]:
+        """Probe the next peer."""
+        target = self._next_target()
+        if target is None:
+            return []
+        sequence = next(self._sequences)
+        self._probes[sequence] = _Probe(target.host_id, now)
+        return [Outgoing(target.address, Ping(sequence), _wrong(target))]
+
+    def results(self, now: float) -> Iterator[Outgoing]:
+        """Follow up probes that were not answered in time."""
+        timeout_s = self._policy.probe_timeout_s
+        for sequence, probe in tuple(self._probes.items()):
+            target = self._target(probe)
+            waited_s = now - probe.started_at
+            if target is None:
+                self._probes.pop(sequence)
+            elif waited_s >= _TIMEOUTS_TO_SUSPICION * timeout_s:
+                self._probes.pop(sequence)
+                yield self._suspect(target, now)
+            elif waited_s >= timeout_s and not probe.indirect:
+                probe.indirect = True
+                yield from self._ask_others(sequence, target)
+
+    def relay(
+        self,
+        sender: PeerRecord,
+        request: PingRequest,
+        now: float,
+    ) -> Outgoing:
+        """Ping a host for the sender."""
+        self._relays = {
+            sequence: relay
+            for sequence, relay in self._relays.items()
+            if relay.until > now
+        }
+        sequence = next(self._sequences)
+        self._relays[sequence] = _Relay(
+            sender.address,
+            request.sequence,
+            now + _TIMEOUTS_TO_SUSPICION * self._policy.probe_timeout_s,
+        )
+        return Outgoing(request.target, Ping(sequence))
+
+    def acknowledged(self, ack: Ack) -> list[Outgoing]:
+        """Take an answer, and hand it on where it was for another host."""
+        probe = self._probes.get(ack.sequence)
+        if probe is not None and probe.target == ack.target:
+            self._probes.pop(ack.sequence)
+        relay = self._relays.pop(ack.sequence, None)
+        if relay is None:
+            return []
+        return [Outgoing(relay.address, Ack(relay.sequence, ack.target))]
+
+    def reset(self) -> None:
+        """Drop outstanding probes, as after a pause of this host."""
+        self._probes.clear()
+
+    def _target(self, probe: _Probe) -> PeerRecord | None:
+        member = self._roster.members.get(probe.target)
+        if member is None or not member.record.state.reachable:
+            return None
+        return member.record
+
+    def _suspect(self, target: PeerRecord, now: float) -> Outgoing:
+        self._roster.suspect(target.host_id, now)
+        record = self._roster.members[target.host_id].record
+        return self.ping(target.address, _wrong(record))
+
+    def _ask_others(
+        self,
+        sequence: int,
+        target: PeerRecord,
+    ) -> Iterator[Outgoing]:
+        others = [
+            peer
+            for peer in self._roster.alive()
+            if peer.host_id != target.host_id and peer.state is PeerState.alive
+        ]
+        chosen = self._rng.sample(others, min(_INDIRECT_PROBES, len(others)))
+        return (
+            Outgoing(peer.address, PingRequest(sequence, target.address))
+            for peer in chosen
+        )
+
+    def _next_target(self) -> PeerRecord | None:
+        if not self._order:
+            self._order = [peer.host_id for peer in self._roster.alive()]
+            self._rng.shuffle(self._order)
+        while self._order:
+            member = self._roster.members.get(self._order.pop())
+            if member is not None and member.record.state.reachable:
+                return member.record
+        return None
+
+
+def _wrong(record: PeerRecord) -> tuple[PeerRecord, ...]:
+    """Return the record where its subject has something to refute."""
+    return () if record.state is PeerState.alive else (record,)
--- /dev/null
+++ b/guavadyke/decisions/versions.py
@@ -0,0 +1,134 @@
+"""Which copy of a catalogue object is in force: the highest version."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import hashlib
+import itertools
+from collections.abc import Iterable, Mapping, Sequence
+
+from guavadyke.catalogue_objects import CatalogueObject
+
+BUCKETS = 64
+_DIGEST_BYTES = 8
+
+
+class Offer(enum.Enum):
+    """What became of a copy that was offered."""
+
+    newer = 'newer'
+    same = 'same'
+    older = 'older'
+
+
+@dataclasses.dataclass(frozen=True)
+class CatalogueMark:
+    """What hosts compare to see whether their catalogues differ.
+
+    ``total`` is the sum of all versions; ``digest`` differs, but for
+    chance, where any version differs.
+    """
+
+    total: int = 0
+    digest: int = 0
+
+    def behind(self, other: CatalogueMark) -> bool:
+        """Return whether to ask the other host for what is newer there.
+
+        Of two hosts that differ, the one with the lower total asks first.
+        """
+        return self.digest != other.digest and self.total <= other.total
+
+
+@dataclasses.dataclass(frozen=True)
+class ObjectVersion:
+    """The version of one object."""
+
+    name: str
+    version: int
+
+
+class VersionBook:
+    """Objects in force by name; a version never gives way to a lower one."""
+
+    def __init__(self) -> None:
+        self._objects: dict[str, CatalogueObject] = {}
+        self._digests = list(itertools.repeat(0, BUCKETS))
+        self._total = 0
+
+    @property
+    def objects(self) -> Mapping[str, CatalogueObject]:
+        """Objects in force by name, those deleted included."""
+        return self._objects
+
+    @property
+    def mark(self) -> CatalogueMark:
+        """What is compared with other hosts."""
+        digest = 0
+        for bucket in self._digests:
+            digest ^= bucket
+        return CatalogueMark(self._total, digest)
+
+    @property
+    def digests(self) -> tuple[int, ...]:
+        """One digest for each bucket of names."""
+        return tuple(self._digests)
+
+    def offer(self, candidate: CatalogueObject) -> Offer:
+        """Take the copy if it is newer than the one in force."""
+        held = self._objects.get(candidate.name)
+        if held is None:
+            self._replace(candidate, 0)
+            return Offer.newer
+        if candidate.version > held.version:
+            self._replace(candidate, held.version)
+            return Offer.newer
+        if candidate.version < held.version:
+            return Offer.older
+        return Offer.same
+
+    def differing(self, digests: Sequence[int]) -> tuple[ObjectVersion, ...]:
+        """Return the versions in the buckets that differ from ``digests``."""
+        buckets = {
+            index
+            for index, (mine, theirs) in enumerate(
+                itertools.zip_longest(self._digests, digests),
+            )
+            if mine != theirs
+        }
+        return tuple(
+            ObjectVersion(one.name, one.version)
+            for one in self._objects.values()
+            if _bucket(one.name) in buckets
+        )
+
+    def wanted(self, offered: Iterable[ObjectVersion]) -> tuple[str, ...]:
+        """Return the names of which a newer version is offered."""
+        return tuple(
+            one.name for one in offered if one.version > self.version(one.name)
+        )
+
+    def version(self, name: str) -> int:
+        """Return the version in force; 0 where there is none."""
+        held = self._objects.get(name)
+        return 0 if held is None else held.version
+
+    def _replace(self, candidate: CatalogueObject, before: int) -> None:
+        name = candidate.name
+        change = _digest(name, candidate.version)
+        if before:
+            change ^= _digest(name, before)
+        self._digests[_bucket(name)] ^= change
+        self._total += candidate.version - before
+        self._objects[name] = candidate
+
+
+def _bucket(name: str) -> int:
+    return hashlib.blake2b(name.encode(), digest_size=1).digest()[0] % BUCKETS
+
+
+def _digest(name: str, version: int) -> int:
+    text = f'{name}:{version}'.encode()
+    digest = hashlib.blake2b(text, digest_size=_DIGEST_BYTES).digest()
+    return int.from_bytes(digest, 'big', signed=True)
--- /dev/null
+++ b/guavadyke/fleet.py
@@ -0,0 +1,192 @@
+"""What an entry host knows of peers, backend servers and configuration."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Mapping
+
+from guavadyke.adapters.peer_port import PeerPort
+from guavadyke.adapters.peer_sockets import TransportFaults
+from guavadyke.adapters.ports import (
+    BackendServers,
+    Clock,
+    PeerMessenger,
+    PlatformStore,
+)
+from guavadyke.adapters.settled import SettledStore
+from guavadyke.catalogue_service import CatalogueService
+from guavadyke.controllers.leaving import Drains, LeavingWatch, Sights
+from guavadyke.controllers.membership import FleetCells, PeerEvents
+from guavadyke.fleet_routes import (
+    FleetRoutes,
+    StatusSource,
+    mark_documents,
+    peer_document,
+)
+from guavadyke.http import Route
+from guavadyke.log import EventLogger
+from guavadyke.membership_service import MembershipService
+from guavadyke.operator_filter import OperatorFilter
+from guavadyke.settings import EntrySettings
+from guavadyke.snapshots import (
+    CatalogueSnapshot,
+    FleetSnapshot,
+    SnapshotCell,
+)
+
+
+class FleetService:
+    """Membership, catalogue and leaving servers of one entry host.
+
+    The peer port is bound at construction, so that its number is known.
+
+    Args:
+        settings: the entry host's settings.
+        clock: time.
+        rng: seeds the random choices.
+        platform: the platform, within this host's call budget.
+        servers: backend servers, asked for their own reports.
+        logger: logs events.
+
+    Raises:
+        GuavadykeError: the peer port is taken or a secret is missing.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        clock: Clock,
+        rng: random.Random,
+        platform: PlatformStore,
+        servers: BackendServers,
+        logger: EventLogger,
+    ) -> None:
+        self.fleet = SnapshotCell(FleetSnapshot())
+        self.store = SettledStore(platform, clock, _child(rng))
+        self.operator_filter = OperatorFilter(settings.operator.token.reveal())
+        self._settings = settings
+        self._port = PeerPort(settings, self.fleet, clock, logger)
+        self._catalogue = CatalogueService(
+            settings,
+            self.store,
+            clock,
+            _child(rng),
+            logger,
+            self._catalogue_changed,
+        )
+        self._membership = MembershipService(
+            settings.peer,
+            self._port,
+            FleetCells(self.catalogue, self.fleet, SnapshotCell({})),
+            PeerEvents(self._behind, self._joined),
+            clock,
+            _child(rng),
+            logger,
+        )
+        self._sights = Sights(
+            settings,
+            self.catalogue,
+            self.fleet,
+            servers,
+            self.store,
+            self._membership.controller.ask,
+            clock,
+            logger,
+        )
+        self._leaving = LeavingWatch(self._sights, _child(rng))
+        self._sources: dict[str, StatusSource] = {}
+
+    @property
+    def catalogue(self) -> SnapshotCell[CatalogueSnapshot]:
+        """The configuration in force."""
+        return self._catalogue.catalogue
+
+    @property
+    def messenger(self) -> PeerMessenger:
+        """Notices to and from peers."""
+        return self._port.messenger
+
+    @property
+    def peer_address(self) -> str:
+        """IP:PORT of the peer port."""
+        return self._port.pair.address
+
+    @property
+    def faults(self) -> TransportFaults:
+        """Cuts and losses of the peer port, for tests."""
+        return self._port.faults
+
+    def add_status_source(self, name: str, source: StatusSource) -> None:
+        """Show another service's status on ``/operator/fleet``."""
+        self._sources[name] = source
+
+    def operator_routes(self) -> list[Route]:
+        """Return the routes of the operator port, behind its token."""
+        filters = (self.operator_filter,)
+        drains = Drains(
+            self._sights,
+            self._catalogue.editor,
+            lambda: self._membership.known().leaving,
+        )
+        routes = FleetRoutes(
+            self.status,
+            self.catalogue,
+            drains,
+            self._sights.servers,
+        )
+        return [
+            *self._catalogue.routes.routes(filters),
+            *routes.routes(filters),
+        ]
+
+    def start(self) -> None:
+        """Join the fleet and follow the catalogue."""
+        self._membership.start(frozenset(self._settings.peer.seeds))
+        self._catalogue.start()
+        self._leaving.start()
+
+    def leave(self) -> None:
+        """Tell the peers that this host leaves; it goes on working."""
+        self._membership.leave()
+
+    def close(self) -> None:
+        """Stop all threads and close the peer port."""
+        self._leaving.close()
+        self._catalogue.close()
+        self._membership.close()
+
+    def status(self) -> Mapping[str, object]:
+        """Return what this host sees, as JSON types."""
+        fleet = self.fleet.current
+        me = self._port.standing.me
+        return {
+            **dataclasses.asdict(me),
+            'state': me.state.name,
+            'platform_reachable': fleet.platform_reachable,
+            'peers': [peer_document(peer) for peer in fleet.peers],
+            'leaving': sorted(fleet.leaving),
+            'marks': mark_documents(self._membership.known().leaving),
+            'catalogue': self._catalogue.status(),
+            'traffic': dataclasses.asdict(self._port.port.traffic),
+            'refused': {
+                str(refusal): count
+                for refusal, count in self._port.refusals.counts.items()
+            },
+            **{name: source() for name, source in self._sources.items()},
+        }
+
+    def _behind(self, address: str) -> None:
+        """Pull what a peer has newer."""
+
+    def _joined(self, address: str) -> None:
+        """Pull what a new peer knows."""
+
+    def _catalogue_changed(self) -> None:
+        self._port.standing.mark = self._catalogue.state.current.mark
+        self._membership.changed()
+
+
+def _child(rng: random.Random) -> random.Random:
+    """Return a generator for one thread."""
+    return random.Random(rng.getrandbits(64))
--- /dev/null
+++ b/guavadyke/fleet_routes.py
@@ -0,0 +1,133 @@
+"""The operator port's routes to the fleet and to leaving servers."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable, Iterable, Mapping, Sequence
+
+from guavadyke.adapters.ports import BackendServerError, BackendServers
+from guavadyke.catalogue import BackendServerEntry
+from guavadyke.controllers.leaving import Drains
+from guavadyke.decisions.leaving import LeavingMark
+from guavadyke.errors import ErrorCode, Finding, GuavadykeError
+from guavadyke.filters.base import Answer, Exchange, Filter, chain
+from guavadyke.http import Route, json_answer
+from guavadyke.snapshots import CatalogueSnapshot, PeerView, SnapshotCell
+
+_LOAD_TIMEOUT_S = 1.0
+_SERVER_PATH = '/operator/backend-servers/(?P<backend_id>[^/]+)'
+
+StatusSource = Callable[[], Mapping[str, object]]
+
+
+class FleetRoutes:
+    """Handlers of the fleet on the operator port.
+
+    Args:
+        status: what this host sees, as JSON types.
+        catalogue: the catalogue in force on this host.
+        drains: marks backend servers.
+        servers: asked for their own report.
+    """
+
+    def __init__(
+        self,
+        status: StatusSource,
+        catalogue: SnapshotCell[CatalogueSnapshot],
+        drains: Drains,
+        servers: BackendServers,
+    ) -> None:
+        self._status = status
+        self._catalogue = catalogue
+        self._drains = drains
+        self._servers = servers
+
+    def routes(self, filters: Sequence[Filter]) -> list[Route]:
+        """Return the routes behind the filters."""
+        return [
+            Route('/operator/fleet', {'GET': chain(filters, self.fleet)}),
+            Route(
+                f'{_SERVER_PATH}/drain',
+                {
+                    'POST': chain(filters, self.drain),
+                    'DELETE': chain(filters, self.keep),
+                },
+            ),
+            Route(_SERVER_PATH, {'GET': chain(filters, self.show_server)}),
+        ]
+
+    def fleet(self, exchange: Exchange) -> Answer:
+        """Answer with what this host sees."""
+        return json_answer(self._status())
+
+    def drain(self, exchange: Exchange) -> Answer:
+        """Mark a backend server as leaving on all reachable hosts."""
+        return self._mark(exchange, leaving=True)
+
+    def keep(self, exchange: Exchange) -> Answer:
+        """Take back an operator's mark."""
+        return self._mark(exchange, leaving=False)
+
+    def show_server(self, exchange: Exchange) -> Answer:
+        """Answer with a backend server's marks and its own report."""
+        backend_id = exchange.path_parts['backend_id']
+        server = self._server(backend_id)
+        marks = self._drains.marks_of(backend_id)
+        return json_answer({
+            'id': backend_id,
+            'zone': server.zone,
+            'address': server.address,
+            'leaving': server.leaving or any(mark.leaving for mark in marks),
+            'marks': mark_documents(marks),
+            'load': self._load(server.address),
+        })
+
+    def _mark(self, exchange: Exchange, *, leaving: bool) -> Answer:
+        backend_id = exchange.path_parts['backend_id']
+        self._server(backend_id)
+        headers = exchange.headers
+        durable = self._drains.mark(
+            backend_id,
+            leaving=leaving,
+            who=headers.get('guavadyke-operator', 'operator'),
+            why=headers.get('guavadyke-reason', ''),
+        )
+        return json_answer(
+            {'id': backend_id, 'leaving': leaving, 'durable': durable},
+            status=200 if durable else 202,
+        )
+
+    def _server(self, backend_id: str) -> BackendServerEntry:
+        server = self._catalogue.current.backend_servers.get(backend_id)
+        if server is None:
+            raise GuavadykeError(
+                ErrorCode.not_found,
+                f'there is no backend server {backend_id}',
+                findings=(Finding('path', 'unknown backend server'),),
+            )
+        return server
+
+    def _load(self, address: str) -> dict[str, object] | None:
+        try:
+            load = self._servers.load(address, _LOAD_TIMEOUT_S)
+        except BackendServerError:
+            return None
+        return dataclasses.asdict(load)
+
+
+def mark_documents(marks: Iterable[LeavingMark]) -> list[dict[str, object]]:
+    """Return the marks as JSON types."""
+    return [
+        {
+            'id': mark.backend_id,
+            'source': str(mark.source),
+            'leaving': mark.leaving,
+            'version': mark.version,
+        }
+        for mark in marks
+    ]
+
+
+def peer_document(peer: PeerView) -> dict[str, object]:
+    """Return the peer as JSON types."""
+    return {**dataclasses.asdict(peer), 'age_s': round(peer.age_s, 2)}
--- /dev/null
+++ b/guavadyke/membership_service.py
@@ -0,0 +1,125 @@
+"""Membership on one entry host: the peer port and its controller."""
+
+from __future__ import annotations
+
+import queue
+import random
+import threading
+from typing import cast
+
+from guavadyke.adapters.peer_codec import PeerDatagram
+from guavadyke.adapters.peer_port import PeerPort
+from guavadyke.adapters.ports import Clock
+from guavadyke.controllers import membership_messages as messages
+from guavadyke.controllers.membership import (
+    FleetCells,
+    MembershipController,
+    MembershipParts,
+    PeerEvents,
+)
+from guavadyke.controllers.membership_spread import Spreader
+from guavadyke.decisions.leaving import LeavingBoard
+from guavadyke.decisions.membership import Membership
+from guavadyke.decisions.peers import MembershipPolicy
+from guavadyke.log import EventLogger
+from guavadyke.settings import PeerSettings
+
+_TICK_S = 0.1
+_REPORT_LAG_S = 2
+_INBOX_LENGTH = 2000
+
+
+class MembershipService:
+    """Runs membership over the peer port.
+
+    Args:
+        settings: intervals and timeouts.
+        port: the peer port.
+        cells: the catalogue in force, and what this host sees of the fleet.
+        events: called when peers appear or have a newer catalogue.
+        clock: time.
+        rng: seeds the random choices.
+        logger: logs changes.
+    """
+
+    def __init__(
+        self,
+        settings: PeerSettings,
+        port: PeerPort,
+        cells: FleetCells,
+        events: PeerEvents,
+        clock: Clock,
+        rng: random.Random,
+        logger: EventLogger,
+    ) -> None:
+        self._port = port
+        membership = Membership(port.standing.me, _policy(settings), rng)
+        board = LeavingBoard(_REPORT_LAG_S)
+        self.controller = MembershipController.start(
+            MembershipParts(
+                membership,
+                board,
+                Spreader(
+                    port.datagrams,
+                    port.port,
+                    membership.roster,
+                    board,
+                    rng,
+                ),
+                port.standing,
+                cells,
+                events,
+                clock,
+                logger,
+            ),
+        )
+        self._inbox = cast('queue.Queue[object]', self.controller.actor_inbox)
+        self._stop = threading.Event()
+        self._ticker = threading.Thread(
+            target=self._tick,
+            name='membership-tick',
+            daemon=True,
+        )
+
+    def start(self, seeds: frozenset[str]) -> None:
+        """Join the fleet through the seeds."""
+        self.controller.tell(messages.Contacts(seeds))
+        self._port.start(self._receive)
+        self._ticker.start()
+
+    def known(self) -> messages.FleetLearnt:
+        """Return all that this host knows."""
+        return cast(
+            messages.FleetLearnt,
+            self.controller.ask(messages.TellFleet()),
+        )
+
+    def changed(self) -> None:
+        """Tell peers at once that this host's standing changed."""
+        self.controller.tell(messages.StandingChanged())
+
+    def leave(self) -> None:
+        """Tell peers that this host leaves."""
+        self.controller.ask(messages.Leave())
+
+    def close(self) -> None:
+        """Stop probing and close the peer port."""
+        self._stop.set()
+        self._port.close()
+        self.controller.stop()
+
+    def _receive(self, datagram: PeerDatagram) -> None:
+        if self._inbox.qsize() < _INBOX_LENGTH:
+            self.controller.tell(messages.Received(datagram))
+
+    def _tick(self) -> None:
+        while not self._stop.wait(_TICK_S):
+            self.controller.tell(messages.Tick())
+
+
+def _policy(settings: PeerSettings) -> MembershipPolicy:
+    return MembershipPolicy(
+        probe_interval_s=settings.probe_interval_s,
+        probe_timeout_s=settings.probe_timeout_s,
+        suspicion_s=settings.suspicion_s,
+    )
--- a/guavadyke/peer/messages.thrift
+++ b/guavadyke/peer/messages.thrift
@@ -22,8 +22,10 @@
   1: i64 sequence,
 }
 
+/** Answers a ping; target is the host that was pinged. */
 struct Ack {
   1: i64 sequence,
+  2: optional string target,
 }
 
 /** Asks the receiver to ping the target for the sender. */
@@ -32,11 +34,13 @@
   2: string target,
 }
 
-/** A backend server that is leaving; the higher version is the newer. */
+/** Whether a source says that a backend server is leaving; of the marks of
+ * one source the higher version is the newer. */
 struct LeavingMark {
   1: string backend_id,
   2: i64 version,
   3: bool leaving,
+  4: optional string source,
 }
 
 struct LimitDemand {
@@ -72,4 +76,102 @@
   12: optional list<LimitDemand> demands,
   13: optional list<LimitGrant> grants,
   14: optional list<OnlineCount> counts,
+  15: optional i64 catalogue_digest,
+  16: optional string boot,
+  17: optional i64 sent_ms,
+}
+
+struct ObjectVersion {
+  1: string name,
+  2: i64 version,
+}
+
+/** A catalogue object without its history. */
+struct CatalogueCopy {
+  1: string name,
+  2: binary body,
+}
+
+/** Asks for the versions in the buckets whose digests differ. */
+struct CatalogueQuery {
+  1: list<i64> digests,
+}
+
+struct CatalogueFetch {
+  1: list<string> names,
+}
+
+/** Asks for the peers and leaving marks that the receiver knows. */
+struct FleetQuery {
+}
+
+/** A call that the receiver makes to the platform for the sender. */
+struct PlatformCall {
+  1: string method,
+  2: string kind,
+  3: string name,
+  4: optional binary body,
+  5: optional i64 version,
+  6: optional string after,
+  7: optional i32 limit,
+  8: optional bool bodies,
+}
+
+struct StoredObject {
+  1: string kind,
+  2: string name,
+  3: i64 version,
+  4: binary body,
+}
+
+struct ObjectEvent {
+  1: string name,
+  2: i64 version,
+  3: optional StoredObject current,
+}
+
+struct ListedHost {
+  1: string host_id,
+  2: string role,
+  3: string zone,
+  4: string address,
+  5: bool leaving,
+}
+
+struct PlatformReply {
+  1: optional list<StoredObject> objects,
+  2: optional i64 revision,
+  3: optional bool more,
+  4: optional list<ObjectEvent> events,
+  5: optional bool expired,
+  6: optional list<ListedHost> hosts,
+}
+
+/** The receiver's refusal, with the stable code of the error. */
+struct RemoteError {
+  1: string code,
+  2: string message,
+  3: optional i64 current_version,
+}
+
+struct Request {
+  1: i32 format,
+  2: string sender,
+  3: i64 sent_ms,
+  4: string nonce,
+  5: optional CatalogueQuery catalogue_query,
+  6: optional CatalogueFetch catalogue_fetch,
+  7: optional FleetQuery fleet_query,
+  8: optional PlatformCall platform_call,
+}
+
+struct Reply {
+  1: i32 format,
+  2: string nonce,
+  3: optional RemoteError error,
+  4: optional list<ObjectVersion> versions,
+  5: optional list<CatalogueCopy> copies,
+  6: optional list<PeerRecord> peers,
+  7: optional list<LeavingMark> leaving,
+  8: optional PlatformReply platform,
 }
