--- a/guavadyke/catalogue.py
+++ b/guavadyke/catalogue.py
@@ -21,17 +21,34 @@
 class Limits(SettingsModel):
     """Limits over the whole fleet; None sets none."""
 
-    concurrency: Annotated[int, pydantic.Field(ge=0)] | None = None
-    requests_per_s: Annotated[float, pydantic.Field(ge=0)] | None = None
-    tokens_per_s: Annotated[float, pydantic.Field(ge=0)] | None = None
-    queue: Annotated[int, pydantic.Field(ge=0)] | None = None
+    concurrency: Annotated[int, pydantic.Field(ge=0)] | None = pydantic.Field(
+        default=None,
+        description='Requests in flight over the whole fleet.',
+    )
+    requests_per_s: Annotated[float, pydantic.Field(ge=0)] | None = (
+        pydantic.Field(
+            default=None,
+            description='Requests a second over the whole fleet.',
+        )
+    )
+    tokens_per_s: Annotated[float, pydantic.Field(ge=0)] | None = (
+        pydantic.Field(
+            default=None,
+            description='Generated tokens a second over the whole fleet.',
+        )
+    )
+    queue: Annotated[int, pydantic.Field(ge=0)] | None = pydantic.Field(
+        default=None,
+        description='Requests that wait on one entry host.',
+    )
 
 
 class _Entry(SettingsModel):
-    owner: Name
+    owner: Name = pydantic.Field(description='Owner whose callers may use it.')
     entry_class: Literal['online', 'batch', 'both'] = pydantic.Field(
         default='both',
         alias='class',
+        description='Requests that it takes.',
     )
     limits: Limits = Limits()
 
@@ -40,12 +57,22 @@
     """An entry that language model engines serve."""
 
     kind: Literal['model'] = 'model'
-    idempotent: bool = True
-    model: str
-    version: str = '1'
-    adapters: tuple[str, ...] = ()
+    idempotent: bool = pydantic.Field(
+        default=True,
+        description='Whether a request may run more than once.',
+    )
+    model: str = pydantic.Field(description='Model that engines load.')
+    version: str = pydantic.Field(
+        default='1',
+        description='Version of the model.',
+    )
+    adapters: tuple[str, ...] = pydantic.Field(
+        default=(),
+        description='Adapters that engines load with the model.',
+    )
     replicas: dict[str, Annotated[int, pydantic.Field(ge=0)]] = pydantic.Field(
-        default_factory=dict
+        default_factory=dict,
+        description='Engines that are to serve it, by availability zone.',
     )
 
 
@@ -53,7 +80,10 @@
     """An entry that plain services serve."""
 
     kind: Literal['service'] = 'service'
-    idempotent: bool = True
+    idempotent: bool = pydantic.Field(
+        default=True,
+        description='Whether a request may run more than once.',
+    )
 
 
 class BackendServerEntry(SettingsModel):
@@ -64,14 +94,32 @@
     """
 
     kind: Literal['backend_server'] = 'backend_server'
-    role: Literal['engine', 'service'] = 'engine'
-    zone: str
-    address: Address
-    serves: tuple[Name, ...] = ()
-    slots: Annotated[int, pydantic.Field(ge=1)] = 8
-    fencing: bool = False
-    managed: bool = False
-    leaving: bool = False
+    role: Literal['engine', 'service'] = pydantic.Field(
+        default='engine',
+        description='What it is.',
+    )
+    zone: str = pydantic.Field(description='Availability zone.')
+    address: Address = pydantic.Field(description='IP:PORT.')
+    serves: tuple[Name, ...] = pydantic.Field(
+        default=(),
+        description='Catalogue entries that it serves.',
+    )
+    slots: Annotated[int, pydantic.Field(ge=1)] = pydantic.Field(
+        default=8,
+        description='Requests that it runs at once.',
+    )
+    fencing: bool = pydantic.Field(
+        default=False,
+        description='Whether it refuses orders with an old fencing number.',
+    )
+    managed: bool = pydantic.Field(
+        default=False,
+        description='Whether this system orders what it loads.',
+    )
+    leaving: bool = pydantic.Field(
+        default=False,
+        description='Whether it is to get no new work.',
+    )
 
 
 class OwnerEntry(SettingsModel):
@@ -81,7 +129,10 @@
     key_hashes: tuple[
         Annotated[str, pydantic.Field(pattern='^[0-9a-f]{64}$')],
         ...,
-    ] = ()
+    ] = pydantic.Field(
+        default=(),
+        description="SHA-256 hashes (hex) of its callers' keys.",
+    )
     limits: Limits = Limits()
 
 
@@ -93,7 +144,10 @@
     """
 
     kind: Literal['policy'] = 'policy'
-    tail_weight: Share = 0.7
+    tail_weight: Share = pydantic.Field(
+        default=0.7,
+        description='1: only the online tail counts; 0: only batch throughput.',
+    )
 
 
 CatalogueEntry = (
--- /dev/null
+++ b/guavadyke/measure/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: each is one module."""
--- /dev/null
+++ b/guavadyke/measure/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes: what state, messages and processor time grow with."""
