Let a call to a backend server be cancelled before its answer begins

A caller that leaves while the engine has not sent the head would hold the engine's slot until the first byte. The adapter binds the closing of the connection to the call; any thread may then end it. Additive port field.

--- a/guavadyke/adapters/ports.py
+++ b/guavadyke/adapters/ports.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import threading
 from collections.abc import Callable, Iterator, Mapping
 from typing import Protocol
 
@@ -180,12 +181,47 @@
         self.not_run = not_run
 
 
+class CallCancellation:
+    """Lets another thread end a call, also before its answer begins."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._close: Callable[[], None] | None = None
+        self._cancelled = False
+
+    @property
+    def cancelled(self) -> bool:
+        """Whether the call has been ended from outside."""
+        return self._cancelled
+
+    def bind(self, close: Callable[[], None]) -> None:
+        """Name what closes the connection that the call uses now.
+
+        ``close`` may run in another thread, and runs at once where the
+        call has been cancelled already.
+        """
+        with self._lock:
+            self._close = close
+            cancelled = self._cancelled
+        if cancelled:
+            close()
+
+    def cancel(self) -> None:
+        """End the call: its reader sees a broken connection."""
+        with self._lock:
+            self._cancelled = True
+            close = self._close
+        if close is not None:
+            close()
+
+
 @dataclasses.dataclass(frozen=True)
 class BackendCall:
     """One request to one backend server.
 
     ``path`` starts with a slash. Timeouts are in seconds. ``fresh`` asks
-    for a new connection, as retries and non-idempotent calls do.
+    for a new connection, as retries and non-idempotent calls do. The
+    adapter binds ``cancellation`` to the connection before it sends.
     """
 
     request_id: str
@@ -198,6 +234,7 @@
     first_byte_timeout_s: float
     gap_timeout_s: float
     fresh: bool = False
+    cancellation: CallCancellation | None = None
 
 
 class BackendAnswer(Protocol):
