Let a batch sender tell how many items it has at an engine

Without it a host counts batch items in the engine's report as online load and holds its own requests back for work that yields to them. Additive field of the notice and the datagram.

--- a/guavadyke/adapters/ports.py
+++ b/guavadyke/adapters/ports.py
@@ -324,6 +324,14 @@
     queued: int
 
 
+@dataclasses.dataclass(frozen=True)
+class BatchCount:
+    """Batch items that the sending host has at one backend server."""
+
+    backend_id: str
+    in_flight: int
+
+
 @dataclasses.dataclass(frozen=True)
 class PeerNotice:
     """What one entry host tells another outside membership."""
@@ -331,6 +339,7 @@
     demands: tuple[LimitDemand, ...] = ()
     grants: tuple[LimitGrant, ...] = ()
     counts: tuple[OnlineCount, ...] = ()
+    batch_counts: tuple[BatchCount, ...] = ()
 
 
 class PeerMessenger(Protocol):
--- a/guavadyke/peer/messages.thrift
+++ b/guavadyke/peer/messages.thrift
@@ -56,6 +56,12 @@
   3: i32 queued,
 }
 
+/** Batch items that the sender has at one backend server. */
+struct BatchCount {
+  1: string backend_id,
+  2: i32 in_flight,
+}
+
 /** The one datagram; what is absent is not said. */
 struct Datagram {
   1: i32 format,
@@ -72,4 +78,5 @@
   12: optional list<LimitDemand> demands,
   13: optional list<LimitGrant> grants,
   14: optional list<OnlineCount> counts,
+  15: optional list<BatchCount> batch_counts,
 }
