--- a/guavadyke/adapters/ports.py
+++ b/guavadyke/adapters/ports.py
@@ -4,10 +4,11 @@
 
 import dataclasses
 import enum
-import threading
 from collections.abc import Callable, Iterator, Mapping
 from typing import Protocol
 
+from guavadyke.adapters.cancellation import CallCancellation
+
 
 class Clock(Protocol):
     """Time as one host sees it."""
@@ -181,40 +182,6 @@
         self.not_run = not_run
 
 
-class CallCancellation:
-    """Lets another thread end a call, also before its answer begins."""
-
-    def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self._close: Callable[[], None] | None = None
-        self._cancelled = False
-
-    @property
-    def cancelled(self) -> bool:
-        """Whether the call has been ended from outside."""
-        return self._cancelled
-
-    def bind(self, close: Callable[[], None]) -> None:
-        """Name what closes the connection that the call uses now.
-
-        ``close`` may run in another thread, and runs at once where the
-        call has been cancelled already.
-        """
-        with self._lock:
-            self._close = close
-            cancelled = self._cancelled
-        if cancelled:
-            close()
-
-    def cancel(self) -> None:
-        """End the call: its reader sees a broken connection."""
-        with self._lock:
-            self._cancelled = True
-            close = self._close
-        if close is not None:
-            close()
-
-
 @dataclasses.dataclass(frozen=True)
 class BackendCall:
     """One request to one backend server.
