--- /dev/null
+++ b/guavadyke/decisions/sharing.py
@@ -0,0 +1,143 @@
+"""Batch items beside online requests: which may start, which yield."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterator
+
+from guavadyke.decisions.admission import WaitingLine
+from guavadyke.decisions.candidates import Candidates
+from guavadyke.decisions.counts import CountsByHost
+from guavadyke.decisions.routing import Router, ServerView
+from guavadyke.decisions.slot import HostPlace, Slot
+from guavadyke.decisions.yielding import (
+    batch_sender,
+    batch_slots,
+    refill_delay_s,
+)
+from guavadyke.snapshots import FleetSnapshot
+
+_KEPT_SHARE = 0.25
+
+
+class BatchShare:
+    """Decides over the slots that batch items of one host may use.
+
+    Args:
+        place: this host.
+        router: knows what is in flight at each server.
+        line: online requests that wait.
+    """
+
+    def __init__(
+        self,
+        place: HostPlace,
+        router: Router,
+        line: WaitingLine,
+    ) -> None:
+        self.online_elsewhere = CountsByHost()
+        self.candidates = Candidates({}, {})
+        self.fleet = FleetSnapshot()
+        self.tail_weight: float = 1
+        self._place = place
+        self._router = router
+        self._line = line
+        self._batch: dict[str, list[Slot]] = collections.defaultdict(list)
+        self._no_refill_until: dict[str, float] = {}
+
+    def take(
+        self,
+        entry_name: str,
+        now: float,
+        *,
+        kept: bool = False,
+    ) -> Slot | None:
+        """Return a slot for a batch item, None where none is idle."""
+        views = self.candidates.of(entry_name)
+        room = {
+            view.server_id: self._room(view, now)
+            for view in views
+            if not kept or self._keeps(view)
+        }
+        roomiest = max(room, key=lambda one: room[one], default='')
+        if not roomiest or room[roomiest] < 1:
+            return None
+        view = self.candidates.views[roomiest]
+        slot = Slot(view, entry_name, now, batch=True, kept=kept)
+        self._batch[roomiest].append(slot)
+        self._router.server(roomiest).add_batch(1, now)
+        return slot
+
+    def room(self, entry_name: str, now: float) -> int:
+        """Return how many more batch items of an entry may start."""
+        views = self.candidates.of(entry_name)
+        return sum(max(0, self._room(view, now)) for view in views)
+
+    def yielding(self, now: float) -> Iterator[Slot]:
+        """Yield the batch slots that online requests need now."""
+        for server_id, slots in self._batch.items():
+            held = [slot for slot in slots if not slot.preempted]
+            if not held:
+                continue
+            excess = len(held) - self._allowed(held[0].view, now)
+            movable = [slot for slot in reversed(held) if not slot.kept]
+            for slot in movable[: max(0, excess)]:
+                slot.preempted = True
+                delay_s = refill_delay_s(self.tail_weight)
+                self._no_refill_until[server_id] = now + delay_s
+                yield slot
+
+    def counts(self) -> dict[str, int]:
+        """Return how many batch items this host has at each server."""
+        return {server_id: len(held) for server_id, held in self._batch.items()}
+
+    def remove(self, slot: Slot, now: float) -> None:
+        """Take the slot of an item back that has ended."""
+        server_id = slot.view.server_id
+        self._batch[server_id].remove(slot)
+        self._router.server(server_id).add_batch(-1, now)
+
+    def sender(self, view: ServerView) -> str:
+        """Return the host that sends batch items to a server."""
+        place = self._place
+        peers = self.fleet.peers
+        return batch_sender(view, place.host_id, place.zone, peers)
+
+    def _room(self, view: ServerView, now: float) -> int:
+        """Return the batch items that may start at a server."""
+        server_id = view.server_id
+        if now < self._no_refill_until.get(server_id, now):
+            return 0
+        if not self._router.available(view):
+            return 0
+        held = len(self._batch[server_id])
+        elsewhere = self._router.foreign_batch.total(server_id, now)
+        return self._allowed(view, now) - held - elsewhere
+
+    def _keeps(self, view: ServerView) -> bool:
+        """Return whether one more item that cannot yield may start."""
+        kept = sum(slot.kept for slot in self._batch[view.server_id])
+        return kept < max(1, int(view.slots * _KEPT_SHARE))
+
+    def _allowed(self, view: ServerView, now: float) -> int:
+        """Return the batch items that a server may hold."""
+        sender = self.sender(view)
+        if sender != self._place.host_id or self._waits_for(view):
+            return 0
+        server = self._router.server(view.server_id)
+        online = self.online_elsewhere.total(view.server_id, now)
+        if not self._batch[view.server_id]:
+            reported = self._router.others(view.server_id, now) or 0
+            online = max(online, reported)
+        return batch_slots(
+            view.slots,
+            server.online + online,
+            self.tail_weight,
+        )
+
+    def _waits_for(self, view: ServerView) -> bool:
+        """Return whether an online request waits that the server serves."""
+        return any(
+            view in self.candidates.of(ticket.entry_name)
+            for ticket in self._line.heads()
+        )
--- /dev/null
+++ b/guavadyke/decisions/slots.py
@@ -0,0 +1,197 @@
+"""Slots of backend servers: who gets one, who waits, which batch yields."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import random
+from collections.abc import Iterator
+
+from guavadyke.adapters.ports import BackendFault, ReportedLoad
+from guavadyke.decisions.admission import ServiceTimes, Ticket, WaitingLine
+from guavadyke.decisions.candidates import Candidates, candidates
+from guavadyke.decisions.routing import Router
+from guavadyke.decisions.sharing import BatchShare
+from guavadyke.decisions.slot import HostPlace, Slot
+from guavadyke.errors import ErrorCode, GuavadykeError
+from guavadyke.snapshots import CatalogueSnapshot, FleetSnapshot
+
+_LONGEST_RETRY_AFTER_S = 30
+_UNREACHABLE = frozenset((BackendFault.not_reached, BackendFault.silent))
+
+
+@dataclasses.dataclass(frozen=True)
+class Grant:
+    """A slot for a ticket that had to wait for it."""
+
+    ticket: Ticket
+    slot: Slot
+
+
+class SlotTable:
+    """Decides over the slots that one host uses.
+
+    Not safe for threads: its owner holds a lock.
+
+    Args:
+        place: this host.
+        rng: spreads probes of failing servers.
+        queue_length: online requests that wait at the most.
+    """
+
+    def __init__(
+        self,
+        place: HostPlace,
+        rng: random.Random,
+        queue_length: int,
+    ) -> None:
+        self.router = Router(place.zone, rng)
+        self.line = WaitingLine(queue_length)
+        self.times = ServiceTimes()
+        self.batch = BatchShare(place, self.router, self.line)
+        self._place = place
+        self._catalogue = CatalogueSnapshot()
+        self._fleet = FleetSnapshot()
+        self._reports: dict[str, ReportedLoad] = {}
+        self._candidates = Candidates({}, {})
+
+    @property
+    def candidates(self) -> Candidates:
+        """Servers that may take new work."""
+        return self._candidates
+
+    def refresh(
+        self,
+        catalogue: CatalogueSnapshot,
+        fleet: FleetSnapshot,
+    ) -> None:
+        """Take the newest snapshots; nothing is done for known ones."""
+        if catalogue is self._catalogue and fleet is self._fleet:
+            return
+        self._catalogue = catalogue
+        self._fleet = fleet
+        self.batch.fleet = fleet
+        self.batch.tail_weight = catalogue.policy.tail_weight
+        self._rebuild()
+        self.router.keep(catalogue.backend_servers)
+
+    def report(self, server_id: str, load: ReportedLoad, now: float) -> None:
+        """Take a server's own report."""
+        before = self._reports.get(server_id)
+        self._reports[server_id] = load
+        self.router.report(server_id, load, now)
+        if before is None or _standing(before) != _standing(load):
+            self._rebuild()
+
+    def request(self, ticket: Ticket, now: float) -> Slot | None:
+        """Return a slot at once, or let the ticket wait.
+
+        Raises:
+            GuavadykeError: the request is refused and did not run.
+        """
+        if not self._candidates.of(ticket.entry_name):
+            raise GuavadykeError(
+                ErrorCode.no_backend_server,
+                f'no backend server serves {ticket.entry_name} now',
+                retry_after_s=1,
+            )
+        if not self.line.length_of(ticket.entry_name):
+            slot = self._grant(ticket, now)
+            if slot is not None:
+                return slot
+        self._check_wait(ticket, now)
+        self.line.add(ticket)
+        return None
+
+    def pump(self, now: float) -> Iterator[Grant]:
+        """Yield a grant for each waiting ticket that can have a slot."""
+        progress = True
+        while progress:
+            progress = False
+            for ticket in self.line.heads():
+                slot = self._grant(ticket, now)
+                if slot is not None:
+                    progress = True
+                    self.line.withdraw(ticket)
+                    yield Grant(ticket, slot)
+
+    def release(
+        self,
+        slot: Slot,
+        now: float,
+        fault: BackendFault | None = None,
+    ) -> None:
+        """Give a slot back; ``fault`` tells how its call failed."""
+        server = self.router.server(slot.view.server_id)
+        if slot.batch:
+            self.batch.remove(slot, now)
+        else:
+            server.add_online(-1, now)
+        if fault is not None:
+            server.health.failed(now, unreachable=fault in _UNREACHABLE)
+        elif not slot.cancellation.cancelled:
+            server.health.succeeded(now)
+            self._note_time(slot, now)
+
+    def _rebuild(self) -> None:
+        self._candidates = candidates(
+            self._catalogue,
+            self._fleet,
+            self._reports,
+            self._place.zone,
+        )
+        self.batch.candidates = self._candidates
+
+    def _grant(self, ticket: Ticket, now: float) -> Slot | None:
+        views = self._candidates.of(ticket.entry_name)
+        left = [view for view in views if view.server_id not in ticket.excluded]
+        view = self.router.choose(left or views, ticket.key, now)
+        if view is None:
+            return None
+        self.router.server(view.server_id).add_online(1, now)
+        return Slot(view, ticket.entry_name, now)
+
+    def _check_wait(self, ticket: Ticket, now: float) -> None:
+        """Refuse a ticket that could not be served in time."""
+        entry_name = ticket.entry_name
+        ahead = self.line.length_of(entry_name)
+        views = self._candidates.of(entry_name)
+        held = sum(self.router.server(view.server_id).online for view in views)
+        wait_s = self.times.wait_s(entry_name, ahead, held)
+        queue = ticket.queue
+        full = self.line.full or (queue is not None and ahead >= queue)
+        if full or now + wait_s + self.times.mean_s(entry_name) > (
+            ticket.deadline
+        ):
+            raise GuavadykeError(
+                ErrorCode.overloaded,
+                'more requests wait than can be served in time',
+                retry_after_s=retry_after_s(wait_s),
+            )
+
+    def _note_time(self, slot: Slot, now: float) -> None:
+        if not slot.batch:
+            self.times.note(slot.entry_name, now - slot.taken_at)
+
+
+def table_status(table: SlotTable, now: float) -> dict[str, object]:
+    """Return what a host has at each server, for operators."""
+    return {
+        server_id: {
+            'online': table.router.server(server_id).online,
+            'batch': table.router.server(server_id).batch,
+            'online_elsewhere': table.router.others(server_id, now),
+            'available': table.router.available(view),
+            'batch_sender': table.batch.sender(view),
+        }
+        for server_id, view in table.candidates.views.items()
+    }
+
+
+def retry_after_s(wait_s: float) -> int:
+    """Return whole seconds after which a refused caller may come back."""
+    return max(1, min(_LONGEST_RETRY_AFTER_S, round(wait_s)))
+
+
+def _standing(load: ReportedLoad) -> tuple[bool, tuple[str, ...]]:
+    return load.leaving, tuple(itertools.chain(load.serves))
--- /dev/null
+++ b/guavadyke/online.py
@@ -0,0 +1,155 @@
+"""Online requests of one entry host, and its runner of batch items."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from guavadyke.adapters.ports import (
+    BackendServers,
+    Clock,
+    ItemRunner,
+    PeerMessenger,
+)
+from guavadyke.adapters.settled import SettledStore
+from guavadyke.errors import ErrorCode, GuavadykeError
+from guavadyke.filters.authenticate import Authenticate
+from guavadyke.filters.base import Answer, Exchange, Filter, Handler, chain
+from guavadyke.filters.capacity import Capacity
+from guavadyke.filters.dispatch import Dispatch
+from guavadyke.filters.items import BatchItems
+from guavadyke.filters.loads import LoadReports
+from guavadyke.filters.parse import (
+    ParseModelRequest,
+    ParseServiceRequest,
+    ParseTools,
+)
+from guavadyke.filters.retrying import RetryGate
+from guavadyke.filters.watch import CallerWatch
+from guavadyke.filters.work import CHAT_PATH, COMPLETIONS_PATH, Tools
+from guavadyke.http import Route, json_answer
+from guavadyke.log import EventLogger
+from guavadyke.metrics import OnlineMetrics, metrics_routes
+from guavadyke.settings import EntrySettings
+from guavadyke.snapshots import (
+    CatalogueSnapshot,
+    FleetSnapshot,
+    SnapshotCell,
+)
+
+_SERVICE_PATTERN = '/v1/services/(?P<entry>[^/]+)/?(?P<path>.*)'
+
+
+class OnlineService:
+    """Serves online requests and runs batch items on idle capacity.
+
+    Args:
+        settings: settings of this host.
+        clock: gives the time.
+        rng: source of randomness.
+        catalogue: configuration in force.
+        fleet: peers and leaving servers.
+        servers: calls to backend servers.
+        store: the platform's objects.
+        messenger: notices between entry hosts.
+        logger: gets the events.
+    """
+
+    def __init__(  # noqa: WPS211 - the parts of the host, one by one
+        self,
+        settings: EntrySettings,
+        clock: Clock,
+        rng: random.Random,
+        catalogue: SnapshotCell[CatalogueSnapshot],
+        fleet: SnapshotCell[FleetSnapshot],
+        servers: BackendServers,
+        store: SettledStore,
+        messenger: PeerMessenger,
+        logger: EventLogger,
+    ) -> None:
+        self.metrics = OnlineMetrics()
+        self._capacity = Capacity(settings, clock, rng, catalogue, fleet)
+        self._watch = CallerWatch()
+        tools = Tools(
+            settings=settings.online,
+            clock=clock,
+            servers=servers,
+            capacity=self._capacity,
+            watch=self._watch,
+            retries=RetryGate(settings.online.retry_budget_ratio, clock),
+            metrics=self.metrics,
+            logger=logger,
+        )
+        self._items = BatchItems(tools, catalogue, settings.host_id)
+        self._loads = LoadReports(settings, catalogue, servers, self._capacity)
+        self._authenticate = Authenticate(catalogue)
+        self._dispatch = Dispatch(tools, settings.host_id)
+        self._parse_tools = ParseTools(settings, clock, catalogue)
+        self._stopping = False
+
+    @property
+    def authenticate(self) -> Filter:
+        """Filter that knows callers by their keys."""
+        return self._authenticate
+
+    @property
+    def runner(self) -> ItemRunner:
+        """Runs batch items on idle capacity."""
+        return self._items
+
+    def routes(self) -> list[Route]:
+        """Return the routes of the caller port."""
+        parse_model = ParseModelRequest(self._parse_tools)
+        model = self._handler(parse_model, self._dispatch.model)
+        parse_service = ParseServiceRequest(self._parse_tools)
+        service = self._handler(parse_service, self._dispatch.service)
+        return [
+            Route(CHAT_PATH, {'POST': model}),
+            Route(COMPLETIONS_PATH, {'POST': model}),
+            Route(_SERVICE_PATTERN, {'*': service}),
+            Route('/health/live', {'GET': _alive}),
+            Route('/health/ready', {'GET': self._ready}),
+        ]
+
+    def metrics_routes(self) -> list[Route]:
+        """Return the routes of the operator port."""
+        return metrics_routes(self.metrics)
+
+    def start(self) -> None:
+        """Begin the work in the background."""
+        self._watch.start()
+        self._loads.start()
+
+    def stop_readiness(self) -> None:
+        """Answer from now on that this host is stopping."""
+        self._stopping = True
+
+    def close(self) -> None:
+        """End the work in the background."""
+        self._loads.close()
+        self._watch.close()
+
+    def status(self) -> dict[str, object]:
+        """Return what operators see of online requests."""
+        return {
+            'waiting': self._capacity.waiting,
+            'servers': self._capacity.status(),
+            'counters': self.metrics.counters(),
+            'latencies_s': self.metrics.latencies(),
+        }
+
+    def _handler(
+        self,
+        parse: Filter,
+        dispatch: Callable[[Exchange], Answer],
+    ) -> Handler:
+        return chain((self._authenticate, parse), dispatch)
+
+    def _ready(self, _exchange: Exchange) -> Answer:
+        if self._stopping:
+            raise GuavadykeError(ErrorCode.stopping, 'this host is stopping')
+        return json_answer({'ready': True})
+
+
+def _alive(_exchange: Exchange) -> Answer:
+    return json_answer({'live': True})
