--- /dev/null
+++ b/guavadyke/adapters/connections.py
@@ -0,0 +1,76 @@
+"""Connections to the outside that are reused only while they are sound."""
+
+from __future__ import annotations
+
+import collections
+import threading
+import time
+
+from urllib3.connection import HTTPConnection, HTTPSConnection
+from urllib3.util import parse_url
+
+_KEPT_CONNECTIONS = 64
+
+
+class ConnectionPool:
+    """Idle connections by origin, the last used first.
+
+    Args:
+        idle_s: seconds after which an idle connection is not reused.
+    """
+
+    def __init__(self, idle_s: float) -> None:
+        self._idle_s = idle_s
+        self._lock = threading.Lock()
+        self._idle: dict[str, collections.deque[tuple[float, HTTPConnection]]]
+        self._idle = collections.defaultdict(collections.deque)
+
+    def take(self, origin: str) -> HTTPConnection | None:
+        """Return an idle connection that looks sound, or None."""
+        oldest = time.monotonic() - self._idle_s
+        while True:
+            with self._lock:
+                waiting = self._idle[origin]
+                if not waiting:
+                    return None
+                since, connection = waiting.pop()
+            if since >= oldest and connection.is_connected:
+                return connection
+            connection.close()
+
+    def give(self, origin: str, connection: HTTPConnection) -> None:
+        """Keep a connection whose last answer was read to its end."""
+        with self._lock:
+            waiting = self._idle[origin]
+            waiting.append((time.monotonic(), connection))
+            surplus = (
+                waiting.popleft()[1]
+                if len(waiting) > _KEPT_CONNECTIONS
+                else None
+            )
+        if surplus is not None:
+            surplus.close()
+
+    def drop(self, origin: str) -> None:
+        """Close every idle connection to an origin that failed."""
+        with self._lock:
+            waiting = tuple(self._idle.pop(origin, ()))
+        for _since, connection in waiting:
+            connection.close()
+
+
+def new_connection(origin: str, connect_timeout_s: float) -> HTTPConnection:
+    """Return a connection to an origin that is not connected yet.
+
+    Args:
+        origin: URL with scheme, IP number and port.
+        connect_timeout_s: seconds that connecting may take.
+    """
+    url = parse_url(origin)
+    factory = HTTPSConnection if url.scheme == 'https' else HTTPConnection
+    return factory(
+        url.hostname or '',
+        url.port,
+        timeout=connect_timeout_s,
+        blocksize=65_536,
+    )
--- /dev/null
+++ b/guavadyke/adapters/platform.py
@@ -0,0 +1,336 @@
+"""The platform's object API over HTTP."""
+
+from __future__ import annotations
+
+import base64
+import threading
+from collections.abc import Mapping
+from typing import Annotated, TypeVar
+from urllib.parse import quote, urlencode
+
+import pydantic
+
+from guavadyke.adapters.platform_calls import (
+    ABSENT,
+    EXPIRED,
+    PlatformCall,
+    PlatformCalls,
+    PlatformReply,
+)
+from guavadyke.adapters.ports import (
+    Clock,
+    ListedHost,
+    ObjectEvent,
+    ObjectListing,
+    PlatformStore,
+    StoredObject,
+    WatchAnswer,
+)
+from guavadyke.errors import PlatformUnavailableError
+from guavadyke.settings import PlatformSettings
+
+Document = TypeVar('Document', bound=pydantic.BaseModel)
+_Body = Annotated[bytes, pydantic.BeforeValidator(base64.b64decode)]
+
+
+class _ObjectDocument(pydantic.BaseModel):
+    name: str
+    version: int
+    body: _Body | None = None
+
+
+class _ListDocument(pydantic.BaseModel):
+    revision: int
+    more: bool
+    objects: tuple[_ObjectDocument, ...]
+
+
+class _WatchDocument(pydantic.BaseModel):
+    revision: int
+    events: tuple[_ObjectDocument, ...]
+
+
+class _HostDocument(pydantic.BaseModel):
+    host_id: str
+    role: str
+    zone: str
+    address: str
+    leaving: bool
+
+
+class _HostsDocument(pydantic.BaseModel):
+    hosts: tuple[_HostDocument, ...]
+
+
+class HttpPlatformStore:
+    """Implements ``PlatformStore`` by HTTP.
+
+    Args:
+        settings: where the platform is and how long a call may take.
+        host_id: this host's id, which the platform is told.
+    """
+
+    def __init__(self, settings: PlatformSettings, host_id: str = '') -> None:
+        self._calls = PlatformCalls(settings, host_id)
+
+    def read(self, kind: str, name: str) -> StoredObject | None:
+        """Return the object, or None when it is absent."""
+        reply = self._get(_object_path(kind, name))
+        if reply.status == ABSENT:
+            return None
+        return StoredObject(kind, name, reply.version, reply.body)
+
+    def list_objects(
+        self,
+        kind: str,
+        *,
+        prefix: str = '',
+        after: str = '',
+        limit: int = 500,
+        bodies: bool = True,
+    ) -> ObjectListing:
+        """Return a page of objects by name."""
+        query = urlencode({
+            'prefix': prefix,
+            'after': after,
+            'limit': limit,
+            'bodies': int(bodies),
+        })
+        reply = self._get(f'/objects/{quote(kind, safe="")}?{query}')
+        document = _parsed(_ListDocument, reply)
+        return ObjectListing(
+            document.revision,
+            tuple(
+                StoredObject(kind, one.name, one.version, one.body or b'')
+                for one in document.objects
+            ),
+            document.more,
+        )
+
+    def create(self, kind: str, name: str, body: bytes) -> StoredObject:
+        """Create the object.
+
+        Raises:
+            ObjectConflictError: it exists already.
+        """
+        return self._put(kind, name, body, {'If-None-Match': '*'})
+
+    def update(
+        self,
+        kind: str,
+        name: str,
+        body: bytes,
+        version: int,
+    ) -> StoredObject:
+        """Replace the object if it still has ``version``.
+
+        Raises:
+            ObjectConflictError: it has another version or is absent.
+        """
+        return self._put(kind, name, body, {'If-Match': f'"{version}"'})
+
+    def delete(self, kind: str, name: str, version: int) -> None:
+        """Delete the object if it still has ``version``.
+
+        Raises:
+            ObjectConflictError: it has another version or is absent.
+        """
+        self._calls.write(
+            PlatformCall(
+                'DELETE',
+                _object_path(kind, name),
+                condition={'If-Match': f'"{version}"'},
+            ),
+        )
+
+    def watch(self, kind: str, revision: int, wait_s: float) -> WatchAnswer:
+        """Wait up to ``wait_s`` seconds for changes after ``revision``."""
+        query = urlencode({'after': revision, 'wait': wait_s})
+        call = PlatformCall('GET', f'/watch/{quote(kind, safe="")}?{query}')
+        reply = self._calls.watch(call, wait_s)
+        if reply.status == EXPIRED:
+            return WatchAnswer(revision, (), expired=True)
+        document = _parsed(_WatchDocument, reply)
+        return WatchAnswer(
+            document.revision,
+            tuple(_event(kind, one) for one in document.events),
+        )
+
+    def hosts(self) -> tuple[ListedHost, ...]:
+        """Return the list of live and leaving hosts; it lags."""
+        document = _parsed(_HostsDocument, self._get('/hosts'))
+        return tuple(ListedHost(**host.model_dump()) for host in document.hosts)
+
+    def _get(self, path: str) -> PlatformReply:
+        return self._calls.read(PlatformCall('GET', path))
+
+    def _put(
+        self,
+        kind: str,
+        name: str,
+        body: bytes,
+        condition: Mapping[str, str],
+    ) -> StoredObject:
+        reply = self._calls.write(
+            PlatformCall('PUT', _object_path(kind, name), body, condition),
+        )
+        return StoredObject(kind, name, reply.version, body)
+
+
+class BudgetedStore:
+    """A platform store whose calls keep within a host's own rates.
+
+    A call that would have to wait longer than the timeout of a call is
+    not made and raises ``PlatformUnavailableError``.
+
+    Args:
+        store: the store that makes the calls.
+        settings: rates and timeout.
+        clock: tells the time and waits.
+    """
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        settings: PlatformSettings,
+        clock: Clock,
+    ) -> None:
+        self._store = store
+        self._reads = _Bucket(settings.reads_per_s, settings, clock)
+        self._writes = _Bucket(settings.writes_per_s, settings, clock)
+
+    def read(self, kind: str, name: str) -> StoredObject | None:
+        """Return the object, or None when it is absent."""
+        self._reads.take()
+        return self._store.read(kind, name)
+
+    def list_objects(
+        self,
+        kind: str,
+        *,
+        prefix: str = '',
+        after: str = '',
+        limit: int = 500,
+        bodies: bool = True,
+    ) -> ObjectListing:
+        """Return a page of objects by name."""
+        self._reads.take()
+        return self._store.list_objects(
+            kind,
+            prefix=prefix,
+            after=after,
+            limit=limit,
+            bodies=bodies,
+        )
+
+    def create(self, kind: str, name: str, body: bytes) -> StoredObject:
+        """Create the object.
+
+        Raises:
+            ObjectConflictError: it exists already.
+        """
+        self._writes.take()
+        return self._store.create(kind, name, body)
+
+    def update(
+        self,
+        kind: str,
+        name: str,
+        body: bytes,
+        version: int,
+    ) -> StoredObject:
+        """Replace the object if it still has ``version``.
+
+        Raises:
+            ObjectConflictError: it has another version or is absent.
+        """
+        self._writes.take()
+        return self._store.update(kind, name, body, version)
+
+    def delete(self, kind: str, name: str, version: int) -> None:
+        """Delete the object if it still has ``version``.
+
+        Raises:
+            ObjectConflictError: it has another version or is absent.
+        """
+        self._writes.take()
+        self._store.delete(kind, name, version)
+
+    def watch(self, kind: str, revision: int, wait_s: float) -> WatchAnswer:
+        """Wait up to ``wait_s`` seconds for changes after ``revision``."""
+        self._reads.take()
+        return self._store.watch(kind, revision, wait_s)
+
+    def hosts(self) -> tuple[ListedHost, ...]:
+        """Return the list of live and leaving hosts; it lags."""
+        self._reads.take()
+        return self._store.hosts()
+
+
+class _Bucket:
+    """Tokens that fill at a rate, up to those of one second."""
+
+    def __init__(
+        self,
+        rate_per_s: float,
+        settings: PlatformSettings,
+        clock: Clock,
+    ) -> None:
+        self._rate_per_s = rate_per_s
+        self._capacity = max(1, rate_per_s)
+        self._longest_s = settings.call_timeout_s
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._tokens = self._capacity
+        self._filled_at = clock.monotonic()
+
+    def take(self) -> None:
+        """Wait for a token.
+
+        Raises:
+            PlatformUnavailableError: it would take too long.
+        """
+        wait_s = self._reserve()
+        if wait_s > 0:
+            self._clock.sleep(wait_s)
+
+    def _reserve(self) -> float:
+        with self._lock:
+            now = self._clock.monotonic()
+            filled = self._tokens + (now - self._filled_at) * self._rate_per_s
+            self._filled_at = now
+            self._tokens = min(self._capacity, filled)
+            wait_s = (1 - self._tokens) / self._rate_per_s
+            if wait_s > self._longest_s:
+                raise PlatformUnavailableError(
+                    'this host has used up its calls to the platform',
+                )
+            self._tokens -= 1
+        return wait_s
+
+
+def _object_path(kind: str, name: str) -> str:
+    return f'/objects/{quote(kind, safe="")}/{quote(name, safe="")}'
+
+
+def _event(kind: str, document: _ObjectDocument) -> ObjectEvent:
+    current = (
+        None
+        if document.body is None
+        else StoredObject(
+            kind,
+            document.name,
+            document.version,
+            document.body,
+        )
+    )
+    return ObjectEvent(document.name, document.version, current)
+
+
+def _parsed(model: type[Document], reply: PlatformReply) -> Document:
+    try:
+        return model.model_validate_json(reply.body)
+    except pydantic.ValidationError as error:
+        raise PlatformUnavailableError(
+            f'the platform answered something unreadable: {error}',
+        ) from error
