--- a/guavadyke/adapters/ports.py
+++ b/guavadyke/adapters/ports.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import Protocol
 
+from guavadyke.adapters.cancellation import CallCancellation
+
 
 class Clock(Protocol):
     """Time as one host sees it."""
@@ -185,7 +187,8 @@
     """One request to one backend server.
 
     ``path`` starts with a slash. Timeouts are in seconds. ``fresh`` asks
-    for a new connection, as retries and non-idempotent calls do.
+    for a new connection, as retries and non-idempotent calls do. The
+    adapter binds ``cancellation`` to the connection before it sends.
     """
 
     request_id: str
@@ -198,6 +201,7 @@
     first_byte_timeout_s: float
     gap_timeout_s: float
     fresh: bool = False
+    cancellation: CallCancellation | None = None
 
 
 class BackendAnswer(Protocol):
@@ -287,6 +291,14 @@
     queued: int
 
 
+@dataclasses.dataclass(frozen=True)
+class BatchCount:
+    """Batch items that the sending host has at one backend server."""
+
+    backend_id: str
+    in_flight: int
+
+
 @dataclasses.dataclass(frozen=True)
 class PeerNotice:
     """What one entry host tells another outside membership."""
@@ -294,6 +306,7 @@
     demands: tuple[LimitDemand, ...] = ()
     grants: tuple[LimitGrant, ...] = ()
     counts: tuple[OnlineCount, ...] = ()
+    batch_counts: tuple[BatchCount, ...] = ()
 
 
 class PeerMessenger(Protocol):
