--- a/guavadyke/adapters/peer_codec.py
+++ b/guavadyke/adapters/peer_codec.py
@@ -82,6 +82,7 @@
         demands=_listed(map(_demand_struct, notice.demands)),
         grants=_listed(map(_grant_struct, notice.grants)),
         counts=_listed(map(_count_struct, notice.counts)),
+        batch_counts=_listed(map(_batch_struct, notice.batch_counts)),
     )
     _put_signal(struct, datagram.signal)
     return pack_struct(struct)
@@ -203,6 +204,7 @@
         demands=_all(_demand_of, struct.demands),
         grants=_all(_grant_of, struct.grants),
         counts=_all(_count_of, struct.counts),
+        batch_counts=_all(_batch_of, struct.batch_counts),
     )
     return None if notice == ports.PeerNotice() else notice
 
@@ -250,6 +252,17 @@
     )
 
 
+def _batch_struct(count: ports.BatchCount) -> Any:
+    return ttypes.BatchCount(
+        backend_id=count.backend_id,
+        in_flight=count.in_flight,
+    )
+
+
+def _batch_of(struct: Any) -> ports.BatchCount:
+    return ports.BatchCount(_text(struct.backend_id), int(struct.in_flight))
+
+
 def _all(
     read: Callable[[Any], _Known],
     structs: Iterable[Any] | None,
--- a/guavadyke/adapters/peers.py
+++ b/guavadyke/adapters/peers.py
@@ -220,28 +220,34 @@
 
 def _halves(notice: PeerNotice) -> tuple[PeerNotice, ...]:
     """Split a notice; one that holds a single thing cannot be sent."""
-    total = len(notice.demands) + len(notice.grants) + len(notice.counts)
-    if total <= 1:
-        return ()
-    first = PeerNotice(
-        notice.demands[::2],
-        notice.grants[::2],
-        notice.counts[::2],
-    )
-    second = PeerNotice(
-        notice.demands[1::2],
-        notice.grants[1::2],
-        notice.counts[1::2],
-    )
-    if not (second.demands or second.grants or second.counts):
-        return _halves_by_kind(notice)
-    return (first, second)
-
-
-def _halves_by_kind(notice: PeerNotice) -> tuple[PeerNotice, ...]:
     kinds = (
         PeerNotice(demands=notice.demands),
         PeerNotice(grants=notice.grants),
         PeerNotice(counts=notice.counts),
+        PeerNotice(batch_counts=notice.batch_counts),
+    )
+    filled = tuple(kind for kind in kinds if kind != PeerNotice())
+    if len(filled) > 1:
+        return filled
+    if _length(notice) <= 1:
+        return ()
+    return (_every_second(notice, 0), _every_second(notice, 1))
+
+
+def _every_second(notice: PeerNotice, first: int) -> PeerNotice:
+    return PeerNotice(
+        notice.demands[first::2],
+        notice.grants[first::2],
+        notice.counts[first::2],
+        notice.batch_counts[first::2],
+    )
+
+
+def _length(notice: PeerNotice) -> int:
+    listed = (
+        notice.demands,
+        notice.grants,
+        notice.counts,
+        notice.batch_counts,
     )
-    return tuple(kind for kind in kinds if kind != PeerNotice())
+    return sum(map(len, listed))
--- a/guavadyke/peer/messages.thrift
+++ b/guavadyke/peer/messages.thrift
@@ -60,6 +60,12 @@
   3: i32 queued,
 }
 
+/** Batch items that the sender has at one backend server. */
+struct BatchCount {
+  1: string backend_id,
+  2: i32 in_flight,
+}
+
 /** The one datagram; what is absent is not said. */
 struct Datagram {
   1: i32 format,
@@ -76,9 +82,10 @@
   12: optional list<LimitDemand> demands,
   13: optional list<LimitGrant> grants,
   14: optional list<OnlineCount> counts,
-  15: optional i64 catalogue_digest,
-  16: optional string boot,
-  17: optional i64 sent_ms,
+  15: optional list<BatchCount> batch_counts,
+  16: optional i64 catalogue_digest,
+  17: optional string boot,
+  18: optional i64 sent_ms,
 }
 
 struct ObjectVersion {
