Reach the platform and the catalogue through peers

Cause: a zone cut off from the platform could neither read nor edit the catalogue, and a host that started during an outage had no configuration.

Change: sealed calls between entry hosts over TCP on the peer port; hosts whose digests differ pull newer objects from each other; platform calls go through a live peer that reaches the platform, within that peer's budget, and a write whose answer was lost on the way stays in doubt until it is read back; a copy of the catalogue in the data folder; watches that bring nothing of what came by another way are reported and followed by a list.

--- a/features/builders_fleet.py
+++ b/features/builders_fleet.py
@@ -248,6 +248,8 @@
         **changes: object,
     ) -> None:
         settings = entry_settings(host_id, zone, **changes)
+        self.zone = zone
+        self.host_id = host_id
         self.link = MemoryLink(platform)
         logger = EventLogger(host=host_id, zone=zone)
         clock = SystemClock()
@@ -265,10 +267,6 @@
         )
         self.operator = OperatorClient(self.http.port)
 
-    @property
-    def host_id(self) -> str:
-        return str(self.service.status()['host_id'])
-
     def start(self) -> None:
         self.http.start()
         self.service.start()
@@ -280,6 +278,14 @@
             if peer.state == 'alive'
         }
 
+    def peers(self) -> set[str]:
+        """Return the peers that are not counted as gone."""
+        return {
+            peer.host_id
+            for peer in self.service.fleet.current.peers
+            if peer.state != 'left'
+        }
+
     def close(self) -> None:
         self.http.close()
         self.service.close()
@@ -304,7 +310,7 @@
     document['peer'] = peer | dict(changes.pop('peer', {}))  # type: ignore[call-overload]
     document['platform'] = {
         'url': 'http://127.0.0.1:7000',
-        'relist_interval_s': 2,
+        'relist_interval_s': changes.pop('relist_interval_s', 2),
         'watch_wait_s': 1,
     }
     document.update(changes)
@@ -315,10 +321,17 @@
     platform: MemoryPlatform,
     servers: MemoryServers,
     zones: dict[str, int],
+    relist_interval_s: float = 2,
 ) -> list[EntryHost]:
     """Return started hosts by zone, seeded through the host list."""
     hosts = [
-        EntryHost(f'{zone}-{number}', zone, platform, servers)
+        EntryHost(
+            f'{zone}-{number}',
+            zone,
+            platform,
+            servers,
+            relist_interval_s=relist_interval_s,
+        )
         for zone, count in zones.items()
         for number in range(count)
     ]
--- a/features/steps/fleet_catalogue_steps.py
+++ b/features/steps/fleet_catalogue_steps.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from behave import given, then, when
+from behave import step
 from behave.runner import Context
 
 from features import builders_fleet as fleets
@@ -10,14 +10,24 @@
 _REASON = 'the line is busier'
 
 
-@given('a fleet of entry hosts in zones north and south')
+@step('a fleet of entry hosts in zones north and south')
 def step_fleet(context: Context) -> None:
+    _start_fleet(context, relist_interval_s=2)
+
+
+@step('a fleet of entry hosts that make full lists rarely')
+def step_rare_lists(context: Context) -> None:
+    _start_fleet(context, relist_interval_s=120)
+
+
+def _start_fleet(context: Context, relist_interval_s: float) -> None:
     context.platform = fleets.MemoryPlatform()
     context.servers = fleets.MemoryServers()
     context.hosts = fleets.fleet(
         context.platform,
         context.servers,
         {'north': 2, 'south': 1},
+        relist_interval_s,
     )
     for started in context.hosts:
         context.add_cleanup(started.close)
@@ -27,24 +37,24 @@
     )
 
 
-def _put(host, name, document, **headers):
+def put(host, name, document, **headers):
     return host.operator.call('PUT', f'catalogue/{name}', document, **headers)
 
 
-@when('an operator puts the owner "{owner}" and the entry "{name}"')
+@step('an operator puts the owner "{owner}" and the entry "{name}"')
 def step_put(context: Context, owner: str, name: str) -> None:
     host = context.hosts[0]
-    answer = _put(host, owner, fleets.owner_entry())
+    answer = put(host, owner, fleets.owner_entry())
     assert answer.status == 201, answer.data
-    answer = _put(host, name, fleets.model_entry(owner))
+    answer = put(host, name, fleets.model_entry(owner))
     assert answer.status == 201, answer.data
     assert answer.headers['ETag'] == '"1"'
     assert name in host.service.catalogue.current.entries
 
 
-@when('an operator puts the entry "{name}" again on another host')
+@step('an operator puts the entry "{name}" again on another host')
 def step_put_again(context: Context, name: str) -> None:
-    answer = _put(
+    answer = put(
         context.hosts[2],
         name,
         fleets.model_entry(version='2'),
@@ -55,7 +65,7 @@
     assert answer.status == 200, answer.data
 
 
-@then('the catalogue of every host holds "{name}" at version {version:d}')
+@step('the catalogue of every host holds "{name}" at version {version:d}')
 def step_everywhere(context: Context, name: str, version: int) -> None:
     fleets.eventually(
         lambda: all(
@@ -66,7 +76,7 @@
     )
 
 
-@then('the history of "{name}" tells who, when, why, before and after')
+@step('the history of "{name}" tells who, when, why, before and after')
 def step_history(context: Context, name: str) -> None:
     answer = context.hosts[1].operator.call(
         'GET',
@@ -82,13 +92,13 @@
     assert [change['name'] for change in audit].count(name) == 2
 
 
-@when('two operators edit "{name}" at version {version:d}')
+@step('two operators edit "{name}" at version {version:d}')
 def step_race(context: Context, name: str, version: int) -> None:
     context.answers = []
 
     def edit(host: fleets.EntryHost, model: str) -> None:
         document = fleets.model_entry(model=model)
-        answer = _put(host, name, document, If_Match=f'"{version}"')
+        answer = put(host, name, document, If_Match=f'"{version}"')
         context.answers.append(answer)
 
     threads = [
@@ -101,7 +111,7 @@
         thread.join()
 
 
-@then(
+@step(
     'one edit is accepted and the other is answered 412 with version '
     '{version:d}',
 )
@@ -113,27 +123,27 @@
     assert answers[412].json()['error']['run'] == 'not_run'
 
 
-@when('an operator puts an entry with an unknown owner and a wrong class')
+@step('an operator puts an entry with an unknown owner and a wrong class')
 def step_wrong_entry(context: Context) -> None:
     document = fleets.model_entry('nobody')
     document['class'] = 'sometimes'
-    context.answer = _put(context.hosts[0], 'report', document)
+    context.answer = put(context.hosts[0], 'report', document)
 
 
-@when('an operator puts an entry with an unknown owner')
+@step('an operator puts an entry with an unknown owner')
 def step_unknown_owner(context: Context) -> None:
     document = fleets.model_entry('nobody')
-    context.answer = _put(context.hosts[0], 'report', document)
+    context.answer = put(context.hosts[0], 'report', document)
 
 
-@then('the edit is answered 400 with findings at "{place}"')
+@step('the edit is answered 400 with findings at "{place}"')
 def step_findings_at(context: Context, place: str) -> None:
     assert context.answer.status == 400, context.answer.data
     findings = context.answer.json()['error']['findings']
     assert {finding['place'] for finding in findings} == {place}, findings
 
 
-@then(
+@step(
     'the operator port answers 401 without a token and 403 with a wrong one',
 )
 def step_token(context: Context) -> None:
@@ -151,7 +161,7 @@
             assert answer.json()['error']['run'] == 'not_run'
 
 
-@when('an operator deletes the entry "{name}" at version {version:d}')
+@step('an operator deletes the entry "{name}" at version {version:d}')
 def step_delete(context: Context, name: str, version: int) -> None:
     answer = context.hosts[0].operator.call(
         'DELETE',
@@ -161,7 +171,7 @@
     assert answer.status == 200, answer.data
 
 
-@then('no host holds "{name}"')
+@step('no host holds "{name}"')
 def step_nowhere(context: Context, name: str) -> None:
     fleets.eventually(
         lambda: (
@@ -176,7 +186,7 @@
     assert answer.status == 404
 
 
-@then('the platform still holds a record of the delete of "{name}"')
+@step('the platform still holds a record of the delete of "{name}"')
 def step_tombstone(context: Context, name: str) -> None:
     answer = context.hosts[1].operator.call(
         'GET',
@@ -186,11 +196,11 @@
     assert (newest['what'], newest['after']) == ('delete', None)
 
 
-@when('the platform loses the answer to the next edit of "{name}"')
+@step('the platform loses the answer to the next edit of "{name}"')
 def step_lost_answer(context: Context, name: str) -> None:
     host = context.hosts[0]
     host.link.lost_answers = 1
-    context.answer = _put(
+    context.answer = put(
         host,
         name,
         fleets.model_entry(version='2'),
@@ -199,7 +209,7 @@
     assert host.link.lost_answers == 0
 
 
-@then('the edit was accepted once and the history shows it once')
+@step('the edit was accepted once and the history shows it once')
 def step_accepted_once(context: Context) -> None:
     assert context.answer.status == 200, context.answer.data
     answer = context.hosts[0].operator.call('GET', 'catalogue/report/history')
--- a/guavadyke/adapters/peer_codec.py
+++ b/guavadyke/adapters/peer_codec.py
@@ -15,7 +15,7 @@
 from guavadyke.decisions.versions import CatalogueMark
 from guavadyke.peer.generated.messages import ttypes
 
-_BAD_STRUCT = (TypeError, ValueError, AttributeError, KeyError)
+BAD_STRUCT = (TypeError, ValueError, AttributeError, KeyError)
 _FACTORY = TCompactProtocolAcceleratedFactory()
 _TEXT_BYTES = 8192
 _LIST_LENGTH = 1024
@@ -99,7 +99,7 @@
         raise PeerMessageError(Refusal.other_format, f'{struct.format}')
     try:
         return _datagram(struct)
-    except _BAD_STRUCT as error:
+    except BAD_STRUCT as error:
         raise PeerMessageError(Refusal.unreadable, repr(error)) from error
 
 
--- a/guavadyke/adapters/peers.py
+++ b/guavadyke/adapters/peers.py
@@ -35,13 +35,17 @@
 _LOG_INTERVAL_S = 10
 
 
+def _yes() -> bool:
+    return True
+
+
 @dataclasses.dataclass
 class Standing:
     """What every datagram says of its sender; one writer an attribute."""
 
     me: PeerRecord
     mark: CatalogueMark = dataclasses.field(default_factory=CatalogueMark)
-    platform_reachable: bool = True
+    reached_directly: Callable[[], bool] = _yes
 
 
 @dataclasses.dataclass(frozen=True)
@@ -125,7 +129,7 @@
             number=next(self._numbers),
             sent_ms=self._now_ms(),
             mark=standing.mark,
-            platform_reachable=standing.platform_reachable,
+            platform_reachable=standing.reached_directly(),
             signal=load.signal,
             records=records,
             leaving=load.leaving,
--- a/guavadyke/catalogue_service.py
+++ b/guavadyke/catalogue_service.py
@@ -4,16 +4,23 @@
 
 import random
 from collections.abc import Callable
+from typing import cast
 
 from guavadyke.adapters.ports import Clock
 from guavadyke.adapters.settled import SettledStore
 from guavadyke.catalogue_routes import CatalogueRoutes
 from guavadyke.controllers.catalogue import (
+    EDIT,
+    PEER,
     CatalogueController,
     CatalogueState,
+    Differing,
+    Offered,
 )
+from guavadyke.controllers.catalogue_disk import CatalogueDisk
 from guavadyke.controllers.catalogue_edits import CatalogueEditor
 from guavadyke.controllers.catalogue_watch import CatalogueWatch
+from guavadyke.decisions.versions import ObjectVersion
 from guavadyke.log import EventLogger
 from guavadyke.settings import EntrySettings
 from guavadyke.snapshots import CatalogueSnapshot, SnapshotCell
@@ -40,13 +47,14 @@
         logger: EventLogger,
         changed: Callable[[], None],
     ) -> None:
+        self._changed = changed
         self.catalogue = SnapshotCell(CatalogueSnapshot())
         self.state = SnapshotCell(CatalogueState())
         self.controller = CatalogueController.start(
             self.catalogue,
             self.state,
             logger,
-            changed,
+            self._take_change,
         )
         self.editor = CatalogueEditor(
             store,
@@ -60,6 +68,16 @@
             self.editor,
             store,
         )
+        self._disk = (
+            None
+            if settings.data_folder is None
+            else CatalogueDisk(
+                settings.data_folder,
+                self.state,
+                self.controller.ask,
+                logger,
+            )
+        )
         self._watch = CatalogueWatch(
             settings.platform,
             store,
@@ -70,14 +88,26 @@
         )
 
     def start(self) -> None:
-        """Follow the platform."""
+        """Put the copy on disk in force, then follow the platform."""
+        if self._disk is not None:
+            self._disk.start()
         self._watch.start()
 
     def close(self) -> None:
         """Stop following; what is in force stays readable."""
         self._watch.close()
+        if self._disk is not None:
+            self._disk.close()
         self.controller.stop()
 
+    def differing(
+        self,
+        digests: tuple[int, ...],
+    ) -> tuple[ObjectVersion, ...]:
+        """Return the versions that differ from a peer's digests."""
+        versions = self.controller.ask(Differing(digests))
+        return cast(tuple[ObjectVersion, ...], versions)
+
     def status(self) -> dict[str, object]:
         """Return what is in force, as JSON types."""
         state = self.state.current
@@ -87,4 +117,10 @@
             'digest': state.mark.digest,
             'versions': dict(state.snapshot.versions),
             'faults': dict(state.faults),
+            'silent_watches': self._watch.silent,
         }
+
+    def _take_change(self, offered: Offered) -> None:
+        if offered.source in {PEER, EDIT}:
+            self._watch.expect(offered.objects)
+        self._changed()
--- a/guavadyke/controllers/catalogue.py
+++ b/guavadyke/controllers/catalogue.py
@@ -72,6 +72,9 @@
 
 
 PLATFORM = 'platform'
+PEER = 'peer'
+EDIT = 'edit'
+DISK = 'disk'
 
 
 class CatalogueController(pykka.ThreadingActor):
@@ -81,7 +84,7 @@
         cell: gets the catalogue that request threads read.
         state: gets all that is known of it.
         logger: gets a line for each object put in force and each fault.
-        changed: called after each change.
+        changed: called with the copies that have come in force.
     """
 
     use_daemon_thread = True
@@ -91,7 +94,7 @@
         cell: SnapshotCell[CatalogueSnapshot],
         state: SnapshotCell[CatalogueState],
         logger: EventLogger,
-        changed: Callable[[], None],
+        changed: Callable[[Offered], None],
     ) -> None:
         super().__init__()
         self._cell = cell
@@ -113,15 +116,16 @@
             How many were newer.
         """
         faults = dict(self._faults)
-        outcomes = [
-            self._take_one(offered.source, one) for one in offered.objects
-        ]
-        taken = outcomes.count(Offer.newer)
-        if taken or faults != self._faults:
+        newer = tuple(
+            one
+            for one in offered.objects
+            if self._take_one(offered.source, one) is Offer.newer
+        )
+        if newer or faults != self._faults:
             self._publish()
-        if taken:
-            self._changed()
-        return taken
+        if newer:
+            self._changed(Offered(offered.source, newer))
+        return len(newer)
 
     def note_fault(self, fault: FaultFound) -> None:
         """Report an object whose last good copy stays in force."""
--- a/guavadyke/controllers/catalogue_edits.py
+++ b/guavadyke/controllers/catalogue_edits.py
@@ -21,7 +21,7 @@
     decode,
     encode,
 )
-from guavadyke.controllers.catalogue import CatalogueState, Offered
+from guavadyke.controllers.catalogue import EDIT, CatalogueState, Offered
 from guavadyke.errors import (
     ErrorCode,
     Finding,
@@ -178,7 +178,7 @@
         else:
             self._store.update(base.stored, body)
         written = CatalogueObject(edit.name, record.version, edit.entry)
-        self._offer(Offered('edit', (written,)))
+        self._offer(Offered(EDIT, (written,)))
         return written
 
     def _record(self, edit: Edit, base: _Base) -> ChangeRecord:
--- a/guavadyke/controllers/catalogue_watch.py
+++ b/guavadyke/controllers/catalogue_watch.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from guavadyke.adapters.ports import Clock, ObjectEvent, StoredObject
 from guavadyke.adapters.settled import SettledStore
-from guavadyke.catalogue_objects import CATALOGUE_KIND, decode_object
+from guavadyke.catalogue_objects import (
+    CATALOGUE_KIND,
+    CatalogueObject,
+    decode_object,
+)
 from guavadyke.controllers.catalogue import PLATFORM, FaultFound, Offered
 from guavadyke.errors import GuavadykeError
 from guavadyke.log import EventLogger
@@ -18,6 +23,15 @@
 _PAGE_BODIES = 100
 _FIRST_RETRY_S = 0.2
 _LONGEST_RETRY_S = 5.0
+_SILENT_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Expected:
+    """A version that the watch has yet to bring, and since when."""
+
+    version: int
+    since: float
 
 
 class CatalogueWatch:
@@ -48,7 +62,9 @@
         self._rng = rng
         self._logger = logger
         self._stop = threading.Event()
+        self.silent = 0
         self._known: dict[str, int] = {}
+        self._expected: dict[str, Expected] = {}
         self._relist_due: float = 0
         self._revision = 0
         self._failures = 0
@@ -62,9 +78,15 @@
         """Follow in the background."""
         self._thread.start()
 
-    def relist_soon(self) -> None:
-        """Make a full list the next step, since the watch seems silent."""
-        self._relist_due = 0
+    def expect(self, objects: Iterable[CatalogueObject]) -> None:
+        """Expect versions that came in force here by another way.
+
+        A watch that does not bring them has gone silent.
+        """
+        now = self._clock.monotonic()
+        self._expected.update({
+            one.name: Expected(one.version, now) for one in objects
+        })
 
     def close(self) -> None:
         """End after the present call; does not wait for it."""
@@ -80,6 +102,7 @@
                 self._reached()
 
     def _step(self) -> None:
+        self._notice_silence()
         if self._clock.monotonic() >= self._relist_due:
             self._relist()
             return
@@ -94,6 +117,21 @@
         self._take_events(answer.events)
         self._revision = answer.revision
 
+    def _notice_silence(self) -> None:
+        before = self._clock.monotonic() - _SILENT_S
+        overdue = [
+            name
+            for name, expected in tuple(self._expected.items())
+            if expected.since < before
+        ]
+        if not overdue:
+            return
+        self.silent += 1
+        self._relist_due = 0
+        for name in overdue:
+            self._expected.pop(name, None)
+        self._logger.warning('catalogue_watch_silent', names=overdue)
+
     def _relist(self) -> None:
         first_revision: int | None = None
         names: set[str] = set()
@@ -156,6 +194,9 @@
             )
             self._tell(FaultFound(stored.name, reason))
             return
+        expected = self._expected.get(one.name)
+        if expected is not None and expected.version <= one.version:
+            self._expected.pop(one.name, None)
         self._tell(Offered(PLATFORM, (one,)))
 
     def _reached(self) -> None:
--- a/guavadyke/controllers/leaving.py
+++ b/guavadyke/controllers/leaving.py
@@ -28,7 +28,7 @@
     LeavingSource,
     Sighting,
 )
-from guavadyke.decisions.rendezvous import first_host
+from guavadyke.decisions.routing import rendezvous
 from guavadyke.errors import GuavadykeError
 from guavadyke.log import EventLogger
 from guavadyke.settings import EntrySettings
@@ -194,7 +194,7 @@
             hosts.add(settings.host_id)
         if not hosts:
             hosts = {settings.host_id, *(peer.host_id for peer in alive)}
-        return first_host(key, hosts) == settings.host_id
+        return rendezvous(key, hosts) == settings.host_id
 
 
 class Drains:
--- a/guavadyke/controllers/membership.py
+++ b/guavadyke/controllers/membership.py
@@ -205,7 +205,6 @@
 
     def _publish(self, now: float) -> None:
         self._publish_due = now + _PUBLISH_INTERVAL_S
-        standing = self._parts.standing
         self._parts.cells.standings.publish(dict(self._standings))
         self._parts.cells.fleet.publish(
             FleetSnapshot(
@@ -215,7 +214,10 @@
                     if _shown(member, now)
                 ),
                 leaving=self._leaving(),
-                platform_reachable=standing.platform_reachable,
+                platform_reachable=_platform_reachable(
+                    self._parts.standing,
+                    self._standings,
+                ),
             ),
         )
 
@@ -230,6 +232,13 @@
         return self._parts.clock.monotonic()
 
 
+def _platform_reachable(standing: Standing, standings: Standings) -> bool:
+    """Return whether this host or a live peer reaches the platform."""
+    return standing.reached_directly() or any(
+        peer.platform_reachable for peer in standings.values()
+    )
+
+
 def _view(member: Member, now: float) -> PeerView:
     record = member.record
     return PeerView(
--- a/guavadyke/fleet.py
+++ b/guavadyke/fleet.py
@@ -6,7 +6,10 @@
 import random
 from collections.abc import Mapping
 
+from guavadyke.adapters.fallback import FallbackStore
+from guavadyke.adapters.peer_help import PlatformHelper
 from guavadyke.adapters.peer_port import PeerPort
+from guavadyke.adapters.peer_rpc import PeerClient, PeerServer
 from guavadyke.adapters.peer_sockets import TransportFaults
 from guavadyke.adapters.ports import (
     BackendServers,
@@ -18,6 +21,8 @@
 from guavadyke.catalogue_service import CatalogueService
 from guavadyke.controllers.leaving import Drains, LeavingWatch, Sights
 from guavadyke.controllers.membership import FleetCells, PeerEvents
+from guavadyke.controllers.peer_answers import PeerAnswers
+from guavadyke.controllers.peer_sync import PeerSync
 from guavadyke.fleet_routes import (
     FleetRoutes,
     StatusSource,
@@ -63,10 +68,24 @@
         logger: EventLogger,
     ) -> None:
         self.fleet = SnapshotCell(FleetSnapshot())
-        self.store = SettledStore(platform, clock, _child(rng))
         self.operator_filter = OperatorFilter(settings.operator.token.reveal())
         self._settings = settings
         self._port = PeerPort(settings, self.fleet, clock, logger)
+        self._client = PeerClient(
+            self._port.seal,
+            settings.host_id,
+            clock,
+            self._port.faults,
+        )
+        self._fallback = FallbackStore(
+            platform,
+            self._client,
+            self._helpers,
+            clock,
+            _child(rng),
+        )
+        self._port.standing.reached_directly = self._fallback.reached
+        self.store = SettledStore(self._fallback, clock, _child(rng))
         self._catalogue = CatalogueService(
             settings,
             self.store,
@@ -84,6 +103,21 @@
             _child(rng),
             logger,
         )
+        self._sync = PeerSync(
+            self._client,
+            self._catalogue.state,
+            self._catalogue.controller.ask,
+            self._membership.controller.tell,
+            clock,
+            logger,
+        )
+        self._server = PeerServer(
+            self._port.pair,
+            self._port.seal,
+            clock,
+            self._port.refusals,
+            self._answers(platform).answer,
+        )
         self._sights = Sights(
             settings,
             self.catalogue,
@@ -142,6 +176,8 @@
 
     def start(self) -> None:
         """Join the fleet and follow the catalogue."""
+        self._server.start()
+        self._sync.start()
         self._membership.start(frozenset(self._settings.peer.seeds))
         self._catalogue.start()
         self._leaving.start()
@@ -153,6 +189,8 @@
     def close(self) -> None:
         """Stop all threads and close the peer port."""
         self._leaving.close()
+        self._sync.close()
+        self._server.close()
         self._catalogue.close()
         self._membership.close()
 
@@ -168,6 +206,9 @@
             'leaving': sorted(fleet.leaving),
             'marks': mark_documents(self._membership.known().leaving),
             'catalogue': self._catalogue.status(),
+            'reached_directly': self._fallback.reached(),
+            'through_peers': self._fallback.helped,
+            'pulls': self._sync.pulls,
             'traffic': dataclasses.asdict(self._port.port.traffic),
             'refused': {
                 str(refusal): count
@@ -176,11 +217,22 @@
             **{name: source() for name, source in self._sources.items()},
         }
 
+    def _answers(self, platform: PlatformStore) -> PeerAnswers:
+        return PeerAnswers(
+            self._catalogue.state,
+            self._catalogue.differing,
+            self._membership.known,
+            PlatformHelper(platform),
+        )
+
+    def _helpers(self) -> list[str]:
+        return self._membership.helpers()
+
     def _behind(self, address: str) -> None:
-        """Pull what a peer has newer."""
+        self._sync.want_catalogue(address)
 
     def _joined(self, address: str) -> None:
-        """Pull what a new peer knows."""
+        self._sync.want_fleet(address)
 
     def _catalogue_changed(self) -> None:
         self._port.standing.mark = self._catalogue.state.current.mark
--- a/guavadyke/membership_service.py
+++ b/guavadyke/membership_service.py
@@ -53,6 +53,8 @@
         logger: EventLogger,
     ) -> None:
         self._port = port
+        self._standings = cells.standings
+        self._rng = random.Random(rng.getrandbits(64))
         membership = Membership(port.standing.me, _policy(settings), rng)
         board = LeavingBoard(_REPORT_LAG_S)
         self.controller = MembershipController.start(
@@ -94,6 +96,19 @@
             self.controller.ask(messages.TellFleet()),
         )
 
+    def helpers(self) -> list[str]:
+        """Return live peers that say that they reach the platform.
+
+        They come in random order, so that all of them share the work.
+        """
+        reaching = [
+            peer.address
+            for peer in self._standings.current.values()
+            if peer.platform_reachable
+        ]
+        self._rng.shuffle(reaching)
+        return reaching
+
     def changed(self) -> None:
         """Tell peers at once that this host's standing changed."""
         self.controller.tell(messages.StandingChanged())
--- a/guavadyke/peer/messages.thrift
+++ b/guavadyke/peer/messages.thrift
@@ -131,12 +131,6 @@
   4: binary body,
 }
 
-struct ObjectEvent {
-  1: string name,
-  2: i64 version,
-  3: optional StoredObject current,
-}
-
 struct ListedHost {
   1: string host_id,
   2: string role,
@@ -149,9 +143,7 @@
   1: optional list<StoredObject> objects,
   2: optional i64 revision,
   3: optional bool more,
-  4: optional list<ObjectEvent> events,
-  5: optional bool expired,
-  6: optional list<ListedHost> hosts,
+  4: optional list<ListedHost> hosts,
 }
 
 /** The receiver's refusal, with the stable code of the error. */
--- a/guavadyke/snapshots.py
+++ b/guavadyke/snapshots.py
@@ -58,7 +58,8 @@
     """Peers and leaving backend servers as this host sees them.
 
     ``leaving`` holds the ids of backend servers that get no new work;
-    ``platform_reachable`` tells whether this host reaches the platform.
+    ``platform_reachable`` tells whether this host reaches the platform,
+    itself or through a peer.
     """
 
     peers: tuple[PeerView, ...] = ()
