Run the request of an idempotency key at most once, on any host

A claim is created on the platform before the dispatch and holds the hash of the request; its outcome follows. Only creation gives the right to run, so clocks decide nothing; a claim is released only by its claimant and with proof of not run; a host that was held up past the deadline sends nothing. Calls can be cancelled before their answer begins, and a pooled connection is never shut by a late cancellation.

Found on the way: the time to the first byte was ruled by the connect timeout, since the HTTP library sets the socket's timeout anew. Before, a service that took 1 s was given up after 0.5 s; after, it is waited for.

--- /dev/null
+++ b/features/steps/online_claims_steps.py
@@ -0,0 +1,162 @@
+"""Steps of online_claims.feature."""
+
+import types
+from collections.abc import Mapping
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features import builders_online as online
+from features import builders_online_bench as bench
+from guavadyke.decisions.claims import (
+    CLAIM_KIND,
+    Claim,
+    ClaimState,
+    ClaimWish,
+)
+from guavadyke.standins.faults import BackendFaults, PlatformFaults
+
+_ANGEL = types.MappingProxyType({'costume': 'angel', 'size': 'M'})
+_SHEPHERD = types.MappingProxyType({'costume': 'shepherd', 'size': '8'})
+
+
+def _reserve(
+    context: Context,
+    host: int,
+    document: Mapping[str, str] = _ANGEL,
+    **headers: str,
+) -> None:
+    reply = bench.call(
+        context.bench.hosts[host],
+        bench.BOOKING,
+        dict(document),
+        **headers,
+    )
+    context.replies.append(reply)
+
+
+@given('entry hosts before a booking service')
+def step_bench(context: Context) -> None:
+    context.bench = bench.OnlineBench(engines=0)
+    context.add_cleanup(context.bench.close)
+    context.replies = []
+
+
+@given('the platform loses the answer to its next {count:d} writes')
+def step_lost(context: Context, count: int) -> None:
+    faults = PlatformFaults(lost_answers_next=count)
+    context.bench.platform.faults = faults
+
+
+@given('the platform refuses every call')
+def step_away(context: Context) -> None:
+    context.bench.platform.faults = PlatformFaults(outage='refuse')
+
+
+@given('the platform answers after {seconds:f} seconds')
+def step_slow(context: Context, seconds: float) -> None:
+    context.bench.platform.faults = PlatformFaults(delay_s=seconds)
+
+
+@given('the service breaks off its answers')
+def step_breaks(context: Context) -> None:
+    context.bench.service.faults = BackendFaults(broken_after=0)
+
+
+@given('the service refuses every call with proof')
+def step_refuses(context: Context) -> None:
+    context.bench.service.faults = BackendFaults(refuse=True)
+
+
+@given('the service takes {seconds:d} seconds')
+def step_takes(context: Context, seconds: int) -> None:
+    context.bench.service.faults = BackendFaults(delay_s=seconds)
+
+
+@given('a claim of key "{key}" whose claimant died long ago')
+def step_died(context: Context, key: str) -> None:
+    exchange = online.exchange(bench.BOOKING, dict(_ANGEL))
+    exchange.owner = 'pesebres'
+    exchange.entry_name = 'booking'
+    exchange.idempotency_key = key
+    exchange.body = exchange.body_input.read()
+    wish = ClaimWish.of(exchange)
+    claim = Claim(
+        state=ClaimState.claimed,
+        token='token',
+        host_id='entry-9',
+        body_hash=wish.body_hash,
+        created=1,
+        bound_s=1,
+    )
+    store = context.bench.hosts[0].store
+    store.create(CLAIM_KIND, wish.name, claim.dump())
+
+
+@when('the service works again')
+def step_works(context: Context) -> None:
+    context.bench.service.faults = BackendFaults()
+
+
+@when('a reservation is sent to host {host:d} with key "{key}"')
+@when('the reservation is sent again to host {host:d} with key "{key}"')
+def step_reserve(context: Context, host: int, key: str) -> None:
+    _reserve(context, host, idempotency_key=key)
+
+
+@when('another reservation is sent to host {host:d} with key "{key}"')
+def step_other(context: Context, host: int, key: str) -> None:
+    _reserve(context, host, _SHEPHERD, idempotency_key=key)
+
+
+@when('a reservation is sent to host {host:d} without a key')
+def step_keyless(context: Context, host: int) -> None:
+    _reserve(context, host)
+
+
+@when(
+    'a reservation is sent to host {host:d} with key "{key}"'
+    ' and {limit:d} ms to its deadline',
+)
+def step_deadline(context: Context, host: int, key: str, limit: int) -> None:
+    _reserve(
+        context,
+        host,
+        idempotency_key=key,
+        guavadyke_deadline_ms=str(limit),
+    )
+
+
+@when('a reservation is sent to both hosts at once with key "{key}"')
+def step_at_once(context: Context, key: str) -> None:
+    with ThreadPoolExecutor(2) as pool:
+        for host in range(2):
+            pool.submit(_reserve, context, host, idempotency_key=key)
+
+
+@then('both reservations have the same answer')
+def step_same(context: Context) -> None:
+    first, second = context.replies
+    assert first.status == 200, first
+    assert first.body == second.body, (first, second)
+
+
+@then('the service ran {count:d} reservations')
+def step_ran(context: Context, count: int) -> None:
+    assert sum(context.bench.service.runs.values()) == count
+
+
+@then('the last booking answer is {status:d}')
+def step_status(context: Context, status: int) -> None:
+    assert context.replies[-1].status == status, context.replies[-1]
+
+
+@then(
+    'the last booking answer is {status:d} "{code}" with run "{run}"',
+)
+def step_refused(context: Context, status: int, code: str, run: str) -> None:
+    reply = context.replies[-1]
+    error = reply.document['error']
+    found = (reply.status, error['code'], error['run'])
+    assert found == (status, code, run), reply
--- a/guavadyke/adapters/backend.py
+++ b/guavadyke/adapters/backend.py
@@ -9,6 +9,7 @@
 
 import contextlib
 import socket
+import threading
 from collections.abc import Iterator, Mapping
 from http import client
 
@@ -144,7 +145,11 @@
         self._connection = connection
         self._pool = pool
         self._socket: socket.socket = connection.sock
+        self._lock = threading.Lock()
+        self._left = False
         self._cancelled = False
+        if call.cancellation is not None:
+            call.cancellation.bind(self.cancel)
         self._response = self._exchange()
         self._headers = {
             name.lower(): text for name, text in self._response.headers.items()
@@ -182,10 +187,16 @@
             )
 
     def cancel(self) -> None:
-        """Close the connection, which frees the backend server's slot."""
-        self._cancelled = True
-        with contextlib.suppress(OSError):
-            self._socket.shutdown(socket.SHUT_RDWR)
+        """Close the connection, which frees the backend server's slot.
+
+        A connection that was given back may serve another call by now.
+        """
+        with self._lock:
+            if self._left:
+                return
+            self._cancelled = True
+            with contextlib.suppress(OSError):
+                self._socket.shutdown(socket.SHUT_RDWR)
 
     def discard(self) -> None:
         """Close the connection of an answer that is not read."""
@@ -193,7 +204,8 @@
 
     def _exchange(self) -> BaseHTTPResponse:
         call = self._call
-        self._socket.settimeout(call.first_byte_timeout_s)
+        # The library sets the socket's timeout anew from this one.
+        self._connection.timeout = call.first_byte_timeout_s
         self._connection.request(
             call.method,
             call.path,
@@ -212,6 +224,9 @@
     def _leave(self, *, whole: bool) -> None:
         """Give the connection back, or close it where that is not sound."""
         origin = _origin(self._call)
+        with self._lock:
+            whole = whole and not self._cancelled
+            self._left = whole
         if whole and self._connection.is_connected:
             self._pool.give(origin, self._connection)
             return
--- a/guavadyke/filters/attempts.py
+++ b/guavadyke/filters/attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from contextlib import AbstractContextManager
 from typing import TypeVar
 
 from guavadyke.adapters.ports import (
@@ -82,6 +83,12 @@
             finally:
                 self._tools.capacity.release(slot, fault)
 
+    def watched(self, slot: Slot) -> AbstractContextManager[None]:
+        """Watch over a call, which ends when nobody waits for it."""
+        work = self._work
+        abandoned = bool if work.kept else work.abandoned
+        return self._tools.watch.over(abandoned, slot.cancellation)
+
     def send(self, slot: Slot, body: bytes, *, whole: bool) -> BackendAnswer:
         """Send the request once.
 
@@ -94,6 +101,8 @@
             BackendServerError: there is no answer.
         """
         call = self._call(slot, body, whole=whole)
+        if self._tools.clock.monotonic() >= self._work.deadline:
+            raise self._late()
         self._tools.metrics.count('attempts')
         try:
             answer = self._tools.servers.send(call)
@@ -116,6 +125,15 @@
                 retry_after_s=error.retry_after_s,
             ) from error
 
+    def _late(self) -> GuavadykeError:
+        """Return the error of a host that was held up before it sent."""
+        run = Run.unknown if self._maybe_ran else Run.not_run
+        return GuavadykeError(
+            ErrorCode.deadline_exceeded,
+            'the deadline passed before the request was sent',
+            run=run,
+        )
+
     def _failed(self, slot: Slot, error: BackendServerError) -> None:
         """Return where another attempt may follow.
 
@@ -136,7 +154,8 @@
         self._excluded |= {slot.view.server_id}
         self._number += 1
         failed = FailedAttempt(error.fault, error.not_run)
-        if self._work.abandoned() or not self._tools.retries.allows(
+        gone = self._work.abandoned() and not self._work.kept
+        if gone or not self._tools.retries.allows(
             failed,
             self._number,
             idempotent=self._work.idempotent,
--- a/guavadyke/filters/dispatch.py
+++ b/guavadyke/filters/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import json
 from collections.abc import Iterator, Mapping
@@ -156,6 +157,7 @@
             deadline=exchange.deadline,
             abandoned=exchange.disconnected,
             document=exchange.document,
+            kept=bool(exchange.idempotency_key) or not exchange.idempotent,
         )
 
 
@@ -184,11 +186,12 @@
         Raises:
             GuavadykeError: there is none.
         """
-        return next(self._attempts.run(self._once))
+        answers = collections.deque(self._attempts.run(self._once), maxlen=1)
+        return answers.pop()
 
     def _once(self, slot: Slot) -> Iterator[Answer]:
         work = self._work
-        with self._tools.watch.over(work.abandoned, slot.cancellation):
+        with self._attempts.watched(slot):
             answer = self._attempts.send(slot, work.body, whole=True)
             if work.document:
                 check_status(answer)
--- a/guavadyke/filters/streaming.py
+++ b/guavadyke/filters/streaming.py
@@ -7,7 +7,11 @@
 import json
 from collections.abc import Iterator
 
-from guavadyke.adapters.ports import BackendFault, BackendServerError
+from guavadyke.adapters.ports import (
+    BackendAnswer,
+    BackendFault,
+    BackendServerError,
+)
 from guavadyke.decisions.slot import Slot
 from guavadyke.decisions.streams import (
     NOTHING,
@@ -116,7 +120,7 @@
     def _once(self, slot: Slot) -> Iterator[bytes]:
         if self._passed:
             self._relay.resume()
-        with self._tools.watch.over(self._work.abandoned, slot.cancellation):
+        with self._attempts.watched(slot):
             try:
                 yield from self._relayed(slot)
             except (BackendServerError, StreamFaultError) as error:
@@ -125,6 +129,13 @@
     def _relayed(self, slot: Slot) -> Iterator[bytes]:
         answer = self._attempts.send(slot, self._body(), whole=False)
         check_status(answer)
+        try:
+            yield from self._blocks(answer)
+        except StreamFaultError:
+            answer.cancel()
+            raise
+
+    def _blocks(self, answer: BackendAnswer) -> Iterator[bytes]:
         for piece in answer.chunks():
             # What follows the end mark only frees the connection.
             block = b'' if self._relay.complete else self._relay.feed(piece)
--- a/guavadyke/filters/work.py
+++ b/guavadyke/filters/work.py
@@ -24,7 +24,8 @@
     """One request that is to run on a backend server.
 
     ``deadline`` is seconds of the monotonic clock; ``abandoned`` tells
-    whether nobody waits for the answer any more.
+    whether nobody waits for the answer any more; ``kept`` whether a call
+    that has begun goes on even then, since its outcome is wanted.
     """
 
     request_id: str
@@ -37,6 +38,7 @@
     deadline: float
     abandoned: Callable[[], bool]
     document: Mapping[str, Any] = dataclasses.field(default_factory=dict)
+    kept: bool = False
 
     @property
     def chat(self) -> bool:
--- a/guavadyke/online.py
+++ b/guavadyke/online.py
@@ -16,6 +16,8 @@
 from guavadyke.filters.authenticate import Authenticate
 from guavadyke.filters.base import Answer, Exchange, Filter, Handler, chain
 from guavadyke.filters.capacity import Capacity
+from guavadyke.filters.claim import ClaimKey, ClaimTools
+from guavadyke.filters.claim_writes import ClaimWrites
 from guavadyke.filters.dispatch import Dispatch
 from guavadyke.filters.items import BatchItems
 from guavadyke.filters.loads import LoadReports
@@ -85,6 +87,10 @@
         self._authenticate = Authenticate(catalogue)
         self._dispatch = Dispatch(tools, settings.host_id)
         self._parse_tools = ParseTools(settings, clock, catalogue)
+        self._writes = ClaimWrites(store, logger)
+        self._claim = ClaimKey(
+            ClaimTools(settings.host_id, clock, store, self._writes),
+        )
         self._stopping = False
 
     @property
@@ -119,6 +125,7 @@
         """Begin the work in the background."""
         self._watch.start()
         self._loads.start()
+        self._writes.start()
 
     def stop_readiness(self) -> None:
         """Answer from now on that this host is stopping."""
@@ -127,12 +134,14 @@
     def close(self) -> None:
         """End the work in the background."""
         self._loads.close()
+        self._writes.close()
         self._watch.close()
 
     def status(self) -> dict[str, object]:
         """Return what operators see of online requests."""
         return {
             'waiting': self._capacity.waiting,
+            'claims_backlog': self._writes.backlog,
             'servers': self._capacity.status(),
             'counters': self.metrics.counters(),
             'latencies_s': self.metrics.latencies(),
@@ -143,7 +152,7 @@
         parse: Filter,
         dispatch: Callable[[Exchange], Answer],
     ) -> Handler:
-        return chain((self._authenticate, parse), dispatch)
+        return chain((self._authenticate, parse, self._claim), dispatch)
 
     def _ready(self, _exchange: Exchange) -> Answer:
         if self._stopping:
