Run durable batch jobs through objects of the platform

Cause: nothing accepted batch jobs yet; they must be durable before the 201 and complete exactly once whatever fails.

Change: a job is one object, its chunks' inputs are written before the update that commits it, and each chunk has a state object that changes by conditional update only. One lease covers a host's chunks; a taker breaks a lease that it has itself seen unchanged for its length. Items run through the ItemRunner port; results are written before the state that refers to them.

--- /dev/null
+++ b/features/builders_batch_platform.py
@@ -0,0 +1,178 @@
+"""Builders for batch work: the platform in memory and a host's link to it."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import threading
+import time
+from collections import Counter
+
+from guavadyke.adapters.ports import (
+    ListedHost,
+    ObjectEvent,
+    ObjectListing,
+    StoredObject,
+    WatchAnswer,
+)
+from guavadyke.errors import (
+    ObjectConflictError,
+    PlatformOutcomeUnknownError,
+    PlatformUnavailableError,
+)
+
+
+class MemoryPlatform:
+    """Objects of the platform in memory, with versions and watches."""
+
+    def __init__(self) -> None:
+        self.changed = threading.Condition()
+        self.objects: dict[tuple[str, str], StoredObject] = {}
+        self.events: list[tuple[str, ObjectEvent]] = []
+        self.revision = 0
+        self.calls: Counter[str] = Counter()
+
+    def put(self, kind: str, name: str, body: bytes) -> StoredObject:
+        self.revision += 1
+        stored = StoredObject(kind, name, self.revision, body)
+        self.objects[kind, name] = stored
+        self._tell(kind, ObjectEvent(name, self.revision, stored))
+        return stored
+
+    def remove(self, kind: str, name: str) -> None:
+        self.revision += 1
+        self.objects.pop((kind, name))
+        self._tell(kind, ObjectEvent(name, self.revision, None))
+
+    def of_kind(self, kind: str) -> list[StoredObject]:
+        with self.changed:
+            return [
+                stored
+                for (other, _name), stored in sorted(self.objects.items())
+                if other == kind
+            ]
+
+    def _tell(self, kind: str, event: ObjectEvent) -> None:
+        self.events.append((kind, event))
+        self.changed.notify_all()
+
+
+@dataclasses.dataclass
+class LinkFaults:
+    """Faults of one host's link; shares are between 0 and 1."""
+
+    cut: bool = False
+    lost_answers: float = 0
+    lose_next: bool = False
+    waits: bool = True
+
+
+class MemoryStore:
+    """One host's link to a ``MemoryPlatform``."""
+
+    def __init__(
+        self,
+        platform: MemoryPlatform,
+        faults: LinkFaults | None = None,
+        seed: int = 1,
+    ) -> None:
+        self.platform = platform
+        self.faults = faults or LinkFaults()
+        self._rng = random.Random(seed)
+
+    def read(self, kind: str, name: str) -> StoredObject | None:
+        with self._called('read', kind):
+            return self.platform.objects.get((kind, name))
+
+    def list_objects(
+        self,
+        kind: str,
+        *,
+        prefix: str = '',
+        after: str = '',
+        limit: int = 500,
+        bodies: bool = True,
+    ) -> ObjectListing:
+        with self._called('list', kind):
+            found = [
+                stored
+                for stored in self.platform.of_kind(kind)
+                if stored.name.startswith(prefix) and stored.name > after
+            ]
+            shown = found[:limit]
+            if not bodies:
+                shown = [dataclasses.replace(one, body=b'') for one in shown]
+            return ObjectListing(
+                self.platform.revision,
+                tuple(shown),
+                len(found) > limit,
+            )
+
+    def create(self, kind: str, name: str, body: bytes) -> StoredObject:
+        with self._called('create', kind):
+            present = self.platform.objects.get((kind, name))
+            if present is not None:
+                raise ObjectConflictError('it exists', present.version)
+            return self._answered(self.platform.put(kind, name, body))
+
+    def update(
+        self,
+        kind: str,
+        name: str,
+        body: bytes,
+        version: int,
+    ) -> StoredObject:
+        with self._called('update', kind):
+            self._check(kind, name, version)
+            return self._answered(self.platform.put(kind, name, body))
+
+    def delete(self, kind: str, name: str, version: int) -> None:
+        with self._called('delete', kind):
+            self._check(kind, name, version)
+            self.platform.remove(kind, name)
+            self._answered(None)
+
+    def watch(self, kind: str, revision: int, wait_s: float) -> WatchAnswer:
+        with self._called('watch', kind):
+            until = time.monotonic() + wait_s
+            while True:
+                events = tuple(
+                    event
+                    for other, event in self.platform.events
+                    if other == kind and event.version > revision
+                )
+                left_s = until - time.monotonic()
+                if events or left_s <= 0 or not self.faults.waits:
+                    break
+                self.platform.changed.wait(min(left_s, 0.2))
+            self._refuse()
+            return WatchAnswer(self.platform.revision, events)
+
+    def hosts(self) -> tuple[ListedHost, ...]:
+        return ()
+
+    def _called(self, call: str, kind: str) -> threading.Condition:
+        self._refuse()
+        self.platform.calls[f'{call} {kind}'] += 1
+        return self.platform.changed
+
+    def _refuse(self) -> None:
+        if self.faults.cut:
+            raise PlatformUnavailableError('cut off')
+
+    def _check(self, kind: str, name: str, version: int) -> None:
+        present = self.platform.objects.get((kind, name))
+        if present is None or present.version != version:
+            raise ObjectConflictError(
+                'it was replaced',
+                0 if present is None else present.version,
+            )
+
+    def _answered(self, stored: StoredObject | None) -> StoredObject:
+        lost = self.faults.lose_next or (
+            self._rng.random() < self.faults.lost_answers
+        )
+        self.faults.lose_next = False
+        if lost:
+            raise PlatformOutcomeUnknownError('the answer was lost')
+        return stored  # type: ignore[return-value]
--- /dev/null
+++ b/guavadyke/batch.py
@@ -0,0 +1,175 @@
+"""Batch jobs on one entry host: routes, and the work on held chunks."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+
+from guavadyke.adapters.ports import Clock, ItemRunner
+from guavadyke.adapters.settled import SettledStore
+from guavadyke.controllers.batch_claims import Claimer, ClaimParts
+from guavadyke.controllers.batch_held import Holdings
+from guavadyke.controllers.batch_jobs import JobIndex
+from guavadyke.controllers.batch_lease import LeaseKeeper
+from guavadyke.controllers.batch_loops import BatchLoops, LoopParts
+from guavadyke.controllers.batch_routes import BatchRoutes, RouteParts
+from guavadyke.controllers.batch_workers import Workers
+from guavadyke.errors import GuavadykeError
+from guavadyke.filters.base import Filter
+from guavadyke.http import Route
+from guavadyke.log import EventLogger
+from guavadyke.settings import EntrySettings
+from guavadyke.snapshots import CatalogueSnapshot, FleetSnapshot, SnapshotCell
+
+_PREEMPT_AFTER_S = 2.0
+_HAND_OVER_S = 20.0
+_INTERVAL_S = 0.02
+
+
+@dataclasses.dataclass(eq=False)
+class BatchService:
+    """Takes jobs, works on their chunks and tells of both.
+
+    Args:
+        settings: settings of the host.
+        clock: the host's clock.
+        rng: spreads calls of many hosts.
+        catalogue: configuration in force.
+        fleet: the other hosts.
+        store: the platform.
+        runner: runs single items.
+        authenticate: finds the owner of a request.
+        logger: told of what happens.
+    """
+
+    settings: EntrySettings
+    clock: Clock
+    rng: random.Random
+    catalogue: SnapshotCell[CatalogueSnapshot]
+    fleet: SnapshotCell[FleetSnapshot]
+    store: SettledStore
+    runner: ItemRunner
+    authenticate: Filter
+    logger: EventLogger
+
+    def __post_init__(self) -> None:
+        """Wire the parts."""
+        self._lease = LeaseKeeper(self.settings, self.clock, self.store)
+        self._index = JobIndex(
+            self.settings,
+            self.clock,
+            self.store,
+            self.logger,
+        )
+        self._holdings = Holdings(
+            self._lease,
+            self._index,
+            self.runner,
+            self.clock,
+            self.rng,
+        )
+        self._claimer = self._made_claimer()
+        self._workers = Workers(
+            self.settings,
+            self._holdings,
+            self.runner,
+            self.store,
+            self.clock,
+            self.logger,
+        )
+        self._workers.subscribe(self._claimer.note_written)
+        self._loops = BatchLoops(
+            LoopParts(
+                self.settings,
+                self._lease,
+                self._index,
+                self._holdings,
+                self._claimer,
+            ),
+            self.rng,
+            self.logger,
+        )
+
+    def routes(self) -> list[Route]:
+        """Return the routes of the caller port."""
+        parts = RouteParts(
+            self.settings,
+            self.clock,
+            self.store,
+            self.catalogue,
+            self.fleet,
+            self._index,
+            self.authenticate,
+        )
+        return BatchRoutes(parts).routes()
+
+    def start(self) -> None:
+        """Begin to look for work."""
+        self._loops.start()
+        self._workers.start()
+
+    def hand_over(self) -> None:
+        """Start nothing more and give the chunks back.
+
+        Running items get a moment to end and are then preempted; what is
+        done is committed, and the other hosts can take the chunks at once.
+        """
+        self._claimer.stop()
+        self._holdings.stop(preempt=False)
+        if not self._emptied(_PREEMPT_AFTER_S):
+            self._holdings.stop(preempt=True)
+            self._emptied(_HAND_OVER_S)
+        try:
+            self._lease.give_up()
+        except GuavadykeError as error:
+            self.logger.warning('lease_left', reason=error.message)
+
+    def close(self) -> None:
+        """Stop all work; what is held is taken over after the lease."""
+        self._claimer.stop()
+        self._loops.close()
+        self._workers.close()
+
+    def status(self) -> dict[str, object]:
+        """Return what operators see of batch work on this host."""
+        view = self._lease.view.current
+        return {
+            'lease': view.name,
+            'lease_valid_s': round(
+                view.valid_until - self.clock.monotonic(),
+                3,
+            ),
+            'open_jobs': len(self._index.open_jobs()),
+            'index_confirmed': self._index.is_confirmed(),
+            'chunks': [held.name for held in self._holdings.chunks],
+            'items_in_flight': sum(
+                held.run.in_flight for held in self._holdings.chunks
+            ),
+            'items_waiting': sum(
+                held.run.backlog for held in self._holdings.chunks
+            ),
+        }
+
+    def _made_claimer(self) -> Claimer:
+        return Claimer(
+            ClaimParts(
+                settings=self.settings,
+                clock=self.clock,
+                rng=self.rng,
+                store=self.store,
+                catalogue=self.catalogue,
+                fleet=self.fleet,
+                lease=self._lease,
+                index=self._index,
+                holdings=self._holdings,
+                runner=self.runner,
+                logger=self.logger,
+            ),
+        )
+
+    def _emptied(self, longest_s: float) -> bool:
+        """Wait until no chunk is held."""
+        until = self.clock.monotonic() + longest_s
+        while self._holdings.chunks and self.clock.monotonic() < until:
+            self.clock.sleep(_INTERVAL_S)
+        return not self._holdings.chunks
--- /dev/null
+++ b/guavadyke/controllers/batch_claims.py
@@ -0,0 +1,239 @@
+"""Finds work for this host, and ends jobs all of whose chunks are done."""
+
+from __future__ import annotations
+
+import dataclasses
+import operator
+import random
+
+from guavadyke.adapters.ports import Clock, ItemRunner
+from guavadyke.adapters.settled import SettledStore
+from guavadyke.controllers.batch_chunks import (
+    ChunkTable,
+    KnownChunk,
+    fresh_table,
+    read_table,
+)
+from guavadyke.controllers.batch_held import HeldChunk, Holdings
+from guavadyke.controllers.batch_jobs import JobIndex, StoredJob
+from guavadyke.controllers.batch_lease import LeaseKeeper
+from guavadyke.controllers.batch_orphans import Orphans
+from guavadyke.controllers.batch_records import JobRecord, encode_job
+from guavadyke.controllers.batch_take import ChunkTaker
+from guavadyke.decisions import ledger, schedule
+from guavadyke.errors import ObjectConflictError
+from guavadyke.log import EventLogger
+from guavadyke.settings import EntrySettings
+from guavadyke.snapshots import CatalogueSnapshot, FleetSnapshot, SnapshotCell
+
+_CLAIMS_IN_ONE_TURN = 8
+_CLOSES_IN_ONE_TURN = 16
+_UNWANTED_PATIENCE = 4
+
+
+@dataclasses.dataclass(frozen=True)
+class ClaimParts:
+    """What a claimer works with."""
+
+    settings: EntrySettings
+    clock: Clock
+    rng: random.Random
+    store: SettledStore
+    catalogue: SnapshotCell[CatalogueSnapshot]
+    fleet: SnapshotCell[FleetSnapshot]
+    lease: LeaseKeeper
+    index: JobIndex
+    holdings: Holdings
+    runner: ItemRunner
+    logger: EventLogger
+
+
+class Claimer:
+    """Looks for work; ``look`` is called from one thread.
+
+    Args:
+        parts: what it works with.
+    """
+
+    def __init__(self, parts: ClaimParts) -> None:
+        self._parts = parts
+        self._tables: dict[str, ChunkTable] = {}
+        self._stopped = False
+        self._orphans = Orphans(
+            parts.settings.batch,
+            parts.clock,
+            parts.store,
+            parts.logger,
+        )
+        self._taker = ChunkTaker(
+            parts.settings.batch,
+            parts.store,
+            parts.catalogue,
+            parts.holdings,
+            parts.logger,
+        )
+
+    def stop(self) -> None:
+        """Take no more chunks."""
+        self._stopped = True
+
+    def look(self) -> None:
+        """Close cancelled jobs, end jobs that are done and take chunks.
+
+        Raises:
+            GuavadykeError: the platform does not answer.
+        """
+        if self._stopped:
+            return
+        jobs = self._parts.index.open_jobs()
+        self._tables = {
+            job_id: table
+            for job_id, table in self._tables.items()
+            if job_id in jobs
+        }
+        refreshes = 1
+        for demand in schedule.ordered(map(_demand, jobs.values())):
+            job = jobs[demand.job_id]
+            refreshes -= self._refresh(job.record, refreshes)
+            self._attend(job, self._tables[demand.job_id])
+
+    def note_written(self, held: HeldChunk) -> None:
+        """Take in the state of an own chunk, which saves reading it."""
+        table = self._tables.get(held.job.job_id)
+        if table is not None:
+            table.note(
+                KnownChunk(held.index, held.name, held.stored, held.run.state),
+            )
+
+    def _refresh(self, job: JobRecord, allowed: int) -> int:
+        """Read the job's chunks again if that is due.
+
+        Returns:
+            How many lists were read.
+        """
+        now = self._parts.clock.monotonic()
+        table = self._tables.get(job.job_id)
+        if table is None:
+            self._tables[job.job_id] = fresh_table(job, now)
+            return 0
+        table.job = job
+        if not allowed or now - table.refreshed_at < self._patience_s(table):
+            return 0
+        looks = table.looks + 1
+        table = read_table(self._parts.store, job, now)
+        table.looks = looks
+        self._tables[job.job_id] = table
+        return 1
+
+    def _patience_s(self, table: ChunkTable) -> float:
+        """Return how long a list of chunks is good enough."""
+        interval_s = self._parts.settings.batch.poll_interval_s
+        growth = min(table.looks, 4) / 2 + 1
+        wanted = table.job.cancelled_at is not None or self._room(table.job) > 0
+        if not wanted:
+            growth *= _UNWANTED_PATIENCE
+        return interval_s * growth * self._parts.rng.uniform(0.75, 1.25)
+
+    def _attend(self, job: StoredJob, table: ChunkTable) -> None:
+        if table.all_done:
+            self._finish(job)
+            return
+        own = self._parts.lease.view.current.name
+        if own:
+            self._taker.adopt(table, own)
+        if job.record.cancelled_at is not None:
+            self._close(table, ledger.Outcome.cancelled)
+        elif self._is_expired(job.record):
+            self._close(table, ledger.Outcome.expired)
+        self._claim_waiting(table)
+        self._take_over(table)
+
+    def _is_expired(self, job: JobRecord) -> bool:
+        now = self._parts.clock.wall()
+        return job.expires is not None and now >= job.expires
+
+    def _finish(self, job: StoredJob) -> None:
+        """Record that the job has ended, which nothing changes any more."""
+        record = dataclasses.replace(
+            job.record,
+            finished_at=self._parts.clock.wall(),
+        )
+        try:
+            stored = self._parts.store.update(job.stored, encode_job(record))
+        except ObjectConflictError:
+            self._tables.pop(record.job_id, None)
+            return
+        self._parts.index.put(StoredJob(record, stored))
+        self._parts.logger.info('job_finished', job=record.job_id)
+
+    def _close(self, table: ChunkTable, outcome: ledger.Outcome) -> None:
+        """End the chunks that nobody has held."""
+        unclaimed = [one for one in self._allowed(table) if one.stored is None]
+        for chunk in unclaimed[:_CLOSES_IN_ONE_TURN]:
+            self._taker.close(table, chunk, outcome)
+
+    def _room(self, job: JobRecord) -> int:
+        """Return how many more items of the job's entry fit here."""
+        capacity = self._parts.runner.capacity(job.entry_name)
+        return capacity - self._parts.holdings.backlog(job.entry_name)
+
+    def _claim_waiting(self, table: ChunkTable) -> None:
+        if self._room(table.job) <= 0 and table.job.cancelled_at is None:
+            return
+        for chunk in self._allowed(table)[:_CLAIMS_IN_ONE_TURN]:
+            if self._room(table.job) <= 0 and table.job.cancelled_at is None:
+                return
+            holder = self._parts.lease.ensure()
+            self._taker.take(table, chunk, ledger.claim(chunk.state, holder))
+
+    def _allowed(self, table: ChunkTable) -> list[KnownChunk]:
+        """Return waiting chunks that this host may try, its own first."""
+        host_id = self._parts.settings.host_id
+        peers = [
+            peer.host_id
+            for peer in self._parts.fleet.current.peers
+            if peer.state == 'alive'
+        ]
+        ranked = [
+            (schedule.rank(chunk.name, host_id, peers), chunk.index)
+            for chunk in table.waiting()
+        ]
+        allowed = schedule.rank_allowed(table.looks)
+        return [
+            table.chunks[index]
+            for place, index in sorted(ranked, key=operator.itemgetter(0, 1))
+            if place < allowed
+        ]
+
+    def _take_over(self, table: ChunkTable) -> None:
+        """Take chunks of holders whose lease has run out or is gone."""
+        own = self._parts.lease.view.current.name
+        held = table.held_by_others(own)
+        if not held or self._room(table.job) <= 0:
+            return
+        fresh = self._orphans.observe(after=table.refreshed_at)
+        for chunk in held:
+            if self._room(table.job) <= 0:
+                return
+            if self._orphans.is_gone(chunk.state.holder, fresh=fresh):
+                self._take_orphan(table, chunk)
+
+    def _take_orphan(self, table: ChunkTable, chunk: KnownChunk) -> None:
+        holder = self._parts.lease.ensure()
+        state = ledger.take_over(
+            chunk.state,
+            holder,
+            table.job.sizes[chunk.index],
+        )
+        self._taker.take(table, chunk, state)
+
+
+def _demand(job: StoredJob) -> schedule.JobDemand:
+    record = job.record
+    return schedule.JobDemand(
+        record.job_id,
+        record.owner,
+        record.due,
+        record.created,
+        cancelled=record.cancelled_at is not None,
+    )
--- /dev/null
+++ b/guavadyke/controllers/batch_jobs.py
@@ -0,0 +1,196 @@
+"""The index of batch jobs that this host knows, kept by a watch."""
+
+from __future__ import annotations
+
+import dataclasses
+import types
+from collections.abc import Iterable, Iterator, Mapping
+
+from guavadyke.adapters.ports import Clock, ObjectEvent, StoredObject
+from guavadyke.adapters.settled import SettledStore
+from guavadyke.controllers.batch_records import (
+    JOB_KIND,
+    JobRecord,
+    decode_job,
+)
+from guavadyke.log import EventLogger
+from guavadyke.settings import EntrySettings
+from guavadyke.snapshots import SnapshotCell
+
+
+@dataclasses.dataclass(frozen=True)
+class StoredJob:
+    """A job and the object that holds it."""
+
+    record: JobRecord
+    stored: StoredObject
+
+
+@dataclasses.dataclass(frozen=True)
+class JobsSnapshot:
+    """Jobs by id, as of ``confirmed_at`` on this host's monotonic clock."""
+
+    jobs: Mapping[str, StoredJob] = dataclasses.field(default_factory=dict)
+    revision: int = 0
+    confirmed_at: float | None = None
+    listed_at: float = 0
+
+
+def list_all(
+    store: SettledStore,
+    kind: str,
+    *,
+    prefix: str = '',
+    bodies: bool = True,
+) -> tuple[tuple[StoredObject, ...], int]:
+    """Return every object of a kind and the revision of the first page."""
+    pages = list(_pages(store, kind, prefix, bodies=bodies))
+    objects = tuple(stored for page, _revision in pages for stored in page)
+    return objects, pages[0][1]
+
+
+def _pages(
+    store: SettledStore,
+    kind: str,
+    prefix: str,
+    *,
+    bodies: bool,
+) -> Iterator[tuple[tuple[StoredObject, ...], int]]:
+    after = ''
+    more = True
+    while more:
+        listing = store.list_objects(
+            kind,
+            prefix=prefix,
+            after=after,
+            bodies=bodies,
+        )
+        yield listing.objects, listing.revision
+        more = listing.more
+        after = listing.objects[-1].name if listing.objects else ''
+
+
+class JobIndex:
+    """Follows the platform's jobs.
+
+    Args:
+        settings: settings of the host.
+        clock: the host's clock.
+        store: the platform.
+        logger: told of jobs that cannot be read.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        clock: Clock,
+        store: SettledStore,
+        logger: EventLogger,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._store = store
+        self._logger = logger
+        self.snapshot: SnapshotCell[JobsSnapshot] = SnapshotCell(
+            JobsSnapshot(),
+        )
+
+    def is_confirmed(self) -> bool:
+        """Return whether a cancelled job would be known here by now."""
+        confirmed_at = self.snapshot.current.confirmed_at
+        if confirmed_at is None:
+            return False
+        batch = self._settings.batch
+        bound_s = batch.lease_s - batch.lease_margin_s
+        return self._clock.monotonic() < confirmed_at + bound_s
+
+    def open_jobs(self) -> Mapping[str, StoredJob]:
+        """Return the jobs that are accepted and have not ended."""
+        return {
+            job_id: job
+            for job_id, job in self.snapshot.current.jobs.items()
+            if job.record.committed and job.record.finished_at is None
+        }
+
+    def follow(self, wait_s: float) -> None:
+        """Take in changes, waiting for one up to ``wait_s`` seconds.
+
+        Raises:
+            GuavadykeError: the platform does not answer.
+        """
+        known = self.snapshot.current
+        now = self._clock.monotonic()
+        platform = self._settings.platform
+        old = now - known.listed_at > platform.relist_interval_s
+        if known.confirmed_at is None or old:
+            self._relist(now)
+            return
+        answer = self._store.watch(JOB_KIND, known.revision, wait_s)
+        if answer.expired:
+            self._relist(now)
+            return
+        jobs = dict(known.jobs)
+        for event in answer.events:
+            self._apply(jobs, event)
+        self.snapshot.publish(
+            dataclasses.replace(
+                known,
+                jobs=types.MappingProxyType(jobs),
+                revision=answer.revision,
+                confirmed_at=now,
+            ),
+        )
+
+    def put(self, job: StoredJob) -> None:
+        """Take in a job that this host has just written or read.
+
+        Called beside ``follow``: a newer version is never replaced by an
+        older one.
+        """
+        known = self.snapshot.current
+        jobs = dict(known.jobs)
+        _keep_newer(jobs, job)
+        self.snapshot.publish(
+            dataclasses.replace(known, jobs=types.MappingProxyType(jobs)),
+        )
+
+    def _relist(self, now: float) -> None:
+        objects, revision = list_all(self._store, JOB_KIND)
+        jobs = {job.record.job_id: job for job in self._readable(objects)}
+        self.snapshot.publish(
+            JobsSnapshot(types.MappingProxyType(jobs), revision, now, now),
+        )
+
+    def _readable(
+        self,
+        objects: Iterable[StoredObject],
+    ) -> Iterator[StoredJob]:
+        for stored in objects:
+            job = self._read(stored)
+            if job is not None:
+                yield job
+
+    def _read(self, stored: StoredObject) -> StoredJob | None:
+        try:
+            return StoredJob(decode_job(stored.body), stored)
+        except ValueError as error:
+            self._logger.error(
+                'job_unreadable',
+                job=stored.name,
+                reason=str(error).splitlines()[0],
+            )
+            return None
+
+    def _apply(self, jobs: dict[str, StoredJob], event: ObjectEvent) -> None:
+        if event.current is None:
+            jobs.pop(event.name, None)
+            return
+        job = self._read(event.current)
+        if job is not None:
+            _keep_newer(jobs, job)
+
+
+def _keep_newer(jobs: dict[str, StoredJob], job: StoredJob) -> None:
+    known = jobs.get(job.record.job_id)
+    if known is None or known.stored.version < job.stored.version:
+        jobs[job.record.job_id] = job
--- /dev/null
+++ b/guavadyke/controllers/batch_loops.py
@@ -0,0 +1,164 @@
+"""Actors that drive batch work: the lease, the index of jobs, claims."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import threading
+from collections.abc import Callable
+
+import pykka
+
+from guavadyke.controllers.batch_claims import Claimer
+from guavadyke.controllers.batch_held import Holdings
+from guavadyke.controllers.batch_jobs import JobIndex
+from guavadyke.controllers.batch_lease import LeaseKeeper
+from guavadyke.errors import GuavadykeError
+from guavadyke.log import EventLogger
+from guavadyke.settings import EntrySettings
+
+_LOOK_INTERVAL_S = 0.2
+_FIRST_RETRY_S = 0.5
+_LONGEST_RETRY_S = 8.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Tick:
+    """Asks an actor for its next turn."""
+
+
+@dataclasses.dataclass(frozen=True)
+class LoopSettings:
+    """A loop: ``turn`` acts and returns the seconds to wait before the next.
+
+    ``name`` is told in logs.
+    """
+
+    name: str
+    turn: Callable[[], float]
+    rng: random.Random
+    logger: EventLogger
+
+
+class LoopActor(pykka.ThreadingActor):
+    """Takes turns until it is stopped; waits longer after each failure.
+
+    Args:
+        loop: what it does.
+        closed: set when it is to end.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, loop: LoopSettings, closed: threading.Event) -> None:
+        super().__init__()
+        self._loop = loop
+        self._closed = closed
+        self._failures = 0
+
+    def on_start(self) -> None:
+        """Ask for the first turn."""
+        self.actor_ref.tell(Tick())
+
+    def on_receive(self, message: object) -> None:
+        """Take a turn and wait for the next."""
+        if self._closed.is_set() or not isinstance(message, Tick):
+            return
+        self._closed.wait(self._turn())
+        if not self._closed.is_set():
+            self.actor_ref.tell(Tick())
+
+    def _turn(self) -> float:
+        try:
+            delay_s = self._loop.turn()
+        except Exception as error:
+            return self._failed(error)
+        self._failures = 0
+        return delay_s
+
+    def _failed(self, error: Exception) -> float:
+        self._failures += 1
+        expected = isinstance(error, GuavadykeError)
+        log = self._loop.logger.warning if expected else self._loop.logger.error
+        log(
+            'batch_loop_failed',
+            loop=self._loop.name,
+            failures=self._failures,
+            reason=str(error) if expected else repr(error),
+        )
+        longest_s = min(_LONGEST_RETRY_S, _FIRST_RETRY_S * 2**self._failures)
+        return self._loop.rng.uniform(longest_s / 2, longest_s)
+
+
+@dataclasses.dataclass(frozen=True)
+class LoopParts:
+    """What the loops drive."""
+
+    settings: EntrySettings
+    lease: LeaseKeeper
+    index: JobIndex
+    holdings: Holdings
+    claimer: Claimer
+
+
+class BatchLoops:
+    """The actors of batch work.
+
+    Args:
+        parts: what they drive.
+        rng: spreads their turns.
+        logger: told of failures.
+    """
+
+    def __init__(
+        self,
+        parts: LoopParts,
+        rng: random.Random,
+        logger: EventLogger,
+    ) -> None:
+        self._parts = parts
+        self._rng = rng
+        self._logger = logger
+        self._closed = threading.Event()
+        self._actors: list[pykka.ActorRef[LoopActor]] = []
+
+    def start(self) -> None:
+        """Start the actors."""
+        turns = {
+            'lease': self._renew,
+            'index': self._follow,
+            'claims': self._look,
+        }
+        self._actors = [
+            LoopActor.start(
+                LoopSettings(name, turn, self._rng, self._logger),
+                self._closed,
+            )
+            for name, turn in turns.items()
+        ]
+
+    def close(self) -> None:
+        """Let the actors end; a waiting watch ends by itself."""
+        self._closed.set()
+        for actor in self._actors:
+            actor.stop(block=False)
+
+    def _renew(self) -> float:
+        interval_s = self._parts.settings.batch.lease_renewal_s
+        if self._parts.holdings.chunks:
+            self._parts.lease.renew()
+        else:
+            self._parts.lease.give_up(lapsed=True)
+        return interval_s * self._rng.uniform(0.9, 1)
+
+    def _follow(self) -> float:
+        settings = self._parts.settings
+        wait_s = settings.platform.watch_wait_s
+        if self._parts.index.open_jobs():
+            wait_s = min(wait_s, settings.batch.lease_renewal_s)
+        self._parts.index.follow(wait_s)
+        return 0
+
+    def _look(self) -> float:
+        self._parts.claimer.look()
+        return _LOOK_INTERVAL_S * self._rng.uniform(0.75, 1.25)
--- /dev/null
+++ b/guavadyke/controllers/batch_routes.py
@@ -0,0 +1,274 @@
+"""Routes of batch jobs on the caller port."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterator
+
+from guavadyke.adapters.ports import Clock
+from guavadyke.adapters.settled import SettledStore
+from guavadyke.catalogue import ModelEntry, ServiceEntry
+from guavadyke.controllers.batch_cancel import cancel
+from guavadyke.controllers.batch_input import (
+    CheckedInput,
+    SubmissionReader,
+    parse_time,
+)
+from guavadyke.controllers.batch_jobs import JobIndex, StoredJob
+from guavadyke.controllers.batch_read import BatchReader
+from guavadyke.controllers.batch_submit import (
+    Submission,
+    Submitter,
+    content_hash,
+)
+from guavadyke.decisions.chunking import JobSize, divided, items_in_chunk
+from guavadyke.errors import (
+    ErrorCode,
+    Finding,
+    GuavadykeError,
+    PlatformUnavailableError,
+    Run,
+)
+from guavadyke.filters.base import Answer, Exchange, Filter, Handler, chain
+from guavadyke.http import Route, json_answer
+from guavadyke.settings import EntrySettings
+from guavadyke.snapshots import CatalogueSnapshot, FleetSnapshot, SnapshotCell
+
+_DEFAULT_DUE_S = 86_400.0
+_ASSUMED_ITEM_S = 1.0
+_ASSUMED_SLOTS = 8
+_LONGEST_KEY = 255
+_RETRY_AFTER_S = 5
+_JOB_PATH = '/v1/batches/(?P<job_id>[A-Za-z0-9-]{1,64})'
+
+
+@dataclasses.dataclass(frozen=True)
+class RouteParts:
+    """What the routes work with."""
+
+    settings: EntrySettings
+    clock: Clock
+    store: SettledStore
+    catalogue: SnapshotCell[CatalogueSnapshot]
+    fleet: SnapshotCell[FleetSnapshot]
+    index: JobIndex
+    authenticate: Filter
+
+
+@dataclasses.dataclass(frozen=True)
+class _Query:
+    entry_name: str
+    due: float
+    expires: float | None
+    key: str
+
+
+class BatchRoutes:
+    """Submit, show, results and cancel.
+
+    Args:
+        parts: what the routes work with.
+    """
+
+    def __init__(self, parts: RouteParts) -> None:
+        self._parts = parts
+        self._reader = BatchReader(parts.store, parts.clock)
+        self._submitter = Submitter(parts.store, parts.clock)
+
+    def routes(self) -> list[Route]:
+        """Return the routes of the caller port."""
+        return [
+            Route('/v1/batches', {'POST': self._handler(self._submit)}),
+            Route(_JOB_PATH, {'GET': self._handler(self._show)}),
+            Route(
+                f'{_JOB_PATH}/cancel',
+                {'POST': self._handler(self._cancel)},
+            ),
+            Route(
+                f'{_JOB_PATH}/results',
+                {'GET': self._handler(self._results)},
+            ),
+        ]
+
+    def _handler(self, handle: Handler) -> Handler:
+        def refusing(exchange: Exchange) -> Answer:
+            try:
+                return handle(exchange)
+            except PlatformUnavailableError as error:
+                raise GuavadykeError(
+                    error.code,
+                    f'the platform is away: {error.message}',
+                    run=Run.not_run,
+                    retry_after_s=_RETRY_AFTER_S,
+                ) from error
+
+        return chain((self._parts.authenticate,), refusing)
+
+    def _submit(self, exchange: Exchange) -> Answer:
+        query = self._query(exchange)
+        self._entry(query.entry_name)
+        reader = SubmissionReader(
+            exchange.body_input,
+            self._parts.settings.batch,
+            self._parts.settings.caller,
+        )
+        checked = reader.check()
+        job = self._submitter.submit(
+            self._submission(exchange, query, reader, checked),
+        )
+        self._parts.index.put(job)
+        return self._answer(job, status=201)
+
+    def _show(self, exchange: Exchange) -> Answer:
+        return self._answer(self._find(exchange))
+
+    def _cancel(self, exchange: Exchange) -> Answer:
+        job = cancel(
+            self._parts.store,
+            self._parts.clock,
+            self._reader,
+            self._find(exchange),
+        )
+        if job.record.finished_at is None:
+            self._parts.index.put(job)
+        return self._answer(job)
+
+    def _results(self, exchange: Exchange) -> Answer:
+        after = _whole_number(exchange, 'after') or 0
+        limit = _whole_number(exchange, 'limit')
+        report = self._reader.report(self._find(exchange))
+        return Answer(
+            status=200,
+            body=_first_read(self._reader.results(report, after, limit)),
+            content_type='application/x-ndjson',
+            headers={'Guavadyke-Job-State': str(report.state)},
+        )
+
+    def _answer(self, job: StoredJob, *, status: int = 200) -> Answer:
+        report = self._reader.report(job)
+        return json_answer(
+            report.document(self._parts.clock.wall()),
+            status=status,
+        )
+
+    def _find(self, exchange: Exchange) -> StoredJob:
+        return self._reader.find(
+            exchange.path_parts['job_id'],
+            exchange.owner,
+        )
+
+    def _query(self, exchange: Exchange) -> _Query:
+        key = exchange.headers.get('idempotency-key', '')
+        findings = [
+            Finding(f'query.{name}', 'unknown parameter')
+            for name in sorted(
+                set(exchange.query) - {'entry', 'due', 'expires'}
+            )
+        ]
+        if not exchange.query.get('entry'):
+            findings.append(Finding('query.entry', 'is missing'))
+        if len(key) > _LONGEST_KEY:
+            findings.append(
+                Finding(
+                    'header.idempotency-key',
+                    f'has more than {_LONGEST_KEY} characters',
+                ),
+            )
+        if findings:
+            raise GuavadykeError(
+                ErrorCode.bad_request,
+                'the submission is wrong',
+                findings=tuple(findings),
+            )
+        due = exchange.query.get('due')
+        expires = exchange.query.get('expires')
+        return _Query(
+            entry_name=exchange.query['entry'],
+            due=parse_time(due, 'query.due')
+            if due
+            else self._parts.clock.wall() + _DEFAULT_DUE_S,
+            expires=parse_time(expires, 'query.expires') if expires else None,
+            key=key,
+        )
+
+    def _entry(self, name: str) -> ModelEntry | ServiceEntry:
+        entry = self._parts.catalogue.current.entries.get(name)
+        if entry is None:
+            raise GuavadykeError(
+                ErrorCode.not_found,
+                f'there is no entry {name}',
+                findings=(Finding('query.entry', 'unknown entry'),),
+            )
+        if entry.entry_class == 'online':
+            raise GuavadykeError(
+                ErrorCode.bad_request,
+                f'entry {name} takes no batch jobs',
+                findings=(Finding('query.entry', 'is of class online'),),
+            )
+        return entry
+
+    def _submission(
+        self,
+        exchange: Exchange,
+        query: _Query,
+        reader: SubmissionReader,
+        checked: CheckedInput,
+    ) -> Submission:
+        chunk_items = self._chunk_items(query, checked.items)
+        asked = (
+            query.entry_name,
+            exchange.query.get('due', ''),
+            exchange.query.get('expires', ''),
+        )
+
+        def chunks() -> Iterator[tuple[bytes, ...]]:
+            return divided(
+                reader.lines(),
+                chunk_items,
+                self._parts.settings.batch,
+            )
+
+        return Submission(
+            owner=exchange.owner,
+            entry_name=query.entry_name,
+            idempotency_key=query.key,
+            content_hash=content_hash(checked.digest, asked),
+            due=query.due,
+            expires=query.expires,
+            chunks=chunks,
+        )
+
+    def _chunk_items(self, query: _Query, count: int) -> int:
+        peers = self._parts.fleet.current.peers
+        size = JobSize(
+            items=count,
+            due_s=query.due - self._parts.clock.wall(),
+            hosts=1 + sum(peer.state == 'alive' for peer in peers),
+            slots=_ASSUMED_SLOTS,
+            item_s=_ASSUMED_ITEM_S,
+        )
+        return items_in_chunk(size, self._parts.settings.batch)
+
+
+def _whole_number(exchange: Exchange, name: str) -> int | None:
+    text = exchange.query.get(name)
+    if text is None:
+        return None
+    if not text.isdecimal():
+        raise GuavadykeError(
+            ErrorCode.bad_request,
+            f'{name} is wrong',
+            findings=(Finding(f'query.{name}', 'not a whole number'),),
+        )
+    return int(text)
+
+
+def _first_read(lines: Iterator[bytes]) -> Iterator[bytes]:
+    """Return the lines; errors before the first one are raised here."""
+    first = next(lines, b'')
+    return _continued(first, lines)
+
+
+def _continued(first: bytes, lines: Iterator[bytes]) -> Iterator[bytes]:
+    yield first
+    yield from lines
--- /dev/null
+++ b/guavadyke/controllers/batch_take.py
@@ -0,0 +1,165 @@
+"""Takes single chunks by conditional writes and begins work on them."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from guavadyke.adapters.ports import StoredObject
+from guavadyke.adapters.settled import SettledStore
+from guavadyke.controllers.batch_chunks import (
+    ChunkTable,
+    KnownChunk,
+    read_chunk,
+)
+from guavadyke.controllers.batch_held import HeldChunk, Holdings
+from guavadyke.controllers.batch_records import (
+    CHUNK_KIND,
+    INPUT_KIND,
+    BatchItem,
+    JobRecord,
+    decode_items,
+    encode_chunk,
+    input_name,
+)
+from guavadyke.decisions import ledger
+from guavadyke.decisions.chunkrun import ChunkRun
+from guavadyke.errors import ObjectConflictError
+from guavadyke.log import EventLogger
+from guavadyke.settings import BatchSettings
+from guavadyke.snapshots import CatalogueSnapshot, SnapshotCell
+
+
+@dataclasses.dataclass(frozen=True)
+class ChunkTaker:
+    """Takes chunks into this host's hands.
+
+    Args:
+        settings: limits of attempts.
+        store: the platform.
+        catalogue: tells which entries are idempotent.
+        holdings: gets the chunks.
+        logger: told of chunks taken.
+    """
+
+    settings: BatchSettings
+    store: SettledStore
+    catalogue: SnapshotCell[CatalogueSnapshot]
+    holdings: Holdings
+    logger: EventLogger
+
+    def take(
+        self,
+        table: ChunkTable,
+        chunk: KnownChunk,
+        state: ledger.ChunkState,
+    ) -> None:
+        """Write ``state``, in which this host holds the chunk, and begin.
+
+        Raises:
+            GuavadykeError: the platform does not answer; the chunk is
+                adopted later where it was taken nevertheless.
+        """
+        try:
+            stored = self._write(chunk, state)
+        except ObjectConflictError:
+            table.note(_taken_by_another(chunk))
+            return
+        taken = dataclasses.replace(chunk, stored=stored, state=state)
+        table.note(taken)
+        self._begin(table.job, taken, stored)
+
+    def adopt(self, table: ChunkTable, own: str) -> None:
+        """Begin work on chunks whose taking was in doubt or cut short.
+
+        Args:
+            table: chunks of a job.
+            own: name of this host's lease.
+
+        Raises:
+            GuavadykeError: the platform does not answer.
+        """
+        present = {held.name for held in self.holdings.chunks}
+        for known in table.held_by(own):
+            if known.name in present:
+                continue
+            chunk = read_chunk(self.store, known)
+            table.note(chunk)
+            if chunk.is_held_by(own) and chunk.stored is not None:
+                self._begin(table.job, chunk, chunk.stored)
+
+    def close(
+        self,
+        table: ChunkTable,
+        chunk: KnownChunk,
+        outcome: ledger.Outcome,
+    ) -> None:
+        """End a chunk that nobody has held.
+
+        Raises:
+            GuavadykeError: the platform does not answer.
+        """
+        state = ledger.close_unclaimed(outcome, table.job.sizes[chunk.index])
+        try:
+            stored = self._write(chunk, state)
+        except ObjectConflictError:
+            table.note(_taken_by_another(chunk))
+            return
+        table.note(dataclasses.replace(chunk, stored=stored, state=state))
+
+    def _write(
+        self,
+        chunk: KnownChunk,
+        state: ledger.ChunkState,
+    ) -> StoredObject:
+        body = encode_chunk(state)
+        if chunk.stored is None:
+            return self.store.create(CHUNK_KIND, chunk.name, body)
+        return self.store.update(chunk.stored, body)
+
+    def _begin(
+        self,
+        job: JobRecord,
+        chunk: KnownChunk,
+        stored: StoredObject,
+    ) -> None:
+        batch_items = self._items(job, chunk.index)
+        self.holdings.add(
+            HeldChunk(
+                job=job,
+                index=chunk.index,
+                holder=chunk.state.holder,
+                items=batch_items,
+                stored=stored,
+                run=ChunkRun(
+                    chunk.state,
+                    tuple(one.idempotent for one in batch_items),
+                    self.settings.max_attempts,
+                ),
+            ),
+        )
+        self.logger.info(
+            'chunk_taken',
+            chunk=chunk.name,
+            crashes=chunk.state.crashes,
+            items=len(batch_items),
+        )
+
+    def _items(self, job: JobRecord, index: int) -> tuple[BatchItem, ...]:
+        entry = self.catalogue.current.entries.get(job.entry_name)
+        stored = self.store.read(INPUT_KIND, input_name(job, index))
+        if stored is None:
+            raise LookupError(f'input of {job.job_id} chunk {index} is gone')
+        return decode_items(
+            stored.body,
+            idempotent=entry is not None and entry.idempotent,
+        )
+
+
+def _taken_by_another(chunk: KnownChunk) -> KnownChunk:
+    """Return the chunk as held by somebody, until the next list."""
+    state = dataclasses.replace(
+        chunk.state,
+        status=ledger.ChunkStatus.held,
+        holder='',
+    )
+    return dataclasses.replace(chunk, state=state)
--- /dev/null
+++ b/guavadyke/decisions/chunkrun.py
@@ -0,0 +1,224 @@
+"""What the holder of a chunk does next: run an item, write, or commit.
+
+One run object serves one held chunk. It does no I/O: the holder carries
+out the steps that ``next_step`` returns and reports their ends.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Sequence
+
+from guavadyke.adapters.ports import ItemResult
+from guavadyke.decisions import ledger
+from guavadyke.decisions.itemboard import ItemBoard
+from guavadyke.decisions.lanes import Lane, Lanes
+from guavadyke.decisions.outcomes import Again, ItemTrial, judge
+
+STARTS_IN_ONE_WRITE = 16
+PART_BYTES = 512 * 1024
+_WITHDRAWN = 'the job was cancelled during its run'
+_NOT_BEGUN = 'it had not begun'
+
+
+@dataclasses.dataclass(frozen=True)
+class RunItem:
+    """Run one item now."""
+
+    trial: ItemTrial
+
+
+@dataclasses.dataclass(frozen=True)
+class WriteState:
+    """Replace the chunk's state, before items run that depend on it."""
+
+    state: ledger.ChunkState
+
+
+@dataclasses.dataclass(frozen=True)
+class Commit:
+    """Write results, then the state that refers to them.
+
+    ``final`` ends the chunk; ``released`` gives it back.
+    """
+
+    outcomes: tuple[ledger.ItemOutcome, ...]
+    final: bool
+    released: bool = False
+
+
+Step = RunItem | WriteState | Commit
+
+
+@dataclasses.dataclass(frozen=True)
+class Permissions:
+    """What the holder may do now.
+
+    ``start`` is False while the lease is not confirmed. ``free`` is how
+    many items may start. ``stopping`` asks to give the chunk back.
+    """
+
+    now: float
+    start: bool
+    free: int
+    cancelled: bool = False
+    expired: bool = False
+    stopping: bool = False
+
+
+class ChunkRun:
+    """Progress of a chunk in the hands of one holder.
+
+    Items run in three lanes: suspects of a holder's loss in groups that
+    are recorded first, then the crowd, then one at a time those whose
+    attempt failed.
+
+    Args:
+        state: the chunk's state as this holder took it.
+        idempotent: for each item whether it may be repeated.
+        max_attempts: attempts after which an item fails.
+    """
+
+    def __init__(
+        self,
+        state: ledger.ChunkState,
+        idempotent: Sequence[bool],
+        max_attempts: int,
+    ) -> None:
+        self._state = state
+        self._max_attempts = max_attempts
+        self._in_flight: set[int] = set()
+        self._writing = False
+        self._board = ItemBoard(state, idempotent, max_attempts)
+        self._lanes = Lanes(state, self._board.open_trials())
+
+    @property
+    def state(self) -> ledger.ChunkState:
+        """The chunk's state as last written."""
+        return self._state
+
+    @property
+    def board(self) -> ItemBoard:
+        """What is known of the items."""
+        return self._board
+
+    @property
+    def in_flight(self) -> int:
+        """Items that run now."""
+        return len(self._in_flight)
+
+    @property
+    def backlog(self) -> int:
+        """Items that have neither begun nor ended."""
+        return len(self._lanes)
+
+    def next_step(self, allowed: Permissions) -> Step | None:
+        """Return what to do now, or None while there is nothing."""
+        if self._writing:
+            return None
+        if allowed.cancelled or allowed.expired:
+            self._end_waiting(allowed)
+        if not self.backlog and not self._in_flight:
+            return self._writes(Commit(self._board.outcomes, final=True))
+        if self._board.outcome_bytes >= PART_BYTES:
+            return self._writes(Commit(self._board.outcomes, final=False))
+        if allowed.stopping:
+            return (
+                None
+                if self._in_flight
+                else self._writes(
+                    Commit(self._board.outcomes, final=False, released=True),
+                )
+            )
+        if not allowed.start or allowed.free <= 0:
+            return None
+        return self._start(allowed)
+
+    def item_ended(self, index: int, ended: ItemResult, now: float) -> None:
+        """Take in how the run of an item ended."""
+        self._in_flight.discard(index)
+        trial = self._board.trial(index)
+        following = judge(trial, ended, self._max_attempts)
+        if isinstance(following, Again):
+            self._board.put(following.trial)
+            self._lanes.put_back(following, self._state.running, now)
+        else:
+            self._board.settle(following)
+
+    def item_withdrawn(self, index: int) -> None:
+        """Take in that a run was broken off because its job ended."""
+        self._in_flight.discard(index)
+        cancelled, unknown = ledger.Outcome.cancelled, ledger.Outcome.unknown
+        outcome = cancelled if self._board.trial(index).idempotent else unknown
+        self._board.settle(
+            ledger.ItemOutcome(index, outcome, error=_WITHDRAWN),
+        )
+
+    def written(self, state: ledger.ChunkState) -> None:
+        """Take in that the platform holds ``state``."""
+        self._writing = False
+        self._board.forget(set(state.settled) - set(self._state.settled))
+        self._state = state
+
+    def write_failed(self) -> None:
+        """Take in that the platform did not take a write; it is repeated."""
+        self._writing = False
+
+    def _end_waiting(self, allowed: Permissions) -> None:
+        cancelled, expired = ledger.Outcome.cancelled, ledger.Outcome.expired
+        outcome = cancelled if allowed.cancelled else expired
+        for index in self._lanes.clear():
+            self._board.settle(
+                ledger.ItemOutcome(index, outcome, error=_NOT_BEGUN),
+            )
+
+    def _start(self, allowed: Permissions) -> Step | None:
+        lanes = self._lanes
+        if lanes.group:
+            return self._start_from(lanes.group, allowed)
+        if self._in_flight and self._state.running:
+            return None
+        if lanes.suspects or self._state.running:
+            return self._start_group(allowed)
+        if lanes.crowd:
+            return self._start_from(lanes.crowd, allowed)
+        return None if self._in_flight else self._start_lone(allowed)
+
+    def _start_group(self, allowed: Permissions) -> Step | None:
+        """Run the next group of suspects; it is recorded first."""
+        group = ledger.suspect_group(self._lanes.suspects)
+        if self._state.running != group:
+            return self._writes(
+                WriteState(ledger.record_running(self._state, group)),
+            )
+        self._lanes.begin_group(group)
+        return self._start_from(self._lanes.group, allowed)
+
+    def _start_lone(self, allowed: Permissions) -> Step | None:
+        attempts = self._board.attempts()
+        if attempts != self._state.attempts:
+            return self._writes(
+                WriteState(ledger.record_attempts(self._state, attempts)),
+            )
+        return self._start_from(self._lanes.lone, allowed)
+
+    def _start_from(self, lane: Lane, allowed: Permissions) -> Step | None:
+        ready = lane.ready(allowed.now)
+        if not ready:
+            return None
+        unrecorded = ledger.without(
+            (one for one in ready if not self._board.trial(one).idempotent),
+            self._state.started,
+        )
+        if ready[0] in unrecorded:
+            first = unrecorded[: min(allowed.free, STARTS_IN_ONE_WRITE)]
+            return self._writes(
+                WriteState(ledger.record_started(self._state, first)),
+            )
+        lane.remove(ready[0])
+        self._in_flight.add(ready[0])
+        return RunItem(self._board.trial(ready[0]))
+
+    def _writes(self, step: WriteState | Commit) -> Step:
+        self._writing = True
+        return step
--- /dev/null
+++ b/guavadyke/decisions/leases.py
@@ -0,0 +1,72 @@
+"""Leases: when a holder has to stop and when another may take over."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+from guavadyke.adapters.ports import StoredObject
+from guavadyke.settings import BatchSettings
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaseView:
+    """This host's lease as its workers see it.
+
+    ``name`` is empty where there is none. Nothing starts at or after
+    ``valid_until``, in seconds of this host's monotonic clock.
+    """
+
+    name: str = ''
+    valid_until: float = 0
+
+
+def valid_until(confirmed_at: float, settings: BatchSettings) -> float:
+    """Return when a holder stops, by its own clock.
+
+    Args:
+        confirmed_at: start of the last renewal that succeeded.
+        settings: length and margin of a lease.
+    """
+    return confirmed_at + settings.lease_s - settings.lease_margin_s
+
+
+@dataclasses.dataclass(frozen=True)
+class _Sighting:
+    version: int
+    since: float
+
+
+class LeaseWatch:
+    """What one host has seen itself of the other hosts' leases.
+
+    Args:
+        lease_s: length of a lease, in seconds.
+    """
+
+    def __init__(self, lease_s: float) -> None:
+        self._lease_s = lease_s
+        self._sightings: Mapping[str, _Sighting] = {}
+
+    def observe(self, leases: Iterable[StoredObject], now: float) -> None:
+        """Take in a full list that was complete at ``now``."""
+        self._sightings = {
+            lease.name: self._sighting(lease, now) for lease in leases
+        }
+
+    def is_absent(self, name: str) -> bool:
+        """Return whether the newest list does not hold the lease."""
+        return name not in self._sightings
+
+    def expired_version(self, name: str, now: float) -> int | None:
+        """Return the version of a lease that may be broken, if it may."""
+        sighting = self._sightings.get(name)
+        if sighting is None or now - sighting.since < self._lease_s:
+            return None
+        return sighting.version
+
+    def _sighting(self, lease: StoredObject, now: float) -> _Sighting:
+        known = self._sightings.get(lease.name)
+        if known is not None and known.version == lease.version:
+            return known
+        return _Sighting(lease.version, now)
--- /dev/null
+++ b/guavadyke/decisions/schedule.py
@@ -0,0 +1,74 @@
+"""Which job's chunks come first, and which host tries first for a chunk."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import itertools
+from collections.abc import Iterable, Sequence
+
+_GATE_GROWTH = 4
+_MOST_LOOKS = 8
+
+
+@dataclasses.dataclass(frozen=True)
+class JobDemand:
+    """What the order of jobs depends on; times are seconds since the epoch.
+
+    ``held_items`` are the owner's items that this host holds already.
+    """
+
+    job_id: str
+    owner: str
+    due: float
+    created: float
+    at_risk: bool = False
+    cancelled: bool = False
+
+
+def ordered(jobs: Iterable[JobDemand]) -> tuple[JobDemand, ...]:
+    """Return the jobs in the order in which chunks are taken.
+
+    Cancelled jobs only have to be closed and come first, then jobs at
+    risk; among the rest owners take turns, each with its earliest due.
+    """
+    by_due = sorted(
+        jobs,
+        key=lambda job: (
+            not job.cancelled,
+            not job.at_risk,
+            job.due,
+            job.created,
+            job.job_id,
+        ),
+    )
+    pressing = [job for job in by_due if job.cancelled or job.at_risk]
+    rest = [job for job in by_due if not (job.cancelled or job.at_risk)]
+    return (*pressing, *_taking_turns(rest))
+
+
+def _taking_turns(jobs: Sequence[JobDemand]) -> tuple[JobDemand, ...]:
+    owners = dict.fromkeys(job.owner for job in jobs)
+    queues = [[job for job in jobs if job.owner == owner] for owner in owners]
+    rounds = itertools.zip_longest(*queues)
+    return tuple(job for one in rounds for job in one if job is not None)
+
+
+def rank(name: str, host_id: str, hosts: Iterable[str]) -> int:
+    """Return how many live hosts come before this one for an object."""
+    own = _weight(name, host_id)
+    return sum(
+        _weight(name, other) > own for other in hosts if other != host_id
+    )
+
+
+def rank_allowed(looks: int) -> int:
+    """Return the ranks that may try after so many looks in vain."""
+    return int(_GATE_GROWTH ** min(looks, _MOST_LOOKS))
+
+
+def _weight(name: str, host_id: str) -> bytes:
+    return hashlib.blake2b(
+        f'{name} {host_id}'.encode(),
+        digest_size=8,
+    ).digest()
