--- a/features/builders_fleet.py
+++ b/features/builders_fleet.py
@@ -215,7 +215,7 @@
     """Calls one operator port."""
 
     def __init__(self, port: int, token: str = TOKEN) -> None:
-        self._url = f'http://127.0.0.1:{port}'
+        self.url = f'http://127.0.0.1:{port}'
         self._headers = {'Authorization': f'Bearer {token}'} if token else {}
         self._pool = urllib3.PoolManager(retries=False)
 
@@ -229,7 +229,7 @@
         names = {name.replace('_', '-'): text for name, text in headers.items()}
         return self._pool.request(
             method,
-            f'{self._url}/operator/{path}',
+            f'{self.url}/operator/{path}',
             body=None if body is None else json.dumps(body),
             headers={**self._headers, **names},
             timeout=20,
--- /dev/null
+++ b/features/fleet_commands.feature
@@ -0,0 +1,61 @@
+Feature: Operators' commands for the catalogue and the fleet
+
+  Background:
+    Given a fleet of entry hosts in zones north and south
+
+  Scenario: The catalogue by commands
+    When the command "catalogue put lammikko OWNER --who ada --why first" is run
+    Then the command prints "lammikko has version 1"
+    When the command "catalogue put lammikko OWNER" is run
+    Then the command is refused with "version_conflict"
+    When the command "catalogue put lammikko OWNER --version 1" is run
+    Then the command prints "lammikko has version 2"
+    When the command "catalogue list" is run
+    Then the command prints "lammikko  owner  2"
+    When the command "catalogue show lammikko" is run
+    Then the command prints ""version": 2"
+    When the command "catalogue history lammikko" is run
+    Then the command prints ""why": "first""
+    When the command "catalogue delete lammikko --version 2" is run
+    Then the command prints "lammikko is deleted"
+    When the command "catalogue history" is run
+    Then the command prints ""what": "delete""
+
+  Scenario: The fleet by a command
+    When the command "fleet" is run
+    Then the command prints "south-0"
+    When the command "fleet --json" is run
+    Then the command prints ""reached_directly": true"
+
+  Scenario: A backend server drains
+    Given a backend server "engine-1" with one request in flight
+    When the command "drain engine-1" is run
+    Then the command prints "engine-1 is leaving"
+    And every host counts "engine-1" as leaving
+    When the command "drain engine-1 --wait --timeout 1" is run
+    Then the command is refused with "deadline_exceeded"
+    When the request in flight ends
+    And the command "drain engine-1 --wait" is run
+    Then the command prints "engine-1 has nothing in flight"
+    When the command "drain engine-1 --undo" is run
+    Then the command prints "engine-1 is staying"
+    And no host counts "engine-1" as leaving
+
+  Scenario: A backend server drains while the platform is away
+    Given a backend server "engine-1" with one request in flight
+    And no zone reaches the platform
+    When the command "drain engine-1" is run
+    Then the command prints "engine-1 is leaving"
+    And every host counts "engine-1" as leaving
+
+  Scenario: A backend server that reports that it leaves
+    Given a backend server "engine-1" with one request in flight
+    When the backend server "engine-1" reports that it leaves
+    Then every host counts "engine-1" as leaving
+    When the backend server "engine-1" reports that it stays
+    Then no host counts "engine-1" as leaving
+
+  Scenario: A backend server that the host list marks as leaving
+    Given a backend server "engine-1" with one request in flight
+    When the host list marks "engine-1" as leaving
+    Then every host counts "engine-1" as leaving
--- /dev/null
+++ b/guavadyke/cli_catalogue.py
@@ -0,0 +1,117 @@
+"""Commands that read and edit the catalogue."""
+
+from __future__ import annotations
+
+from typing import BinaryIO
+
+import click
+
+from guavadyke.cli_operator import (
+    audited,
+    operator_command,
+    show,
+    show_table,
+)
+from guavadyke.client import Client
+
+_PATH = '/operator/catalogue'
+
+
+@click.group('catalogue')
+def catalogue() -> None:
+    """Read and edit the catalogue."""
+
+
+@catalogue.command('list')
+@operator_command
+def list_objects(client: Client) -> None:
+    """List the objects in force."""
+    answer = client.expect('GET', _PATH)
+    document = answer.document()
+    rows = [
+        (one['name'], one['entry']['kind'], one['version'])
+        for one in document['objects']
+    ]
+    show_table([('NAME', 'KIND', 'VERSION'), *rows])
+    for name, reason in document['faults'].items():
+        click.echo(f'fault: {name}: {reason}', err=True)
+
+
+@catalogue.command('show')
+@click.argument('name')
+@operator_command
+def show_object(name: str, client: Client) -> None:
+    """Show an object and its version."""
+    answer = client.expect('GET', f'{_PATH}/{name}')
+    show(answer.document())
+
+
+@catalogue.command('put')
+@click.argument('name')
+@click.argument('body', type=click.File('rb'))
+@click.option(
+    '--version',
+    type=click.IntRange(min=1),
+    help='Version that is to be replaced; without it the object must be new.',
+)
+@audited
+def put_object(
+    name: str,
+    body: BinaryIO,
+    version: int | None,
+    audit: dict[str, str],
+    client: Client,
+) -> None:
+    """Create or replace an object from a JSON file, or - for input."""
+    condition = (
+        {'If-None-Match': '*'}
+        if version is None
+        else {'If-Match': f'"{version}"'}
+    )
+    answer = client.expect(
+        'PUT',
+        f'{_PATH}/{name}',
+        body.read(),
+        {**condition, **audit},
+    )
+    document = answer.document()
+    click.echo(f'{name} has version {document["version"]}')
+
+
+@catalogue.command('delete')
+@click.argument('name')
+@click.option(
+    '--version',
+    type=click.IntRange(min=1),
+    required=True,
+    help='Version that is to be deleted.',
+)
+@audited
+def delete_object(
+    name: str,
+    version: int,
+    audit: dict[str, str],
+    client: Client,
+) -> None:
+    """Delete an object."""
+    client.expect(
+        'DELETE',
+        f'{_PATH}/{name}',
+        headers={'If-Match': f'"{version}"', **audit},
+    )
+    click.echo(f'{name} is deleted')
+
+
+@catalogue.command('history')
+@click.argument('name', required=False)
+@click.option('--limit', default=50, help='Edits shown of all objects.')
+@operator_command
+def history(name: str | None, limit: int, client: Client) -> None:
+    """Show the accepted edits of one object, or the newest of all."""
+    path = (
+        f'/operator/audit?limit={limit}'
+        if name is None
+        else f'{_PATH}/{name}/history'
+    )
+    answer = client.expect('GET', path)
+    show(answer.document()['changes'])
--- a/guavadyke/fleet.py
+++ b/guavadyke/fleet.py
@@ -28,6 +28,7 @@
     StatusSource,
     mark_documents,
     peer_document,
+    server_documents,
 )
 from guavadyke.http import Route
 from guavadyke.log import EventLogger
@@ -204,6 +205,10 @@
             'platform_reachable': fleet.platform_reachable,
             'peers': [peer_document(peer) for peer in fleet.peers],
             'leaving': sorted(fleet.leaving),
+            'backend_servers': server_documents(
+                self.catalogue.current,
+                fleet.leaving,
+            ),
             'marks': mark_documents(self._membership.known().leaving),
             'catalogue': self._catalogue.status(),
             'reached_directly': self._fallback.reached(),
--- a/guavadyke/fleet_routes.py
+++ b/guavadyke/fleet_routes.py
@@ -131,3 +131,21 @@
 def peer_document(peer: PeerView) -> dict[str, object]:
     """Return the peer as JSON types."""
     return {**dataclasses.asdict(peer), 'age_s': round(peer.age_s, 2)}
+
+
+def server_documents(
+    catalogue: CatalogueSnapshot,
+    leaving: frozenset[str],
+) -> list[dict[str, object]]:
+    """Return the backend servers as JSON types."""
+    return [
+        {
+            'id': server_id,
+            'zone': server.zone,
+            'role': server.role,
+            'address': server.address,
+            'serves': list(server.serves),
+            'leaving': server_id in leaving,
+        }
+        for server_id, server in sorted(catalogue.backend_servers.items())
+    ]
