Wire the entry host daemon, an embedded fleet and the demo

Cause: the parts existed side by side; no request went from end to end, and a watch gave up after the timeout of ordinary calls because the HTTP library sets the socket's timeout anew from the connection's. Change: entry.py wires the parts, embedded.py starts stand-ins and entry hosts in one process, demo.py verifies the whole path; the watch's timeout is set on the connection, with a scenario that failed before.

--- /dev/null
+++ b/features/path_demo.feature
@@ -0,0 +1,20 @@
+Feature: The whole path works in one process
+
+  Scenario: the demo verifies each of its steps
+    When the demo runs against an embedded fleet
+    Then every step of the demo holds
+
+  Scenario: wrong settings end the daemon before it starts
+    Given settings with an unknown key and a wrong port
+    When the daemon is started with them as a process
+    Then it ends with exit code 2 and names "$.caller.listen.port"
+
+  Scenario: a taken port is named and nothing is half started
+    Given settings whose caller port is taken
+    When the daemon is started with them as a process
+    Then it ends with exit code 2 and names "address_in_use"
+
+  Scenario: a watch waits longer than other calls may take
+    Given a platform stand-in and calls that may take 0.2 seconds
+    When an object is watched for 0.6 seconds without a change
+    Then the watch ends without an event
--- a/features/run.py
+++ b/features/run.py
@@ -7,6 +7,11 @@
 from behave.model_type import Status
 from behave.runner import Runner
 
+_DEFAULT_ARGUMENTS = (
+    '--format=progress',
+    '--no-capture-log',
+    'features',
+)
 _KNOWN_RED = Path(__file__).resolve().parent.parent / 'KNOWN-RED.txt'
 
 
@@ -51,4 +56,4 @@
 
 
 if __name__ == '__main__':
-    sys.exit(run(sys.argv[1:] or ['--format', 'progress', 'features']))
+    sys.exit(run(sys.argv[1:] or list(_DEFAULT_ARGUMENTS)))
--- /dev/null
+++ b/features/steps/path_steps.py
@@ -0,0 +1,96 @@
+"""Steps of path_demo.feature."""
+
+import contextlib
+import json
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+import types
+from pathlib import Path
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features import builders
+from guavadyke.adapters.platform import HttpPlatformStore
+from guavadyke.demo import run_demo
+from guavadyke.settings import PlatformSettings
+from guavadyke.standins.platform import PlatformStandin
+
+_START_TIMEOUT_S = 30
+_SECRETS = types.MappingProxyType({
+    'GUAVADYKE_OPERATOR_TOKEN': 'operator',
+    'GUAVADYKE_FLEET_KEY': 'fleet',
+})
+
+
+@when('the demo runs against an embedded fleet')
+def step_demo(context: Context) -> None:
+    context.demo_steps = run_demo()
+
+
+@then('every step of the demo holds')
+def step_demo_holds(context: Context) -> None:
+    rows = '\n'.join(map(str, context.demo_steps))
+    assert context.demo_steps, 'no step ran'
+    assert all(one.holds for one in context.demo_steps), f'\n{rows}'
+
+
+@given('settings whose caller port is taken')
+def step_taken_port(context: Context) -> None:
+    taken = socket.socket()
+    context.add_cleanup(taken.close)
+    taken.bind(('127.0.0.1', 0))
+    taken.listen()
+    port = taken.getsockname()[1]
+    document = builders.entry_document()
+    document['caller'] = {'listen': {'ip': '127.0.0.1', 'port': port}}
+    context.document = document
+
+
+@when('the daemon is started with them as a process')
+def step_daemon(context: Context) -> None:
+    with contextlib.ExitStack() as stack:
+        folder = stack.enter_context(tempfile.TemporaryDirectory())
+        path = Path(folder) / 'settings.json'
+        path.write_text(json.dumps(context.document), encoding='utf-8')
+        context.ended = subprocess.run(
+            [sys.executable, '-m', 'guavadyke', 'entry', '--settings', path],
+            capture_output=True,
+            check=False,
+            env={**os.environ, **_SECRETS},
+            text=True,
+            timeout=_START_TIMEOUT_S,
+        )
+
+
+@then('it ends with exit code {code:d} and names "{named}"')
+def step_ended(context: Context, code: int, named: str) -> None:
+    assert context.ended.returncode == code, context.ended.stderr
+    assert named in context.ended.stderr, context.ended.stderr
+
+
+@given('a platform stand-in and calls that may take {longest_s:f} seconds')
+def step_short_calls(context: Context, longest_s: float) -> None:
+    platform = PlatformStandin(ip='127.0.0.1')
+    platform.start()
+    context.add_cleanup(platform.close)
+    settings = PlatformSettings(
+        url=f'http://{platform.address}',
+        call_timeout_s=longest_s,
+    )
+    context.short_calls = HttpPlatformStore(settings)
+
+
+@when('an object is watched for {wait_s:f} seconds without a change')
+def step_watch(context: Context, wait_s: float) -> None:
+    created = context.short_calls.create('job', 'one', b'1')
+    context.watched = context.short_calls.watch('job', created.version, wait_s)
+
+
+@then('the watch ends without an event')
+def step_watch_ended(context: Context) -> None:
+    assert context.watched.events == ()
+    assert not context.watched.expired
--- a/guavadyke/adapters/platform_calls.py
+++ b/guavadyke/adapters/platform_calls.py
@@ -182,7 +182,7 @@
         call: PlatformCall,
         timeout_s: float,
     ) -> PlatformReply:
-        connection.sock.settimeout(timeout_s)
+        connection.timeout = timeout_s
         connection.request(
             call.method,
             call.path,
--- a/guavadyke/cli.py
+++ b/guavadyke/cli.py
@@ -8,7 +8,7 @@
 
 import click
 
-from guavadyke import __version__
+from guavadyke import __version__, log
 from guavadyke.errors import GuavadykeError
 from guavadyke.settings import load_settings
 
@@ -38,3 +38,40 @@
         report(error)
         sys.exit(_EXIT_SETTINGS)
     click.echo(json.dumps(settings.model_dump(mode='json'), indent=2))
+
+
+@main.command('entry')
+@click.option(
+    '--settings',
+    'path',
+    required=True,
+    type=click.Path(path_type=Path),
+    help='JSON file; see check-settings.',
+)
+def entry(path: Path) -> None:
+    """Run the daemon of an entry host until SIGTERM."""
+    from guavadyke.entry import run_daemon
+
+    try:
+        settings = load_settings(path)
+        log.configure(settings.verbosity)
+        whole = run_daemon(settings)
+    except GuavadykeError as error:
+        report(error)
+        sys.exit(_EXIT_SETTINGS)
+    sys.exit(0 if whole else 1)
+
+
+@main.command('demo')
+@click.option('--verbosity', default='error', show_default=True)
+def demo(verbosity: str) -> None:
+    """Run the whole path in one process and verify it."""
+    from guavadyke.demo import run_demo
+
+    log.configure(verbosity)
+    steps = run_demo()
+    click.echo('\n'.join(map(str, steps)))
+    failed = [step.name for step in steps if not step.holds]
+    if failed:
+        click.echo(f'did not hold: {", ".join(failed)}', err=True)
+    sys.exit(1 if failed else 0)
--- /dev/null
+++ b/guavadyke/embedded.py
@@ -0,0 +1,222 @@
+"""A fleet in one process: stand-ins and entry hosts on loopback."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import hashlib
+import json
+import os
+import socket
+import time
+from collections.abc import Mapping, Sequence
+
+from guavadyke.client import Client
+from guavadyke.entry import EntryHost
+from guavadyke.settings import EntrySettings
+from guavadyke.standins.batching import BatchSpec
+from guavadyke.standins.engine import EngineSpec, EngineStandin
+from guavadyke.standins.platform import PlatformStandin
+from guavadyke.standins.service import ServiceStandin
+
+LOOPBACK = '127.0.0.1'
+CALLER_KEY = 'caller-key'
+OPERATOR_TOKEN = 'operator-token'  # ruff: ignore[hardcoded-password-string]
+CHAT_ENTRY = 'chat'
+SERVICE_ENTRY = 'reservations'
+OWNER = 'pesebres'
+_TOKEN_VARIABLE = 'GUAVADYKE_EMBEDDED_OPERATOR_TOKEN'  # ruff: ignore[hardcoded-password-string]
+_FLEET_KEY_VARIABLE = 'GUAVADYKE_EMBEDDED_FLEET_KEY'
+_FLEET_KEY = 'embedded-fleet-key'
+_IN_FORCE_TIMEOUT_S = 10.0
+_LOOK_INTERVAL_S = 0.02
+
+
+@dataclasses.dataclass(frozen=True)
+class EmbeddedPlan:
+    """What an embedded fleet consists of.
+
+    ``zones`` names the availability zones, each with ``entry_hosts`` entry
+    hosts and ``engines`` engines. ``engine`` says how fast these are;
+    ``tail_weight`` is the fleet's policy; ``overrides`` are settings of
+    each entry host.
+    """
+
+    zones: Sequence[str] = ('cali-norte', 'cali-sur')
+    entry_hosts: int = 1
+    engines: int = 2
+    engine: BatchSpec = dataclasses.field(default_factory=BatchSpec)
+    tail_weight: float = 0.7
+    overrides: Mapping[str, object] = dataclasses.field(default_factory=dict)
+
+
+def _free_port() -> int:
+    """Return a port that is free for both TCP and UDP."""
+    with contextlib.closing(socket.socket()) as tcp:
+        tcp.bind((LOOPBACK, 0))
+        return int(tcp.getsockname()[1])
+
+
+class EmbeddedFleet:
+    """Stand-ins and entry hosts that talk through loopback sockets.
+
+    Args:
+        plan: what the fleet consists of.
+    """
+
+    def __init__(self, plan: EmbeddedPlan) -> None:
+        os.environ[_TOKEN_VARIABLE] = OPERATOR_TOKEN
+        os.environ[_FLEET_KEY_VARIABLE] = _FLEET_KEY
+        self._plan = plan
+        self.platform = PlatformStandin(ip=LOOPBACK)
+        self.service = ServiceStandin(ip=LOOPBACK)
+        self.engines = {
+            f'{zone}-engine-{number}': EngineStandin(
+                ip=LOOPBACK,
+                spec=EngineSpec(batch=plan.engine),
+            )
+            for zone in plan.zones
+            for number in range(1, plan.engines + 1)
+        }
+        self.hosts: dict[str, EntryHost] = {}
+
+    def __enter__(self) -> EmbeddedFleet:
+        """Start the fleet and wait until its configuration is in force."""
+        self.start()
+        return self
+
+    def __exit__(self, *_exception: object) -> None:
+        """End the fleet."""
+        self.close()
+
+    def start(self) -> None:
+        """Start every part and put the catalogue."""
+        self.platform.start()
+        self.service.start()
+        for engine in self.engines.values():
+            engine.start()
+        seeds = self._start_hosts()
+        self._put_catalogue()
+        if not self.wait_in_force(set(self._catalogue())):
+            raise TimeoutError(f'the catalogue is not in force on {seeds}')
+
+    def close(self) -> None:
+        """End every part at once."""
+        for host in self.hosts.values():
+            host.close()
+        for engine in self.engines.values():
+            engine.close()
+        self.service.close()
+        self.platform.close()
+
+    def caller(self, host_id: str) -> Client:
+        """Return a client of a host's caller port."""
+        return Client(self.hosts[host_id].caller_url, CALLER_KEY)
+
+    def operator(self, host_id: str) -> Client:
+        """Return a client of a host's operator port."""
+        return Client(self.hosts[host_id].operator_url, OPERATOR_TOKEN)
+
+    def wait_in_force(self, names: set[str]) -> bool:
+        """Wait until every host has catalogue objects of these names."""
+        until = time.monotonic() + _IN_FORCE_TIMEOUT_S
+        while time.monotonic() < until:
+            if all(
+                names <= set(host.fleet.catalogue.current.versions)
+                for host in self.hosts.values()
+            ):
+                return True
+            time.sleep(_LOOK_INTERVAL_S)
+        return False
+
+    def _start_hosts(self) -> list[str]:
+        places = {
+            f'{zone}-entry-{number}': (zone, _free_port())
+            for zone in self._plan.zones
+            for number in range(1, self._plan.entry_hosts + 1)
+        }
+        seeds = [f'{LOOPBACK}:{port}' for _zone, port in places.values()]
+        for host_id, (zone, port) in places.items():
+            settings = self._settings(host_id, zone, port, seeds)
+            self.hosts[host_id] = EntryHost(settings)
+        for host in self.hosts.values():
+            host.start()
+        return list(places)
+
+    def _settings(
+        self,
+        host_id: str,
+        zone: str,
+        peer_port: int,
+        seeds: list[str],
+    ) -> EntrySettings:
+        any_port = {'ip': LOOPBACK, 'port': 0}
+        document = {
+            'host_id': host_id,
+            'zone': zone,
+            'caller': {'listen': any_port},
+            'operator': {
+                'listen': any_port,
+                'token': {'environment': _TOKEN_VARIABLE},
+            },
+            'peer': {
+                'listen': {'ip': LOOPBACK, 'port': peer_port},
+                'fleet_key': {'environment': _FLEET_KEY_VARIABLE},
+                'seeds': seeds,
+            },
+            'platform': {'url': f'http://{self.platform.address}'},
+            'stop': {'balancer_delay_s': 0.5},
+            **self._plan.overrides,
+        }
+        return EntrySettings.model_validate(document)
+
+    def _catalogue(self) -> dict[str, dict[str, object]]:
+        key_hash = hashlib.sha256(CALLER_KEY.encode()).hexdigest()
+        entry = {'owner': OWNER, 'class': 'both'}
+        engines = {
+            name: _engine(name, engine.address, self._plan.engine.slots)
+            for name, engine in self.engines.items()
+        }
+        return {
+            'policy': {
+                'kind': 'policy',
+                'tail_weight': self._plan.tail_weight,
+            },
+            OWNER: {'kind': 'owner', 'key_hashes': [key_hash]},
+            CHAT_ENTRY: {'kind': 'model', 'model': 'small', **entry},
+            SERVICE_ENTRY: {
+                'kind': 'service',
+                'idempotent': False,
+                **entry,
+            },
+            **engines,
+            'desk-service': {
+                'kind': 'backend_server',
+                'role': 'service',
+                'zone': self._plan.zones[0],
+                'address': self.service.address,
+                'serves': [SERVICE_ENTRY],
+            },
+        }
+
+    def _put_catalogue(self) -> None:
+        operator = self.operator(next(iter(self.hosts)))
+        for name, document in self._catalogue().items():
+            operator.expect(
+                'PUT',
+                f'/operator/catalogue/{name}',
+                json.dumps(document).encode(),
+                {'If-None-Match': '*'},
+            )
+
+
+def _engine(name: str, address: str, slots: int) -> dict[str, object]:
+    zone, _separator, _number = name.partition('-engine-')
+    return {
+        'kind': 'backend_server',
+        'role': 'engine',
+        'zone': zone,
+        'address': address,
+        'serves': [CHAT_ENTRY],
+        'slots': slots,
+    }
--- /dev/null
+++ b/guavadyke/entry.py
@@ -0,0 +1,206 @@
+"""The daemon of an entry host: wires the parts, starts and stops them."""
+
+from __future__ import annotations
+
+import random
+import signal
+import threading
+import types
+import uuid
+
+from guavadyke.adapters.backend import HttpBackendServers
+from guavadyke.adapters.clock import SystemClock
+from guavadyke.adapters.platform import BudgetedStore, HttpPlatformStore
+from guavadyke.adapters.ports import Clock, PlatformStore
+from guavadyke.batch import BatchService
+from guavadyke.filters.base import chain
+from guavadyke.fleet import FleetService
+from guavadyke.http import (
+    HttpApplication,
+    HttpServer,
+    HttpServerSettings,
+    Route,
+)
+from guavadyke.log import EventLogger
+from guavadyke.online import OnlineService
+from guavadyke.settings import EntrySettings
+
+_OPERATOR_BODY_BYTES = 1_048_576
+_HAND_OVER_THREAD = 'hand-over'
+
+
+class EntryHost:
+    """All parts of one entry host.
+
+    Args:
+        settings: what the host is told at its start.
+
+    Raises:
+        GuavadykeError: a port is taken or a secret is missing; nothing
+            has been started then.
+    """
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self._settings = settings
+        self._clock: Clock = SystemClock()
+        self._logger = EventLogger(
+            entry_host=settings.host_id,
+            zone=settings.zone,
+        )
+        rng = random.Random(uuid.uuid4().int)
+        servers = HttpBackendServers()
+        self.fleet = FleetService(
+            settings,
+            self._clock,
+            rng,
+            _platform(settings, self._clock),
+            servers,
+            self._logger,
+        )
+        self.online = OnlineService(
+            settings,
+            self._clock,
+            rng,
+            self.fleet.catalogue,
+            self.fleet.fleet,
+            servers,
+            self.fleet.store,
+            self.fleet.messenger,
+            self._logger,
+        )
+        self.batch = BatchService(
+            settings,
+            self._clock,
+            rng,
+            self.fleet.catalogue,
+            self.fleet.fleet,
+            self.fleet.store,
+            self.online.runner,
+            self.online.authenticate,
+            self._logger,
+        )
+        self._caller_server = self._serve_callers()
+        self._operator_server = self._serve_operators()
+
+    @property
+    def caller_url(self) -> str:
+        """URL of the caller port."""
+        ip = self._settings.caller.listen.ip
+        return f'http://{ip}:{self._caller_server.port}'
+
+    @property
+    def operator_url(self) -> str:
+        """URL of the operator port."""
+        ip = self._settings.operator.listen.ip
+        return f'http://{ip}:{self._operator_server.port}'
+
+    def start(self) -> None:
+        """Start every part; the caller port comes last."""
+        self.fleet.start()
+        self.online.start()
+        self.batch.start()
+        self._operator_server.start()
+        self._caller_server.start()
+        self._logger.info(
+            'entry_host_started',
+            caller=self.caller_url,
+            operator=self.operator_url,
+        )
+
+    def stop(self) -> bool:
+        """Stop as planned: no request is cut off.
+
+        Returns:
+            False where requests were still in flight after the longest
+            time that the settings give them.
+        """
+        self._logger.info('entry_host_stopping')
+        self.online.stop_readiness()
+        handing_over = threading.Thread(
+            target=self.batch.hand_over,
+            name=_HAND_OVER_THREAD,
+        )
+        handing_over.start()
+        self._clock.sleep(self._settings.stop.balancer_delay_s)
+        settled = self._caller_server.settle(
+            self._clock,
+            self._settings.stop.longest_s,
+        )
+        handing_over.join(self._settings.stop.longest_s)
+        self.fleet.leave()
+        self.close()
+        self._logger.info('entry_host_stopped', whole=settled)
+        return settled
+
+    def close(self) -> None:
+        """End every part at once, as a lost host would."""
+        self._caller_server.close()
+        self._operator_server.close()
+        self.batch.close()
+        self.online.close()
+        self.fleet.close()
+
+    def _serve_callers(self) -> HttpServer:
+        caller = self._settings.caller
+        routes = [*self.online.routes(), *self.batch.routes()]
+        return HttpServer(
+            HttpApplication(routes, self._clock, self._logger),
+            HttpServerSettings(
+                listen=caller.listen,
+                threads=caller.threads,
+                connections=caller.connections,
+                max_body_bytes=caller.max_batch_body_bytes,
+                stream_buffer_bytes=caller.stream_buffer_bytes,
+            ),
+        )
+
+    def _serve_operators(self) -> HttpServer:
+        operator = self._settings.operator
+        self.fleet.add_status_source('online', self.online.status)
+        self.fleet.add_status_source('batch', self.batch.status)
+        routes = [*self.fleet.operator_routes(), *self._metrics_routes()]
+        return HttpServer(
+            HttpApplication(routes, self._clock, self._logger),
+            HttpServerSettings(
+                listen=operator.listen,
+                threads=operator.threads,
+                max_body_bytes=_OPERATOR_BODY_BYTES,
+            ),
+        )
+
+    def _metrics_routes(self) -> list[Route]:
+        filters = (self.fleet.operator_filter,)
+        return [
+            Route(
+                route.pattern,
+                {
+                    method: chain(filters, handler)
+                    for method, handler in route.handlers.items()
+                },
+            )
+            for route in self.online.metrics_routes()
+        ]
+
+
+def _platform(settings: EntrySettings, clock: Clock) -> PlatformStore:
+    direct = HttpPlatformStore(settings.platform, host_id=settings.host_id)
+    return BudgetedStore(direct, settings.platform, clock)
+
+
+def run_daemon(settings: EntrySettings) -> bool:
+    """Run an entry host until SIGTERM or SIGINT, then stop it as planned.
+
+    Returns:
+        Whether every request in flight could end.
+    """
+    stopping = threading.Event()
+
+    def ask_to_stop(_number: int, _frame: types.FrameType | None) -> None:
+        stopping.set()
+
+    signal.signal(signal.SIGTERM, ask_to_stop)
+    signal.signal(signal.SIGINT, ask_to_stop)
+    host = EntryHost(settings)
+    host.start()
+    stopping.wait()
+    return host.stop()
--- a/guavadyke/http.py
+++ b/guavadyke/http.py
@@ -357,6 +357,7 @@
         return self._application.in_flight > 0 or any(
             channel.requests or channel.total_outbufs_len
             for channel in tuple(self._channels.values())
+            if isinstance(channel, HTTPChannel)
         )
 
     def start(self) -> None:
