Load commands of the command line when they are asked for

Cause: each part brings its own commands; importing all of them at each start is needless. Change: a group that maps a command to its module.

--- a/guavadyke/cli.py
+++ b/guavadyke/cli.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import importlib
 import json
 import sys
+import types
 from pathlib import Path
 
 import click
@@ -13,9 +15,32 @@
 from guavadyke.settings import load_settings
 
 _EXIT_SETTINGS = 2
+_MODULES = types.MappingProxyType({
+    'standin': 'guavadyke.cli_standin',
+})
 
 
-@click.group()
+class _LazyGroup(click.Group):
+    """A group that imports a command's module when it is asked for."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Return the names of all commands."""
+        return sorted({*super().list_commands(ctx), *_MODULES})
+
+    def get_command(
+        self,
+        ctx: click.Context,
+        cmd_name: str,
+    ) -> click.Command | None:
+        """Return a command by its name."""
+        module = _MODULES.get(cmd_name)
+        if module is None:
+            return super().get_command(ctx, cmd_name)
+        found = getattr(importlib.import_module(module), cmd_name)
+        return found if isinstance(found, click.Command) else None
+
+
+@click.group(cls=_LazyGroup)
 @click.version_option(__version__, prog_name='guavadyke')
 def main() -> None:
     """Serve language models for online and batch inference."""
