Let hosts tell batch senders of online requests, and yield by them

A sender announces its batch items; the other hosts tell it, within milliseconds of a grant, what they have there online. Reports of an engine are read against what this host and the senders had when they were made.

Before: after a burst no item started for 0.7 to 1.7 s, since hosts fell silent when batch was gone and a report of ended items counted as online. After: 40 items beside two bursts of 12 chats, two hosts, one engine of 8 slots: items run again 0.2 s after the last chat. With all notices lost every chat and every item is still whole.

--- a/features/builders_online_bench.py
+++ b/features/builders_online_bench.py
@@ -7,17 +7,18 @@
 import hashlib
 import json
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from types import TracebackType
-from typing import Any
+from typing import Any, TypeAlias
 
 import urllib3
 
 from features import builders
-from features.builders_online import CALLER_KEY, SilentMessenger
+from features.builders_online import CALLER_KEY
 from guavadyke.adapters.backend import HttpBackendServers
 from guavadyke.adapters.clock import SystemClock
 from guavadyke.adapters.platform import HttpPlatformStore
+from guavadyke.adapters.ports import PeerNotice
 from guavadyke.adapters.settled import SettledStore
 from guavadyke.catalogue import parse_entry
 from guavadyke.http import HttpApplication, HttpServer, HttpServerSettings
@@ -27,6 +28,7 @@
 from guavadyke.snapshots import (
     CatalogueSnapshot,
     FleetSnapshot,
+    PeerView,
     SnapshotCell,
 )
 from guavadyke.standins.batching import BatchSpec
@@ -38,6 +40,8 @@
 ZONE = 'cali-norte'
 CHAT = '/v1/chat/completions'
 BOOKING = '/v1/services/booking/reservations'
+Receiver: TypeAlias = Callable[[str, PeerNotice], None]
+Receivers: TypeAlias = dict[str, Receiver]
 _TIMEOUT_S = 30
 _FAST = BatchSpec(slots=8, step_s=0.002, step_growth_s=0.0001)
 
@@ -57,6 +61,34 @@
         return dict(json.loads(self.body))
 
 
+class HubMessenger:
+    """A messenger that delivers notices within the process."""
+
+    def __init__(self, host_id: str, receivers: Receivers) -> None:
+        self._host_id = host_id
+        self._receivers = receivers
+
+    def send(self, host_id: str, notice: PeerNotice) -> None:
+        """Deliver a notice if the host listens."""
+        receive = self._receivers.get(host_id)
+        if receive is not None:
+            receive(self._host_id, notice)
+
+    def subscribe(self, receive: Receiver) -> None:
+        """Listen with this receiver besides those that listen already."""
+        before = self._receivers.get(self._host_id)
+        self._receivers[self._host_id] = _both(before, receive)
+
+
+def _both(first: Receiver | None, second: Receiver) -> Receiver:
+    def receive(host_id: str, notice: PeerNotice) -> None:
+        if first is not None:
+            first(host_id, notice)
+        second(host_id, notice)
+
+    return receive
+
+
 class OnlineHost:
     """The online part of one entry host behind a caller port."""
 
@@ -81,7 +113,7 @@
             clock=clock,
             rng=random.Random(host_id),
             catalogue=bench.catalogue,
-            fleet=bench.fleet,
+            fleet=bench.fleet_of(host_id),
             servers=HttpBackendServers(),
             store=self.store,
             messenger=bench.messenger(host_id),
@@ -130,12 +162,13 @@
             standin.start()
             self._closing.callback(standin.close)
         self.catalogue = SnapshotCell(self._catalogue(batch.slots))
-        self.fleet = SnapshotCell(FleetSnapshot())
+        self.host_ids = tuple(f'entry-{number}' for number in range(hosts))
+        self._receivers: Receivers = {}
         self.hosts = [
             self._closing.enter_context(
-                contextlib.closing(OnlineHost(f'entry-{number}', self)),
+                contextlib.closing(OnlineHost(host_id, self)),
             )
-            for number in range(hosts)
+            for host_id in self.host_ids
         ]
 
     def __enter__(self) -> OnlineBench:
@@ -153,9 +186,22 @@
         """Stop all hosts and stand-ins."""
         self._closing.close()
 
-    def messenger(self, _host_id: str) -> Any:
+    def messenger(self, host_id: str) -> HubMessenger:
         """Return the messenger of a host."""
-        return SilentMessenger()
+        return HubMessenger(host_id, self._receivers)
+
+    def lose_notices(self) -> None:
+        """Lose every notice from now on."""
+        self._receivers.clear()
+
+    def fleet_of(self, host_id: str) -> SnapshotCell[FleetSnapshot]:
+        """Return what a host sees of the others."""
+        peers = tuple(
+            PeerView(name, ZONE, 'valle-cauca', LOOPBACK, 'alive', 1, 0)
+            for name in self.host_ids
+            if name != host_id
+        )
+        return SnapshotCell(FleetSnapshot(peers=peers))
 
     def _catalogue(self, slots: int) -> CatalogueSnapshot:
         documents: dict[str, dict[str, object]] = {
--- a/guavadyke/decisions/admission.py
+++ b/guavadyke/decisions/admission.py
@@ -53,6 +53,11 @@
         """Tickets that wait."""
         return self._length
 
+    @property
+    def entry_names(self) -> tuple[str, ...]:
+        """Entries for which tickets may wait."""
+        return tuple(self._heaps)
+
     def length_of(self, entry_name: str) -> int:
         """Return the tickets that wait for an entry."""
         return sum(
--- a/guavadyke/decisions/load.py
+++ b/guavadyke/decisions/load.py
@@ -15,9 +15,8 @@
 
 @dataclasses.dataclass(frozen=True)
 class _Report:
-    load: ReportedLoad
-    taken_at: float
-    own_in_flight: int
+    others: int
+    made_at: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,26 +54,32 @@
         self.batch += change
         self._history.append(_Held(now, self.in_flight))
 
-    def take_report(self, load: ReportedLoad, now: float) -> None:
-        """Take the server's own report, which is as old as it says."""
-        own = self._held_at(now - load.age_s)
-        self._report = _Report(load, now, own)
-
-    def others(self, now: float, foreign_batch: int) -> int | None:
-        """Return online requests of other hosts; None where unknown.
+    def take_report(
+        self,
+        load: ReportedLoad,
+        now: float,
+        foreign_batch: int,
+    ) -> None:
+        """Take the server's own report.
 
         Args:
+            load: the report, which is as old as it says.
             now: seconds of the monotonic clock.
-            foreign_batch: batch items that other hosts have there.
+            foreign_batch: batch items that other hosts had there when the
+                report was made.
         """
+        own = self._held_at(now - load.age_s)
+        others = load.running + load.waiting - own - foreign_batch
+        self._report = _Report(max(0, others), now - load.age_s)
+
+    def others(self, now: float) -> int | None:
+        """Return online requests of other hosts; None where unknown."""
         report = self._report
         if report is None:
             return None
-        load = report.load
-        if now - report.taken_at + load.age_s > _LOAD_FRESH_S:
+        if now - report.made_at > _LOAD_FRESH_S:
             return None
-        total = load.running + load.waiting
-        return max(0, total - report.own_in_flight - foreign_batch)
+        return report.others
 
     def _held_at(self, at: float) -> int:
         """Return the requests that this host had at a time."""
--- a/guavadyke/decisions/routing.py
+++ b/guavadyke/decisions/routing.py
@@ -67,14 +67,14 @@
     def report(self, server_id: str, load: ReportedLoad, now: float) -> None:
         """Take a server's own report of its load."""
         server = self.server(server_id)
-        server.take_report(load, now)
+        foreign = self.foreign_batch.total_at(server_id, now - load.age_s)
+        server.take_report(load, now, foreign)
         if server.health.ejected_until is not None:
             server.health.succeeded(now)
 
     def others(self, server_id: str, now: float) -> int | None:
         """Return online requests of other hosts; None where unknown."""
-        foreign_batch = self.foreign_batch.total(server_id, now)
-        return self.server(server_id).others(now, foreign_batch)
+        return self.server(server_id).others(now)
 
     def free_slots(self, view: ServerView, now: float) -> int:
         """Return how many more requests this host may send to a server.
--- a/guavadyke/decisions/sharing.py
+++ b/guavadyke/decisions/sharing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 from collections.abc import Iterator
 
 from guavadyke.decisions.admission import WaitingLine
@@ -73,6 +74,13 @@
         views = self.candidates.of(entry_name)
         return sum(max(0, self._room(view, now)) for view in views)
 
+    def sends(self, entry_name: str) -> bool:
+        """Return whether this host sends batch items of an entry."""
+        return any(
+            self.sender(view) == self._place.host_id
+            for view in self.candidates.of(entry_name)
+        )
+
     def yielding(self, now: float) -> Iterator[Slot]:
         """Yield the batch slots that online requests need now."""
         for server_id, slots in self._batch.items():
@@ -89,7 +97,11 @@
 
     def counts(self) -> dict[str, int]:
         """Return how many batch items this host has at each server."""
-        return {server_id: len(held) for server_id, held in self._batch.items()}
+        return {
+            server_id: len(held)
+            for server_id, held in self._batch.items()
+            if held
+        }
 
     def remove(self, slot: Slot, now: float) -> None:
         """Take the slot of an item back that has ended."""
@@ -97,6 +109,16 @@
         self._batch[server_id].remove(slot)
         self._router.server(server_id).add_batch(-1, now)
 
+    def waiting_share(self, view: ServerView) -> int:
+        """Return a server's part of the online requests that wait here."""
+        shares = (
+            self._line.length_of(entry_name)
+            / len(self.candidates.of(entry_name))
+            for entry_name in self._line.entry_names
+            if view in self.candidates.of(entry_name)
+        )
+        return math.ceil(sum(shares))
+
     def sender(self, view: ServerView) -> str:
         """Return the host that sends batch items to a server."""
         place = self._place
@@ -108,7 +130,7 @@
         server_id = view.server_id
         if now < self._no_refill_until.get(server_id, now):
             return 0
-        if not self._router.available(view):
+        if not self._router.available(view) or self._waiting_for(view):
             return 0
         held = len(self._batch[server_id])
         elsewhere = self._router.foreign_batch.total(server_id, now)
@@ -122,7 +144,7 @@
     def _allowed(self, view: ServerView, now: float) -> int:
         """Return the batch items that a server may hold."""
         sender = self.sender(view)
-        if sender != self._place.host_id or self._waits_for(view):
+        if sender != self._place.host_id:
             return 0
         server = self._router.server(view.server_id)
         online = self.online_elsewhere.total(view.server_id, now)
@@ -131,13 +153,14 @@
             online = max(online, reported)
         return batch_slots(
             view.slots,
-            server.online + online,
+            server.online + online + self._waiting_for(view),
             self.tail_weight,
         )
 
-    def _waits_for(self, view: ServerView) -> bool:
-        """Return whether an online request waits that the server serves."""
-        return any(
-            view in self.candidates.of(ticket.entry_name)
-            for ticket in self._line.heads()
+    def _waiting_for(self, view: ServerView) -> int:
+        """Return the online requests that wait and that a server serves."""
+        return sum(
+            self._line.length_of(entry_name)
+            for entry_name in self._line.entry_names
+            if view in self.candidates.of(entry_name)
         )
--- a/guavadyke/decisions/slots.py
+++ b/guavadyke/decisions/slots.py
@@ -7,10 +7,10 @@
 import random
 from collections.abc import Iterator
 
-from guavadyke.adapters.ports import BackendFault, ReportedLoad
+from guavadyke.adapters.ports import BackendFault, OnlineCount, ReportedLoad
 from guavadyke.decisions.admission import ServiceTimes, Ticket, WaitingLine
 from guavadyke.decisions.candidates import Candidates, candidates
-from guavadyke.decisions.routing import Router
+from guavadyke.decisions.routing import Router, ServerView
 from guavadyke.decisions.sharing import BatchShare
 from guavadyke.decisions.slot import HostPlace, Slot
 from guavadyke.errors import ErrorCode, GuavadykeError
@@ -174,6 +174,29 @@
             self.times.note(slot.entry_name, now - slot.taken_at)
 
 
+def online_counts(table: SlotTable, now: float) -> dict[str, OnlineCount]:
+    """Return this host's online requests where other hosts have batch."""
+    return {
+        server_id: OnlineCount(
+            backend_id=server_id,
+            in_flight=table.router.server(server_id).online,
+            queued=table.batch.waiting_share(view),
+        )
+        for server_id, view in _foreign_batch_views(table, now)
+    }
+
+
+def _foreign_batch_views(
+    table: SlotTable,
+    now: float,
+) -> Iterator[tuple[str, ServerView]]:
+    views = table.candidates.views
+    for server_id in table.router.foreign_batch.backends(now):
+        view = views.get(server_id)
+        if view is not None:
+            yield server_id, view
+
+
 def table_status(table: SlotTable, now: float) -> dict[str, object]:
     """Return what a host has at each server, for operators."""
     return {
--- a/guavadyke/filters/capacity.py
+++ b/guavadyke/filters/capacity.py
@@ -5,9 +5,14 @@
 import dataclasses
 import random
 import threading
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Generator
+from contextlib import contextmanager
 
-from guavadyke.adapters.ports import BackendFault, Clock, ReportedLoad
+from guavadyke.adapters.ports import (
+    BackendFault,
+    Clock,
+    ReportedLoad,
+)
 from guavadyke.decisions.admission import Ticket
 from guavadyke.decisions.slot import HostPlace, Slot
 from guavadyke.decisions.slots import SlotTable, table_status
@@ -83,9 +88,8 @@
 
     def status(self) -> dict[str, object]:
         """Return what this host has at each server."""
-        with self._lock:
-            now = self._now()
-            return table_status(self._table, now)
+        with self.locked() as table:
+            return table_status(table, self._clock.monotonic())
 
     def on_online(self, granted: Callable[[str], None]) -> None:
         """Call ``granted`` with the server's id for each online grant."""
@@ -125,51 +129,34 @@
             entry_name: entry of the item.
             kept: whether the item must not be preempted.
         """
-        with self._lock:
-            now = self._now()
-            return self._table.batch.take(entry_name, now, kept=kept)
+        with self.locked() as table:
+            now = self._clock.monotonic()
+            return table.batch.take(entry_name, now, kept=kept)
+
+    def sends_batch(self, entry_name: str) -> bool:
+        """Return whether this host sends batch items of an entry."""
+        with self.locked() as table:
+            return table.batch.sends(entry_name)
 
     def batch_room(self, entry_name: str) -> int:
         """Return how many more batch items of an entry may start."""
-        with self._lock:
-            now = self._now()
-            return self._table.batch.room(entry_name, now)
+        with self.locked() as table:
+            return table.batch.room(entry_name, self._clock.monotonic())
 
     def report(self, server_id: str, load: ReportedLoad) -> None:
         """Take a server's own report."""
-        with self._lock:
-            self._table.report(server_id, load, self._now())
-            self._settle()
-
-    def note_online(self, host_id: str, counts: Mapping[str, int]) -> None:
-        """Take another host's online requests at engines."""
-        with self._lock:
-            now = self._now()
-            for server_id, count in counts.items():
-                self._table.batch.online_elsewhere.note(
-                    host_id,
-                    server_id,
-                    count,
-                    now,
-                )
-            self._settle()
+        with self.locked() as table:
+            table.report(server_id, load, self._clock.monotonic())
 
-    def note_batch(self, host_id: str, counts: Mapping[str, int]) -> None:
-        """Take another host's batch items at engines."""
-        with self._lock:
-            now = self._now()
-            for server_id, count in counts.items():
-                self._table.router.foreign_batch.note(
-                    host_id,
-                    server_id,
-                    count,
-                    now,
-                )
-
-    def settle(self) -> None:
-        """Grant what can be granted now and let batch items yield."""
+    @contextmanager
+    def locked(self) -> Generator[SlotTable]:
+        """Give the table, up to date, and settle it after the block."""
         with self._lock:
-            self._settle()
+            self._now()
+            try:
+                yield self._table
+            finally:
+                self._settle()
 
     def _now(self) -> float:
         """Bring the table up to date and return the time."""
--- a/guavadyke/filters/items.py
+++ b/guavadyke/filters/items.py
@@ -48,14 +48,18 @@
             GuavadykeError: none is idle.
         """
         clock = self._tools.clock
-        until = clock.monotonic() + _LONGEST_WAIT_S
-        while clock.monotonic() < until and not self._work.abandoned():
+        until = clock.monotonic()
+        if self._tools.capacity.sends_batch(self._work.entry_name):
+            until += _LONGEST_WAIT_S
+        while not self._work.abandoned():
             slot = self._tools.capacity.take_batch(
                 self._work.entry_name,
                 kept=not self._work.idempotent,
             )
             if slot is not None:
                 return slot
+            if clock.monotonic() >= until:
+                break
             clock.sleep(_LOOK_S)
         raise GuavadykeError(
             ErrorCode.overloaded,
--- a/guavadyke/filters/loads.py
+++ b/guavadyke/filters/loads.py
@@ -63,7 +63,12 @@
     def _run(self) -> None:
         while not self._stopped.wait(_INTERVAL_S / 2):
             self._ask_due(time.monotonic())
-            self._capacity.settle()
+            self._settle()
+
+    def _settle(self) -> None:
+        """Let what time has changed take effect."""
+        with self._capacity.locked():
+            """The table is settled when the block ends."""
 
     def _ask_due(self, now: float) -> None:
         servers = self._catalogue.current.backend_servers
--- a/guavadyke/online.py
+++ b/guavadyke/online.py
@@ -21,6 +21,7 @@
 from guavadyke.filters.dispatch import Dispatch
 from guavadyke.filters.items import BatchItems
 from guavadyke.filters.loads import LoadReports
+from guavadyke.filters.notices import YieldNotices
 from guavadyke.filters.parse import (
     ParseModelRequest,
     ParseServiceRequest,
@@ -84,6 +85,12 @@
         )
         self._items = BatchItems(tools, catalogue, settings.host_id)
         self._loads = LoadReports(settings, catalogue, servers, self._capacity)
+        self._notices = YieldNotices(
+            settings,
+            fleet,
+            messenger,
+            self._capacity,
+        )
         self._authenticate = Authenticate(catalogue)
         self._dispatch = Dispatch(tools, settings.host_id)
         self._parse_tools = ParseTools(settings, clock, catalogue)
@@ -126,6 +133,7 @@
         self._watch.start()
         self._loads.start()
         self._writes.start()
+        self._notices.start()
 
     def stop_readiness(self) -> None:
         """Answer from now on that this host is stopping."""
@@ -135,6 +143,7 @@
         """End the work in the background."""
         self._loads.close()
         self._writes.close()
+        self._notices.close()
         self._watch.close()
 
     def status(self) -> dict[str, object]:
