Measure a fleet: experiments, slopes and the capacity page's generator

Cause: the targets of the online, batch and relay issues had no tool, and docs/CAPACITY.md has to come from measured slopes alone. Scenarios pass for occupancy, reports, an embedded overload run and the page from a made-up report.

--- a/features/builders_measure.py
+++ b/features/builders_measure.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import time
-from collections.abc import Generator, Iterator
+from collections.abc import Generator, Iterator, Mapping
 
 from guavadyke.adapters.clock import SystemClock
 from guavadyke.filters.base import Answer, Exchange, Handler
@@ -16,6 +17,8 @@
 )
 from guavadyke.log import EventLogger
 from guavadyke.measure.client import StreamRequest
+from guavadyke.measure.report import Report, figure
+from guavadyke.measure.standin_calls import EngineRecord
 from guavadyke.settings import ListenSettings
 
 PATH = '/v1/chat/completions'
@@ -78,3 +81,43 @@
         body=b'{}',
         deadline_s=deadline_s,
     )
+
+
+def engine_record(
+    prompt: str,
+    started: float,
+    ended: float | None,
+) -> EngineRecord:
+    """Return a completion in an engine's history."""
+    return EngineRecord(
+        engine='engine-1',
+        request_id=prompt,
+        host_id='entry-1',
+        prompt=prompt,
+        outcome='completed',
+        started=started,
+        ended=ended,
+    )
+
+
+def slope_report(slopes: Mapping[str, tuple[float, float]]) -> Report:
+    """Return a report of slopes, each given as slope and intercept."""
+    return Report(
+        measurement='slopes',
+        figures=tuple(
+            itertools.chain.from_iterable(
+                (
+                    figure(f'{name}.slope', slope, 'u/size'),
+                    figure(f'{name}.slope_error', 0, 'u/size'),
+                    figure(f'{name}.intercept', intercept, 'u'),
+                    figure(f'{name}.intercept_error', 0, 'u'),
+                )
+                for name, (slope, intercept) in slopes.items()
+            ),
+        ),
+        policy={},
+        seed=1,
+        seconds=1,
+        commit='made-up',
+        place='embedded',
+    )
--- a/guavadyke/measure/client.py
+++ b/guavadyke/measure/client.py
@@ -4,13 +4,14 @@
 
 import dataclasses
 import enum
+import itertools
 import json
 import time
 from collections.abc import Mapping
 from http.client import HTTPConnection, HTTPException
 from urllib.parse import urlsplit
 
-_EVENT = b'data: '
+_TOKEN = b'"content"'
 _DONE = b'data: [DONE]'
 _ERROR = b'"error"'
 _PIECE_BYTES = 65_536
@@ -44,17 +45,21 @@
 
     Times are seconds of the monotonic clock; ``intended_at`` is when the
     request was to arrive, whether or not the generator kept pace.
-    ``times`` holds when each piece with tokens came, ``tokens`` counts the
-    tokens, ``status`` is 0 where there was no answer.
+    ``times`` holds when each token came, ``status`` is 0 where there was
+    no answer.
     """
 
     intended_at: float
     ended_at: float
     ending: Ending
     status: int
-    tokens: int
     times: tuple[float, ...]
 
+    @property
+    def tokens(self) -> int:
+        """Number of tokens."""
+        return len(self.times)
+
     @property
     def first_token_s(self) -> float | None:
         """Seconds from the intended arrival to the first token."""
@@ -71,7 +76,6 @@
     """A stream as far as it has been read."""
 
     status: int = 0
-    tokens: int = 0
     done: bool = False
     failed: bool = False
     times: list[float] = dataclasses.field(default_factory=list)
@@ -104,7 +108,6 @@
         ended_at=ended_at,
         ending=_ending(reading, late=late),
         status=reading.status,
-        tokens=reading.tokens,
         times=tuple(reading.times),
     )
 
@@ -143,16 +146,13 @@
 
 
 def _take(piece: bytes, reading: _Reading) -> None:
-    events = piece.count(_EVENT)
     if _DONE in piece:
         reading.done = True
-        events -= 1
     if _ERROR in piece:
         reading.failed = True
         return
-    if events:
-        reading.tokens += events
-        reading.times.append(time.monotonic())
+    now = time.monotonic()
+    reading.times.extend(itertools.repeat(now, piece.count(_TOKEN)))
 
 
 def _ending(reading: _Reading, *, late: bool) -> Ending:
--- /dev/null
+++ b/guavadyke/measure/embedded_target.py
@@ -0,0 +1,41 @@
+"""An embedded fleet as the target of a measurement."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+from collections.abc import Generator
+
+from guavadyke.embedded import (
+    CALLER_KEY,
+    CHAT_ENTRY,
+    OPERATOR_TOKEN,
+    EmbeddedFleet,
+    EmbeddedPlan,
+)
+from guavadyke.measure.target import Target
+
+
+@contextlib.contextmanager
+def embedded_target(plan: EmbeddedPlan) -> Generator[Target, None, None]:
+    """Start a fleet in this process and end it afterwards."""
+    with EmbeddedFleet(plan) as fleet:
+        hosts = list(fleet.hosts.values())
+
+        def lose_host() -> str:
+            host_id, host = list(fleet.hosts.items())[-1]
+            host.close()
+            return str(host_id)
+
+        yield Target(
+            caller_urls=tuple(host.caller_url for host in hosts),
+            key=CALLER_KEY,
+            entry=CHAT_ENTRY,
+            batch_entry=CHAT_ENTRY,
+            model='small',
+            operator_url=hosts[0].operator_url,
+            operator_token=OPERATOR_TOKEN,
+            platform_address=fleet.platform.address,
+            host_pid=os.getpid(),
+            lose_host=lose_host if len(hosts) > 1 else None,
+        )
--- /dev/null
+++ b/guavadyke/measure/experiments/overload.py
@@ -0,0 +1,98 @@
+"""Goodput when three times as much arrives as the engines can carry."""
+
+from __future__ import annotations
+
+import types
+from collections.abc import Mapping
+
+from guavadyke.measure.client import Ending
+from guavadyke.measure.experiment import (
+    Engines,
+    Outcome,
+    Setup,
+    count,
+    first_tokens,
+)
+from guavadyke.measure.loadgen import LoadResult
+from guavadyke.measure.plot import Curve, Panel
+from guavadyke.measure.probing import (
+    RequestShape,
+    engine_capacity,
+    goodput,
+    poisson_load,
+)
+from guavadyke.measure.recorder import P99
+from guavadyke.measure.report import Figure, figure, ratio
+
+_SHAPE = RequestShape(tokens=8, deadline_s=3)
+_OVERLOAD = 'x3'
+_FACTORS: Mapping[str, float] = types.MappingProxyType({
+    'x0.7': 0.7,
+    'x0.9': 0.9,
+    'x1': 1,
+    _OVERLOAD: 3,
+})
+
+
+def run(setup: Setup) -> Outcome:
+    """Raise the offered load to three times the engines' capacity."""
+    engines = Engines(setup.target.engines())
+    capacity = engine_capacity(
+        engines,
+        setup.target.model,
+        _SHAPE.tokens,
+        max(2, setup.seconds / 4),
+    )
+    loads = {
+        name: poisson_load(setup, name, capacity * factor, _SHAPE)
+        for name, factor in _FACTORS.items()
+    }
+    rates = {name: goodput(load, setup.seconds) for name, load in loads.items()}
+    return Outcome(
+        figures=(
+            figure('capacity', capacity, 'requests/s'),
+            *(
+                figure(f'{name}.goodput', rate, 'requests/s')
+                for name, rate in rates.items()
+            ),
+            *_overload_figures(loads[_OVERLOAD], rates),
+        ),
+        policy={'fleet': setup.target.tail_weight()},
+        panels=(_panel(capacity, rates),),
+    )
+
+
+def _overload_figures(
+    load: LoadResult,
+    rates: Mapping[str, float],
+) -> tuple[Figure, ...]:
+    results = load.results
+    admitted = len(results) - count(results, Ending.refused)
+    kept = count(results, Ending.whole)
+    refused = count(results, Ending.refused)
+    first = first_tokens(results).percentile_ms(P99)
+    return (
+        figure(
+            'x3.share_of_peak',
+            ratio(rates[_OVERLOAD], max(rates.values())),
+            '1',
+            '>= 0.9',
+        ),
+        figure('x3.deadline_kept', ratio(kept, admitted), '1', '>= 1'),
+        figure('x3.admitted', admitted, 'requests'),
+        figure('x3.refused', refused, 'requests'),
+        figure('x3.ttft_p99', first, 'ms'),
+    )
+
+
+def _panel(capacity: float, rates: Mapping[str, float]) -> Panel:
+    offered = [capacity * factor for factor in _FACTORS.values()]
+    return Panel(
+        title='Goodput against offered load',
+        x_label='offered (requests/s)',
+        y_label='whole within the deadline (requests/s)',
+        curves=(
+            Curve('goodput', offered, list(rates.values())),
+            Curve('engines alone', offered, [capacity for _ in offered]),
+        ),
+    )
--- a/guavadyke/measure/loadgen.py
+++ b/guavadyke/measure/loadgen.py
@@ -85,20 +85,25 @@
     """Keeps a number of requests under way from start to close.
 
     Args:
-        make: returns the request of each number.
+        make: returns the request of each number; a number modulo the
+            concurrency tells which of the places sends it.
         concurrency: requests under way.
     """
 
     def __init__(self, make: RequestMaker, concurrency: int) -> None:
         self._make = make
-        self._numbers = itertools.count()
+        self._concurrency = concurrency
         self._stop = threading.Event()
         self._results: list[StreamResult] = []
         self._started_at: float = 0
         self._ended_at: float = 0
         self._threads = [
-            threading.Thread(target=self._send_on, daemon=True)
-            for _ in range(concurrency)
+            threading.Thread(
+                target=self._send_on,
+                args=(place,),
+                daemon=True,
+            )
+            for place in range(concurrency)
         ]
 
     def __enter__(self) -> ClosedLoad:
@@ -123,9 +128,11 @@
             tuple(self._results),
         )
 
-    def _send_on(self) -> None:
-        while not self._stop.is_set():
-            request = self._make(next(self._numbers))
+    def _send_on(self, place: int) -> None:
+        for number in itertools.count(place, self._concurrency):
+            if self._stop.is_set():
+                return
+            request = self._make(number)
             self._results.append(stream(request, time.monotonic()))
 
 
--- /dev/null
+++ b/guavadyke/measure/slopes/capacity.py
@@ -0,0 +1,128 @@
+"""The capacity page, made of a report of slopes and nothing else."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Iterable, Iterator
+
+from guavadyke.measure.report import Figure, Report
+from guavadyke.measure.slopes.lines import Lines
+from guavadyke.measure.slopes.platform_roles import PlatformRoles
+from guavadyke.measure.slopes.roles import HostRoles
+from guavadyke.measure.slopes.rows import Role, Row
+from guavadyke.measure.slopes.sizes import Budget, FleetSize
+
+_HEAD = """# Capacity
+
+What each role costs at the size that the system is to grow to (see
+[contributing](contributing.md)): 390 entry hosts, 2,700 engines, 7,400
+requests and 1.6 million tokens a second, 36 million batch items a day in
+85,000 jobs, 4,200 teams, 2,200 edits a day.
+
+Budget: control costs one host at most 2% of a core, 32 MB and 14 KB a
+second; the whole fleet asks the platform for at most 300 writes and 2,000
+reads a second.
+
+This page is made by `guavadyke measure slopes --report FILE --capacity
+docs/CAPACITY.md`; its figures are lines fitted to that run (commit
+`{commit}`, seed {seed}) and put at the sizes above. They are worked out,
+not observed: no fleet of this size has been run.
+"""
+_ROLE_HEAD = """| what | at that size | budget | fits | worked out from |
+|---|---|---|---|---|
+"""
+_SLOPES_HEAD = """## Measured slopes
+
+Least squares over at least four sizes each; errors are standard errors.
+
+| slope | of one more | error | at size 0 | error |
+|---|---|---|---|---|
+"""
+_MISSING = """## Roles that are not measured yet
+
+- **Order owner**: no slope is measured of its state and calls.
+- **Disk host**: no slope is measured of its cache and spool.
+- **Tokens**: what one entry host relays is under
+  [measurements](MEASUREMENTS.md); it is no cost of control.
+"""
+
+
+def capacity_page(report: Report) -> str:
+    """Return the page in Markdown."""
+    lines = Lines(report.figures)
+    size, budget = FleetSize(), Budget()
+    hosts = HostRoles(lines, size, budget)
+    platform = PlatformRoles(lines, size, budget)
+    roles = (
+        hosts.entry_host(),
+        hosts.batch_sender(),
+        platform.chunk_holder(),
+        hosts.catalogue_reader(),
+        hosts.limit_sharer(),
+        platform.operator_port(),
+        platform.ordinary_day(),
+        platform.worst_day(),
+    )
+    return '\n'.join((
+        _HEAD.format(commit=report.commit, seed=report.seed),
+        _misfits(roles),
+        *map(_role, roles),
+        _MISSING,
+        _slopes(report.figures),
+    ))
+
+
+def _misfits(roles: Iterable[Role]) -> str:
+    rows = itertools.chain.from_iterable(
+        ((role, row) for row in role.rows) for role in roles
+    )
+    misfits = '\n'.join(
+        f'- {role.name}: {row.what} needs {_shown(row.value)} {row.unit}, '
+        f'the budget is {_shown(row.bound)}.'
+        for role, row in rows
+        if row.fits is False
+    )
+    return f'## What does not fit yet\n\n{misfits or "- Nothing."}\n'
+
+
+def _role(role: Role) -> str:
+    rows = '\n'.join(map(_row, role.rows))
+    return f'## {role.name}\n\n{role.mechanism}\n\n{_ROLE_HEAD}{rows}\n'
+
+
+def _row(row: Row) -> str:
+    fits = {None: '', True: 'yes', False: '**no**'}[row.fits]
+    bound = '' if row.bound is None else f'{_shown(row.bound)} {row.unit}'
+    return (
+        f'| {row.what} | {_shown(row.value)} {row.unit} | {bound} '
+        f'| {fits} | {row.working} |'
+    )
+
+
+def _slopes(figures: Iterable[Figure]) -> str:
+    rows = '\n'.join(_slope_rows(tuple(figures)))
+    return f'{_SLOPES_HEAD}{rows}\n'
+
+
+def _slope_rows(figures: tuple[Figure, ...]) -> Iterator[str]:
+    by_name = {one.name: one for one in figures}
+    for one in figures:
+        name = one.name.removesuffix('.slope')
+        if name == one.name:
+            continue
+        error = by_name[f'{name}.slope_error']
+        first = by_name[f'{name}.intercept']
+        first_error = by_name[f'{name}.intercept_error']
+        yield (
+            f'| {name} | {_shown(one.value)} {one.unit} '
+            f'| {_shown(error.value)} | {_shown(first.value)} {first.unit} '
+            f'| {_shown(first_error.value)} |'
+        )
+
+
+def _shown(value: float | None) -> str:
+    if value is None:
+        return 'not measured'
+    if abs(value) >= 100:
+        return f'{value:,.0f}'
+    return f'{value:.3g}'
--- /dev/null
+++ b/guavadyke/measure/slopes/roles.py
@@ -0,0 +1,239 @@
+"""What each role costs at the planned size, from the measured lines."""
+
+from __future__ import annotations
+
+import itertools
+
+from guavadyke.measure.slopes.lines import Lines
+from guavadyke.measure.slopes.rows import Role, Row, scaled, total
+from guavadyke.measure.slopes.sizes import Budget, FleetSize
+
+_PERCENT_PER_US = 1e-4
+_MB = 1e-6
+_KB = 1e-3
+_NEAR_POLLS_PER_S = 4
+_FAR_POLLS_PER_S = 0.5
+_VIEWS_PER_S = 2
+_SETTLES_PER_S = 8
+_SETTLES_PER_REQUEST = 2
+_PERCENT = '% of a core'
+
+
+class HostRoles:
+    """Costs of the roles that every entry host has.
+
+    Args:
+        lines: the measured lines.
+        size: the planned size.
+        budget: what control may cost.
+    """
+
+    def __init__(self, lines: Lines, size: FleetSize, budget: Budget) -> None:
+        self._lines = lines
+        self._size = size
+        self._budget = budget
+
+    def entry_host(self) -> Role:
+        """Return the costs of one entry host for control."""
+        processor = self._processor()
+        memory = self._memory()
+        sent_kb = scaled(self._at_peers('membership.sent'), _KB)
+        return Role(
+            'Entry host',
+            'Membership by probes of one random peer each 0.5 s with rumours '
+            'on the datagrams; immutable snapshots that request threads read; '
+            'prefix affinity with bounded loads over the engines of the zone.',
+            (
+                *processor,
+                Row(
+                    'processor time for control',
+                    total(processor),
+                    _PERCENT,
+                    'sum of the above',
+                    self._budget.processor_percent,
+                ),
+                *memory,
+                Row(
+                    'memory for control',
+                    total(memory),
+                    'MB',
+                    'sum of the above',
+                    self._budget.memory_mb,
+                ),
+                Row(
+                    'membership sent',
+                    sent_kb,
+                    'KB/s',
+                    'membership.sent at 389 peers',
+                    self._budget.sent_kb_per_s,
+                ),
+                Row(
+                    'choice of an engine, per request',
+                    self._lines.at('routing.choose', self._size.engines),
+                    'us',
+                    'routing.choose at 2,700 engines',
+                ),
+            ),
+        )
+
+    def batch_sender(self) -> Role:
+        """Return the costs of sending batch items to engines."""
+        engines = self._size.zone_engines / self._size.zone_hosts
+        return Role(
+            'Batch sender',
+            'One sender for each engine, by rendezvous hashing within the '
+            'zone; batch items yield when online requests need the slots.',
+            (
+                Row(
+                    'engines that a host sends batch items to',
+                    engines,
+                    'engines',
+                    '450 engines over 65 hosts of a zone',
+                ),
+                Row(
+                    'finding a slot for an item',
+                    self._lines.at('routing.take', self._size.engines),
+                    'us',
+                    'routing.take at 2,700 engines',
+                ),
+                Row(
+                    'one look at what must yield',
+                    self._lines.at('routing.settle', self._size.engines),
+                    'us',
+                    'routing.settle at 2,700 engines',
+                ),
+                Row(
+                    'a notice of online counts at these engines',
+                    self._lines.at('notice.counts', engines),
+                    'B',
+                    'notice.counts at 6.9 engines',
+                ),
+            ),
+        )
+
+    def catalogue_reader(self) -> Role:
+        """Return the costs of following the catalogue."""
+        objects = self._size.objects
+        return Role(
+            'Catalogue reader',
+            'A watch on the platform, a full list of versions each 30 to '
+            '60 s, and digests that peers compare.',
+            (
+                Row(
+                    'state',
+                    scaled(self._lines.at('catalogue.state', objects), _MB),
+                    'MB',
+                    'catalogue.state at 6,912 objects',
+                ),
+                Row(
+                    'putting an edit in force',
+                    self._lines.at('catalogue.edit', objects),
+                    'us',
+                    'catalogue.edit at 6,912 objects',
+                ),
+                Row(
+                    'reads of a new host',
+                    self._lines.at('catalogue.start_reads', objects),
+                    'calls',
+                    'catalogue.start_reads at 6,912 objects',
+                ),
+                Row(
+                    'reads of a full list',
+                    self._lines.at('catalogue.relist_reads', objects),
+                    'calls',
+                    'catalogue.relist_reads at 6,912 objects',
+                ),
+            ),
+        )
+
+    def limit_sharer(self) -> Role:
+        """Return the size of notices on limits."""
+        return Role(
+            'Limit sharing',
+            'Hosts tell their demand on a limit and get shares of it.',
+            (
+                Row(
+                    'a demand on one more limit',
+                    self._lines.slope('notice.demands'),
+                    'B',
+                    'slope of notice.demands',
+                ),
+                Row(
+                    'packing and reading one more demand',
+                    self._lines.slope('notice.demands_cpu'),
+                    'us',
+                    'slope of notice.demands_cpu',
+                ),
+            ),
+        )
+
+    def _processor(self) -> tuple[Row, ...]:
+        size, lines = self._size, self._lines
+        requests = size.requests_per_s / size.hosts
+        near = size.zone_engines
+        polls = near * _NEAR_POLLS_PER_S
+        polls += (size.engines - near) * _FAR_POLLS_PER_S
+        settles = _SETTLES_PER_S + _SETTLES_PER_REQUEST * requests
+        items = size.items_per_s / size.hosts
+        works = (
+            (
+                'membership',
+                self._at_peers('membership.cpu'),
+                'membership.cpu at 389 peers',
+            ),
+            (
+                'engines anew with each view of the fleet',
+                scaled(lines.at('routing.refresh', size.engines), _VIEWS_PER_S),
+                'routing.refresh at 2,700 engines, 2 a second',
+            ),
+            (
+                'asking engines for their load',
+                scaled(lines.slope('polls.cpu'), polls),
+                'slope of polls.cpu, 2,925 polls a second',
+            ),
+            (
+                'looking what must yield',
+                scaled(lines.at('routing.settle', size.engines), settles),
+                'routing.settle at 2,700 engines, 46 a second',
+            ),
+            (
+                'finding slots for batch items',
+                scaled(lines.at('routing.take', size.engines), items),
+                'routing.take at 2,700 engines, 1.07 items a second',
+            ),
+            (
+                'edits of the catalogue',
+                scaled(
+                    lines.at('catalogue.edit', size.objects),
+                    size.edits_per_s,
+                ),
+                'catalogue.edit at 6,912 objects, 0.025 a second',
+            ),
+        )
+        return tuple(itertools.starmap(_percent, works))
+
+    def _memory(self) -> tuple[Row, ...]:
+        return (
+            Row(
+                'memory of membership',
+                scaled(self._at_peers('membership.state'), _MB),
+                'MB',
+                'membership.state at 389 peers',
+            ),
+            Row(
+                'memory of the catalogue',
+                scaled(
+                    self._lines.at('catalogue.state', self._size.objects),
+                    _MB,
+                ),
+                'MB',
+                'catalogue.state at 6,912 objects',
+            ),
+        )
+
+    def _at_peers(self, name: str) -> float | None:
+        return self._lines.at(name, self._size.hosts - 1)
+
+
+def _percent(what: str, us_per_s: float | None, working: str) -> Row:
+    return Row(what, scaled(us_per_s, _PERCENT_PER_US), _PERCENT, working)
