--- a/guavadyke/cli.py
+++ b/guavadyke/cli.py
@@ -16,6 +16,9 @@
 
 _EXIT_SETTINGS = 2
 _MODULES = types.MappingProxyType({
+    'catalogue': 'guavadyke.cli_catalogue',
+    'drain': 'guavadyke.cli_fleet',
+    'fleet': 'guavadyke.cli_fleet',
     'measure': 'guavadyke.cli_measure',
     'standin': 'guavadyke.cli_standin',
 })
--- a/guavadyke/cli_measure.py
+++ b/guavadyke/cli_measure.py
@@ -187,6 +187,7 @@
 measure = click.Command(
     'measure',
     params=list(_OPTIONS),
+    context_settings={'auto_envvar_prefix': 'GUAVADYKE'},
     callback=run_measurement,
     help=run_measurement.__doc__,
 )
--- a/guavadyke/measure/experiments/online_batch.py
+++ b/guavadyke/measure/experiments/online_batch.py
@@ -41,7 +41,7 @@
     'lammikko': 0.9,
     'pesebres': 0.2,
 })
-TOKENS = 8
+TOKENS = 16
 DEADLINE_S = 10
 _ON_S = 1.0
 _OFF_S = 3.0
--- a/guavadyke/measure/slopes/fleet_calls.py
+++ b/guavadyke/measure/slopes/fleet_calls.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import base64
+import dataclasses
+import functools
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 from guavadyke.client import Client
 from guavadyke.embedded import EmbeddedPlan
@@ -22,7 +24,7 @@
 _READS = ('read', 'list', 'watch', 'hosts')
 _WRITES = ('write', 'delete')
 _STORED_KINDS = ('chunk-input', 'chunk-result', 'chunk', 'job')
-_WATCHED_S = 8.0
+_WATCHED_S = 22.0
 _SETTLE_S = 3.0
 _LOOK_INTERVAL_S = 0.2
 _LONGEST_S = 90
@@ -45,16 +47,12 @@
 
 def idle_reads(hosts: int, seed: int) -> float:
     """Return the reads a second of a fleet without work."""
-    with embedded_target(_plan(hosts)) as target:
-        time.sleep(_SETTLE_S)
-        return _rate(target, _READS)
+    return _idle(hosts).reads
 
 
 def idle_writes(hosts: int, seed: int) -> float:
     """Return the writes a second of a fleet without work."""
-    with embedded_target(_plan(hosts)) as target:
-        time.sleep(_SETTLE_S)
-        return _rate(target, _WRITES)
+    return _idle(hosts).writes
 
 
 def open_job_reads(jobs: int, seed: int) -> float:
@@ -71,57 +69,81 @@
                 target, _lines(f'open {number}', _ITEMS_OF_OPEN_JOB)
             ).submit()
         time.sleep(_SETTLE_S)
-        return _rate(target, _READS)
+        return _rate(target).reads
 
 
 def job_reads_of_fleet(hosts: int, seed: int) -> float:
     """Return the reads of all hosts for one job of the usual size."""
-    before = idle_reads(hosts, seed)
     with embedded_target(_plan(hosts)) as target:
         engines = Engines(target.engines())
         time.sleep(_SETTLE_S)
-        reads, started_at = _calls(target, _READS), time.monotonic()
+        before, started_at = _calls(target), time.monotonic()
         for number in range(_JOBS):
             BatchJob(target, _lines(f'fleet {number}', _USUAL_ITEMS)).submit()
         _wait(engines, _JOBS * _USUAL_ITEMS)
         time.sleep(_SETTLE_S)
-        idle = before * (time.monotonic() - started_at)
-        return (_calls(target, _READS) - reads - idle) / _JOBS
+        idle = _idle(hosts).reads * (time.monotonic() - started_at)
+        return (_calls(target).reads - before.reads - idle) / _JOBS
 
 
 def job_writes(items: int, seed: int) -> float:
     """Return the writes of a job from its submission to its end."""
-    return _job_cost(items, lambda target: _calls(target, _WRITES))
+    return _job(items).writes
 
 
 def job_reads(items: int, seed: int) -> float:
     """Return the reads of a job from its submission to its end."""
-    return _job_cost(items, lambda target: _calls(target, _READS))
+    return _job(items).reads
 
 
 def job_bytes(items: int, seed: int) -> float:
     """Return the bytes that the platform holds of a job that ended."""
-    return _job_cost(items, _stored_bytes)
+    return _job(items).stored_bytes
 
 
 def edit_writes(edits: int, seed: int) -> float:
     """Return the writes of edits of the catalogue."""
     with embedded_target(_plan(1)) as target:
-        before = _calls(target, _WRITES)
+        before = _calls(target).writes
         for number in range(edits):
             target.put_tail_weight(number / edits)
-        return _calls(target, _WRITES) - before
+        return _calls(target).writes - before
+
+
+@dataclasses.dataclass(frozen=True)
+class _Cost:
+    """Calls to the platform, or calls a second, and bytes that it holds."""
+
+    reads: float
+    writes: float
+    stored_bytes: float = 0
 
 
-def _job_cost(items: int, cost: Callable[[Target], float]) -> float:
+@functools.cache
+def _idle(hosts: int) -> _Cost:
+    """Return the calls a second of a fleet without work."""
+    with embedded_target(_plan(hosts)) as target:
+        time.sleep(_SETTLE_S)
+        return _rate(target)
+
+
+@functools.cache
+def _job(items: int) -> _Cost:
+    """Return the cost of a job, without that of an idle fleet."""
+    idle = _idle(1)
     with embedded_target(_plan(1)) as target:
         engines = Engines(target.engines())
         time.sleep(_SETTLE_S)
-        before = cost(target)
+        before, started_at = _calls(target), time.monotonic()
         BatchJob(target, _lines('slope', items)).submit()
         _wait(engines, items)
         time.sleep(_SETTLE_S)
-        return cost(target) - before
+        after, seconds = _calls(target), time.monotonic() - started_at
+        return _Cost(
+            after.reads - before.reads - idle.reads * seconds,
+            after.writes - before.writes - idle.writes * seconds,
+            _stored_bytes(target),
+        )
 
 
 def _wait(engines: Engines, items: int) -> None:
@@ -138,17 +160,23 @@
     return [job_line(f'{name} {place}', _TOKENS) for place in range(items)]
 
 
-def _rate(target: Target, operations: tuple[str, ...]) -> float:
-    before = _calls(target, operations)
-    started_at = time.monotonic()
+def _rate(target: Target) -> _Cost:
+    """Return the calls a second, over more than a watch's wait."""
+    before, started_at = _calls(target), time.monotonic()
     time.sleep(_WATCHED_S)
-    calls = _calls(target, operations) - before
-    return calls / (time.monotonic() - started_at)
+    after, seconds = _calls(target), time.monotonic() - started_at
+    return _Cost(
+        (after.reads - before.reads) / seconds,
+        (after.writes - before.writes) / seconds,
+    )
 
 
-def _calls(target: Target, operations: tuple[str, ...]) -> int:
+def _calls(target: Target) -> _Cost:
     counts = StandinControl(target.platform_address).counts()
-    return sum(counts.get(operation, 0) for operation in operations)
+    return _Cost(
+        sum(counts.get(operation, 0) for operation in _READS),
+        sum(counts.get(operation, 0) for operation in _WRITES),
+    )
 
 
 def _stored_bytes(target: Target) -> int:
