--- a/features/run.py
+++ b/features/run.py
@@ -7,11 +7,7 @@
 from behave.model_type import Status
 from behave.runner import Runner
 
-_DEFAULT_ARGUMENTS = (
-    '--format=progress',
-    '--no-capture-log',
-    'features',
-)
+_OPTIONS = ('--format=progress', '--no-capture-log')
 _KNOWN_RED = Path(__file__).resolve().parent.parent / 'KNOWN-RED.txt'
 
 
@@ -56,4 +52,4 @@
 
 
 if __name__ == '__main__':
-    sys.exit(run(sys.argv[1:] or list(_DEFAULT_ARGUMENTS)))
+    sys.exit(run([*_OPTIONS, *(sys.argv[1:] or ['features'])]))
--- a/guavadyke/demo.py
+++ b/guavadyke/demo.py
@@ -11,13 +11,9 @@
 from typing import Any
 
 from guavadyke.client import Client
-from guavadyke.embedded import (
-    CHAT_ENTRY,
-    SERVICE_ENTRY,
-    EmbeddedFleet,
-    EmbeddedPlan,
-)
+from guavadyke.embedded import EmbeddedFleet, EmbeddedPlan
 from guavadyke.errors import GuavadykeError
+from guavadyke.trial_catalogue import CHAT_ENTRY, SERVICE_ENTRY
 
 _BATCH_ITEMS = 200
 _BAD_ITEMS = frozenset((17, 90, 171))
@@ -247,7 +243,7 @@
             'GET',
             f'/v1/batches/{self._job_id}',
         )
-        return shown.document()['state'] not in {'running', 'cancelling'}
+        return bool(shown.document()['state'] == 'completed')
 
     def _results(self) -> list[Any]:
         answer = self._fleet.caller(self._second).expect(
--- a/guavadyke/embedded.py
+++ b/guavadyke/embedded.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import dataclasses
-import hashlib
 import json
 import os
 import socket
@@ -18,13 +17,12 @@
 from guavadyke.standins.engine import EngineSpec, EngineStandin
 from guavadyke.standins.platform import PlatformStandin
 from guavadyke.standins.service import ServiceStandin
+from guavadyke.trial_catalogue import EnginePlace, TrialFleet, trial_catalogue
 
 LOOPBACK = '127.0.0.1'
 CALLER_KEY = 'caller-key'
 OPERATOR_TOKEN = 'operator-token'  # ruff: ignore[hardcoded-password-string]
-CHAT_ENTRY = 'chat'
-SERVICE_ENTRY = 'reservations'
-OWNER = 'pesebres'
+_ENGINE = '-engine-'
 _TOKEN_VARIABLE = 'GUAVADYKE_EMBEDDED_OPERATOR_TOKEN'  # ruff: ignore[hardcoded-password-string]
 _FLEET_KEY_VARIABLE = 'GUAVADYKE_EMBEDDED_FLEET_KEY'
 _FLEET_KEY = 'embedded-fleet-key'
@@ -71,7 +69,7 @@
         self.platform = PlatformStandin(ip=LOOPBACK)
         self.service = ServiceStandin(ip=LOOPBACK)
         self.engines = {
-            f'{zone}-engine-{number}': EngineStandin(
+            f'{zone}{_ENGINE}{number}': EngineStandin(
                 ip=LOOPBACK,
                 spec=EngineSpec(batch=plan.engine),
             )
@@ -171,33 +169,19 @@
         return EntrySettings.model_validate(document)
 
     def _catalogue(self) -> dict[str, dict[str, object]]:
-        key_hash = hashlib.sha256(CALLER_KEY.encode()).hexdigest()
-        entry = {'owner': OWNER, 'class': 'both'}
+        slots = self._plan.engine.slots
         engines = {
-            name: _engine(name, engine.address, self._plan.engine.slots)
-            for name, engine in self.engines.items()
-        }
-        return {
-            'policy': {
-                'kind': 'policy',
-                'tail_weight': self._plan.tail_weight,
-            },
-            OWNER: {'kind': 'owner', 'key_hashes': [key_hash]},
-            CHAT_ENTRY: {'kind': 'model', 'model': 'small', **entry},
-            SERVICE_ENTRY: {
-                'kind': 'service',
-                'idempotent': False,
-                **entry,
-            },
-            **engines,
-            'desk-service': {
-                'kind': 'backend_server',
-                'role': 'service',
-                'zone': self._plan.zones[0],
-                'address': self.service.address,
-                'serves': [SERVICE_ENTRY],
-            },
+            name: EnginePlace(name.partition(_ENGINE)[0], one.address, slots)
+            for name, one in self.engines.items()
         }
+        return trial_catalogue(
+            TrialFleet(
+                engines,
+                self.service.address,
+                CALLER_KEY,
+                self._plan.tail_weight,
+            ),
+        )
 
     def _put_catalogue(self) -> None:
         operator = self.operator(next(iter(self.hosts)))
@@ -208,15 +192,3 @@
                 json.dumps(document).encode(),
                 {'If-None-Match': '*'},
             )
-
-
-def _engine(name: str, address: str, slots: int) -> dict[str, object]:
-    zone, _separator, _number = name.partition('-engine-')
-    return {
-        'kind': 'backend_server',
-        'role': 'engine',
-        'zone': zone,
-        'address': address,
-        'serves': [CHAT_ENTRY],
-        'slots': slots,
-    }
