Prove batch jobs by a state machine of failing hosts

Cause: the promises of batch work were shown only by single scenarios. Change: a hypothesis machine drives three hosts on one fake clock through pauses, deaths, cuts in part, lost answers, resends and cancels; the oracle is a dict of the accepted items.

--- a/features/batch_jobs.feature
+++ b/features/batch_jobs.feature
@@ -83,3 +83,7 @@
     Then batch host "entry-1" holds no chunk
     When the batch has ended
     Then every batch item completed exactly once in item order
+
+  Scenario: batch jobs hold their promises on hosts that fail
+    When the batch machine runs
+    Then no batch promise was broken
--- a/features/builders_batch.py
+++ b/features/builders_batch.py
@@ -39,7 +39,9 @@
 
 
 class FakeClock:
-    """A clock that moves when told to, or when somebody sleeps."""
+    """A clock that moves when told to, a little when somebody sleeps."""
+
+    sleep_s = 0.1
 
     def __init__(self, now: float = 1000) -> None:
         self.now = now
@@ -51,7 +53,7 @@
         return 1_800_000_000 + self.now
 
     def sleep(self, seconds: float) -> None:
-        self.now += seconds
+        self.now += self.sleep_s
 
 
 @dataclasses.dataclass(frozen=True)
@@ -122,6 +124,7 @@
         self.delay_s = delay_s
         self.slots = slots
         self.dead = False
+        self.running = 0
 
     def run(self, call: ItemCall, cancellation: Cancellation) -> ItemResult:
         if self.dead:
@@ -136,6 +139,21 @@
             ),
         )
         runs = len(self.history.of(custom_id))
+        self.running += 1
+        try:
+            return self._run(call, runs, cancellation)
+        finally:
+            self.running -= 1
+
+    def capacity(self, entry_name: str) -> int:
+        return self.slots - self.running
+
+    def _run(
+        self,
+        call: ItemCall,
+        runs: int,
+        cancellation: Cancellation,
+    ) -> ItemResult:
         until = time.monotonic() + self.delay_s
         while time.monotonic() < until:
             if cancellation.is_set():
@@ -143,9 +161,6 @@
             time.sleep(0.005)
         return self.script(call, runs)
 
-    def capacity(self, entry_name: str) -> int:
-        return self.slots
-
 
 class KnownOwner(Filter):
     """Takes the bearer key for the owner's name."""
--- a/features/builders_batch_platform.py
+++ b/features/builders_batch_platform.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import random
 import threading
 import time
 from collections import Counter
@@ -21,6 +20,8 @@
     PlatformUnavailableError,
 )
 
+_WRITES = frozenset(('create', 'update', 'delete'))
+
 
 class MemoryPlatform:
     """Objects of the platform in memory, with versions and watches."""
@@ -59,13 +60,37 @@
 
 @dataclasses.dataclass
 class LinkFaults:
-    """Faults of one host's link; shares are between 0 and 1."""
+    """Faults of one host's link.
+
+    ``lose_every`` loses every so many answers to writes of a kind, after
+    their effect; 0 loses none. ``cut_after`` cuts the link after so many
+    more calls. Watches wait only if ``waits``.
+    """
 
     cut: bool = False
-    lost_answers: float = 0
-    lose_next: bool = False
+    cut_writes: bool = False
+    cut_watches: bool = False
+    cut_after: int | None = None
+    lose_every: int = 0
     waits: bool = True
 
+    def mend(self) -> None:
+        """End all faults."""
+        self.cut = False
+        self.cut_writes = False
+        self.cut_watches = False
+        self.cut_after = None
+        self.lose_every = 0
+
+    def refuses(self, call: str) -> bool:
+        """Return whether a call does not reach the platform."""
+        if self.cut_after is not None:
+            self.cut_after -= 1
+            self.cut = self.cut or self.cut_after < 0
+        if call == 'watch':
+            return self.cut or self.cut_watches
+        return self.cut or (call in _WRITES and self.cut_writes)
+
 
 class MemoryStore:
     """One host's link to a ``MemoryPlatform``."""
@@ -74,11 +99,10 @@
         self,
         platform: MemoryPlatform,
         faults: LinkFaults | None = None,
-        seed: int = 1,
     ) -> None:
         self.platform = platform
         self.faults = faults or LinkFaults()
-        self._rng = random.Random(seed)
+        self._writes: Counter[str] = Counter()
 
     def read(self, kind: str, name: str) -> StoredObject | None:
         with self._called('read', kind):
@@ -113,7 +137,9 @@
             present = self.platform.objects.get((kind, name))
             if present is not None:
                 raise ObjectConflictError('it exists', present.version)
-            return self._answered(self.platform.put(kind, name, body))
+            stored = self.platform.put(kind, name, body)
+            self._answered(kind)
+            return stored
 
     def update(
         self,
@@ -124,13 +150,15 @@
     ) -> StoredObject:
         with self._called('update', kind):
             self._check(kind, name, version)
-            return self._answered(self.platform.put(kind, name, body))
+            stored = self.platform.put(kind, name, body)
+            self._answered(kind)
+            return stored
 
     def delete(self, kind: str, name: str, version: int) -> None:
         with self._called('delete', kind):
             self._check(kind, name, version)
             self.platform.remove(kind, name)
-            self._answered(None)
+            self._answered(kind)
 
     def watch(self, kind: str, revision: int, wait_s: float) -> WatchAnswer:
         with self._called('watch', kind):
@@ -145,21 +173,19 @@
                 if events or left_s <= 0 or not self.faults.waits:
                     break
                 self.platform.changed.wait(min(left_s, 0.2))
-            self._refuse()
+            if self.faults.cut:
+                raise PlatformUnavailableError('cut off')
             return WatchAnswer(self.platform.revision, events)
 
     def hosts(self) -> tuple[ListedHost, ...]:
         return ()
 
     def _called(self, call: str, kind: str) -> threading.Condition:
-        self._refuse()
+        if self.faults.refuses(call):
+            raise PlatformUnavailableError('cut off')
         self.platform.calls[f'{call} {kind}'] += 1
         return self.platform.changed
 
-    def _refuse(self) -> None:
-        if self.faults.cut:
-            raise PlatformUnavailableError('cut off')
-
     def _check(self, kind: str, name: str, version: int) -> None:
         present = self.platform.objects.get((kind, name))
         if present is None or present.version != version:
@@ -168,11 +194,13 @@
                 0 if present is None else present.version,
             )
 
-    def _answered(self, stored: StoredObject | None) -> StoredObject:
-        lost = self.faults.lose_next or (
-            self._rng.random() < self.faults.lost_answers
-        )
-        self.faults.lose_next = False
-        if lost:
+    def _answered(self, kind: str) -> None:
+        """Lose the answer where that is due.
+
+        Raises:
+            PlatformOutcomeUnknownError: it is lost.
+        """
+        self._writes[kind] += 1
+        every = self.faults.lose_every
+        if every and not self._writes[kind] % every:
             raise PlatformOutcomeUnknownError('the answer was lost')
-        return stored  # type: ignore[return-value]
--- /dev/null
+++ b/features/machines/batch_fleet.py
@@ -0,0 +1,175 @@
+"""Simulated hosts for the batch machine, which takes their steps."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import json
+
+from features import builders_batch
+from features.builders_batch_platform import LinkFaults, MemoryPlatform
+from guavadyke.adapters.ports import ItemEnd, ItemResult
+from guavadyke.controllers.batch_held import Task
+from guavadyke.controllers.batch_records import LEASE_KIND
+from guavadyke.decisions.chunkrun import RunItem
+from guavadyke.errors import GuavadykeError
+
+HOSTS = ('entry-1', 'entry-2', 'entry-3')
+LEASE_S = 15.0
+MAX_ATTEMPTS = 3
+
+
+@dataclasses.dataclass(frozen=True)
+class Start:
+    """A run of an item began."""
+
+    job_id: str
+    custom_id: str
+    at: float
+
+
+@dataclasses.dataclass
+class SimulatedHost:
+    """A host whose steps the machine takes; ``running`` are its items."""
+
+    host: builders_batch.BatchHost
+    paused: bool = False
+    running: list[Task] = dataclasses.field(default_factory=list)
+
+    @property
+    def faults(self) -> LinkFaults:
+        """Faults of the host's link."""
+        return self.host.link.faults
+
+
+class SimulatedFleet:
+    """Hosts on one platform and one fake clock."""
+
+    def __init__(self) -> None:
+        self.clock = builders_batch.FakeClock()
+        self.platform = MemoryPlatform()
+        self.starts: list[Start] = []
+        self.poison: set[str] = set()
+        self.hosts: dict[str, SimulatedHost] = {}
+        for name in HOSTS:
+            self.replace(name)
+
+    def replace(self, name: str) -> None:
+        """Put a new host in the place of one that dies."""
+        link = builders_batch.MemoryStore(
+            self.platform,
+            LinkFaults(waits=False),
+        )
+        plan = builders_batch.HostPlan(
+            name,
+            clock=self.clock,
+            slots=4,
+            fleet=builders_batch.peers(*HOSTS),
+            batch={
+                'lease_s': LEASE_S,
+                'lease_renewal_s': 5,
+                'lease_margin_s': 3,
+                'poll_interval_s': 2,
+                'chunk_items': 5,
+                'max_attempts': MAX_ATTEMPTS,
+            },
+        )
+        host = builders_batch.host_on(link, plan)
+        self.hosts[name] = SimulatedHost(host)
+
+    def heal(self) -> None:
+        """Wake every host and mend its link."""
+        for simulated in self.hosts.values():
+            simulated.paused = False
+            simulated.faults.mend()
+
+    def call(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        key: str = '',
+    ) -> tuple[int, dict[str, object]]:
+        """Return the status and the document of one request."""
+        status, answer = self.hosts[name].host.call(
+            method,
+            path,
+            body,
+            {'Idempotency-Key': key} if key else {},
+        )
+        return status, json.loads(answer)
+
+    def work(self, name: str, steps: int) -> None:
+        """Let a host follow jobs, renew, look for work and take steps."""
+        simulated = self.hosts[name]
+        if simulated.paused:
+            return
+        service = simulated.host.service
+        with contextlib.suppress(GuavadykeError):
+            service._index.follow(0)
+        with contextlib.suppress(GuavadykeError):
+            if service._holdings.chunks:
+                service._lease.renew()
+        with contextlib.suppress(GuavadykeError):
+            service._claimer.look()
+        while steps and self._take_step(simulated):
+            steps -= 1
+
+    def work_all(self, seconds: float) -> None:
+        """Let time pass, every host work and every running item complete."""
+        self.clock.now += seconds
+        for name in HOSTS:
+            self.work(name, 12)
+            self.end_items(name, ItemEnd.completed, 12)
+
+    def end_items(self, name: str, end: ItemEnd, count: int) -> None:
+        """Let running items of a host end."""
+        simulated = self.hosts[name]
+        if simulated.paused:
+            return
+        ending = simulated.running[:count]
+        simulated.running = simulated.running[count:]
+        for task in ending:
+            self._end_item(simulated, task, end)
+
+    def _end_item(
+        self,
+        simulated: SimulatedHost,
+        task: Task,
+        end: ItemEnd,
+    ) -> None:
+        assert isinstance(task.step, RunItem)
+        trial = task.step.trial
+        custom_id = task.held.items[trial.index].custom_id
+        ended = ItemResult(end, {'echo': custom_id}, partial='p')
+        if custom_id in self.poison:
+            ended = ItemResult(ItemEnd.retry, reason='broke off')
+        elif end is ItemEnd.not_run and not trial.idempotent:
+            # The oracle counts starts, so a run that is proved not to have
+            # happened would look like one that did.
+            ended = ItemResult(ItemEnd.completed, {'echo': custom_id})
+        simulated.host.runner.running -= 1
+        simulated.host.service._holdings.item_ended(
+            task.held,
+            trial.index,
+            ended,
+        )
+
+    def _take_step(self, simulated: SimulatedHost) -> bool:
+        service = simulated.host.service
+        task = service._holdings.next_task()
+        if task is None:
+            return False
+        if not isinstance(task.step, RunItem):
+            service._performer.perform(task)
+            return True
+        leases = {stored.name for stored in self.platform.of_kind(LEASE_KIND)}
+        assert task.held.holder in leases, 'started under a broken lease'
+        item = task.held.items[task.step.trial.index]
+        simulated.running.append(task)
+        simulated.host.runner.running += 1
+        self.starts.append(
+            Start(task.held.job.job_id, item.custom_id, self.clock.now),
+        )
+        return True
--- a/features/steps/batch_jobs_steps.py
+++ b/features/steps/batch_jobs_steps.py
@@ -3,11 +3,15 @@
 import json
 import time
 
+from absl import logging
 from behave import given, then, when
 from behave.runner import Context
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import run_state_machine_as_test
 
 from features import builders_batch
 from features.builders_batch_platform import MemoryPlatform
+from features.machines.batch_jobs import BatchMachine
 
 
 def _start_hosts(context: Context, names: str, delay_s: float) -> None:
@@ -322,3 +326,29 @@
     status = context.hosts[name].service.status()
     assert not status['chunks']
     assert not status['lease']
+
+
+@when('the batch machine runs')
+def step_machine(context: Context) -> None:
+    verbosity = logging.get_verbosity()
+    logging.set_verbosity(logging.FATAL)
+    try:
+        run_state_machine_as_test(
+            BatchMachine,
+            settings=settings(
+                max_examples=40,
+                stateful_step_count=40,
+                derandomize=True,
+                deadline=None,
+                database=None,
+                suppress_health_check=list(HealthCheck),
+            ),
+        )
+    finally:
+        logging.set_verbosity(verbosity)
+    context.machine_ran = True
+
+
+@then('no batch promise was broken')
+def step_no_promise_broken(context: Context) -> None:
+    assert context.machine_ran
--- a/guavadyke/adapters/ports.py
+++ b/guavadyke/adapters/ports.py
@@ -384,5 +384,5 @@
         ...
 
     def capacity(self, entry_name: str) -> int:
-        """Return how many items of the entry may be in flight here now."""
+        """Return how many more items of the entry may start here now."""
         ...
--- a/guavadyke/batch.py
+++ b/guavadyke/batch.py
@@ -13,6 +13,7 @@
 from guavadyke.controllers.batch_lease import LeaseKeeper
 from guavadyke.controllers.batch_loops import BatchLoops, LoopParts
 from guavadyke.controllers.batch_routes import BatchRoutes, RouteParts
+from guavadyke.controllers.batch_steps import StepPerformer
 from guavadyke.controllers.batch_workers import Workers
 from guavadyke.errors import GuavadykeError
 from guavadyke.filters.base import Filter
@@ -69,15 +70,20 @@
             self.rng,
         )
         self._claimer = self._made_claimer()
-        self._workers = Workers(
-            self.settings,
+        self._performer = StepPerformer(
+            self.settings.batch,
             self._holdings,
             self.runner,
             self.store,
-            self.clock,
             self.logger,
         )
-        self._workers.subscribe(self._claimer.note_written)
+        self._performer.subscribe(self._claimer.note_written)
+        self._workers = Workers(
+            self.settings.batch,
+            self._holdings,
+            self._performer,
+            self.logger,
+        )
         self._loops = BatchLoops(
             LoopParts(
                 self.settings,
--- a/guavadyke/controllers/batch_held.py
+++ b/guavadyke/controllers/batch_held.py
@@ -5,9 +5,15 @@
 import dataclasses
 import random
 import threading
-from collections.abc import Callable, Iterable
-
-from guavadyke.adapters.ports import Clock, ItemRunner, StoredObject
+from collections.abc import Iterable
+
+from guavadyke.adapters.ports import (
+    Clock,
+    ItemEnd,
+    ItemResult,
+    ItemRunner,
+    StoredObject,
+)
 from guavadyke.controllers.batch_jobs import JobIndex
 from guavadyke.controllers.batch_lease import LeaseKeeper
 from guavadyke.controllers.batch_records import (
@@ -18,10 +24,12 @@
 from guavadyke.decisions.chunkrun import (
     ChunkRun,
     Permissions,
+    RunItem,
     Step,
 )
 from guavadyke.decisions.ledger import ChunkState, ChunkStatus
 
+_SLOT_DELAY_S = 0.05
 _FIRST_RETRY_S = 0.5
 _LONGEST_RETRY_S = 10.0
 
@@ -60,16 +68,21 @@
     step: Step
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(frozen=True)
 class RunCancellation:
-    """Tells a run that its job was cancelled or its chunk is gone."""
+    """Tells a run that its job was cancelled or its chunk is gone.
+
+    A run that may not be repeated is never broken off, since its outcome
+    could not be told any more.
+    """
 
     held: HeldChunk
     holdings: Holdings
+    repeatable: bool
 
     def is_set(self) -> bool:
         """Return whether the run has to end."""
-        return self.holdings.must_end(self.held)
+        return self.repeatable and self.holdings.must_end(self.held)
 
 
 class Holdings:
@@ -98,6 +111,7 @@
         self._rng = rng
         self._changed = threading.Condition(threading.RLock())
         self._chunks: dict[str, HeldChunk] = {}
+        self._starts: dict[tuple[str, int], float] = {}
         self._stopping = False
         self._preempting = False
 
@@ -125,9 +139,12 @@
         """Return what a worker should do now, or None."""
         with self._changed:
             for held in _in_order(self._chunks.values()):
-                step = self._next_step(held)
+                now = self._clock.monotonic()
+                if now < held.retry_at:
+                    continue
+                step = held.run.next_step(self._permissions(held, now))
                 if step is not None:
-                    return Task(held, step)
+                    return self._task(held, step)
         return None
 
     def wait(self, seconds: float) -> None:
@@ -135,10 +152,20 @@
         with self._changed:
             self._changed.wait(seconds)
 
-    def update(self, change: Callable[[], None]) -> None:
-        """Apply a change to a held chunk and tell the workers."""
+    def item_ended(
+        self,
+        held: HeldChunk,
+        index: int,
+        ended: ItemResult,
+    ) -> None:
+        """Take in how the run of an item ended."""
         with self._changed:
-            change()
+            self._starts.pop((held.name, index), None)
+            if ended.end is ItemEnd.cancelled and self.is_cancelled(held):
+                held.run.item_withdrawn(index)
+            else:
+                now = self._clock.monotonic()
+                held.run.item_ended(index, ended, now)
             self._changed.notify_all()
 
     def written(
@@ -191,12 +218,6 @@
         job = self._index.snapshot.current.jobs.get(held.job.job_id)
         return job is not None and job.record.cancelled_at is not None
 
-    def _next_step(self, held: HeldChunk) -> Step | None:
-        now = self._clock.monotonic()
-        if now < held.retry_at:
-            return None
-        return held.run.next_step(self._permissions(held, now))
-
     def _permissions(self, held: HeldChunk, now: float) -> Permissions:
         expires = held.job.expires
         current = self._lease.view.current.name == held.holder
@@ -213,12 +234,19 @@
         )
 
     def _free(self, entry_name: str) -> int:
-        running = sum(
-            held.run.in_flight
-            for held in self._chunks.values()
-            if held.job.entry_name == entry_name
-        )
-        return self._runner.capacity(entry_name) - running
+        """Return how many items may start now.
+
+        Items that began a moment ago may not have their slots yet.
+        """
+        since = self._clock.monotonic() - _SLOT_DELAY_S
+        beginning = sum(start > since for start in self._starts.values())
+        return self._runner.capacity(entry_name) - beginning
+
+    def _task(self, held: HeldChunk, step: Step) -> Task:
+        if isinstance(step, RunItem):
+            start = (held.name, step.trial.index)
+            self._starts[start] = self._clock.monotonic()
+        return Task(held, step)
 
 
 def _in_order(chunks: Iterable[HeldChunk]) -> list[HeldChunk]:
--- /dev/null
+++ b/guavadyke/controllers/batch_steps.py
@@ -0,0 +1,209 @@
+"""Carrying out the steps of held chunks: items, states, results."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import json
+import uuid
+from collections.abc import Callable
+
+from guavadyke.adapters.ports import (
+    ItemCall,
+    ItemEnd,
+    ItemResult,
+    ItemRunner,
+)
+from guavadyke.adapters.settled import SettledStore
+from guavadyke.controllers.batch_held import (
+    HeldChunk,
+    Holdings,
+    RunCancellation,
+    Task,
+)
+from guavadyke.controllers.batch_records import (
+    CHUNK_KIND,
+    RESULT_KIND,
+    decode_chunk,
+    encode_chunk,
+    encode_part,
+    part_name,
+)
+from guavadyke.decisions import ledger
+from guavadyke.decisions.chunkrun import Commit, RunItem, Step, WriteState
+from guavadyke.errors import GuavadykeError, ObjectConflictError
+from guavadyke.log import EventLogger
+from guavadyke.settings import BatchSettings
+
+_LARGEST_RESPONSE_BYTES = 384 * 1024
+
+
+class StepPerformer:
+    """Carries out steps; safe for many threads.
+
+    Args:
+        settings: settings of batch work.
+        holdings: chunks of this host.
+        runner: runs single items.
+        store: the platform.
+        logger: told of faults.
+    """
+
+    def __init__(
+        self,
+        settings: BatchSettings,
+        holdings: Holdings,
+        runner: ItemRunner,
+        store: SettledStore,
+        logger: EventLogger,
+    ) -> None:
+        self._settings = settings
+        self._holdings = holdings
+        self._runner = runner
+        self._store = store
+        self._logger = logger
+        self._written: Callable[[HeldChunk], None] | None = None
+        self._perform = functools.singledispatch(_unknown_step)
+        self._perform.register(RunItem, self._run_item)
+        self._perform.register(WriteState, self._write_state)
+        self._perform.register(Commit, self._commit)
+
+    def subscribe(self, written: Callable[[HeldChunk], None]) -> None:
+        """Call ``written`` with each chunk whose state was written."""
+        self._written = written
+
+    def perform(self, task: Task) -> None:
+        """Carry out a step and report its end to the chunk."""
+        self._perform(task.step, task.held)
+
+    def _run_item(self, step: RunItem, held: HeldChunk) -> None:
+        ended = self._run(step, held)
+        self._holdings.item_ended(held, step.trial.index, ended)
+
+    def _run(self, step: RunItem, held: HeldChunk) -> ItemResult:
+        try:
+            ended = self._runner.run(
+                self._call(step, held),
+                RunCancellation(
+                    held,
+                    self._holdings,
+                    step.trial.idempotent,
+                ),
+            )
+        except Exception as error:
+            self._logger.error('batch_item_crashed', reason=repr(error))
+            return ItemResult(ItemEnd.retry, reason=repr(error))
+        return _bounded(ended)
+
+    def _call(self, step: RunItem, held: HeldChunk) -> ItemCall:
+        index = step.trial.index
+        item = held.items[index]
+        nonce = uuid.uuid4().hex[:8]
+        return ItemCall(
+            request_id=f'{held.name}.{index}.{nonce}',
+            job_id=held.job.job_id,
+            entry_name=held.job.entry_name,
+            owner=held.job.owner,
+            body=json.dumps(item.body).encode(),
+            idempotent=item.idempotent,
+            due=held.job.due,
+            timeout_s=self._settings.item_timeout_s,
+            partial=step.trial.partial,
+        )
+
+    def _write_state(self, step: WriteState, held: HeldChunk) -> None:
+        self._write(held, lambda: step.state)
+
+    def _commit(self, step: Commit, held: HeldChunk) -> None:
+        self._write(held, lambda: self._committed(step, held))
+
+    def _committed(self, step: Commit, held: HeldChunk) -> ledger.ChunkState:
+        """Write the results; return the state that refers to them."""
+        state = held.run.state
+        if step.outcomes:
+            part = self._write_part(step, held)
+            state = ledger.add_part(state, part, step.outcomes)
+        if step.final:
+            return ledger.finish(state)
+        if step.released:
+            return ledger.release(
+                state,
+                held.run.board.attempts(),
+                held.run.board.partials(),
+            )
+        return state
+
+    def _write_part(self, step: Commit, held: HeldChunk) -> str:
+        indexes = tuple(outcome.index for outcome in step.outcomes)
+        if held.part and held.part_items == indexes:
+            return held.part
+        name = part_name(held.job.job_id, held.index, uuid.uuid4().hex[:12])
+        self._store.create(RESULT_KIND, name, encode_part(step.outcomes))
+        held.part = name
+        held.part_items = indexes
+        return name
+
+    def _write(
+        self,
+        held: HeldChunk,
+        next_state: Callable[[], ledger.ChunkState],
+    ) -> None:
+        try:
+            self._write_once(held, next_state)
+        except ObjectConflictError:
+            self._reconcile(held)
+        except GuavadykeError as error:
+            self._logger.warning(
+                'batch_write_postponed',
+                chunk=held.name,
+                reason=error.message,
+            )
+            self._holdings.postpone(held)
+
+    def _write_once(
+        self,
+        held: HeldChunk,
+        next_state: Callable[[], ledger.ChunkState],
+    ) -> None:
+        state = next_state()
+        stored = self._store.update(held.stored, encode_chunk(state))
+        self._holdings.written(held, stored, state)
+        if self._written is not None:
+            self._written(held)
+
+    def _reconcile(self, held: HeldChunk) -> None:
+        """Adopt an own earlier write that was in doubt, or drop the chunk."""
+        try:
+            stored = self._store.read(CHUNK_KIND, held.name)
+        except GuavadykeError:
+            self._holdings.postpone(held)
+            return
+        if stored is None:
+            self._holdings.drop(held)
+            return
+        state = decode_chunk(stored.body)
+        if state.holder == held.holder:
+            self._holdings.written(held, stored, state)
+            return
+        self._logger.warning(
+            'chunk_lost',
+            chunk=held.name,
+            holder=state.holder,
+        )
+        self._holdings.drop(held)
+
+
+def _unknown_step(step: Step, held: HeldChunk) -> None:
+    raise TypeError(f'{held.name}: {step!r}')
+
+
+def _bounded(ended: ItemResult) -> ItemResult:
+    size = len(json.dumps(ended.response))
+    if size <= _LARGEST_RESPONSE_BYTES:
+        return ended
+    return dataclasses.replace(
+        ended,
+        end=ItemEnd.rejected,
+        response=None,
+        reason=f'the response has {size} bytes, which is too large to keep',
+    )
--- a/guavadyke/controllers/batch_workers.py
+++ b/guavadyke/controllers/batch_workers.py
@@ -1,99 +1,57 @@
-"""Workers: they run items of held chunks and write what became of them."""
+"""Threads that carry out the tasks of held chunks."""
 
 from __future__ import annotations
 
-import dataclasses
-import functools
-import json
 import threading
-import uuid
-from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 
-from guavadyke.adapters.ports import (
-    Clock,
-    ItemCall,
-    ItemEnd,
-    ItemResult,
-    ItemRunner,
-)
-from guavadyke.adapters.settled import SettledStore
-from guavadyke.controllers.batch_held import (
-    HeldChunk,
-    Holdings,
-    RunCancellation,
-)
-from guavadyke.controllers.batch_records import (
-    CHUNK_KIND,
-    RESULT_KIND,
-    decode_chunk,
-    encode_chunk,
-    encode_part,
-    part_name,
-)
-from guavadyke.decisions import ledger
-from guavadyke.decisions.chunkrun import Commit, RunItem, Step, WriteState
-from guavadyke.errors import GuavadykeError, ObjectConflictError
+from guavadyke.controllers.batch_held import Holdings, Task
+from guavadyke.controllers.batch_steps import StepPerformer
 from guavadyke.log import EventLogger
-from guavadyke.settings import EntrySettings
+from guavadyke.settings import BatchSettings
 
-_IDLE_WAIT_S = 0.05
-_LARGEST_RESPONSE_BYTES = 384 * 1024
+_BUSY_WAIT_S = 0.05
+_IDLE_WAIT_S = 1.0
 
 
 class Workers:
-    """Carries out tasks of held chunks in threads of its own.
+    """One thread that hands out tasks and many that carry them out.
 
     Args:
-        settings: settings of the host.
+        settings: number of threads.
         holdings: chunks of this host.
-        runner: runs single items.
-        store: the platform.
-        clock: the host's clock.
+        performer: carries out the steps.
         logger: told of faults.
     """
 
     def __init__(
         self,
-        settings: EntrySettings,
+        settings: BatchSettings,
         holdings: Holdings,
-        runner: ItemRunner,
-        store: SettledStore,
-        clock: Clock,
+        performer: StepPerformer,
         logger: EventLogger,
     ) -> None:
-        self._settings = settings
         self._holdings = holdings
-        self._runner = runner
-        self._store = store
-        self._clock = clock
+        self._performer = performer
         self._logger = logger
         self._closed = threading.Event()
-        self._threads: list[threading.Thread] = []
-        self._written: Callable[[HeldChunk], None] | None = None
-        self._perform = functools.singledispatch(_unknown_step)
-        self._perform.register(RunItem, self._run_item)
-        self._perform.register(WriteState, self._write_state)
-        self._perform.register(Commit, self._commit)
-
-    def subscribe(self, written: Callable[[HeldChunk], None]) -> None:
-        """Call ``written`` with each chunk whose state was written."""
-        self._written = written
+        self._idle = threading.BoundedSemaphore(settings.workers)
+        self._pool = ThreadPoolExecutor(
+            settings.workers,
+            thread_name_prefix='batch-worker',
+        )
+        self._dispatcher = threading.Thread(
+            target=self._dispatch,
+            name='batch-dispatcher',
+            daemon=True,
+        )
 
     def start(self) -> None:
-        """Start the threads."""
-        self._threads = [
-            threading.Thread(
-                target=self._loop,
-                name=f'batch-worker-{number}',
-                daemon=True,
-            )
-            for number in range(self._settings.batch.workers)
-        ]
-        for thread in self._threads:
-            thread.start()
+        """Start to hand tasks to the threads."""
+        self._dispatcher.start()
 
     def close(self) -> None:
-        """Ask the threads to end after their present task."""
+        """Hand out no more tasks; those in hand end by themselves."""
         self._closed.set()
 
     def turn(self) -> bool:
@@ -101,153 +59,33 @@
         task = self._holdings.next_task()
         if task is None:
             return False
-        self._perform(task.step, task.held)
+        self._performer.perform(task)
         return True
 
-    def _loop(self) -> None:
+    def _dispatch(self) -> None:
+        """Hand tasks to idle threads until closed."""
         while not self._closed.is_set():
-            try:
-                worked = self.turn()
-            except Exception as error:
-                self._logger.error('batch_worker_failed', reason=repr(error))
-                worked = False
-            if not worked:
-                self._holdings.wait(_IDLE_WAIT_S)
-
-    def _run_item(self, step: RunItem, held: HeldChunk) -> None:
-        index = step.trial.index
-        ended = self._run(step, held)
-        now = self._clock.monotonic()
-        withdrawn = ended.end is ItemEnd.cancelled and (
-            self._holdings.is_cancelled(held)
-        )
-        if withdrawn:
-            self._holdings.update(lambda: held.run.item_withdrawn(index))
-        else:
-            self._holdings.update(
-                lambda: held.run.item_ended(index, ended, now),
-            )
-
-    def _run(self, step: RunItem, held: HeldChunk) -> ItemResult:
+            if not self._idle.acquire(timeout=_BUSY_WAIT_S):
+                continue
+            task = self._holdings.next_task()
+            if task is None:
+                self._idle.release()
+                self._holdings.wait(self._idle_wait_s())
+            else:
+                self._pool.submit(self._carry_out, task)
+
+    def _idle_wait_s(self) -> float:
+        return _BUSY_WAIT_S if self._holdings.chunks else _IDLE_WAIT_S
+
+    def _carry_out(self, task: Task) -> None:
         try:
-            ended = self._runner.run(
-                self._call(step, held),
-                RunCancellation(held, self._holdings),
-            )
+            self._performer.perform(task)
         except Exception as error:
-            self._logger.error('batch_item_crashed', reason=repr(error))
-            return ItemResult(ItemEnd.retry, reason=repr(error))
-        return _bounded(ended)
-
-    def _call(self, step: RunItem, held: HeldChunk) -> ItemCall:
-        index = step.trial.index
-        item = held.items[index]
-        nonce = uuid.uuid4().hex[:8]
-        return ItemCall(
-            request_id=f'{held.name}.{index}.{nonce}',
-            job_id=held.job.job_id,
-            entry_name=held.job.entry_name,
-            owner=held.job.owner,
-            body=json.dumps(item.body).encode(),
-            idempotent=item.idempotent,
-            due=held.job.due,
-            timeout_s=self._settings.batch.item_timeout_s,
-            partial=step.trial.partial,
-        )
-
-    def _write_state(self, step: WriteState, held: HeldChunk) -> None:
-        self._write(held, lambda: step.state)
-
-    def _commit(self, step: Commit, held: HeldChunk) -> None:
-        self._write(held, lambda: self._committed(step, held))
-
-    def _committed(self, step: Commit, held: HeldChunk) -> ledger.ChunkState:
-        """Write the results; return the state that refers to them."""
-        state = held.run.state
-        if step.outcomes:
-            part = self._write_part(step, held)
-            state = ledger.add_part(state, part, step.outcomes)
-        if step.final:
-            return ledger.finish(state)
-        if step.released:
-            return ledger.release(
-                state,
-                held.run.board.attempts(),
-                held.run.board.partials(),
-            )
-        return state
-
-    def _write_part(self, step: Commit, held: HeldChunk) -> str:
-        indexes = tuple(outcome.index for outcome in step.outcomes)
-        if held.part and held.part_items == indexes:
-            return held.part
-        name = part_name(held.job.job_id, held.index, uuid.uuid4().hex[:12])
-        self._store.create(RESULT_KIND, name, encode_part(step.outcomes))
-        held.part = name
-        held.part_items = indexes
-        return name
-
-    def _write(
-        self,
-        held: HeldChunk,
-        next_state: Callable[[], ledger.ChunkState],
-    ) -> None:
-        try:
-            self._write_once(held, next_state)
-        except ObjectConflictError:
-            self._reconcile(held)
-        except GuavadykeError as error:
-            self._logger.warning(
-                'batch_write_postponed',
-                chunk=held.name,
-                reason=error.message,
+            self._logger.error(
+                'batch_task_failed',
+                chunk=task.held.name,
+                reason=repr(error),
             )
-            self._holdings.postpone(held)
-
-    def _write_once(
-        self,
-        held: HeldChunk,
-        next_state: Callable[[], ledger.ChunkState],
-    ) -> None:
-        state = next_state()
-        stored = self._store.update(held.stored, encode_chunk(state))
-        self._holdings.written(held, stored, state)
-        if self._written is not None:
-            self._written(held)
-
-    def _reconcile(self, held: HeldChunk) -> None:
-        """Adopt an own earlier write that was in doubt, or drop the chunk."""
-        try:
-            stored = self._store.read(CHUNK_KIND, held.name)
-        except GuavadykeError:
-            self._holdings.postpone(held)
-            return
-        if stored is None:
-            self._holdings.drop(held)
-            return
-        state = decode_chunk(stored.body)
-        if state.holder == held.holder:
-            self._holdings.written(held, stored, state)
-            return
-        self._logger.warning(
-            'chunk_lost',
-            chunk=held.name,
-            holder=state.holder,
-        )
-        self._holdings.drop(held)
-
-
-def _unknown_step(step: Step, held: HeldChunk) -> None:
-    raise TypeError(f'{held.name}: {step!r}')
-
-
-def _bounded(ended: ItemResult) -> ItemResult:
-    size = len(json.dumps(ended.response))
-    if size <= _LARGEST_RESPONSE_BYTES:
-        return ended
-    return dataclasses.replace(
-        ended,
-        end=ItemEnd.rejected,
-        response=None,
-        reason=f'the response has {size} bytes, which is too large to keep',
-    )
+            self._holdings.postpone(task.held)
+        finally:
+            self._idle.release()
