--- a/guavadyke/batch.py
+++ b/guavadyke/batch.py
@@ -133,6 +133,7 @@
     def close(self) -> None:
         """Stop all work; what is held is taken over after the lease."""
         self._claimer.stop()
+        self._holdings.stop(preempt=True)
         self._loops.close()
         self._workers.close()
 
--- a/guavadyke/cli.py
+++ b/guavadyke/cli.py
@@ -16,6 +16,7 @@
 
 _EXIT_SETTINGS = 2
 _MODULES = types.MappingProxyType({
+    'batch': 'guavadyke.cli_batch',
     'standin': 'guavadyke.cli_standin',
 })
 
--- a/guavadyke/controllers/batch_workers.py
+++ b/guavadyke/controllers/batch_workers.py
@@ -53,14 +53,7 @@
     def close(self) -> None:
         """Hand out no more tasks; those in hand end by themselves."""
         self._closed.set()
-
-    def turn(self) -> bool:
-        """Carry out one task; return whether there was one."""
-        task = self._holdings.next_task()
-        if task is None:
-            return False
-        self._performer.perform(task)
-        return True
+        self._pool.shutdown(wait=False, cancel_futures=True)
 
     def _dispatch(self) -> None:
         """Hand tasks to idle threads until closed."""
@@ -71,8 +64,16 @@
             if task is None:
                 self._idle.release()
                 self._holdings.wait(self._idle_wait_s())
-            else:
-                self._pool.submit(self._carry_out, task)
+            elif not self._submitted(task):
+                return
+
+    def _submitted(self, task: Task) -> bool:
+        """Give a task to a thread; return False after the close."""
+        try:
+            self._pool.submit(self._carry_out, task)
+        except RuntimeError:
+            return False
+        return True
 
     def _idle_wait_s(self) -> float:
         return _BUSY_WAIT_S if self._holdings.chunks else _IDLE_WAIT_S
--- a/guavadyke/decisions/schedule.py
+++ b/guavadyke/decisions/schedule.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+import hashlib
 import itertools
 from collections.abc import Iterable, Sequence
 
-from guavadyke.decisions.rendezvous import score
-
 _GATE_GROWTH = 4
 _MOST_LOOKS = 8
+_WEIGHT_BYTES = 8
 
 
 @dataclasses.dataclass(frozen=True)
@@ -54,10 +54,17 @@
 
 def rank(name: str, host_id: str, hosts: Iterable[str]) -> int:
     """Return how many live hosts come before this one for an object."""
-    own = score(name, host_id)
-    return sum(score(name, other) > own for other in hosts if other != host_id)
+    own = _weight(name, host_id)
+    return sum(
+        _weight(name, other) > own for other in hosts if other != host_id
+    )
 
 
 def rank_allowed(looks: int) -> int:
     """Return the ranks that may try after so many looks in vain."""
     return int(_GATE_GROWTH ** min(looks, _MOST_LOOKS))
+
+
+def _weight(name: str, host_id: str) -> bytes:
+    text = f'{name}\0{host_id}'.encode()
+    return hashlib.blake2b(text, digest_size=_WEIGHT_BYTES).digest()
