Share the platform's call rates among the live entry hosts

Cause: a fixed rate of 20 writes a second for each host is 7,800 at 390 hosts, 26 times what the platform gives. Change: the settings name the rates of the whole fleet; a host's share is that divided by the live hosts, with a burst so that one host can take a large job. Result: 100 hosts at 300 writes/s, burst 10: 40 writes take 10.0 s on a stepped clock (10 at once, 30 at 3/s).

--- a/features/path_demo.feature
+++ b/features/path_demo.feature
@@ -18,3 +18,8 @@
     Given a platform stand-in and calls that may take 0.2 seconds
     When an object is watched for 0.6 seconds without a change
     Then the watch ends without an event
+
+  Scenario: calls to the platform are shared by the live entry hosts
+    Given 100 entry hosts that share 300 writes a second, 10 of them at once
+    When one of them writes 40 objects
+    Then its writes took 10 seconds
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -14,7 +14,7 @@
 from behave.runner import Context
 
 from features import builders
-from guavadyke.adapters.platform import HttpPlatformStore
+from guavadyke.adapters.platform import BudgetedStore, HttpPlatformStore
 from guavadyke.demo import run_demo
 from guavadyke.settings import PlatformSettings
 from guavadyke.standins.platform import PlatformStandin
@@ -94,3 +94,57 @@
 def step_watch_ended(context: Context) -> None:
     assert context.watched.events == ()
     assert not context.watched.expired
+
+
+class _SteppedClock:
+    """A clock that only sleeping moves."""
+
+    def __init__(self) -> None:
+        self.now = float()
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return self.now
+
+    def sleep(self, seconds: float) -> None:
+        self.now += seconds
+
+
+@given(
+    '{hosts:d} entry hosts that share {rate:d} writes a second, '
+    '{burst:d} of them at once',
+)
+def step_shared_budget(
+    context: Context,
+    hosts: int,
+    rate: int,
+    burst: int,
+) -> None:
+    platform = PlatformStandin(ip='127.0.0.1')
+    platform.start()
+    context.add_cleanup(platform.close)
+    settings = PlatformSettings(
+        url=f'http://{platform.address}',
+        fleet_writes_per_s=rate,
+        burst_calls=burst,
+    )
+    context.stepped_clock = _SteppedClock()
+    context.budgeted = BudgetedStore(
+        HttpPlatformStore(settings),
+        settings,
+        context.stepped_clock,
+        lambda: hosts,
+    )
+
+
+@when('one of them writes {count:d} objects')
+def step_write_objects(context: Context, count: int) -> None:
+    for number in range(count):
+        context.budgeted.create('job', f'job-{number}', b'1')
+
+
+@then('its writes took {seconds:d} seconds')
+def step_writes_took(context: Context, seconds: int) -> None:
+    assert round(context.stepped_clock.now, 6) == seconds
--- a/guavadyke/adapters/platform.py
+++ b/guavadyke/adapters/platform.py
@@ -4,7 +4,7 @@
 
 import base64
 import threading
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Annotated, TypeVar
 from urllib.parse import quote, urlencode
 
@@ -178,15 +178,17 @@
 
 
 class BudgetedStore:
-    """A platform store whose calls keep within a host's own rates.
+    """A platform store whose calls keep within a host's share of rates.
 
-    A call that would have to wait longer than the timeout of a call is
-    not made and raises ``PlatformUnavailableError``.
+    The share is the fleet's rate divided by the live entry hosts. A call
+    that would have to wait longer than the timeout of a call is not made
+    and raises ``PlatformUnavailableError``.
 
     Args:
         store: the store that makes the calls.
-        settings: rates and timeout.
+        settings: rates of the whole fleet, burst and timeout.
         clock: tells the time and waits.
+        hosts: returns how many entry hosts are alive, this one included.
     """
 
     def __init__(
@@ -194,10 +196,19 @@
         store: PlatformStore,
         settings: PlatformSettings,
         clock: Clock,
+        hosts: Callable[[], int],
     ) -> None:
         self._store = store
-        self._reads = _Bucket(settings.reads_per_s, settings, clock)
-        self._writes = _Bucket(settings.writes_per_s, settings, clock)
+        self._reads = _Bucket(
+            lambda: settings.fleet_reads_per_s / hosts(),
+            settings,
+            clock,
+        )
+        self._writes = _Bucket(
+            lambda: settings.fleet_writes_per_s / hosts(),
+            settings,
+            clock,
+        )
 
     def read(self, kind: str, name: str) -> StoredObject | None:
         """Return the object, or None when it is absent."""
@@ -268,16 +279,16 @@
 
 
 class _Bucket:
-    """Tokens that fill at a rate, up to those of one second."""
+    """Tokens that fill at a rate, up to those of one burst."""
 
     def __init__(
         self,
-        rate_per_s: float,
+        rate_per_s: Callable[[], float],
         settings: PlatformSettings,
         clock: Clock,
     ) -> None:
         self._rate_per_s = rate_per_s
-        self._capacity = max(1, rate_per_s)
+        self._capacity = float(settings.burst_calls)
         self._longest_s = settings.call_timeout_s
         self._clock = clock
         self._lock = threading.Lock()
@@ -297,10 +308,11 @@
     def _reserve(self) -> float:
         with self._lock:
             now = self._clock.monotonic()
-            filled = self._tokens + (now - self._filled_at) * self._rate_per_s
+            rate_per_s = self._rate_per_s()
+            filled = self._tokens + (now - self._filled_at) * rate_per_s
             self._filled_at = now
             self._tokens = min(self._capacity, filled)
-            wait_s = (1 - self._tokens) / self._rate_per_s
+            wait_s = (1 - self._tokens) / rate_per_s
             if wait_s > self._longest_s:
                 raise PlatformUnavailableError(
                     'this host has used up its calls to the platform',
--- a/guavadyke/entry.py
+++ b/guavadyke/entry.py
@@ -26,6 +26,7 @@
 from guavadyke.settings import EntrySettings
 
 _OPERATOR_BODY_BYTES = 1_048_576
+_ALIVE = 'alive'
 _HAND_OVER_THREAD = 'hand-over'
 
 
@@ -53,7 +54,7 @@
             settings,
             self._clock,
             rng,
-            _platform(settings, self._clock),
+            self._platform(),
             servers,
             self._logger,
         )
@@ -140,6 +141,20 @@
         self.online.close()
         self.fleet.close()
 
+    def _platform(self) -> PlatformStore:
+        settings = self._settings
+        return BudgetedStore(
+            HttpPlatformStore(settings.platform, host_id=settings.host_id),
+            settings.platform,
+            self._clock,
+            self._live_hosts,
+        )
+
+    def _live_hosts(self) -> int:
+        """Return how many entry hosts share the platform's rates."""
+        peers = self.fleet.fleet.current.peers
+        return 1 + sum(peer.state == _ALIVE for peer in peers)
+
     def _serve_callers(self) -> HttpServer:
         caller = self._settings.caller
         routes = [*self.online.routes(), *self.batch.routes()]
@@ -182,11 +197,6 @@
         ]
 
 
-def _platform(settings: EntrySettings, clock: Clock) -> PlatformStore:
-    direct = HttpPlatformStore(settings.platform, host_id=settings.host_id)
-    return BudgetedStore(direct, settings.platform, clock)
-
-
 def run_daemon(settings: EntrySettings) -> bool:
     """Run an entry host until SIGTERM or SIGINT, then stop it as planned.
 
--- a/guavadyke/measure/embedded_target.py
+++ b/guavadyke/measure/embedded_target.py
@@ -8,12 +8,12 @@
 
 from guavadyke.embedded import (
     CALLER_KEY,
-    CHAT_ENTRY,
     OPERATOR_TOKEN,
     EmbeddedFleet,
     EmbeddedPlan,
 )
 from guavadyke.measure.target import Target
+from guavadyke.trial_catalogue import CHAT_ENTRY
 
 
 @contextlib.contextmanager
--- a/guavadyke/settings.py
+++ b/guavadyke/settings.py
@@ -164,13 +164,17 @@
         default=60,
         description='Seconds between full lists, since a watch can go silent.',
     )
-    writes_per_s: Positive = pydantic.Field(
-        default=20,
-        description='Writes a second that this host allows itself.',
+    fleet_writes_per_s: Positive = pydantic.Field(
+        default=300,
+        description='Writes a second of all entry hosts together.',
+    )
+    fleet_reads_per_s: Positive = pydantic.Field(
+        default=2000,
+        description='Reads a second of all entry hosts together.',
     )
-    reads_per_s: Positive = pydantic.Field(
-        default=100,
-        description='Reads a second that this host allows itself.',
+    burst_calls: Count = pydantic.Field(
+        default=200,
+        description='Calls that a host may save up and make at once.',
     )
 
 
