Check a zone without the platform, and the platform's absence, on processes

Cause: cut zones were shown between parts, not on daemons with callers. Change: a scenario cuts both hosts of one zone from the platform: chats, a catalogue edit, a batch job and a reservation go on through peers; one takes the platform away: batch and reservation are refused as not run, chats go on.

--- a/features/path_failures.feature
+++ b/features/path_failures.feature
@@ -21,3 +21,20 @@
     And each completed item has its own whole answer
     And no item that is not idempotent ran twice
     And no item ended unknown
+
+  Scenario: a zone that is cut off from the platform goes on with everything
+    Given a fleet of processes with callers that ask all the time
+    When the hosts of "cali-norte" no longer reach the platform
+    And the limit of "chat" is set to 77 requests at a host of "cali-sur"
+    Then every host has the limit of 77 in force
+    And a batch of 40 items of which 2 are bad and 4 are not idempotent
+    And every item of the batch has one outcome, the same on every host
+    And a reservation at a host of "cali-norte" runs once
+    And no caller got an error
+
+  Scenario: nothing runs that the platform's absence forbids
+    Given a fleet of processes with callers that ask all the time
+    When the platform is away
+    Then a batch job is refused as not run
+    And a reservation is refused as not run and did not run
+    And no caller of a chat got an error
--- a/features/steps/path_failures_steps.py
+++ b/features/steps/path_failures_steps.py
@@ -9,13 +9,13 @@
 import uuid
 from typing import Any
 
-from behave import given, then, when
+from behave import given, step, then, when
 from behave.runner import Context
 
 from features.builders_processes import LEASE_S, ProcessFleet, wait_until
 from features.caller_load import CallerLoad, chat_document, expected_answer
 from guavadyke.errors import ErrorCode, GuavadykeError, Run
-from guavadyke.trial_catalogue import CHAT_ENTRY
+from guavadyke.trial_catalogue import CHAT_ENTRY, SERVICE_ENTRY
 
 _CALLERS = 4
 _SUBMITTER = 'cali-sur-2'
@@ -35,7 +35,7 @@
     context.caller_load.start()
 
 
-@given(
+@step(
     'a batch of {items:d} items of which {bad:d} are bad '
     'and {once:d} are not idempotent',
 )
@@ -221,3 +221,120 @@
         if record['operation'] == 'completion'
         and record['outcome'] not in {'refused', 'rejected'}
     )
+
+
+@when('the hosts of "{zone}" no longer reach the platform')
+def step_cut_zone(context: Context, zone: str) -> None:
+    fleet = context.process_fleet
+    cut = [host_id for host_id, at in fleet.hosts.items() if at.zone == zone]
+    fleet.fault('platform', cut_hosts=cut)
+    context.cut_host = cut[0]
+
+
+@when(
+    'the limit of "{entry}" is set to {limit:d} requests at a host of "{zone}"',
+)
+def step_set_limit(
+    context: Context,
+    entry: str,
+    limit: int,
+    zone: str,
+) -> None:
+    fleet = context.process_fleet
+    host_id = next(
+        name for name, ports in fleet.hosts.items() if ports.zone == zone
+    )
+    operator = fleet.operator(host_id)
+    path = f'/operator/catalogue/{entry}'
+    shown = operator.expect('GET', path)
+    document = _entry_of(shown.document())
+    document['limits'] = {**document['limits'], 'concurrency': limit}
+    body = json.dumps(document).encode()
+    operator.expect('PUT', path, body, {'If-Match': shown.headers['etag']})
+
+
+@then('every host has the limit of {limit:d} in force')
+def step_limit_in_force(context: Context, limit: int) -> None:
+    fleet = context.process_fleet
+    behind = {
+        host_id
+        for host_id in fleet.hosts
+        if not wait_until(
+            functools.partial(_has_limit, fleet, host_id, limit),
+            _BATCH_TIMEOUT_S,
+        )
+    }
+    assert not behind, behind
+
+
+@then('a reservation at a host of "{zone}" runs once')
+def step_reservation_in_zone(context: Context, zone: str) -> None:
+    fleet = context.process_fleet
+    assert fleet.hosts[context.cut_host].zone == zone
+    path = f'/v1/services/{SERVICE_ENTRY}/cut-zone'
+    headers = {'Idempotency-Key': 'cut-zone'}
+    client = fleet.caller(context.cut_host)
+    answers = [
+        client.expect('POST', path, b'{}', headers).body for _ in range(2)
+    ]
+    assert answers[0] == answers[1], answers
+    assert _service_runs(context, 'cut-zone') == 1
+
+
+@when('the platform is away')
+def step_platform_away(context: Context) -> None:
+    context.process_fleet.fault('platform', outage='refuse')
+
+
+@then('a batch job is refused as not run')
+def step_batch_refused(context: Context) -> None:
+    answer = context.process_fleet.caller(_SUBMITTER).call(
+        'POST',
+        f'/v1/batches?entry={CHAT_ENTRY}',
+        _line(1, 0, 0),
+    )
+    error = answer.document()['error']
+    assert error['code'] == 'platform_unavailable', error
+    assert error['run'] == 'not_run', error
+
+
+@then('a reservation is refused as not run and did not run')
+def step_reservation_refused(context: Context) -> None:
+    answer = context.process_fleet.caller(_SUBMITTER).call(
+        'POST',
+        f'/v1/services/{SERVICE_ENTRY}/away',
+        b'{}',
+        {'Idempotency-Key': 'away'},
+    )
+    assert answer.document()['error']['run'] == 'not_run', answer.body
+    assert not _service_runs(context, 'away')
+
+
+@then('no caller of a chat got an error')
+def step_chats_answered(context: Context) -> None:
+    time.sleep(_RUN_BEFORE_S)
+    context.caller_load.end()
+    chats = [
+        one for one in context.caller_load.told if one.kind != 'reservation'
+    ]
+    assert chats, 'nobody asked for a chat'
+    failed = [one for one in chats if one.run is not None]
+    assert not failed, failed[:5]
+
+
+def _entry_of(document: dict[str, Any]) -> dict[str, Any]:
+    entry: dict[str, Any] = document.get('entry', document)
+    return entry
+
+
+def _has_limit(fleet: ProcessFleet, host_id: str, limit: int) -> bool:
+    shown = fleet.operator(host_id).expect('GET', '/operator/catalogue/chat')
+    limits = _entry_of(shown.document())['limits']
+    return bool(limits['concurrency'] == limit)
+
+
+def _service_runs(context: Context, name: str) -> int:
+    return sum(
+        record['path'].endswith(f'/{name}')
+        for record in context.process_fleet.history('service')
+    )
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -99,8 +99,8 @@
 class _SteppedClock:
     """A clock that only sleeping moves."""
 
-    def __init__(self) -> None:
-        self.now = float()
+    def __init__(self, now: float = 0) -> None:
+        self.now = now
 
     def monotonic(self) -> float:
         return self.now
