--- a/features/steps/outside_platform_steps.py
+++ b/features/steps/outside_platform_steps.py
@@ -156,8 +156,7 @@
 def step_watches(context: Context, count: int) -> None:
     context.answers = []
     threads = [
-        threading.Thread(target=_watch, args=(context,))
-        for _number in range(count)
+        threading.Thread(target=_watch, args=(context,)) for _ in range(count)
     ]
     for thread in threads:
         thread.start()
--- a/guavadyke/adapters/settled.py
+++ b/guavadyke/adapters/settled.py
@@ -35,7 +35,7 @@
 
 def pack(body: bytes, writers: tuple[str, ...]) -> bytes:
     """Return the body with the line of its writers before it."""
-    head = json.dumps({'writers': writers[:_KEPT_WRITERS]})
+    head = json.dumps({'writers': _kept(writers)})
     return b'\n'.join((head.encode(), body))
 
 
@@ -131,7 +131,7 @@
         packed = pack(body, (nonce,))
         written = self._settle(
             lambda: self._store.create(kind, name, packed),
-            lambda: self._written(kind, name, nonce, 0),
+            lambda: self._written(StoredObject(kind, name, 0, b''), nonce),
         )
         return dataclasses.replace(written, body=body, writers=(nonce,))
 
@@ -143,12 +143,12 @@
             PlatformOutcomeUnknownError: it could not be settled.
         """
         nonce = uuid.uuid4().hex
-        writers = (nonce, *previous.writers)[:_KEPT_WRITERS]
+        writers = _kept((nonce, *previous.writers))
         packed = pack(body, writers)
         kind, name = previous.kind, previous.name
         written = self._settle(
             lambda: self._store.update(kind, name, packed, previous.version),
-            lambda: self._written(kind, name, nonce, previous.version),
+            lambda: self._written(previous, nonce),
         )
         return dataclasses.replace(written, body=body, writers=writers)
 
@@ -189,19 +189,33 @@
 
     def _written(
         self,
-        kind: str,
-        name: str,
+        previous: StoredObject,
         nonce: str,
-        expected_version: int,
     ) -> StoredObject | None:
-        """Return what the write left, None where it had no effect yet."""
+        """Return what the write left, None where it had no effect yet.
+
+        A write that another has followed counts, but with the version
+        that it replaced, so that its writer cannot undo what followed.
+
+        Raises:
+            ObjectConflictError: it had no effect and never will.
+            PlatformOutcomeUnknownError: what is stored does not tell.
+        """
+        kind, name = previous.kind, previous.name
         stored = self._store.read(kind, name)
-        if stored is not None and nonce in _readable(stored).writers:
-            return stored
         current = 0 if stored is None else stored.version
-        if current == expected_version:
+        if current == previous.version:
             return None
-        raise ObjectConflictError(f'{kind}/{name} was replaced', current)
+        writers = () if stored is None else _readable(stored).writers
+        if stored is not None and nonce in writers:
+            newest = nonce == writers[0]
+            version = current if newest else previous.version
+            return dataclasses.replace(stored, version=version)
+        if _known_since(previous, writers):
+            raise ObjectConflictError(f'{kind}/{name} was replaced', current)
+        raise PlatformOutcomeUnknownError(
+            f'{kind}/{name} was replaced too often to tell by whom',
+        )
 
     def _settle(
         self,
@@ -254,3 +268,17 @@
     if event.current is None:
         return event
     return dataclasses.replace(event, current=_readable(event.current))
+
+
+def _known_since(previous: StoredObject, writers: tuple[str, ...]) -> bool:
+    """Return whether the writers are all that wrote since ``previous``."""
+    if len(writers) < _KEPT_WRITERS or not previous.version:
+        return True
+    return any(one in writers[:-1] for one in previous.writers[:1])
+
+
+def _kept(writers: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the newest writers and the one that created the object."""
+    if len(writers) <= _KEPT_WRITERS:
+        return writers
+    return (*writers[: _KEPT_WRITERS - 1], writers[-1])
--- a/guavadyke/cli_standin.py
+++ b/guavadyke/cli_standin.py
@@ -16,6 +16,7 @@
 from guavadyke.standins.orders import LoadedModel, WeightSource
 from guavadyke.standins.platform import PlatformStandin
 from guavadyke.standins.service import ServiceStandin
+from guavadyke.standins.weights import WeightSpec
 
 _EXIT_ADDRESS = 1
 _MS_PER_S = 1000
@@ -83,7 +84,7 @@
             PlatformStandin,
             ip=ip,
             port=port,
-            weight_bytes_per_s=weight_bytes_per_s,
+            weights=WeightSpec(bytes_per_s=weight_bytes_per_s),
         ),
     )
 
--- a/guavadyke/standins/engine.py
+++ b/guavadyke/standins/engine.py
@@ -103,6 +103,11 @@
         """What has come of the orders."""
         return self._desk
 
+    @property
+    def cache(self) -> PrefixCache:
+        """The prompts that need not be read again."""
+        return self._cache
+
     @property
     def batch(self) -> Batch:
         """The requests that run and wait."""
--- a/guavadyke/standins/http.py
+++ b/guavadyke/standins/http.py
@@ -16,6 +16,7 @@
 from waitress.channel import ClientDisconnected, HTTPChannel
 from waitress.server import create_server
 from waitress.task import ThreadedTaskDispatcher, WSGITask
+from waitress.wasyncore import dispatcher
 
 from guavadyke.errors import ErrorCode, GuavadykeError
 
@@ -67,6 +68,12 @@
         """Whether the caller has left or the stand-in is closing."""
         return not self._task.channel.connected or self._closing.is_set()
 
+    @property
+    def name(self) -> str:
+        """The caller's IP address and port."""
+        host, port = self._task.channel.addr[:2]
+        return f'{host}:{port}'
+
     def bind(self, start_response: Callable[..., Write]) -> None:
         """Set what begins an answer."""
         self._start_response = start_response
@@ -209,13 +216,13 @@
         self._ip = ip
         self._handler = handler
         self._closing = threading.Event()
-        dispatcher = _GrowingDispatcher()
-        dispatcher.set_thread_count(_FIRST_THREADS)
+        threads = _GrowingDispatcher()
+        threads.set_thread_count(_FIRST_THREADS)
         try:
             self._server = create_server(
                 self._serve,
                 map={},
-                _dispatcher=dispatcher,
+                _dispatcher=threads,
                 host=ip,
                 port=port,
                 connection_limit=_CONNECTIONS,
@@ -228,7 +235,7 @@
                 ident='standin',
             )
         except OSError as error:
-            dispatcher.shutdown()
+            threads.shutdown()
             raise GuavadykeError(
                 ErrorCode.address_in_use,
                 f'{ip}:{port} cannot be listened on: {error}',
@@ -260,8 +267,10 @@
             self._server.trigger.pull_trigger(self._drop_all)
             self._thread.join(_JOIN_S)
         else:
-            self._server.close()
-        self._server.task_dispatcher.shutdown()
+            self._drop_all()
+        # Threads that still serve write to the trigger, so it goes last.
+        if self._server.task_dispatcher.shutdown():
+            self._server.trigger.close()
 
     def _run(self) -> None:
         self._server.run()
@@ -274,7 +283,8 @@
                 _NO_LINGER,
             )
             channel.handle_close()
-        self._server.close()
+        self._server.trigger.del_channel()
+        dispatcher.close(self._server)
 
     def _serve(
         self,
--- a/guavadyke/standins/platform.py
+++ b/guavadyke/standins/platform.py
@@ -20,6 +20,7 @@
 )
 from guavadyke.standins.object_api import ObjectApi
 from guavadyke.standins.objects import ObjectTable, TableSnapshot
+from guavadyke.standins.weights import WeightSpec, WeightStore
 
 _FIRST_ERROR = 400
 _KEPT_HOST_LISTS = 100
@@ -50,7 +51,7 @@
         ip: IP address to listen on.
         port: port to listen on; 0 takes any free one.
         faults: faults from the start.
-        weight_bytes_per_s: rate of the weight store over all readers.
+        weights: what the weight store is like.
     """
 
     def __init__(
@@ -59,7 +60,7 @@
         ip: str,
         port: int = 0,
         faults: PlatformFaults | None = None,
-        weight_bytes_per_s: float = 1e9,
+        weights: WeightSpec | None = None,
     ) -> None:
         self._table = ObjectTable()
         self._kept: TableSnapshot | None = None
@@ -84,6 +85,8 @@
             GET=self._call('watch', self._api.watch),
         )
         self._route('/hosts', GET=self._call('hosts', self._list_hosts))
+        store = WeightStore(weights or WeightSpec())
+        self._route('/weights/[^/]+/[^/]+', GET=store.send)
 
     @property
     def counts(self) -> dict[str, int]:
--- a/guavadyke/standins/service.py
+++ b/guavadyke/standins/service.py
@@ -84,6 +84,7 @@
             request_id=request.headers.get('x-request-id', ''),
             host_id=request.headers.get('guavadyke-host', ''),
             idempotency_key=request.headers.get('idempotency-key', ''),
+            connection=request.connection.name,
         )
 
     def _answer(
