--- a/features/outside_settled.feature
+++ b/features/outside_settled.feature
@@ -77,6 +77,6 @@
 
   Scenario: a host keeps within its own budget of calls
     Given a platform stand-in with a store
-    And a budget of 2 reads and 1 write a second with a timeout of 0.5 s
+    And 2 hosts that share 4 reads and 2 writes a second, without a burst
     When 4 reads and 3 writes are made at once
-    Then 3 reads and 1 write reached the platform and the rest were refused
+    Then 2 reads and 1 write reached the platform and the rest were refused
--- a/features/steps/outside_settled_steps.py
+++ b/features/steps/outside_settled_steps.py
@@ -161,23 +161,28 @@
 
 
 @given(
-    'a budget of {reads:d} reads and {writes:d} write a second'
-    ' with a timeout of {seconds:g} s',
+    '{hosts:d} hosts that share {reads:d} reads and {writes:d} writes a second,'
+    ' without a burst',
 )
 def step_budget(
     context: Context,
+    hosts: int,
     reads: int,
     writes: int,
-    seconds: float,
 ) -> None:
     settings = builders.platform_settings(context.platform).model_copy(
         update={
-            'reads_per_s': reads,
-            'writes_per_s': writes,
-            'call_timeout_s': seconds,
+            'fleet_reads_per_s': reads,
+            'fleet_writes_per_s': writes,
+            'burst_calls': 1,
         },
     )
-    context.budgeted = BudgetedStore(context.store, settings, SystemClock())
+    context.budgeted = BudgetedStore(
+        context.store,
+        settings,
+        SystemClock(),
+        lambda: hosts,
+    )
 
 
 @when('{reads:d} reads and {writes:d} writes are made at once')
