--- a/features/builders_measure.py
+++ b/features/builders_measure.py
@@ -11,10 +11,9 @@
 from guavadyke.filters.base import Answer, Exchange, Handler
 from guavadyke.http import (
     HttpApplication,
-    HttpServer,
-    HttpServerSettings,
     Route,
 )
+from guavadyke.http_server import HttpServer, HttpServerSettings
 from guavadyke.log import EventLogger
 from guavadyke.measure.client import StreamRequest
 from guavadyke.measure.report import Report, figure
--- a/features/builders_online_bench.py
+++ b/features/builders_online_bench.py
@@ -21,7 +21,8 @@
 from guavadyke.adapters.ports import PeerNotice
 from guavadyke.adapters.settled import SettledStore
 from guavadyke.catalogue import parse_entry
-from guavadyke.http import HttpApplication, HttpServer, HttpServerSettings
+from guavadyke.http import HttpApplication
+from guavadyke.http_server import HttpServer, HttpServerSettings
 from guavadyke.log import EventLogger
 from guavadyke.online import OnlineService
 from guavadyke.settings import EntrySettings, ListenSettings
