Show what a batch host may do when it cannot be sure

Cause: the machine reaches a silent watch beside a cancel, a lease that is not renewed and a claim cut short too rarely to prove them. Change: seven scenarios on the simulated fleet for these cases.

--- /dev/null
+++ b/features/batch_leases.feature
@@ -0,0 +1,43 @@
+Feature: What a batch host may do when it cannot be sure
+
+  Scenario: a host that hears of no cancel starts nothing after the lease
+    Given a simulated batch fleet with a job of 40 items at "entry-1"
+    When watches of "entry-1" fall silent
+    And the simulated batch is cancelled at "entry-2"
+    And 16 seconds pass for the batch fleet
+    Then "entry-1" starts no batch item
+
+  Scenario: a host whose lease is not renewed starts nothing after it
+    Given a simulated batch fleet with a job of 40 items at "entry-1"
+    When writes of "entry-1" are cut off
+    And 13 seconds pass for the batch fleet
+    Then "entry-1" starts no batch item
+    When writes of "entry-1" are mended
+    Then "entry-1" starts batch items again
+
+  Scenario: a paused host that wakes late changes nothing
+    Given a simulated batch fleet with a job of 5 items at "entry-1"
+    When "entry-1" is paused and its batch is completed by others
+    And "entry-1" wakes and its batch items end as failed
+    Then each batch item was read once as completed
+
+  Scenario: a chunk whose input could not be read is begun later
+    Given a simulated batch fleet
+    When "entry-1" is cut off between taking a batch chunk and its input
+    Then the simulated batch ends at "entry-1" alone
+
+  Scenario: a cancel after the last result ends in one story
+    Given a simulated batch fleet with a job of 5 items at "entry-1"
+    When all items are done and the end is not recorded
+    And the simulated batch is cancelled at "entry-2"
+    Then the simulated batch tells one story for good
+
+  Scenario: an item that ends its hosts fails and takes no neighbour with it
+    Given a simulated batch fleet with a job of 5 items at "entry-1"
+    When every host that runs item "job/3" dies
+    Then item "job/3" failed and the other batch items completed
+
+  Scenario: a new host may reuse a name at once and takes over by the lease
+    Given a simulated batch fleet with a job of 5 items at "entry-1"
+    When "entry-1" dies with its batch items in flight
+    Then the simulated batch ends on the new hosts
--- /dev/null
+++ b/features/steps/batch_leases_steps.py
@@ -0,0 +1,248 @@
+"""Steps of batch_leases.feature."""
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features import builders_batch
+from features.machines.batch_fleet import HOSTS, SimulatedFleet
+from guavadyke.adapters.ports import ItemEnd
+
+JOBS = f'/v1/batches?entry={builders_batch.ENTRY}'
+LONGEST_STEPS = 400
+ONE_TURN = 12
+
+
+def _submit(context: Context, count: int, name: str) -> None:
+    lines = [builders_batch.item_line(f'job/{index}') for index in range(count)]
+    status, document = context.simulated.call(
+        name,
+        'POST',
+        JOBS,
+        b'\n'.join(lines),
+        'job',
+    )
+    assert status == 201, document
+    context.count = count
+    context.job = document['id']
+
+
+def _document(context: Context, name: str) -> dict[str, object]:
+    path = f'/v1/batches/{context.job}'
+    status, document = context.simulated.call(name, 'GET', path)
+    assert status == 200, document
+    return dict(document)
+
+
+def _outcomes(context: Context, name: str) -> dict[str, str]:
+    host = context.simulated.hosts[name].host
+    path = f'/v1/batches/{context.job}/results'
+    lines = builders_batch.read_lines(host.call('GET', path)[1])
+    return {str(line['custom_id']): str(line['outcome']) for line in lines}
+
+
+def _run_until_ended(context: Context, name: str) -> None:
+    for _ in range(LONGEST_STEPS):
+        context.simulated.work_all(1)
+        if _document(context, name)['state'] in {'completed', 'cancelled'}:
+            return
+    raise AssertionError(_document(context, name))
+
+
+@given('a simulated batch fleet')
+def step_fleet(context: Context) -> None:
+    context.simulated = SimulatedFleet()
+
+
+@given('a simulated batch fleet with a job of {count:d} items at "{name}"')
+def step_fleet_job(context: Context, count: int, name: str) -> None:
+    context.simulated = SimulatedFleet()
+    for other in HOSTS:
+        context.simulated.hosts[other].paused = other != name
+    _submit(context, count, name)
+    for _ in range(ONE_TURN):
+        context.simulated.clock.now += 1
+        context.simulated.work(name, ONE_TURN)
+        if context.simulated.starts:
+            break
+    assert context.simulated.starts
+    for simulated in context.simulated.hosts.values():
+        simulated.paused = False
+
+
+@when('watches of "{name}" fall silent')
+def step_silent(context: Context, name: str) -> None:
+    context.simulated.hosts[name].faults.cut_watches = True
+
+
+@when('writes of "{name}" are cut off')
+def step_cut_writes(context: Context, name: str) -> None:
+    context.simulated.hosts[name].faults.cut_writes = True
+
+
+@when('writes of "{name}" are mended')
+def step_mend_writes(context: Context, name: str) -> None:
+    context.simulated.hosts[name].faults.mend()
+
+
+@when('the simulated batch is cancelled at "{name}"')
+def step_cancel(context: Context, name: str) -> None:
+    path = f'/v1/batches/{context.job}/cancel'
+    status, document = context.simulated.call(name, 'POST', path)
+    assert status == 200, document
+    context.cancel_answer = document
+
+
+@when('{seconds:d} seconds pass for the batch fleet')
+def step_time(context: Context, seconds: int) -> None:
+    for _ in range(seconds):
+        context.simulated.clock.now += 1
+        context.simulated.work('entry-1', 0)
+
+
+@then('"{name}" starts no batch item')
+def step_no_start(context: Context, name: str) -> None:
+    begun = len(context.simulated.starts)
+    context.simulated.end_items(name, ItemEnd.completed, 4)
+    context.simulated.work(name, ONE_TURN)
+    assert len(context.simulated.starts) == begun
+
+
+@then('"{name}" starts batch items again')
+def step_starts(context: Context, name: str) -> None:
+    begun = len(context.simulated.starts)
+    for _ in range(ONE_TURN):
+        context.simulated.clock.now += 1
+        context.simulated.work(name, ONE_TURN)
+    assert len(context.simulated.starts) > begun
+
+
+@when('"{name}" is paused and its batch is completed by others')
+def step_paused(context: Context, name: str) -> None:
+    context.simulated.hosts[name].paused = True
+    other = next(one for one in HOSTS if one != name)
+    _run_until_ended(context, other)
+    context.first = _outcomes(context, other)
+
+
+@when('"{name}" wakes and its batch items end as failed')
+def step_wakes(context: Context, name: str) -> None:
+    simulated = context.simulated.hosts[name]
+    simulated.paused = False
+    assert simulated.running
+    for task in simulated.running:
+        item = task.held.items[task.step.trial.index]
+        context.simulated.poison.add(item.custom_id)
+    for _ in range(4):
+        context.simulated.end_items(name, ItemEnd.completed, 8)
+        context.simulated.work(name, ONE_TURN)
+        context.simulated.clock.now += 20
+
+
+@then('each batch item was read once as completed')
+def step_once(context: Context) -> None:
+    assert set(context.first.values()) == {'completed'}
+    assert len(context.first) == context.count
+    for name in HOSTS:
+        assert _outcomes(context, name) == context.first
+
+
+@when('"{name}" is cut off between taking a batch chunk and its input')
+def step_cut_between(context: Context, name: str) -> None:
+    _submit(context, 5, name)
+    simulated = context.simulated.hosts[name]
+    for other in HOSTS:
+        context.simulated.hosts[other].paused = other != name
+    platform = context.simulated.platform
+    while not platform.of_kind('chunk'):
+        # One call more each time, until the link breaks behind the claim.
+        context.calls = getattr(context, 'calls', 0) + 1
+        simulated.faults.mend()
+        simulated.faults.cut_after = context.calls
+        context.simulated.clock.now += 1
+        context.simulated.work(name, 0)
+    assert not simulated.host.service._holdings.chunks
+    simulated.faults.mend()
+
+
+@then('the simulated batch ends at "{name}" alone')
+def step_ends_alone(context: Context, name: str) -> None:
+    _run_until_ended(context, name)
+    assert set(_outcomes(context, name).values()) == {'completed'}
+
+
+@when('all items are done and the end is not recorded')
+def step_done_unrecorded(context: Context) -> None:
+    service = context.simulated.hosts['entry-1'].host.service
+    for _ in range(ONE_TURN):
+        context.simulated.end_items('entry-1', ItemEnd.completed, 8)
+        if not service._holdings.chunks:
+            break
+        task = service._holdings.next_task()
+        if task is not None:
+            service._performer.perform(task)
+    assert not service._holdings.chunks
+    context.simulated.hosts['entry-1'].faults.cut_writes = True
+    context.before = _document(context, 'entry-1')
+    assert context.before['counts']['completed'] == context.count
+
+
+@then('the simulated batch tells one story for good')
+def step_one_story(context: Context) -> None:
+    told = context.cancel_answer
+    for name in HOSTS:
+        assert _document(context, name)['state'] == told['state']
+    assert told['state'] in {'completed', 'cancelled'}
+    assert context.before['state'] in {'running', told['state']}
+    for _ in range(ONE_TURN):
+        context.simulated.work_all(2)
+    assert _document(context, 'entry-3')['state'] == told['state']
+    assert set(_outcomes(context, 'entry-3').values()) == {'completed'}
+
+
+@when('every host that runs item "{item}" dies')
+def step_poisonous(context: Context, item: str) -> None:
+    context.deaths = 0
+    for _ in range(LONGEST_STEPS):
+        context.simulated.clock.now += 1
+        for name in HOSTS:
+            context.simulated.work(name, ONE_TURN)
+            _die_or_end(context, name, item)
+        state = _document(context, HOSTS[0])['state']
+        if state == 'completed':
+            return
+    raise AssertionError(_document(context, HOSTS[0]))
+
+
+def _die_or_end(context: Context, name: str, item: str) -> None:
+    running = {
+        task.held.items[task.step.trial.index].custom_id
+        for task in context.simulated.hosts[name].running
+    }
+    if item in running:
+        context.deaths += 1
+        context.simulated.replace(name)
+    else:
+        context.simulated.end_items(name, ItemEnd.completed, 8)
+
+
+@then('item "{item}" failed and the other batch items completed')
+def step_only_item(context: Context, item: str) -> None:
+    outcomes = _outcomes(context, HOSTS[0])
+    assert outcomes.pop(item) == 'failed'
+    assert len(outcomes) == context.count - 1
+    assert set(outcomes.values()) == {'completed'}
+    assert context.deaths <= 5, context.deaths
+
+
+@when('"{name}" dies with its batch items in flight')
+def step_dies(context: Context, name: str) -> None:
+    assert context.simulated.hosts[name].running
+    context.simulated.replace(name)
+
+
+@then('the simulated batch ends on the new hosts')
+def step_ends(context: Context) -> None:
+    began_at = context.simulated.clock.now
+    _run_until_ended(context, HOSTS[0])
+    assert set(_outcomes(context, HOSTS[0]).values()) == {'completed'}
+    assert context.simulated.clock.now - began_at < 60
