Archive and clean batch jobs, order them and foresee lateness

Cause: ended jobs stayed in the list that every host watches, abandoned submissions were never deleted, and the order of jobs knew no rates. Change: ended jobs move to an archive and are deleted after their retention by conditional deletes, pending submissions after 15 minutes; chunk size and order follow measured throughput, and a job's status tells its expected end and whether it will be late.

--- a/features/batch_leases.feature
+++ b/features/batch_leases.feature
@@ -41,3 +41,24 @@
     Given a simulated batch fleet with a job of 5 items at "entry-1"
     When "entry-1" dies with its batch items in flight
     Then the simulated batch ends on the new hosts
+
+  Scenario: ended jobs are archived, kept for their time and then deleted
+    Given a simulated batch fleet with a job of 5 items at "entry-1"
+    When the simulated batch ends and 60 seconds pass
+    Then the simulated batch is archived and read as before
+    And resending the simulated batch gives the archived job
+    When 8 days pass for the batch fleet
+    Then the platform holds no object of the simulated batch
+
+  Scenario: a submission whose host died is completed by a resend
+    Given a simulated batch fleet
+    When "entry-1" dies before it commits a batch of 12 items
+    Then nobody finds the simulated batch
+    When the simulated batch of 12 items is sent again to "entry-2"
+    Then the simulated batch ends at "entry-2" alone
+
+  Scenario: a submission whose host died is cleaned
+    Given a simulated batch fleet
+    When "entry-1" dies before it commits a batch of 12 items
+    And 1000 seconds pass for the batch fleet
+    Then the platform holds no object of the simulated batch
--- a/features/machines/batch_fleet.py
+++ b/features/machines/batch_fleet.py
@@ -113,6 +113,8 @@
                 service._lease.renew()
         with contextlib.suppress(GuavadykeError):
             service._claimer.look()
+        with contextlib.suppress(GuavadykeError):
+            service._cleaner.turn()
         while steps and self._take_step(simulated):
             steps -= 1
 
--- a/features/steps/batch_leases_steps.py
+++ b/features/steps/batch_leases_steps.py
@@ -246,3 +246,73 @@
     _run_until_ended(context, HOSTS[0])
     assert set(_outcomes(context, HOSTS[0]).values()) == {'completed'}
     assert context.simulated.clock.now - began_at < 60
+
+
+@when('the simulated batch ends and {seconds:d} seconds pass')
+def step_ends_and_waits(context: Context, seconds: int) -> None:
+    _run_until_ended(context, HOSTS[0])
+    context.before = _document(context, HOSTS[0])
+    context.first = _outcomes(context, HOSTS[0])
+    for _ in range(seconds):
+        context.simulated.work_all(1)
+
+
+@then('the simulated batch is archived and read as before')
+def step_archived(context: Context) -> None:
+    assert not context.simulated.platform.of_kind('job')
+    assert len(context.simulated.platform.of_kind('job-archive')) == 1
+    for name in HOSTS:
+        assert _document(context, name) == context.before
+        assert _outcomes(context, name) == context.first
+
+
+@then('resending the simulated batch gives the archived job')
+def step_resend_archived(context: Context) -> None:
+    job = context.job
+    _submit(context, context.count, HOSTS[1])
+    assert context.job == job
+    assert not context.simulated.platform.of_kind('job')
+
+
+@when('{days:d} days pass for the batch fleet')
+def step_days(context: Context, days: int) -> None:
+    context.simulated.clock.now += days * 86_400
+    for _ in range(ONE_TURN):
+        context.simulated.work_all(20)
+
+
+@then('the platform holds no object of the simulated batch')
+def step_no_objects(context: Context) -> None:
+    kinds = {kind for kind, _name in context.simulated.platform.objects}
+    assert not kinds - {'batch-lease'}, kinds
+
+
+@when('"{name}" dies before it commits a batch of {count:d} items')
+def step_dies_before_commit(context: Context, name: str, count: int) -> None:
+    lines = [builders_batch.item_line(f'job/{index}') for index in range(count)]
+    # Two reads, the pending job, one more read and two of three inputs.
+    context.simulated.hosts[name].faults.cut_after = 6
+    status, document = context.simulated.call(
+        name,
+        'POST',
+        JOBS,
+        b'\n'.join(lines),
+        'job',
+    )
+    assert status == 503, document
+    assert context.simulated.platform.of_kind('job')
+    assert context.simulated.platform.of_kind('chunk-input')
+    context.simulated.replace(name)
+
+
+@then('nobody finds the simulated batch')
+def step_nobody(context: Context) -> None:
+    pending = context.simulated.platform.of_kind('job')[0]
+    for name in HOSTS:
+        path = f'/v1/batches/{pending.name}'
+        assert context.simulated.call(name, 'GET', path)[0] == 404
+
+
+@when('the simulated batch of {count:d} items is sent again to "{name}"')
+def step_send_again(context: Context, count: int, name: str) -> None:
+    _submit(context, count, name)
--- a/guavadyke/batch.py
+++ b/guavadyke/batch.py
@@ -8,6 +8,8 @@
 from guavadyke.adapters.ports import Clock, ItemRunner
 from guavadyke.adapters.settled import SettledStore
 from guavadyke.controllers.batch_claims import Claimer, ClaimParts
+from guavadyke.controllers.batch_cleaning import Cleaner, CleaningParts
+from guavadyke.controllers.batch_foresight import Foresight
 from guavadyke.controllers.batch_held import Holdings
 from guavadyke.controllers.batch_jobs import JobIndex
 from guavadyke.controllers.batch_lease import LeaseKeeper
@@ -69,7 +71,22 @@
             self.clock,
             self.rng,
         )
+        self._foresight = Foresight(
+            self.clock,
+            self.catalogue,
+            self._holdings,
+        )
         self._claimer = self._made_claimer()
+        self._cleaner = Cleaner(
+            CleaningParts(
+                self.settings,
+                self.clock,
+                self.store,
+                self.fleet,
+                self._index,
+                self.logger,
+            ),
+        )
         self._performer = StepPerformer(
             self.settings.batch,
             self._holdings,
@@ -91,6 +108,7 @@
                 self._index,
                 self._holdings,
                 self._claimer,
+                self._cleaner,
             ),
             self.rng,
             self.logger,
@@ -105,6 +123,7 @@
             self.catalogue,
             self.fleet,
             self._index,
+            self._foresight,
             self.authenticate,
         )
         return BatchRoutes(parts).routes()
@@ -170,6 +189,7 @@
                 index=self._index,
                 holdings=self._holdings,
                 runner=self.runner,
+                foresight=self._foresight,
                 logger=self.logger,
             ),
         )
--- a/guavadyke/controllers/batch_chunks.py
+++ b/guavadyke/controllers/batch_chunks.py
@@ -14,6 +14,7 @@
     chunk_name,
     decode_chunk,
 )
+from guavadyke.decisions.forecast import JobLoad
 from guavadyke.decisions.ledger import ChunkState, ChunkStatus
 
 
@@ -58,6 +59,26 @@
             for chunk in self.chunks.values()
         )
 
+    def holders(self) -> frozenset[str]:
+        """Return the leases that hold chunks of the job."""
+        return frozenset(
+            chunk.state.holder
+            for chunk in self.chunks.values()
+            if chunk.state.status is ChunkStatus.held
+        )
+
+    def load(self) -> JobLoad:
+        """Return what is left of the job."""
+        settled = sum(
+            chunk.state.settled_items for chunk in self.chunks.values()
+        )
+        return JobLoad(
+            self.job.job_id,
+            self.job.entry_name,
+            self.job.items - settled,
+            self.job.due,
+        )
+
     def waiting(self) -> tuple[KnownChunk, ...]:
         """Return the chunks that nobody holds."""
         return tuple(one for one in self.chunks.values() if one.waiting)
--- a/guavadyke/controllers/batch_claims.py
+++ b/guavadyke/controllers/batch_claims.py
@@ -14,6 +14,7 @@
     fresh_table,
     read_table,
 )
+from guavadyke.controllers.batch_foresight import Foresight
 from guavadyke.controllers.batch_held import HeldChunk, Holdings
 from guavadyke.controllers.batch_jobs import JobIndex, StoredJob
 from guavadyke.controllers.batch_lease import LeaseKeeper
@@ -45,6 +46,7 @@
     index: JobIndex
     holdings: Holdings
     runner: ItemRunner
+    foresight: Foresight
     logger: EventLogger
 
 
@@ -59,6 +61,7 @@
         self._parts = parts
         self._tables: dict[str, ChunkTable] = {}
         self._stopped = False
+        self._foresight = parts.foresight
         self._orphans = Orphans(
             parts.settings.batch,
             parts.clock,
@@ -92,10 +95,12 @@
             if job_id in jobs
         }
         refreshes = 1
-        for demand in schedule.ordered(map(_demand, jobs.values())):
-            job = jobs[demand.job_id]
+        order = self._foresight.order(jobs.values())
+        for job in order:
             refreshes -= self._refresh(job.record, refreshes)
-            self._attend(job, self._tables[demand.job_id])
+            self._attend(job, self._tables[job.record.job_id])
+        kept = (self._tables.get(one.record.job_id) for one in order)
+        self._foresight.judge(table for table in kept if table is not None)
 
     def note_written(self, held: HeldChunk) -> None:
         """Take in the state of an own chunk, which saves reading it."""
@@ -226,14 +231,3 @@
             table.job.sizes[chunk.index],
         )
         self._taker.take(table, chunk, state)
-
-
-def _demand(job: StoredJob) -> schedule.JobDemand:
-    record = job.record
-    return schedule.JobDemand(
-        record.job_id,
-        record.owner,
-        record.due,
-        record.created,
-        cancelled=record.cancelled_at is not None,
-    )
--- a/guavadyke/controllers/batch_held.py
+++ b/guavadyke/controllers/batch_held.py
@@ -27,6 +27,7 @@
     RunItem,
     Step,
 )
+from guavadyke.decisions.forecast import RunKey, RunMeter
 from guavadyke.decisions.ledger import ChunkState, ChunkStatus
 
 _SLOT_DELAY_S = 0.05
@@ -111,7 +112,7 @@
         self._rng = rng
         self._changed = threading.Condition(threading.RLock())
         self._chunks: dict[str, HeldChunk] = {}
-        self._starts: dict[tuple[str, int], float] = {}
+        self.runs = RunMeter()
         self._stopping = False
         self._preempting = False
 
@@ -143,8 +144,10 @@
                 if now < held.retry_at:
                     continue
                 step = held.run.next_step(self._permissions(held, now))
+                if isinstance(step, RunItem):
+                    self.runs.begin(_run_key(held, step.trial.index), now)
                 if step is not None:
-                    return self._task(held, step)
+                    return Task(held, step)
         return None
 
     def wait(self, seconds: float) -> None:
@@ -160,11 +163,11 @@
     ) -> None:
         """Take in how the run of an item ended."""
         with self._changed:
-            self._starts.pop((held.name, index), None)
+            now = self._clock.monotonic()
+            self.runs.end(_run_key(held, index), now)
             if ended.end is ItemEnd.cancelled and self.is_cancelled(held):
                 held.run.item_withdrawn(index)
             else:
-                now = self._clock.monotonic()
                 held.run.item_ended(index, ended, now)
             self._changed.notify_all()
 
@@ -239,18 +242,16 @@
         Items that began a moment ago may not have their slots yet.
         """
         since = self._clock.monotonic() - _SLOT_DELAY_S
-        beginning = sum(start > since for start in self._starts.values())
+        beginning = self.runs.begun_since(since)
         return self._runner.capacity(entry_name) - beginning
 
-    def _task(self, held: HeldChunk, step: Step) -> Task:
-        if isinstance(step, RunItem):
-            start = (held.name, step.trial.index)
-            self._starts[start] = self._clock.monotonic()
-        return Task(held, step)
-
 
 def _in_order(chunks: Iterable[HeldChunk]) -> list[HeldChunk]:
     return sorted(
         chunks,
         key=lambda held: (held.job.due, held.job.created, held.name),
     )
+
+
+def _run_key(held: HeldChunk, index: int) -> RunKey:
+    return RunKey(held.job.entry_name, held.name, index)
--- a/guavadyke/controllers/batch_loops.py
+++ b/guavadyke/controllers/batch_loops.py
@@ -1,4 +1,4 @@
-"""Actors that drive batch work: the lease, the index of jobs, claims."""
+"""Actors that drive batch work: lease, index of jobs, claims, cleaning."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 import pykka
 
 from guavadyke.controllers.batch_claims import Claimer
+from guavadyke.controllers.batch_cleaning import Cleaner
 from guavadyke.controllers.batch_held import Holdings
 from guavadyke.controllers.batch_jobs import JobIndex
 from guavadyke.controllers.batch_lease import LeaseKeeper
@@ -18,6 +19,7 @@
 from guavadyke.settings import EntrySettings
 
 _LOOK_INTERVAL_S = 0.2
+_CLEANING_INTERVAL_S = 5.0
 _FIRST_RETRY_S = 0.5
 _LONGEST_RETRY_S = 8.0
 
@@ -99,6 +101,7 @@
     index: JobIndex
     holdings: Holdings
     claimer: Claimer
+    cleaner: Cleaner
 
 
 class BatchLoops:
@@ -128,6 +131,7 @@
             'lease': self._renew,
             'index': self._follow,
             'claims': self._look,
+            'cleaning': self._clean,
         }
         self._actors = [
             LoopActor.start(
@@ -162,3 +166,7 @@
     def _look(self) -> float:
         self._parts.claimer.look()
         return _LOOK_INTERVAL_S * self._rng.uniform(0.75, 1.25)
+
+    def _clean(self) -> float:
+        self._parts.cleaner.turn()
+        return _CLEANING_INTERVAL_S * self._rng.uniform(0.75, 1.25)
--- a/guavadyke/controllers/batch_read.py
+++ b/guavadyke/controllers/batch_read.py
@@ -26,6 +26,7 @@
     encode_job,
     input_name,
 )
+from guavadyke.decisions.forecast import Forecast
 from guavadyke.decisions.ledger import ChunkState, ItemOutcome, Outcome
 from guavadyke.decisions.progress import (
     JobMarks,
@@ -72,11 +73,22 @@
         )
         return job_state(marks, self.chunks)
 
-    def document(self, now: float) -> dict[str, object]:
-        """Return what callers see; ``now`` is seconds since the epoch."""
+    def document(
+        self,
+        now: float,
+        foreseen: Forecast | None,
+    ) -> dict[str, object]:
+        """Return what callers see.
+
+        Args:
+            now: seconds since the epoch.
+            foreseen: when the job is expected to end, if that is known.
+        """
         record = self.record
         counts = item_counts(self.chunks, record.sizes)
-        end = record.finished_at or record.expected_end or now
+        expected_end = record.finished_at
+        if expected_end is None and foreseen is not None:
+            expected_end = max(now, foreseen.expected_end)
         return {
             'id': record.job_id,
             'object': 'batch',
@@ -89,10 +101,8 @@
             'expires': _moment(record.expires),
             'cancelled_at': _moment(record.cancelled_at),
             'finished_at': _moment(record.finished_at),
-            'expected_end': _moment(
-                record.finished_at or record.expected_end,
-            ),
-            'late': end > record.due,
+            'expected_end': _moment(expected_end),
+            'late': (expected_end or now) > record.due,
         }
 
 
--- a/guavadyke/controllers/batch_records.py
+++ b/guavadyke/controllers/batch_records.py
@@ -42,7 +42,6 @@
     committed: bool = False
     cancelled_at: float | None = None
     finished_at: float | None = None
-    expected_end: float | None = None
 
     @property
     def items(self) -> int:
--- a/guavadyke/controllers/batch_routes.py
+++ b/guavadyke/controllers/batch_routes.py
@@ -9,6 +9,7 @@
 from guavadyke.adapters.settled import SettledStore
 from guavadyke.catalogue import ModelEntry, ServiceEntry
 from guavadyke.controllers.batch_cancel import cancel
+from guavadyke.controllers.batch_foresight import Foresight
 from guavadyke.controllers.batch_input import (
     CheckedInput,
     SubmissionReader,
@@ -22,6 +23,7 @@
     content_hash,
 )
 from guavadyke.decisions.chunking import JobSize, divided, items_in_chunk
+from guavadyke.decisions.forecast import Throughput
 from guavadyke.errors import (
     ErrorCode,
     Finding,
@@ -35,8 +37,7 @@
 from guavadyke.snapshots import CatalogueSnapshot, FleetSnapshot, SnapshotCell
 
 _DEFAULT_DUE_S = 86_400.0
-_ASSUMED_ITEM_S = 1.0
-_ASSUMED_SLOTS = 8
+_ASSUMED = Throughput(item_s=1, in_flight=8)
 _LONGEST_KEY = 255
 _RETRY_AFTER_S = 5
 _JOB_PATH = '/v1/batches/(?P<job_id>[A-Za-z0-9-]{1,64})'
@@ -52,6 +53,7 @@
     catalogue: SnapshotCell[CatalogueSnapshot]
     fleet: SnapshotCell[FleetSnapshot]
     index: JobIndex
+    foresight: Foresight
     authenticate: Filter
 
 
@@ -147,7 +149,10 @@
     def _answer(self, job: StoredJob, *, status: int = 200) -> Answer:
         report = self._reader.report(job)
         return json_answer(
-            report.document(self._parts.clock.wall()),
+            report.document(
+                self._parts.clock.wall(),
+                self._parts.foresight.of(job.record.job_id),
+            ),
             status=status,
         )
 
@@ -240,12 +245,15 @@
 
     def _chunk_items(self, query: _Query, count: int) -> int:
         peers = self._parts.fleet.current.peers
+        measured = (
+            self._parts.foresight.throughput(query.entry_name) or _ASSUMED
+        )
         size = JobSize(
             items=count,
             due_s=query.due - self._parts.clock.wall(),
             hosts=1 + sum(peer.state == 'alive' for peer in peers),
-            slots=_ASSUMED_SLOTS,
-            item_s=_ASSUMED_ITEM_S,
+            slots=round(measured.in_flight),
+            item_s=measured.item_s,
         )
         return items_in_chunk(size, self._parts.settings.batch)
 
--- a/guavadyke/decisions/chunking.py
+++ b/guavadyke/decisions/chunking.py
@@ -12,6 +12,7 @@
 MOST_CHUNKS = 512
 _CHUNKS_FOR_EACH_HOST = 2
 _SHARE_OF_TIME = 0.25
+_SHORTEST_ITEM_S = 0.001
 
 
 @dataclasses.dataclass(frozen=True)
@@ -37,16 +38,14 @@
     the job is spread over the hosts.
     """
     largest = settings.chunk_items
-    chunk_s = min(largest, size.items) * size.item_s / max(1, size.slots)
+    items_per_s = max(1, size.slots) / max(size.item_s, _SHORTEST_ITEM_S)
+    chunk_s = min(largest, size.items) / items_per_s
     if chunk_s <= size.due_s * _SHARE_OF_TIME:
         return largest
     spread = math.ceil(size.items / (size.hosts * _CHUNKS_FOR_EACH_HOST))
-    in_time = int(
-        max(0, size.due_s) * _SHARE_OF_TIME * size.slots / size.item_s,
-    )
-    wanted = min(max(spread, SMALLEST_CHUNK_ITEMS), max(in_time, spread))
+    in_time = int(max(0, size.due_s) * _SHARE_OF_TIME * items_per_s)
     fewest = math.ceil(size.items / MOST_CHUNKS)
-    return min(largest, max(wanted, fewest, SMALLEST_CHUNK_ITEMS))
+    return min(largest, max(spread, in_time, fewest, SMALLEST_CHUNK_ITEMS))
 
 
 def divided(
--- a/guavadyke/decisions/schedule.py
+++ b/guavadyke/decisions/schedule.py
@@ -14,12 +14,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class JobDemand:
-    """What the order of jobs depends on; times are seconds since the epoch."""
+    """What the order of jobs depends on; times are seconds since the epoch.
+
+    ``owner_items`` are items of the same owner that this host has in hand.
+    """
 
     job_id: str
     owner: str
     due: float
     created: float
+    owner_items: int = 0
     at_risk: bool = False
     cancelled: bool = False
 
@@ -28,7 +32,8 @@
     """Return the jobs in the order in which chunks are taken.
 
     Cancelled jobs only have to be closed and come first, then jobs at
-    risk; among the rest owners take turns, each with its earliest due.
+    risk; among the rest owners take turns, the one with the fewest items
+    in hand first, each with its earliest due.
     """
     by_due = sorted(
         jobs,
@@ -46,7 +51,8 @@
 
 
 def _taking_turns(jobs: Sequence[JobDemand]) -> tuple[JobDemand, ...]:
-    owners = dict.fromkeys(job.owner for job in jobs)
+    in_hand = {job.owner: job.owner_items for job in jobs}
+    owners = sorted(in_hand, key=lambda owner: in_hand[owner])
     queues = [[job for job in jobs if job.owner == owner] for owner in owners]
     rounds = itertools.zip_longest(*queues)
     return tuple(job for one in rounds for job in one if job is not None)
