Order engines to hold what the catalogue asks for

Cause: managed engines were never told what to load.

Change: a placement that every host derives from the same catalogue; orders whose fencing number is the version of the engine's order object, taken by conditional update; a lease for engines that ignore fencing numbers; ledgers of permits that bound the loads of a zone and keep the last replica.

--- a/features/builders_fleet.py
+++ b/features/builders_fleet.py
@@ -244,7 +244,7 @@
         host_id: str,
         zone: str,
         platform: MemoryPlatform,
-        servers: MemoryServers,
+        servers: ports.BackendServers,
         **changes: object,
     ) -> None:
         settings = entry_settings(host_id, zone, **changes)
@@ -319,9 +319,9 @@
 
 def fleet(
     platform: MemoryPlatform,
-    servers: MemoryServers,
+    servers: ports.BackendServers,
     zones: dict[str, int],
-    relist_interval_s: float = 2,
+    **changes: object,
 ) -> list[EntryHost]:
     """Return started hosts by zone, seeded through the host list."""
     hosts = [
@@ -330,7 +330,7 @@
             zone,
             platform,
             servers,
-            relist_interval_s=relist_interval_s,
+            **changes,
         )
         for zone, count in zones.items()
         for number in range(count)
--- a/features/fleet_commands.feature
+++ b/features/fleet_commands.feature
@@ -4,11 +4,11 @@
     Given a fleet of entry hosts in zones north and south
 
   Scenario: The catalogue by commands
-    When the command "catalogue put lammikko OWNER --who ada --why first" is run
+    When the command "catalogue put lammikko --file - --who ada --why first" is run
     Then the command prints "lammikko has version 1"
-    When the command "catalogue put lammikko OWNER" is run
+    When the command "catalogue put lammikko --file -" is run
     Then the command is refused with "version_conflict"
-    When the command "catalogue put lammikko OWNER --version 1" is run
+    When the command "catalogue put lammikko --file - --version 1" is run
     Then the command prints "lammikko has version 2"
     When the command "catalogue list" is run
     Then the command prints "lammikko  owner  2"
--- a/features/steps/fleet_catalogue_steps.py
+++ b/features/steps/fleet_catalogue_steps.py
@@ -27,7 +27,7 @@
         context.platform,
         context.servers,
         {'north': 2, 'south': 1},
-        relist_interval_s,
+        relist_interval_s=relist_interval_s,
     )
     for started in context.hosts:
         context.add_cleanup(started.close)
--- a/features/steps/fleet_commands_steps.py
+++ b/features/steps/fleet_commands_steps.py
@@ -26,7 +26,6 @@
 @step('the command "{line}" is run')
 def step_run(context: Context, line: str) -> None:
     name, *arguments = shlex.split(line)
-    arguments = ['-' if part == 'OWNER' else part for part in arguments]
     context.result = CliRunner().invoke(
         _COMMANDS[name],
         arguments,
--- /dev/null
+++ b/features/steps/fleet_orders_steps.py
@@ -0,0 +1,255 @@
+"""Steps of fleet_orders.feature."""
+
+import itertools
+import threading
+import time
+
+from behave import step
+from behave.runner import Context
+
+from features import builders_fleet as fleets
+from features.steps.fleet_catalogue_steps import put
+from guavadyke.adapters.backend import HttpBackendServers
+from guavadyke.standins.engine import EngineSpec, EngineStandin
+from guavadyke.standins.orders import LoadedModel, OrderState, WeightSource
+
+_LEASE_S = 3
+_WATCH_S = 0.005
+
+
+class EngineWatch:
+    """Looks at all engines again and again."""
+
+    def __init__(self, engines: list[EngineStandin]) -> None:
+        self.least_serving = len(engines)
+        self.most_loading = 0
+        self.served = False
+        self._engines = engines
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        self._thread.start()
+
+    def close(self) -> None:
+        self._stop.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._stop.wait(_WATCH_S):
+            states = [engine.desk.state for engine in self._engines]
+            serving = sum(bool(state.loaded) for state in states)
+            loading = sum(bool(state.loading) for state in states)
+            self.most_loading = max(self.most_loading, loading)
+            self.served = self.served or serving > 0
+            if self.served:
+                self.least_serving = min(self.least_serving, serving)
+
+
+def _start(
+    context: Context,
+    count: int,
+    spec: EngineSpec,
+    **orders: object,
+) -> None:
+    context.engines = [
+        EngineStandin(ip='127.0.0.1', spec=spec) for _number in range(count)
+    ]
+    for engine in context.engines:
+        engine.start()
+        context.add_cleanup(engine.close)
+    context.watch = EngineWatch(context.engines)
+    context.watch.start()
+    context.add_cleanup(context.watch.close)
+    context.platform = fleets.MemoryPlatform()
+    context.hosts = fleets.fleet(
+        context.platform,
+        HttpBackendServers(),
+        {'north': 2, 'south': 1},
+        orders={
+            'interval_s': 0.1,
+            'lease_s': _LEASE_S,
+            'lease_margin_s': 2,
+            **orders,
+        },
+    )
+    for started in context.hosts:
+        context.add_cleanup(started.close)
+    put(context.hosts[0], 'lammikko', fleets.owner_entry())
+    for number, engine in enumerate(context.engines):
+        document = fleets.server_entry(
+            engine.address,
+            managed=True,
+            fencing=spec.fencing,
+        )
+        answer = put(context.hosts[0], f'engine-{number}', document)
+        assert answer.status == 201, answer.data
+
+
+@step('two managed engines that check fencing numbers')
+def step_fencing(context: Context) -> None:
+    _start(context, 2, EngineSpec(fencing=True))
+
+
+@step('two managed engines that ignore fencing numbers')
+def step_not_fencing(context: Context) -> None:
+    _start(context, 2, EngineSpec(fencing=False))
+
+
+@step('four managed engines of a zone that loads one at a time')
+def step_four(context: Context) -> None:
+    _start(context, 4, EngineSpec(), loads_at_once=1)
+
+
+@step(
+    'two managed engines that hold version "{version}" and reach no '
+    'weight store',
+)
+def step_no_weights(context: Context, version: str) -> None:
+    spec = EngineSpec(
+        models=(LoadedModel(model='sorter', version=version),),
+        weights=WeightSource(url='http://127.0.0.1:9'),
+    )
+    _start(context, 2, spec)
+
+
+@step('an entry asks for {count} replicas of version "{version}"')
+def step_asks(context: Context, count: str, version: str) -> None:
+    replicas = {'two': 2, 'four': 4}[count]
+    document = fleets.model_entry(
+        version=version,
+        replicas={'north': replicas},
+    )
+    answer = put(context.hosts[0], 'report', document)
+    assert answer.status in {200, 201}, answer.data
+
+
+@step('the entry asks for version "{version}"')
+def step_asks_again(context: Context, version: str) -> None:
+    step_asks(context, 'two', version)
+
+
+def _versions(state: OrderState) -> set[str]:
+    return {loaded.version for loaded in state.loaded}
+
+
+def _all_hold(context: Context, version: str) -> bool:
+    return all(
+        version in _versions(engine.desk.state) for engine in context.engines
+    )
+
+
+@step('both engines hold version "{version}"')
+@step('all engines hold version "{version}"')
+def step_hold(context: Context, version: str) -> None:
+    fleets.eventually(
+        lambda: _all_hold(context, version),
+        f'all engines hold {version}',
+    )
+
+
+@step('both engines hold only version "{version}"')
+def step_hold_only(context: Context, version: str) -> None:
+    fleets.eventually(
+        lambda: all(
+            _versions(engine.desk.state) == {version}
+            for engine in context.engines
+        ),
+        f'all engines hold only {version}',
+    )
+
+
+def _orders(engine: EngineStandin) -> list[dict[str, object]]:
+    records = engine.history.records()
+    return [one for one in records if one['operation'] == 'order']
+
+
+@step('each order had a fencing number of its own, and they rose')
+def step_numbers(context: Context) -> None:
+    for engine in context.engines:
+        numbers = [
+            order['fencing']
+            for order in _orders(engine)
+            if order['outcome'] == 'accepted'
+        ]
+        assert numbers, 'no order came'
+        assert numbers == sorted(set(numbers)), numbers
+
+
+@step('at no time did no engine serve the entry')
+def step_always_served(context: Context) -> None:
+    assert context.watch.least_serving >= 1
+
+
+@step('both engines go on holding version "{version}"')
+def step_go_on(context: Context, version: str) -> None:
+    fleets.eventually(
+        lambda: all(len(_orders(engine)) >= 2 for engine in context.engines),
+        'loads were tried and failed',
+    )
+    assert _all_hold(context, version)
+    assert context.watch.least_serving == 2
+
+
+@step('at no time did two engines load at once')
+def step_bounded(context: Context) -> None:
+    assert context.watch.most_loading == 1
+
+
+@step('the hosts that gave the orders are lost and version "2" is asked for')
+def step_lose_hosts(context: Context) -> None:
+    orderers = {
+        order['host_id']
+        for engine in context.engines
+        for order in _orders(engine)
+    }
+    kept = [host for host in context.hosts if host.host_id not in orderers]
+    for host in context.hosts:
+        if host.host_id in orderers:
+            host.close()
+    context.hosts = kept
+    step_asks(context, 'two', '2')
+
+
+@step('no order came from two hosts within a lease')
+def step_apart(context: Context) -> None:
+    for engine in context.engines:
+        pairs = itertools.pairwise(_orders(engine))
+        changes = [
+            float(str(later['started'])) - float(str(earlier['started']))
+            for earlier, later in pairs
+            if earlier['host_id'] != later['host_id']
+        ]
+        assert changes, 'no other host took over'
+        assert min(changes) >= _LEASE_S - 0.1, changes
+
+
+@step(
+    'one engine drains and an entry asks for two replicas of version '
+    '"{version}"',
+)
+def step_drain(context: Context, version: str) -> None:
+    answer = context.hosts[0].operator.call(
+        'POST',
+        'backend-servers/engine-0/drain',
+    )
+    assert answer.status == 200, answer.data
+    fleets.eventually(
+        lambda: all(
+            'engine-0' in host.service.fleet.current.leaving
+            for host in context.hosts
+        ),
+        'engine-0 is leaving everywhere',
+    )
+    step_asks(context, 'two', version)
+
+
+@step('only the engine that stays holds version "{version}"')
+def step_one_holds(context: Context, version: str) -> None:
+    leaving, staying = context.engines
+    fleets.eventually(
+        lambda: version in _versions(staying.desk.state),
+        'the engine that stays holds it',
+    )
+    time.sleep(0.5)
+    assert not _orders(leaving), _orders(leaving)
--- /dev/null
+++ b/guavadyke/adapters/engine_orders.py
@@ -0,0 +1,159 @@
+"""Orders to engines and what engines say of them, over HTTP."""
+
+from __future__ import annotations
+
+import functools
+import json
+import uuid
+from typing import Any
+
+import pydantic
+
+from guavadyke.adapters.ports import (
+    BackendCall,
+    BackendFault,
+    BackendServerError,
+    BackendServers,
+)
+from guavadyke.decisions.placement import (
+    EngineState,
+    LoadOrder,
+    ModelLoad,
+    Order,
+    UnloadOrder,
+)
+
+_PATH = '/orders'
+_FIRST_ERROR = 400
+_REFUSED = 409
+_CONNECT_TIMEOUT_S = 0.5
+_ANSWER_TIMEOUT_S = 2
+
+
+class _LoadDocument(pydantic.BaseModel):
+    model: str
+    version: str = '1'
+    adapters: tuple[str, ...] = ()
+
+
+class _StateDocument(pydantic.BaseModel):
+    fencing: int = 0
+    loaded: tuple[_LoadDocument, ...] = ()
+    loading: tuple[_LoadDocument, ...] = ()
+
+
+class OrderRefusedError(Exception):
+    """The engine knows a higher fencing number."""
+
+
+class EngineOrders:
+    """Sends orders and reads engines' states.
+
+    Args:
+        servers: carries the calls.
+        host_id: this host's id, which engines are told.
+    """
+
+    def __init__(self, servers: BackendServers, host_id: str) -> None:
+        self._servers = servers
+        self._host_id = host_id
+
+    def state(self, address: str) -> EngineState:
+        """Ask an engine for its state.
+
+        Raises:
+            BackendServerError: it does not answer.
+        """
+        return _state(self._call(address, 'GET', b''))
+
+    def send(self, address: str, order: Order, fencing: int) -> None:
+        """Send an order.
+
+        Raises:
+            OrderRefusedError: the fencing number is old.
+            BackendServerError: it may or may not have been taken.
+        """
+        body = {'fencing': fencing, **_order_document(order)}
+        self._call(address, 'POST', json.dumps(body).encode())
+
+    def _call(self, address: str, method: str, body: bytes) -> bytes:
+        answer = self._servers.send(
+            BackendCall(
+                request_id=f'order-{uuid.uuid4().hex}',
+                address=address,
+                method=method,
+                path=_PATH,
+                headers={
+                    'Content-Type': 'application/json',
+                    'Guavadyke-Host': self._host_id,
+                },
+                body=body,
+                connect_timeout_s=_CONNECT_TIMEOUT_S,
+                first_byte_timeout_s=_ANSWER_TIMEOUT_S,
+                gap_timeout_s=_ANSWER_TIMEOUT_S,
+                fresh=True,
+            ),
+        )
+        content = b''.join(answer.chunks())
+        if answer.status == _REFUSED:
+            raise OrderRefusedError(content.decode(errors='replace'))
+        if answer.status >= _FIRST_ERROR:
+            raise BackendServerError(
+                BackendFault.refused,
+                f'the engine answered {answer.status} to an order',
+                not_run=False,
+            )
+        return content
+
+
+def _state(content: bytes) -> EngineState:
+    try:
+        document = _StateDocument.model_validate_json(content)
+    except pydantic.ValidationError as error:
+        raise BackendServerError(
+            BackendFault.broken,
+            'the engine answered what is no state',
+            not_run=False,
+        ) from error
+    return EngineState(
+        document.fencing,
+        frozenset(map(_load, document.loaded)),
+        frozenset(map(_load, document.loading)),
+    )
+
+
+def _load(document: _LoadDocument) -> ModelLoad:
+    return ModelLoad(
+        document.model,
+        document.version,
+        frozenset(document.adapters),
+    )
+
+
+@functools.singledispatch
+def _order_document(order: object) -> dict[str, Any]:
+    raise TypeError(f'unknown order {order!r}')
+
+
+@_order_document.register
+def _load_document(order: LoadOrder) -> dict[str, Any]:
+    return {'action': 'load', **load_document(order.load)}
+
+
+@_order_document.register
+def _unload_document(order: UnloadOrder) -> dict[str, Any]:
+    return {'action': 'unload', **load_document(order.load)}
+
+
+def load_document(load: ModelLoad) -> dict[str, Any]:
+    """Return the load as JSON types."""
+    return {
+        'model': load.model,
+        'version': load.version,
+        'adapters': sorted(load.adapters),
+    }
+
+
+def order_document(order: Order) -> dict[str, Any]:
+    """Return the order as JSON types."""
+    return _order_document(order)
--- a/guavadyke/catalogue_service.py
+++ b/guavadyke/catalogue_service.py
@@ -9,6 +9,7 @@
 from guavadyke.adapters.ports import Clock
 from guavadyke.adapters.settled import SettledStore
 from guavadyke.catalogue_routes import CatalogueRoutes
+from guavadyke.controllers.actors import asking
 from guavadyke.controllers.catalogue import (
     EDIT,
     PEER,
@@ -56,10 +57,11 @@
             logger,
             self._take_change,
         )
+        self.ask = asking(self.controller)
         self.editor = CatalogueEditor(
             store,
             self.state,
-            self.controller.ask,
+            self.ask,
             clock,
         )
         self.routes = CatalogueRoutes(
@@ -74,14 +76,14 @@
             else CatalogueDisk(
                 settings.data_folder,
                 self.state,
-                self.controller.ask,
+                self.ask,
                 logger,
             )
         )
         self._watch = CatalogueWatch(
             settings.platform,
             store,
-            self.controller.ask,
+            self.ask,
             clock,
             rng,
             logger,
@@ -105,8 +107,8 @@
         digests: tuple[int, ...],
     ) -> tuple[ObjectVersion, ...]:
         """Return the versions that differ from a peer's digests."""
-        versions = self.controller.ask(Differing(digests))
-        return cast(tuple[ObjectVersion, ...], versions)
+        versions = self.ask(Differing(digests))
+        return cast(tuple[ObjectVersion, ...], versions) or ()
 
     def status(self) -> dict[str, object]:
         """Return what is in force, as JSON types."""
--- a/guavadyke/cli_catalogue.py
+++ b/guavadyke/cli_catalogue.py
@@ -48,7 +48,13 @@
 
 @catalogue.command('put')
 @click.argument('name')
-@click.argument('body', type=click.File('rb'))
+@click.option(
+    '--file',
+    'body',
+    type=click.File('rb'),
+    required=True,
+    help='JSON file, or - for standard input.',
+)
 @click.option(
     '--version',
     type=click.IntRange(min=1),
@@ -62,7 +68,7 @@
     audit: dict[str, str],
     client: Client,
 ) -> None:
-    """Create or replace an object from a JSON file, or - for input."""
+    """Create or replace an object."""
     condition = (
         {'If-None-Match': '*'}
         if version is None
--- a/guavadyke/controllers/catalogue_watch.py
+++ b/guavadyke/controllers/catalogue_watch.py
@@ -64,6 +64,7 @@
         self._stop = threading.Event()
         self.silent = 0
         self._known: dict[str, int] = {}
+        self._brought: dict[str, int] = {}
         self._expected: dict[str, Expected] = {}
         self._relist_due: float = 0
         self._revision = 0
@@ -87,6 +88,8 @@
         self._expected.update({
             one.name: Expected(one.version, now) for one in objects
         })
+        for one in objects:
+            self._met(one.name, self._brought.get(one.name, 0))
 
     def close(self) -> None:
         """End after the present call; does not wait for it."""
@@ -194,11 +197,16 @@
             )
             self._tell(FaultFound(stored.name, reason))
             return
-        expected = self._expected.get(one.name)
-        if expected is not None and expected.version <= one.version:
-            self._expected.pop(one.name, None)
+        self._brought[one.name] = one.version
+        self._met(one.name, one.version)
         self._tell(Offered(PLATFORM, (one,)))
 
+    def _met(self, name: str, version: int) -> None:
+        """Expect no more what the platform has brought."""
+        expected = self._expected.get(name)
+        if expected is not None and expected.version <= version:
+            self._expected.pop(name, None)
+
     def _reached(self) -> None:
         if self._failures:
             self._logger.info('platform_found', failures=self._failures)
--- a/guavadyke/controllers/leaving.py
+++ b/guavadyke/controllers/leaving.py
@@ -23,20 +23,16 @@
     Edit,
 )
 from guavadyke.controllers.membership_messages import Contacts, Sighted
+from guavadyke.controllers.responsibility import Responsibility
 from guavadyke.decisions.leaving import (
     LeavingMark,
     LeavingSource,
     Sighting,
 )
-from guavadyke.decisions.routing import rendezvous
 from guavadyke.errors import GuavadykeError
 from guavadyke.log import EventLogger
 from guavadyke.settings import EntrySettings
-from guavadyke.snapshots import (
-    CatalogueSnapshot,
-    FleetSnapshot,
-    SnapshotCell,
-)
+from guavadyke.snapshots import CatalogueSnapshot, SnapshotCell
 
 _INTERVAL_S = 1.0
 _LIST_INTERVAL_S = 20.0
@@ -51,7 +47,7 @@
 
     settings: EntrySettings
     catalogue: SnapshotCell[CatalogueSnapshot]
-    fleet: SnapshotCell[FleetSnapshot]
+    responsibility: Responsibility
     servers: BackendServers
     store: SettledStore
     tell: Callable[[Sighted | Contacts], object]
@@ -105,7 +101,9 @@
 
     def _poll_list(self) -> None:
         now = self._sights.clock.monotonic()
-        if now < self._list_due and not self._first(_LIST_KEY):
+        if now < self._list_due and not self._sights.responsibility.first(
+            _LIST_KEY
+        ):
             return
         try:
             listed = self._sights.store.hosts()
@@ -137,7 +135,7 @@
         mine = [
             (server_id, server)
             for server_id, server in servers.items()
-            if self._first(server_id, server.zone)
+            if self._sights.responsibility.first(server_id, server.zone)
         ]
         self._tell_sightings(
             self._pool.map(lambda pair: self._poll(*pair), mine),
@@ -180,22 +178,6 @@
         if seen:
             self._sights.tell(Sighted(seen))
 
-    def _first(self, key: str, zone: str = '') -> bool:
-        """Return whether this host is the first to try for the key."""
-        settings = self._sights.settings
-        alive = [
-            peer
-            for peer in self._sights.fleet.current.peers
-            if peer.state == 'alive'
-        ]
-        near = [peer for peer in alive if peer.zone == (zone or settings.zone)]
-        hosts = {peer.host_id for peer in near}
-        if zone in {'', settings.zone}:
-            hosts.add(settings.host_id)
-        if not hosts:
-            hosts = {settings.host_id, *(peer.host_id for peer in alive)}
-        return rendezvous(key, hosts) == settings.host_id
-
 
 class Drains:
     """Operators' marks: spread at once and written to the catalogue.
--- a/guavadyke/controllers/membership_messages.py
+++ b/guavadyke/controllers/membership_messages.py
@@ -45,8 +45,8 @@
 class FleetLearnt:
     """All that a host knows: it is pulled by a call."""
 
-    records: tuple[PeerRecord, ...]
-    leaving: tuple[LeavingMark, ...]
+    records: tuple[PeerRecord, ...] = ()
+    leaving: tuple[LeavingMark, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/guavadyke/fleet.py
+++ b/guavadyke/fleet.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Mapping
 
+from guavadyke.adapters.engine_orders import EngineOrders
 from guavadyke.adapters.fallback import FallbackStore
 from guavadyke.adapters.peer_help import PlatformHelper
 from guavadyke.adapters.peer_port import PeerPort
@@ -21,8 +22,10 @@
 from guavadyke.catalogue_service import CatalogueService
 from guavadyke.controllers.leaving import Drains, LeavingWatch, Sights
 from guavadyke.controllers.membership import FleetCells, PeerEvents
+from guavadyke.controllers.orders import OrderController, OrderParts
 from guavadyke.controllers.peer_answers import PeerAnswers
 from guavadyke.controllers.peer_sync import PeerSync
+from guavadyke.controllers.responsibility import Responsibility
 from guavadyke.fleet_routes import (
     FleetRoutes,
     StatusSource,
@@ -107,8 +110,8 @@
         self._sync = PeerSync(
             self._client,
             self._catalogue.state,
-            self._catalogue.controller.ask,
-            self._membership.controller.tell,
+            self._catalogue.ask,
+            self._membership.tell,
             clock,
             logger,
         )
@@ -119,17 +122,32 @@
             self._port.refusals,
             self._answers(platform).answer,
         )
+        responsibility = Responsibility(settings, self.fleet)
         self._sights = Sights(
             settings,
             self.catalogue,
-            self.fleet,
+            responsibility,
             servers,
             self.store,
-            self._membership.controller.ask,
+            self._membership.ask,
             clock,
             logger,
         )
         self._leaving = LeavingWatch(self._sights, _child(rng))
+        me = self._port.standing.me
+        self._orders = OrderController(
+            OrderParts(
+                settings.orders,
+                f'{me.host_id}/{me.incarnation}',
+                self.catalogue,
+                self.fleet,
+                responsibility,
+                self.store,
+                EngineOrders(servers, me.host_id),
+                clock,
+                logger,
+            ),
+        )
         self._sources: dict[str, StatusSource] = {}
 
     @property
@@ -182,6 +200,7 @@
         self._membership.start(frozenset(self._settings.peer.seeds))
         self._catalogue.start()
         self._leaving.start()
+        self._orders.start()
 
     def leave(self) -> None:
         """Tell the peers that this host leaves; it goes on working."""
@@ -189,6 +208,7 @@
 
     def close(self) -> None:
         """Stop all threads and close the peer port."""
+        self._orders.close()
         self._leaving.close()
         self._sync.close()
         self._server.close()
@@ -214,6 +234,7 @@
             'reached_directly': self._fallback.reached(),
             'through_peers': self._fallback.helped,
             'pulls': self._sync.pulls,
+            'orders': self._orders.status(),
             'traffic': dataclasses.asdict(self._port.port.traffic),
             'refused': {
                 str(refusal): count
--- a/guavadyke/membership_service.py
+++ b/guavadyke/membership_service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import queue
 import random
 import threading
 from typing import cast
@@ -11,6 +10,7 @@
 from guavadyke.adapters.peer_port import PeerPort
 from guavadyke.adapters.ports import Clock
 from guavadyke.controllers import membership_messages as messages
+from guavadyke.controllers.actors import asking, telling, waiting
 from guavadyke.controllers.membership import (
     FleetCells,
     MembershipController,
@@ -75,7 +75,8 @@
                 logger,
             ),
         )
-        self._inbox = cast('queue.Queue[object]', self.controller.actor_inbox)
+        self.ask = asking(self.controller)
+        self.tell = telling(self.controller)
         self._stop = threading.Event()
         self._ticker = threading.Thread(
             target=self._tick,
@@ -85,16 +86,14 @@
 
     def start(self, seeds: frozenset[str]) -> None:
         """Join the fleet through the seeds."""
-        self.controller.tell(messages.Contacts(seeds))
+        self.tell(messages.Contacts(seeds))
         self._port.start(self._receive)
         self._ticker.start()
 
     def known(self) -> messages.FleetLearnt:
         """Return all that this host knows."""
-        return cast(
-            messages.FleetLearnt,
-            self.controller.ask(messages.TellFleet()),
-        )
+        learnt = self.ask(messages.TellFleet())
+        return cast(messages.FleetLearnt, learnt) or messages.FleetLearnt()
 
     def helpers(self) -> list[str]:
         """Return live peers that say that they reach the platform.
@@ -111,11 +110,11 @@
 
     def changed(self) -> None:
         """Tell peers at once that this host's standing changed."""
-        self.controller.tell(messages.StandingChanged())
+        self.tell(messages.StandingChanged())
 
     def leave(self) -> None:
         """Tell peers that this host leaves."""
-        self.controller.ask(messages.Leave())
+        self.ask(messages.Leave())
 
     def close(self) -> None:
         """Stop probing and close the peer port."""
@@ -124,12 +123,12 @@
         self.controller.stop()
 
     def _receive(self, datagram: PeerDatagram) -> None:
-        if self._inbox.qsize() < _INBOX_LENGTH:
-            self.controller.tell(messages.Received(datagram))
+        if waiting(self.controller) < _INBOX_LENGTH:
+            self.tell(messages.Received(datagram))
 
     def _tick(self) -> None:
         while not self._stop.wait(_TICK_S):
-            self.controller.tell(messages.Tick())
+            self.tell(messages.Tick())
 
 
 def _policy(settings: PeerSettings) -> MembershipPolicy:
--- a/guavadyke/settings.py
+++ b/guavadyke/settings.py
@@ -260,6 +260,35 @@
     )
 
 
+class OrderSettings(SettingsModel):
+    """Orders to engines whose models this system manages."""
+
+    interval_s: Positive = pydantic.Field(
+        default=2,
+        description='Seconds between looks at the engines.',
+    )
+    lease_s: Positive = pydantic.Field(
+        default=15,
+        description='Seconds of the lease on an engine that ignores fencing.',
+    )
+    lease_margin_s: Positive = pydantic.Field(
+        default=5,
+        description='Seconds before the end at which no order is sent.',
+    )
+    loads_at_once: Count = pydantic.Field(
+        default=2,
+        description='Engines of a zone that load weights at once.',
+    )
+    load_permit_s: Positive = pydantic.Field(
+        default=600,
+        description='Seconds after which a load counts as ended.',
+    )
+    unload_permit_s: Positive = pydantic.Field(
+        default=60,
+        description='Seconds after which an unload counts as ended.',
+    )
+
+
 class StopSettings(SettingsModel):
     """Planned stops."""
 
@@ -294,6 +323,7 @@
     platform: PlatformSettings
     online: OnlineSettings = OnlineSettings()
     batch: BatchSettings = BatchSettings()
+    orders: OrderSettings = OrderSettings()
     stop: StopSettings = StopSettings()
     data_folder: Path | None = pydantic.Field(
         default=None,
