--- a/guavadyke/cli.py
+++ b/guavadyke/cli.py
@@ -16,6 +16,8 @@
 
 _EXIT_SETTINGS = 2
 _MODULES = types.MappingProxyType({
+    'batch': 'guavadyke.cli_batch',
+    'measure': 'guavadyke.cli_measure',
     'standin': 'guavadyke.cli_standin',
 })
 
--- a/guavadyke/decisions/schedule.py
+++ b/guavadyke/decisions/schedule.py
@@ -9,14 +9,12 @@
 
 _GATE_GROWTH = 4
 _MOST_LOOKS = 8
+_WEIGHT_BYTES = 8
 
 
 @dataclasses.dataclass(frozen=True)
 class JobDemand:
-    """What the order of jobs depends on; times are seconds since the epoch.
-
-    ``held_items`` are the owner's items that this host holds already.
-    """
+    """What the order of jobs depends on; times are seconds since the epoch."""
 
     job_id: str
     owner: str
@@ -68,7 +66,5 @@
 
 
 def _weight(name: str, host_id: str) -> bytes:
-    return hashlib.blake2b(
-        f'{name} {host_id}'.encode(),
-        digest_size=8,
-    ).digest()
+    text = f'{name}\0{host_id}'.encode()
+    return hashlib.blake2b(text, digest_size=_WEIGHT_BYTES).digest()
