--- a/guavadyke/adapters/backend.py
+++ b/guavadyke/adapters/backend.py
@@ -219,6 +219,9 @@
         return response
 
     def _pieces(self) -> Iterator[bytes]:
+        # Reading by chunks guards errors once for the body, not each piece.
+        if self._response.chunked:
+            return self._response.read_chunked()
         return iter(lambda: self._response.read1(_READ_BYTES), b'')
 
     def _leave(self, *, whole: bool) -> None:
