Bound the load reports that a host asks for by a rate

Cause: each host asked each server of its zone four times a second and every other one each two seconds: 2,925 calls a second for each host at 450 near and 2,250 far engines, and 260 a second for each engine. Change: a pure plan asks the servers in use first, the others in turn, within 10 a second (a setting); a new host still learns its zone at once.

--- a/guavadyke/decisions/routing.py
+++ b/guavadyke/decisions/routing.py
@@ -64,6 +64,14 @@
             if server_id in server_ids or server.in_flight
         }
 
+    def used(self) -> frozenset[str]:
+        """Return the servers in use here, and those that are ejected."""
+        return frozenset(
+            server_id
+            for server_id, server in self._servers.items()
+            if server.in_flight or server.health.ejected_until is not None
+        )
+
     def report(self, server_id: str, load: ReportedLoad, now: float) -> None:
         """Take a server's own report of its load."""
         server = self.server(server_id)
--- a/guavadyke/filters/loads.py
+++ b/guavadyke/filters/loads.py
@@ -4,21 +4,23 @@
 
 import threading
 import time
+from collections.abc import Mapping
 from concurrent.futures import ThreadPoolExecutor
 
 from guavadyke.adapters.ports import BackendServerError, BackendServers
+from guavadyke.catalogue import BackendServerEntry
+from guavadyke.decisions.polling import PollPlan, PollTargets
 from guavadyke.filters.capacity import Capacity
 from guavadyke.settings import EntrySettings
 from guavadyke.snapshots import CatalogueSnapshot, SnapshotCell
 
-_INTERVAL_S = 0.25
-_FAR_INTERVAL_S = 2.0
+_INTERVAL_S = 0.125
 _TIMEOUT_S = 0.5
 _WORKERS = 4
 
 
 class LoadReports:
-    """Asks for the load of servers, those of the own zone more often.
+    """Asks servers for their load, at a rate that the settings bound.
 
     Args:
         settings: settings of this host.
@@ -39,7 +41,10 @@
         self._servers = servers
         self._capacity = capacity
         self._asked: set[str] = set()
-        self._due: dict[str, float] = {}
+        self._plan = PollPlan(
+            settings.online.load_polls_per_s,
+            time.monotonic(),
+        )
         self._stopped = threading.Event()
         self._pool = ThreadPoolExecutor(
             _WORKERS,
@@ -61,7 +66,7 @@
         self._pool.shutdown(wait=False, cancel_futures=True)
 
     def _run(self) -> None:
-        while not self._stopped.wait(_INTERVAL_S / 2):
+        while not self._stopped.wait(_INTERVAL_S):
             self._ask_due(time.monotonic())
             self._settle()
 
@@ -72,14 +77,26 @@
 
     def _ask_due(self, now: float) -> None:
         servers = self._catalogue.current.backend_servers
-        for server_id, server in servers.items():
-            due = now >= self._due.get(server_id, 0)
-            if not due or server_id in self._asked:
-                continue
-            near = server.zone == self._zone
-            interval_s = _INTERVAL_S if near else _FAR_INTERVAL_S
-            self._due[server_id] = now + interval_s
-            self._submit(server_id, server.address)
+        for server_id in self._plan.due(self._targets(servers), now):
+            if server_id not in self._asked:
+                self._submit(server_id, servers[server_id].address)
+
+    def _targets(
+        self,
+        servers: Mapping[str, BackendServerEntry],
+    ) -> PollTargets:
+        near = {
+            server_id
+            for server_id, server in servers.items()
+            if server.zone == self._zone
+        }
+        with self._capacity.locked() as table:
+            used = table.router.used()
+        return PollTargets(
+            near,
+            servers.keys() - near,
+            used.intersection(servers),
+        )
 
     def _submit(self, server_id: str, address: str) -> None:
         self._asked.add(server_id)
--- a/guavadyke/settings.py
+++ b/guavadyke/settings.py
@@ -205,6 +205,10 @@
         default=256,
         description='Online requests that wait on this host at the most.',
     )
+    load_polls_per_s: Positive = pydantic.Field(
+        default=10,
+        description='Backend servers asked for their load each second.',
+    )
     retry_budget_ratio: Positive = pydantic.Field(
         default=0.2,
         description='Retries allowed as a share of requests.',
