--- a/features/measure_experiments.feature
+++ b/features/measure_experiments.feature
@@ -22,3 +22,8 @@
     Then the page gives the sums that follow from the made-up slopes
     And what is over its budget is listed as not fitting
     And a slope that was not measured is named as such
+
+  Scenario: a slope is measured on the real parts at several sizes
+    When the size of a notice of demands is measured as a slope
+    Then it is a line of at least four sizes with a small error
+    And its figures carry the slope and both errors
--- a/features/steps/measure_experiments_steps.py
+++ b/features/steps/measure_experiments_steps.py
@@ -11,6 +11,7 @@
 from features import builders_measure as builders
 from guavadyke.cli import main
 from guavadyke.measure import occupancy, report
+from guavadyke.measure.slopes import notices, slope
 from guavadyke.measure.slopes.capacity import capacity_page
 
 
@@ -135,3 +136,34 @@
 def step_not_measured(context: Context) -> None:
     assert 'processor time for control | not measured' in context.page
     assert 'writes of the fleet needs not measured' in context.page
+
+
+@when('the size of a notice of demands is measured as a slope')
+def step_notice_slope(context: Context) -> None:
+    context.slope = slope.Slope(
+        'notice.demands',
+        'B',
+        'limit',
+        notices.SIZES,
+        notices.demand_bytes,
+    )
+    context.measured_slope = slope.measured(context.slope, seed=1)
+
+
+@then('it is a line of at least four sizes with a small error')
+def step_line(context: Context) -> None:
+    found = context.measured_slope
+    assert len({sample.size for sample in found.samples}) >= 4
+    assert 10 < found.fit.slope < 60, found.fit
+    assert found.fit.slope_error < found.fit.slope / 20, found.fit
+
+
+@then('its figures carry the slope and both errors')
+def step_slope_figures(context: Context) -> None:
+    names = [one.name for one in slope.figures(context.measured_slope)]
+    assert names == [
+        'notice.demands.slope',
+        'notice.demands.slope_error',
+        'notice.demands.intercept',
+        'notice.demands.intercept_error',
+    ]
--- a/guavadyke/measure/comparison.py
+++ b/guavadyke/measure/comparison.py
@@ -68,6 +68,15 @@
         self._one = one
         self._targets = targets
 
+    @property
+    def wait_p99(self) -> Figure:
+        """The wait for a slot within bursts.
+
+        Without batch work it tells what online requests wait for each
+        other.
+        """
+        return self._figure('yield_p99', self._yield_ms(), 'ms', '<= 100')
+
     def figures(self) -> tuple[Figure, ...]:
         """Return the figures of the phase."""
         return (*online_figures(self._phase), *self._batch_figures())
@@ -84,7 +93,7 @@
                 '1',
                 '>= 0.85',
             ),
-            self._figure('yield_p99', self._yield_ms(), 'ms', '<= 100'),
+            self.wait_p99,
             self._figure('refill_worst', self._refill_s(), 's', '<= 1'),
         )
 
--- a/guavadyke/measure/experiments/online_batch.py
+++ b/guavadyke/measure/experiments/online_batch.py
@@ -54,6 +54,7 @@
         figures=(
             figure('full.items_rate', one.capacity, 'items/s'),
             *online_figures(no_batch),
+            Comparison(no_batch, no_batch, one, targets=False).wait_p99,
             *itertools.chain.from_iterable(
                 found.figures() for found in compared
             ),
