--- /dev/null
+++ b/guavadyke/measure/slopes/duties.py
@@ -0,0 +1,41 @@
+"""Cost of finding out which engines are this host's to look after."""
+
+from __future__ import annotations
+
+from itertools import starmap
+
+from guavadyke.controllers.responsibility import Responsibility
+from guavadyke.measure.slopes.catalogue import ZONES
+from guavadyke.measure.slopes.costs import processor_us
+from guavadyke.measure.slopes.routing import fleet_view
+from guavadyke.settings import EntrySettings
+from guavadyke.snapshots import SnapshotCell
+
+SIZES = (100, 200, 400, 800)
+_ROUNDS = 2
+
+
+def round_us(engines: int, seed: int) -> float:
+    """Return microseconds of processor time for a round over all engines."""
+    responsibility = Responsibility(_settings(), SnapshotCell(fleet_view()))
+    keys = [
+        (f'engine-{number}', f'zone-{number % ZONES}')
+        for number in range(engines)
+    ]
+    return processor_us(
+        lambda: list(starmap(responsibility.first, keys)),
+        _ROUNDS,
+    )
+
+
+def _settings() -> EntrySettings:
+    any_port = {'ip': '127.0.0.1', 'port': 0}
+    secret = {'environment': 'UNUSED'}
+    return EntrySettings.model_validate({
+        'host_id': 'entry-0',
+        'zone': 'zone-0',
+        'caller': {'listen': any_port},
+        'operator': {'listen': any_port, 'token': secret},
+        'peer': {'listen': any_port, 'fleet_key': secret},
+        'platform': {'url': 'http://127.0.0.1:1'},
+    })
--- a/guavadyke/measure/slopes/experiment.py
+++ b/guavadyke/measure/slopes/experiment.py
@@ -10,6 +10,7 @@
 from guavadyke.measure.slopes import (
     catalogue,
     catalogue_reads,
+    duties,
     fleet_calls,
     notices,
     peers,
@@ -68,6 +69,7 @@
     Slope('routing.refresh', 'us', 'engine', routing.SIZES, routing.refresh_us),
     Slope('routing.take', 'us', 'engine', routing.SIZES, routing.take_us),
     Slope('routing.settle', 'us', 'engine', routing.SIZES, routing.settle_us),
+    Slope('duties.round', 'us', 'engine', duties.SIZES, duties.round_us),
     Slope('polls.cpu', 'us', 'engine', polls.SIZES, polls.poll_us),
     Slope(
         'notice.counts',
--- a/guavadyke/measure/slopes/roles.py
+++ b/guavadyke/measure/slopes/roles.py
@@ -7,16 +7,17 @@
 from guavadyke.measure.slopes.lines import Lines
 from guavadyke.measure.slopes.rows import Role, Row, scaled, total
 from guavadyke.measure.slopes.sizes import Budget, FleetSize
+from guavadyke.settings import OnlineSettings
 
 _PERCENT_PER_US = 1e-4
 _MB = 1e-6
 _KB = 1e-3
-_NEAR_POLLS_PER_S = 4
-_FAR_POLLS_PER_S = 0.5
+_DUTY_ROUNDS_PER_S = 1
 _VIEWS_PER_S = 2
 _SETTLES_PER_S = 8
 _SETTLES_PER_REQUEST = 2
 _PERCENT = '% of a core'
+_POLLS_PER_S = OnlineSettings().load_polls_per_s
 
 
 class HostRoles:
@@ -67,6 +68,12 @@
                     'membership.sent at 389 peers',
                     self._budget.sent_kb_per_s,
                 ),
+                Row(
+                    'time between two looks at the load of an idle engine',
+                    self._size.zone_engines / _POLLS_PER_S,
+                    's',
+                    '450 engines of the zone, 10 polls a second',
+                ),
                 Row(
                     'choice of an engine, per request',
                     self._lines.at('routing.choose', self._size.engines),
@@ -170,9 +177,6 @@
     def _processor(self) -> tuple[Row, ...]:
         size, lines = self._size, self._lines
         requests = size.requests_per_s / size.hosts
-        near = size.zone_engines
-        polls = near * _NEAR_POLLS_PER_S
-        polls += (size.engines - near) * _FAR_POLLS_PER_S
         settles = _SETTLES_PER_S + _SETTLES_PER_REQUEST * requests
         items = size.items_per_s / size.hosts
         works = (
@@ -188,8 +192,24 @@
             ),
             (
                 'asking engines for their load',
-                scaled(lines.slope('polls.cpu'), polls),
-                'slope of polls.cpu, 2,925 polls a second',
+                scaled(lines.slope('polls.cpu'), _POLLS_PER_S),
+                'slope of polls.cpu, 10 polls a second by the settings',
+            ),
+            (
+                'asking own engines whether they leave',
+                scaled(
+                    lines.slope('polls.cpu'),
+                    size.zone_engines / size.zone_hosts,
+                ),
+                'slope of polls.cpu, 6.9 engines once a second',
+            ),
+            (
+                'finding out which engines are its own',
+                scaled(
+                    lines.at('duties.round', size.engines),
+                    _DUTY_ROUNDS_PER_S,
+                ),
+                'duties.round at 2,700 engines, once a second',
             ),
             (
                 'looking what must yield',
--- a/guavadyke/measure/slopes/routing.py
+++ b/guavadyke/measure/slopes/routing.py
@@ -50,7 +50,7 @@
     table = _table(engines, seed)
     catalogue = _catalogue(engines)
     return processor_us(
-        lambda: table.refresh(catalogue, _fleet()),
+        lambda: table.refresh(catalogue, fleet_view()),
         _REFRESHES,
     )
 
@@ -85,7 +85,7 @@
         random.Random(seed),
         _QUEUE,
     )
-    table.refresh(_catalogue(engines), _fleet())
+    table.refresh(_catalogue(engines), fleet_view())
     return table
 
 
@@ -98,7 +98,8 @@
     )
 
 
-def _fleet() -> FleetSnapshot:
+def fleet_view() -> FleetSnapshot:
+    """Return a view of a fleet of 390 hosts in six zones."""
     return FleetSnapshot(
         peers=tuple(
             PeerView(
