--- a/features/steps/measure_experiments_steps.py
+++ b/features/steps/measure_experiments_steps.py
@@ -129,13 +129,13 @@
 def step_misfit(context: Context) -> None:
     listed = context.page.partition('## What does not fit yet')[2]
     listed = listed.partition('\n## ')[0]
-    assert 'membership sent needs 389 KB/s, the budget is 14' in listed
+    assert 'membership sent: 389 KB/s, the budget is 14 KB/s' in listed
 
 
 @then('a slope that was not measured is named as such')
 def step_not_measured(context: Context) -> None:
     assert 'processor time for control | not measured' in context.page
-    assert 'writes of the fleet needs not measured' in context.page
+    assert 'writes of the fleet: not measured' in context.page
 
 
 @when('the size of a notice of demands is measured as a slope')
--- a/guavadyke/measure/slopes/capacity.py
+++ b/guavadyke/measure/slopes/capacity.py
@@ -26,7 +26,8 @@
 This page is made by `guavadyke measure slopes --report FILE --capacity
 docs/CAPACITY.md`; its figures are lines fitted to that run (commit
 `{commit}`, seed {seed}) and put at the sizes above. They are worked out,
-not observed: no fleet of this size has been run.
+not observed: no fleet of this size has been run. Processor times were taken
+on a machine that did other work at the same time, which makes them larger.
 """
 _ROLE_HEAD = """| what | at that size | budget | fits | worked out from |
 |---|---|---|---|---|
@@ -38,6 +39,24 @@
 | slope | of one more | error | at size 0 | error |
 |---|---|---|---|---|
 """
+_NEXT = """## What would make it fit
+
+- *Engines anew with each view of the fleet*: counting the live hosts of a
+  zone once for a view, rather than for each engine.
+- *Finding slots for batch items* and *finding out which engines are its
+  own*: ranking hosts once for a view of the fleet, rather than for each item
+  and each second.
+- *Looking what must yield*: only at engines with batch items of this host.
+- *Looks at the chunks of open jobs*: each host lists the chunks of every
+  open job it may work on. Rendezvous of jobs on a few hosts each, with the
+  others joining when these are full, makes the cost independent of the
+  number of hosts.
+- *Jobs, over all hosts that watch them*: every change of a job wakes the
+  watch of every host. A watch on a shard of the jobs wakes only those that
+  work on it.
+- *Loads of idle engines*: at a bounded rate an idle engine is asked seldom;
+  one host of the zone that asks and tells the others would see it sooner.
+"""
 _MISSING = """## Roles that are not measured yet
 
 - **Order owner**: no slope is measured of its state and calls.
@@ -66,6 +85,7 @@
     return '\n'.join((
         _HEAD.format(commit=report.commit, seed=report.seed),
         _misfits(roles),
+        _NEXT,
         *map(_role, roles),
         _MISSING,
         _slopes(report.figures),
@@ -77,8 +97,8 @@
         ((role, row) for row in role.rows) for role in roles
     )
     misfits = '\n'.join(
-        f'- {role.name}: {row.what} needs {_shown(row.value)} {row.unit}, '
-        f'the budget is {_shown(row.bound)}.'
+        f'- {role.name}: {row.what}: {_with_unit(row.value, row.unit)}, '
+        f'the budget is {_with_unit(row.bound, row.unit)}.'
         for role, row in rows
         if row.fits is False
     )
@@ -92,9 +112,9 @@
 
 def _row(row: Row) -> str:
     fits = {None: '', True: 'yes', False: '**no**'}[row.fits]
-    bound = '' if row.bound is None else f'{_shown(row.bound)} {row.unit}'
+    bound = '' if row.bound is None else _with_unit(row.bound, row.unit)
     return (
-        f'| {row.what} | {_shown(row.value)} {row.unit} | {bound} '
+        f'| {row.what} | {_with_unit(row.value, row.unit)} | {bound} '
         f'| {fits} | {row.working} |'
     )
 
@@ -120,6 +140,10 @@
         )
 
 
+def _with_unit(value: float | None, unit: str) -> str:
+    return _shown(value) if value is None else f'{_shown(value)} {unit}'
+
+
 def _shown(value: float | None) -> str:
     if value is None:
         return 'not measured'
