--- a/guavadyke/adapters/peer_codec.py
+++ b/guavadyke/adapters/peer_codec.py
@@ -213,11 +213,18 @@
     return ttypes.LimitDemand(
         limit_name=demand.limit_name,
         demand=float(demand.demand),
+        sequence=demand.sequence,
+        in_use=float(demand.in_use),
     )
 
 
 def _demand_of(struct: Any) -> ports.LimitDemand:
-    return ports.LimitDemand(_text(struct.limit_name), float(struct.demand))
+    return ports.LimitDemand(
+        _text(struct.limit_name),
+        float(struct.demand),
+        int(struct.sequence or 0),
+        float(struct.in_use or 0),
+    )
 
 
 def _grant_struct(grant: ports.LimitGrant) -> Any:
@@ -225,6 +232,7 @@
         limit_name=grant.limit_name,
         share=float(grant.share),
         valid_s=float(grant.valid_s),
+        sequence=grant.sequence,
     )
 
 
@@ -233,6 +241,7 @@
         _text(struct.limit_name),
         float(struct.share),
         float(struct.valid_s),
+        int(struct.sequence or 0),
     )
 
 
--- a/guavadyke/adapters/ports.py
+++ b/guavadyke/adapters/ports.py
@@ -267,19 +267,29 @@
 
 @dataclasses.dataclass(frozen=True)
 class LimitDemand:
-    """What one host wants of a limit, in the limit's unit."""
+    """What one host wants of a limit, in the limit's unit.
+
+    ``in_use`` is what cannot be given back at once. The grant that
+    answers it carries the same ``sequence``.
+    """
 
     limit_name: str
     demand: float
+    sequence: int = 0
+    in_use: float = 0
 
 
 @dataclasses.dataclass(frozen=True)
 class LimitGrant:
-    """The share of a limit that a host may use for ``valid_s`` seconds."""
+    """The share of a limit that a host may use for ``valid_s`` seconds.
+
+    They count from the sending of the demand with this ``sequence``.
+    """
 
     limit_name: str
     share: float
     valid_s: float
+    sequence: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/guavadyke/decisions/streams.py
+++ b/guavadyke/decisions/streams.py
@@ -5,6 +5,7 @@
 import dataclasses
 import json
 import re
+import zlib
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
@@ -12,10 +13,13 @@
 _DONE = b'data: [DONE]'
 _DONE_EVENT = b'data: [DONE]\n\n'
 _DATA = b'data:'
+_ERROR_KEY = b'"error"'
+_FINISH_KEY = b'"finish_reason"'
 _ERROR = re.compile(rb'(?:^|\n)data: ?\{\s*"error"')
 _FINISH = re.compile(rb'"finish_reason"\s*:\s*"')
 _ID = re.compile(rb'"id"\s*:\s*"[^"\\]*"')
-_FOLD_BYTES = 16_384
+_PACK_BYTES = 16_384
+_PACK_LEVEL = 1
 _RESUMABLE_KEYS = frozenset(('role', 'content', 'refusal'))
 
 Document = Mapping[str, Any]
@@ -80,8 +84,8 @@
 class AnswerText:
     """Text, usage and frame of an answer, gathered from its events.
 
-    Raw events are kept and read only when there are many of them or when
-    the text is asked for, which keeps the work for each token small.
+    Raw events are kept compressed and read only when the text is asked
+    for, which keeps the work for each token small.
 
     Args:
         partial: what an earlier run has produced.
@@ -94,6 +98,7 @@
         self._texts = [partial.text]
         self._tokens = partial.tokens
         self._resumable = partial.resumable
+        self._packed: list[bytes] = []
         self._raw: list[bytes] = []
         self._raw_bytes = 0
 
@@ -108,15 +113,21 @@
         """Keep whole events."""
         self._raw.append(block)
         self._raw_bytes += len(block)
-        if self._raw_bytes > _FOLD_BYTES:
-            self._fold()
+        if self._raw_bytes > _PACK_BYTES:
+            self._pack()
 
-    def _fold(self) -> None:
-        block = b''.join(self._raw)
+    def _pack(self) -> None:
+        self._packed.append(zlib.compress(b''.join(self._raw), _PACK_LEVEL))
         self._raw = []
         self._raw_bytes = 0
+
+    def _fold(self) -> None:
+        """Read the events that were kept."""
+        self._pack()
+        blocks = b''.join(map(zlib.decompress, self._packed))
+        self._packed = []
         try:
-            for document in documents(block):
+            for document in documents(blocks):
                 self._take(document)
         except StreamFaultError:
             self._resumable = False
@@ -144,6 +155,18 @@
         self.finish_reason = choice.get('finish_reason') or self.finish_reason
 
 
+def _finishes(block: bytes) -> bool:
+    """Return whether an event gives a finish reason.
+
+    Most events say that there is none, which is quickly seen.
+    """
+    unfinished = block.count(b'"finish_reason":null')
+    unfinished += block.count(b'"finish_reason": null')
+    if unfinished == block.count(_FINISH_KEY):
+        return False
+    return _FINISH.search(block) is not None
+
+
 def text_of(choice: Document) -> str:
     """Return the text of one choice of an event."""
     delta = choice.get('delta')
@@ -224,7 +247,7 @@
         block = self._whole_events(piece)
         if not block:
             return block
-        if _ERROR.search(block):
+        if _ERROR_KEY in block and _ERROR.search(block):
             raise StreamFaultError('the backend server reported an error')
         self._match(block)
         if self._rewrite is not None:
@@ -244,7 +267,7 @@
         return received[:end]
 
     def _pass(self, block: bytes) -> bytes:
-        if not self._finished and _FINISH.search(block):
+        if not self._finished and _finishes(block):
             self._finished = True
         if _DONE in block:
             block = self._ended(block)
--- a/guavadyke/filters/claim.py
+++ b/guavadyke/filters/claim.py
@@ -26,6 +26,7 @@
     Run,
 )
 from guavadyke.filters.base import Answer, Exchange, Filter, Handler
+from guavadyke.filters.bodies import EndingBody
 from guavadyke.filters.claim_writes import ClaimWrites
 from guavadyke.http import error_answer
 
@@ -154,16 +155,12 @@
             self._keep(held, held.claim.done(answer, answer.body))
             return answer
         recorder = _Recorder(answer, answer.body)
-        answer.body = self._recorded(held, recorder)
+        answer.body = EndingBody(
+            iter(recorder),
+            lambda: self._keep(held, recorder.outcome(held.claim)),
+        )
         return answer
 
-    def _recorded(self, held: _Held, recorder: _Recorder) -> Iterator[bytes]:
-        """Pass a stream on and keep it when it has ended."""
-        try:
-            yield from recorder
-        finally:
-            self._keep(held, recorder.outcome(held.claim))
-
     def _keep_failure(
         self,
         exchange: Exchange,
--- a/guavadyke/filters/claim_writes.py
+++ b/guavadyke/filters/claim_writes.py
@@ -61,6 +61,11 @@
         """Delete a claim that may have been created without our knowing."""
         self._backlog.append(lambda: self._delete_own(name, token))
 
+    def work(self) -> None:
+        """Try every write of the backlog once."""
+        for write in self._taken(len(self._backlog)):
+            self._attempt(write)
+
     def _update(self, stored: StoredObject, body: bytes) -> None:
         self._store.update(stored, body)
 
@@ -82,8 +87,7 @@
 
     def _run(self) -> None:
         while not self._stopped.wait(_RETRY_S):
-            for write in self._taken(len(self._backlog)):
-                self._attempt(write)
+            self.work()
 
     def _taken(self, count: int) -> Iterator[Callable[[], None]]:
         """Yield so many of the oldest writes; they leave the backlog."""
--- a/guavadyke/online.py
+++ b/guavadyke/online.py
@@ -20,6 +20,10 @@
 from guavadyke.filters.claim_writes import ClaimWrites
 from guavadyke.filters.dispatch import Dispatch
 from guavadyke.filters.items import BatchItems
+from guavadyke.filters.limit import Limit
+from guavadyke.filters.limit_coordinator import SharingTools
+from guavadyke.filters.limit_sharing import LimitSharing
+from guavadyke.filters.limit_table import LimitTable
 from guavadyke.filters.loads import LoadReports
 from guavadyke.filters.notices import YieldNotices
 from guavadyke.filters.parse import (
@@ -98,6 +102,11 @@
         self._claim = ClaimKey(
             ClaimTools(settings.host_id, clock, store, self._writes),
         )
+        table = LimitTable(settings, clock, catalogue, fleet)
+        self._limit = Limit(table)
+        self._sharing = LimitSharing(
+            SharingTools(settings, clock, fleet, store, messenger, table),
+        )
         self._stopping = False
 
     @property
@@ -134,6 +143,7 @@
         self._loads.start()
         self._writes.start()
         self._notices.start()
+        self._sharing.start()
 
     def stop_readiness(self) -> None:
         """Answer from now on that this host is stopping."""
@@ -144,6 +154,7 @@
         self._loads.close()
         self._writes.close()
         self._notices.close()
+        self._sharing.close()
         self._watch.close()
 
     def status(self) -> dict[str, object]:
@@ -161,7 +172,9 @@
         parse: Filter,
         dispatch: Callable[[Exchange], Answer],
     ) -> Handler:
-        return chain((self._authenticate, parse, self._claim), dispatch)
+        return chain(
+            (self._authenticate, parse, self._limit, self._claim), dispatch
+        )
 
     def _ready(self, _exchange: Exchange) -> Answer:
         if self._stopping:
--- a/guavadyke/peer/messages.thrift
+++ b/guavadyke/peer/messages.thrift
@@ -46,12 +46,15 @@
 struct LimitDemand {
   1: string limit_name,
   2: double demand,
+  3: optional i64 sequence,
+  4: optional double in_use,
 }
 
 struct LimitGrant {
   1: string limit_name,
   2: double share,
   3: double valid_s,
+  4: optional i64 sequence,
 }
 
 struct OnlineCount {
