Prove membership, catalogue, leaving and orders by state machines

Machines: membership under loss, cuts, pauses, deaths and replacements; catalogue edits under lost answers, outages, stale reads, silent watches, races and restarts; orders with and without checked fencing numbers; marks of leaving servers under lag, skew and any order of messages.

Found: marks of one message were compared with what was held before the message, so that a newer mark followed by an older one ended at the older one; they are now taken one after another.

--- /dev/null
+++ b/features/machines/fleet_orders.py
@@ -0,0 +1,236 @@
+"""State machines: fencing numbers and leases, and marks of leaving."""
+
+from __future__ import annotations
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from guavadyke.decisions.fencing import (
+    OrderLease,
+    OrderLeasePolicy,
+    SeenOrders,
+)
+from guavadyke.decisions.leaving import (
+    LeavingBoard,
+    LeavingMark,
+    LeavingSource,
+    Sighting,
+)
+
+_HOSTS = 2
+_LEASE_S = 15
+_MARGIN_S = 5
+_DELIVERY_S = 4
+_LAG_S = 2
+_FLAPPING_S = 5
+_POLL_S = 0.7
+
+hosts = st.integers(0, _HOSTS - 1)
+
+
+class OrderMachine(RuleBasedStateMachine):
+    """Hosts order one engine; the oracle is what the engine takes."""
+
+    fenced = True
+
+    @initialize()
+    def begin(self) -> None:
+        self.now: float = 0
+        self.stored = SeenOrders(0, '')
+        self.leases = [self._lease(number) for number in range(_HOSTS)]
+        self.paused: list[tuple[int, int, float]] = []
+        self.pending: list[tuple[int, int, float]] = []
+        self.engine_fencing = 0
+        self.effective: list[tuple[int, int, float]] = []
+
+    @rule(
+        seconds=st.sampled_from((0, 1, 3, 8, 16)),
+        arriving=st.sampled_from(('newest', 'oldest', '')),
+    )
+    def wait(self, seconds: float, arriving: str) -> None:
+        """Let time go by; an order arrives within its timeout or never."""
+        self.now += seconds
+        self._wake()
+        self.pending = [
+            order
+            for order in self.pending
+            if self.now - order[2] <= _DELIVERY_S or self.fenced
+        ]
+        if arriving and self.pending:
+            self._arrive(self.pending.pop(-1 if arriving == 'newest' else 0))
+
+    @rule(
+        number=hosts,
+        blind=st.booleans(),
+        paused_s=st.sampled_from((0, 0, 3, 12, 20)),
+    )
+    def order(self, number: int, blind: bool, paused_s: float) -> None:
+        """Take the object, be paused, and send if that is still allowed."""
+        lease = self.leases[number]
+        if not blind:
+            lease.see(self.stored, self.now)
+        if not lease.may_take(self.now):
+            return
+        asked_at = self.now
+        version = self._take(number)
+        if version is None:
+            return
+        lease.taken(version, asked_at)
+        self.paused.append((number, version, self.now + paused_s))
+        self._wake()
+
+    @rule(number=hosts)
+    def restart(self, number: int) -> None:
+        self.leases[number] = self._lease(number)
+
+    @invariant()
+    def one_order_for_each_number(self) -> None:
+        sent = {(order[0], order[1]) for order in self.effective}
+        assert len({pair[1] for pair in sent}) == len(sent)
+
+    @invariant()
+    def numbers_rise_where_they_are_checked(self) -> None:
+        if self.fenced:
+            versions = [order[1] for order in self.effective]
+            assert versions == sorted(versions), versions
+
+    @invariant()
+    def hosts_do_not_mix_where_they_are_not(self) -> None:
+        """Once another host has ordered, the one before it is silent."""
+        if self.fenced:
+            return
+        orderers = [order[0] for order in self.effective]
+        versions = [order[1] for order in self.effective]
+        changes = [
+            index
+            for index in range(1, len(orderers))
+            if orderers[index] != orderers[index - 1]
+        ]
+        for index in changes:
+            assert versions[index] > versions[index - 1], self.effective
+
+    def _lease(self, number: int) -> OrderLease:
+        policy = OrderLeasePolicy(_LEASE_S, _MARGIN_S)
+        return OrderLease(f'host-{number}', policy, fenced=self.fenced)
+
+    def _wake(self) -> None:
+        """Hosts that were paused go on with their orders."""
+        woken = [order for order in self.paused if order[2] <= self.now]
+        self.paused = [order for order in self.paused if order[2] > self.now]
+        self.pending.extend(
+            (number, version, self.now)
+            for number, version, _until in woken
+            if self.leases[number].may_send(version, self.now)
+        )
+
+    def _take(self, number: int) -> int | None:
+        """Update on condition that what was seen is still there."""
+        seen = self.leases[number].seen
+        if seen != self.stored:
+            return None
+        version = self.stored.version + 1
+        self.stored = SeenOrders(version, f'host-{number}')
+        return version
+
+    def _arrive(self, order: tuple[int, int, float]) -> None:
+        _host, version, _sent_at = order
+        if self.fenced and version < self.engine_fencing:
+            return
+        self.engine_fencing = max(self.engine_fencing, version)
+        self.effective.append(order)
+
+
+class LeaseMachine(OrderMachine):
+    """The same with an engine that ignores fencing numbers."""
+
+    fenced = False
+
+
+class LeavingMachine(RuleBasedStateMachine):
+    """One engine reports late; the oracle is its true state over time."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.now: float = 0
+        self.truth: list[tuple[float, bool]] = [(-9, False)]
+        self.sighted = False
+        self.boards = [LeavingBoard(_LAG_S) for _number in range(_HOSTS)]
+        self.under_way: list[LeavingMark] = []
+        self.told = False
+
+    @rule(seconds=st.sampled_from((0.3, 1, 3, 6)))
+    def wait(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule(leaving=st.booleans())
+    def engine_turns(self, leaving: bool) -> None:
+        """The engine is told to leave or to stay, not twice in a moment."""
+        since, before = self.truth[-1]
+        if leaving != before and self.now - since > _FLAPPING_S:
+            self.truth.append((self.now, leaving))
+            self.sighted = False
+            self.told = False
+
+    @rule(
+        number=hosts,
+        age_s=st.sampled_from((0, 0.5, 2)),
+        skew_s=st.sampled_from((-5, 0, 5)),
+    )
+    def poll(self, number: int, age_s: float, skew_s: float) -> None:
+        """A host asks the engine, whose report is old; clocks differ."""
+        self.now += _POLL_S
+        said_at = self.now - age_s
+        leaving = self._true_at(said_at)
+        mark = self.boards[number].see(
+            Sighting(
+                'engine-1',
+                LeavingSource.report,
+                leaving,
+                said_at,
+                int((self.now + 100 + skew_s) * 1000),
+            ),
+            self.now,
+        )
+        if mark is not None:
+            self.under_way.append(mark)
+            if mark.leaving and said_at >= self.truth[-1][0]:
+                self.sighted = True
+
+    @rule(
+        number=hosts,
+        choice=st.integers(0, 3),
+        everyone=st.booleans(),
+    )
+    def hear(self, number: int, choice: int, everyone: bool) -> None:
+        """Marks arrive in any order, late, doubled, or never.
+
+        To be heard by everyone takes less than two seconds.
+        """
+        if everyone:
+            self._hear_all()
+        elif self.under_way:
+            mark = self.under_way[choice % len(self.under_way)]
+            self.boards[number].merge([mark], self.now)
+
+    @invariant()
+    def no_new_work_once_all_were_told(self) -> None:
+        """Nothing older undoes the mark while the engine is leaving."""
+        if self.told:
+            assert all('engine-1' in board.leaving for board in self.boards)
+
+    def _hear_all(self) -> None:
+        marks = [mark for board in self.boards for mark in board.marks]
+        for board in self.boards:
+            board.merge(marks, self.now)
+        if self.truth[-1][1] and self.sighted:
+            self.told = True
+
+    def _true_at(self, moment: float) -> bool:
+        return [leaving for since, leaving in self.truth if since <= moment][
+            -1:
+        ] == [True]
--- /dev/null
+++ b/features/steps/fleet_machines_steps.py
@@ -0,0 +1,99 @@
+"""Steps of fleet_machines.feature."""
+
+import types
+
+from behave import step
+from behave.runner import Context
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from features.machines import fleet_catalogue, fleet_membership, fleet_orders
+from guavadyke.decisions.fencing import (
+    OrderLease,
+    OrderLeasePolicy,
+    SeenOrders,
+)
+from guavadyke.decisions.leaving import (
+    LeavingBoard,
+    LeavingMark,
+    LeavingSource,
+)
+
+_MACHINES = types.MappingProxyType({
+    'MembershipMachine': (fleet_membership.MembershipMachine, 8, 12),
+    'CatalogueMachine': (fleet_catalogue.CatalogueMachine, 80, 25),
+    'OrderMachine': (fleet_orders.OrderMachine, 200, 30),
+    'LeaseMachine': (fleet_orders.LeaseMachine, 300, 30),
+    'LeavingMachine': (fleet_orders.LeavingMachine, 300, 30),
+})
+
+
+@step('the state machine "{name}" finds no counterexample')
+def step_machine(context: Context, name: str) -> None:
+    machine, examples, steps = _MACHINES[name]
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=steps,
+            deadline=None,
+            derandomize=True,
+            database=None,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+@step('an engine that ignores fencing numbers and two hosts')
+def step_engine(context: Context) -> None:
+    policy = OrderLeasePolicy(lease_s=15, margin_s=5)
+    context.first = OrderLease('first', policy, fenced=False)
+    context.second = OrderLease('second', policy, fenced=False)
+
+
+@step('the first takes the object and is paused past its lease')
+def step_paused(context: Context) -> None:
+    context.first.see(SeenOrders(0, ''), now=0)
+    assert context.first.may_take(now=0)
+    context.first.taken(version=1, asked_at=0)
+    assert context.first.may_send(version=1, now=9)
+
+
+@step('the second waits the lease out and orders')
+def step_takes_over(context: Context) -> None:
+    context.second.see(SeenOrders(1, 'first'), now=1)
+    context.second.see(SeenOrders(1, 'first'), now=15)
+    assert not context.second.may_take(now=15)
+    assert context.second.may_take(now=16)
+    context.second.taken(version=2, asked_at=16)
+    assert context.second.may_send(version=2, now=17)
+
+
+@step('the first sends nothing when it wakes')
+def step_silent_orderer(context: Context) -> None:
+    assert not context.first.may_send(version=1, now=18)
+    assert not context.first.may_send(version=1, now=10)
+
+
+@step('a host that knows a backend server to leave, stay and leave again')
+def step_marks(context: Context) -> None:
+    context.board = LeavingBoard(lag_s=2)
+    context.marks = [
+        LeavingMark('engine-1', LeavingSource.report, version, leaving)
+        for version, leaving in ((1, True), (2, False), (3, True))
+    ]
+    newer = context.board.merge(context.marks, now=0)
+    assert newer == context.marks
+
+
+@step('the older marks arrive again')
+def step_late_marks(context: Context) -> None:
+    assert not context.board.merge(context.marks[:2], now=9)
+    fresh = LeavingBoard(lag_s=2)
+    fresh.merge(reversed(context.marks), now=9)
+    assert fresh.leaving == context.board.leaving
+
+
+@step('the backend server is still leaving')
+def step_still_leaving(context: Context) -> None:
+    assert context.board.leaving == {'engine-1'}
--- a/guavadyke/controllers/catalogue_watch.py
+++ b/guavadyke/controllers/catalogue_watch.py
@@ -95,16 +95,12 @@
         """End after the present call; does not wait for it."""
         self._stop.set()
 
-    def _run(self) -> None:
-        while not self._stop.is_set():
-            try:
-                self._step()
-            except GuavadykeError as error:
-                self._failed(error)
-            else:
-                self._reached()
+    def step(self) -> None:
+        """Make one full list or one bounded watch.
 
-    def _step(self) -> None:
+        Raises:
+            GuavadykeError: the platform is away.
+        """
         self._notice_silence()
         if self._clock.monotonic() >= self._relist_due:
             self._relist()
@@ -120,6 +116,15 @@
         self._take_events(answer.events)
         self._revision = answer.revision
 
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            try:
+                self.step()
+            except GuavadykeError as error:
+                self._failed(error)
+            else:
+                self._reached()
+
     def _notice_silence(self) -> None:
         before = self._clock.monotonic() - _SILENT_S
         overdue = [
--- a/guavadyke/decisions/fencing.py
+++ b/guavadyke/decisions/fencing.py
@@ -54,6 +54,11 @@
         self._seen_at: float = 0
         self._until: float = 0
 
+    @property
+    def seen(self) -> SeenOrders | None:
+        """The order object as this host last read or took it."""
+        return self._seen
+
     def see(self, seen: SeenOrders, now: float) -> None:
         """Note the order object that was read; ``now`` is after the read."""
         if seen != self._seen:
--- a/guavadyke/decisions/leaving.py
+++ b/guavadyke/decisions/leaving.py
@@ -93,10 +93,7 @@
 
         Of two marks of one version the one that says leaving wins.
         """
-        newer = [mark for mark in marks if self._supersedes(mark)]
-        for mark in newer:
-            self._keep(mark, now)
-        return newer
+        return [mark for mark in marks if self._merge_one(mark, now)]
 
     def see(self, sighting: Sighting, now: float) -> LeavingMark | None:
         """Take what a source said; return the new mark if there is one."""
@@ -106,6 +103,7 @@
             if not sighting.leaving:
                 return None
         elif not self._changes(sighting, held):
+            self._confirm(sighting, held, now)
             return None
         above = 0 if held is None else held.version + 1
         mark = LeavingMark(
@@ -124,6 +122,22 @@
             return True
         return sighting.said_at > self._learnt_at[held.key] + self._lag_s
 
+    def _merge_one(self, mark: LeavingMark, now: float) -> bool:
+        newer = self._supersedes(mark)
+        if newer:
+            self._keep(mark, now)
+        return newer
+
+    def _confirm(
+        self,
+        sighting: Sighting,
+        held: LeavingMark,
+        now: float,
+    ) -> None:
+        """Let nothing said before this undo the mark."""
+        if sighting.leaving and held.leaving:
+            self._learnt_at[held.key] = now
+
     def _supersedes(self, mark: LeavingMark) -> bool:
         held = self._marks.get(mark.key)
         if held is None:
