Bound what watches and idle connections cost

Cause: each change woke every watch of the platform stand-in, of whatever kind, and each scanned all newer events; idle connections to addresses no longer called stayed open for good. Change: one feed of events a kind with its own condition; the pool closes what is too old, for all origins, once in an idle time.

--- a/guavadyke/adapters/connections.py
+++ b/guavadyke/adapters/connections.py
@@ -24,6 +24,7 @@
         self._lock = threading.Lock()
         self._idle: dict[str, collections.deque[tuple[float, HTTPConnection]]]
         self._idle = collections.defaultdict(collections.deque)
+        self._sweep_at = time.monotonic() + idle_s
 
     def take(self, origin: str) -> HTTPConnection | None:
         """Return an idle connection that looks sound, or None."""
@@ -43,13 +44,11 @@
         with self._lock:
             waiting = self._idle[origin]
             waiting.append((time.monotonic(), connection))
-            surplus = (
-                waiting.popleft()[1]
-                if len(waiting) > _KEPT_CONNECTIONS
-                else None
-            )
-        if surplus is not None:
-            surplus.close()
+            surplus = self._expired()
+            if len(waiting) > _KEPT_CONNECTIONS:
+                surplus.append(waiting.popleft()[1])
+        for unused in surplus:
+            unused.close()
 
     def drop(self, origin: str) -> None:
         """Close every idle connection to an origin that failed."""
@@ -58,6 +57,31 @@
         for _since, connection in waiting:
             connection.close()
 
+    def _expired(self) -> list[HTTPConnection]:
+        """Take out what is too old, of all origins, once in a while."""
+        now = time.monotonic()
+        if now < self._sweep_at:
+            return []
+        self._sweep_at = now + self._idle_s
+        oldest = now - self._idle_s
+        expired = [
+            connection
+            for waiting in self._idle.values()
+            for since, connection in waiting
+            if since < oldest
+        ]
+        self._idle = collections.defaultdict(
+            collections.deque,
+            {
+                origin: collections.deque(
+                    one for one in waiting if one[0] >= oldest
+                )
+                for origin, waiting in self._idle.items()
+                if waiting and waiting[-1][0] >= oldest
+            },
+        )
+        return expired
+
 
 def new_connection(origin: str, connect_timeout_s: float) -> HTTPConnection:
     """Return a connection to an origin that is not connected yet.
--- a/guavadyke/standins/control.py
+++ b/guavadyke/standins/control.py
@@ -94,6 +94,11 @@
         self._board.put(faults)
         self._faults_changed()
 
+    @property
+    def connections(self) -> int:
+        """Connections that are open."""
+        return self._server.connections
+
     @property
     def history(self) -> History:
         """What this stand-in did."""
--- a/guavadyke/standins/http.py
+++ b/guavadyke/standins/http.py
@@ -250,6 +250,11 @@
         host = f'[{self._ip}]' if ':' in self._ip else self._ip
         return f'{host}:{self._server.effective_port}'
 
+    @property
+    def connections(self) -> int:
+        """Connections that are open."""
+        return len(self._server.active_channels)
+
     def start(self) -> None:
         """Serve in the background."""
         self._thread.start()
--- a/guavadyke/standins/objects.py
+++ b/guavadyke/standins/objects.py
@@ -5,6 +5,7 @@
 import bisect
 import collections
 import dataclasses
+import itertools
 import threading
 import time
 
@@ -60,18 +61,55 @@
     present: dict[tuple[str, str], ObjectState]
 
 
+class _Feed:
+    """Changes of one kind, for its watches.
+
+    Args:
+        lock: lock of the table; it is held in every call.
+    """
+
+    def __init__(self, lock: threading.RLock) -> None:
+        self.changed = threading.Condition(lock)
+        self._floor = 0
+        self._events: collections.deque[ObjectState] = collections.deque()
+
+    def add(self, state: ObjectState) -> None:
+        """Add a change and wake the watches."""
+        self._events.append(state)
+        if len(self._events) > _KEPT_EVENTS:
+            self._floor = self._events.popleft().version
+        self.changed.notify_all()
+
+    def after(self, revision: int) -> tuple[ObjectState, ...]:
+        """Return the changes after a revision.
+
+        Raises:
+            RevisionTooOldError: such events are no longer held.
+        """
+        if revision < self._floor:
+            raise RevisionTooOldError
+        newer = itertools.takewhile(
+            lambda state: state.version > revision,
+            reversed(self._events),
+        )
+        return tuple(reversed(tuple(newer)))
+
+    def restart(self, revision: int) -> None:
+        """Forget all changes; those up to the revision count as old."""
+        self._floor = revision
+        self._events.clear()
+        self.changed.notify_all()
+
+
 class ObjectTable:
     """Objects by kind and name, with one rising revision over all."""
 
     def __init__(self) -> None:
-        self._changed = threading.Condition()
+        self._lock = threading.RLock()
         self._revision = 0
-        self._floor = 0
         self._states: dict[tuple[str, str], list[ObjectState]] = {}
         self._names: dict[str, list[str]] = collections.defaultdict(list)
-        self._events: collections.deque[tuple[str, ObjectState]] = (
-            collections.deque()
-        )
+        self._feeds: dict[str, _Feed] = {}
 
     @property
     def revision(self) -> int:
@@ -85,7 +123,7 @@
         stale_s: float = 0,
     ) -> ObjectState | None:
         """Return the object as it was ``stale_s`` seconds ago."""
-        with self._changed:
+        with self._lock:
             return self._as_of((kind, name), time.monotonic() - stale_s)
 
     def page(
@@ -97,7 +135,7 @@
         stale_s: float = 0,
     ) -> Page:
         """Return objects whose names start with the prefix."""
-        with self._changed:
+        with self._lock:
             at = time.monotonic() - stale_s
             found: list[ObjectState] = []
             size = 0
@@ -131,7 +169,7 @@
             ConditionFailedError: it has another version.
         """
         key = (kind, name)
-        with self._changed:
+        with self._lock:
             present = self._as_of(key, time.monotonic())
             version = 0 if present is None else present.version
             if expected not in {None, version}:
@@ -141,7 +179,6 @@
             self._revision += 1
             state = ObjectState(name, self._revision, body, time.monotonic())
             self._apply(key, state)
-            self._changed.notify_all()
         return state
 
     def changes(self, kind: str, after: int, wait_s: float) -> Changes:
@@ -151,19 +188,20 @@
             RevisionTooOldError: such events are no longer held.
         """
         until = time.monotonic() + wait_s
-        with self._changed:
+        with self._lock:
+            feed = self._feed(kind)
             while True:
-                if not self._floor <= after <= self._revision:
+                if after > self._revision:
                     raise RevisionTooOldError
-                events = self._events_after(kind, after)
+                events = feed.after(after)
                 left_s = until - time.monotonic()
                 if events or left_s <= 0:
                     return Changes(self._revision, events)
-                self._changed.wait(left_s)
+                feed.changed.wait(left_s)
 
     def snapshot(self) -> TableSnapshot:
         """Return the whole table."""
-        with self._changed:
+        with self._lock:
             at = time.monotonic()
             states = {key: self._as_of(key, at) for key in self._states}
             return TableSnapshot(
@@ -173,16 +211,15 @@
 
     def restore(self, snapshot: TableSnapshot) -> None:
         """Put an old state back, its old revision included."""
-        with self._changed:
+        with self._lock:
             self._revision = snapshot.revision
-            self._floor = snapshot.revision
-            self._events.clear()
             self._states = {}
             self._names.clear()
             for (kind, name), state in snapshot.present.items():
                 self._states[kind, name] = [state]
                 bisect.insort(self._names[kind], name)
-            self._changed.notify_all()
+            for feed in self._feeds.values():
+                feed.restart(snapshot.revision)
 
     def _apply(self, key: tuple[str, str], state: ObjectState) -> None:
         kind, name = key
@@ -190,9 +227,10 @@
         if not states:
             bisect.insort(self._names[kind], name)
         self._states[key] = [*states[1 - _KEPT_STATES :], state]
-        self._events.append((kind, state))
-        if len(self._events) > _KEPT_EVENTS:
-            self._floor = self._events.popleft()[1].version
+        self._feed(kind).add(state)
+
+    def _feed(self, kind: str) -> _Feed:
+        return self._feeds.setdefault(kind, _Feed(self._lock))
 
     def _as_of(self, key: tuple[str, str], at: float) -> ObjectState | None:
         states = self._states.get(key, [])
@@ -208,12 +246,3 @@
             first = max(first, bisect.bisect_right(names, after))
         last = bisect.bisect_left(names, f'{prefix}\U0010ffff')
         return names[first:last]
-
-    def _events_after(self, kind: str, after: int) -> tuple[ObjectState, ...]:
-        newest_first = []
-        for event_kind, state in reversed(self._events):
-            if state.version <= after:
-                break
-            if event_kind == kind:
-                newest_first.append(state)
-        return tuple(reversed(newest_first))
