Confirm cancels by revisions, keep results on the data folder

Cause: a watch that answers without events hid a cancel for as long as it did so; a resend of an archived job could delete it from the archive; results were only in memory while the platform was away; a planned release left non-idempotent items recorded as started, which then ended unknown. Change: nothing starts unless the jobs are known as of a revision not older than a renewal of the lease; only open jobs enter the index and the archive; postponed results are copied to the data folder and written by a restarted host; a release clears the records of starts.

--- a/features/batch_leases.feature
+++ b/features/batch_leases.feature
@@ -7,6 +7,13 @@
     And 16 seconds pass for the batch fleet
     Then "entry-1" starts no batch item
 
+  Scenario: a host whose watches show nothing starts nothing after the lease
+    Given a simulated batch fleet with a job of 40 items at "entry-1"
+    When watches of "entry-1" show no event
+    And the simulated batch is cancelled at "entry-2"
+    And 16 seconds pass for the batch fleet
+    Then "entry-1" starts no batch item
+
   Scenario: a host whose lease is not renewed starts nothing after it
     Given a simulated batch fleet with a job of 40 items at "entry-1"
     When writes of "entry-1" are cut off
@@ -62,3 +69,21 @@
     When "entry-1" dies before it commits a batch of 12 items
     And 1000 seconds pass for the batch fleet
     Then the platform holds no object of the simulated batch
+
+  Scenario: an archived job outlives its resends
+    Given a simulated batch fleet with a job of 5 items at "entry-1"
+    When the simulated batch ends and 60 seconds pass
+    And the simulated batch of 5 items is sent again to "entry-2"
+    And 100 seconds pass for the batch fleet
+    Then the simulated batch is archived and read as before
+
+  Scenario: results wait on the data folder and a restarted host writes them
+    Given a simulated batch fleet where "entry-1" has a data folder
+    When a batch of 5 non-idempotent items runs at "entry-1" during an outage
+    And "entry-1" restarts with its data folder and the platform is back
+    Then the simulated batch completed with each item run once
+
+  Scenario: items whose start was recorded and that are handed over still run
+    Given a simulated batch fleet
+    When "entry-1" records starts of 5 non-idempotent items and hands over
+    Then the simulated batch completed with each item run once
--- a/features/builders_batch.py
+++ b/features/builders_batch.py
@@ -8,6 +8,7 @@
 import random
 import time
 from collections.abc import Callable, Mapping
+from typing import Any
 
 from features.builders import entry_document
 from features.builders_batch_platform import MemoryPlatform, MemoryStore
@@ -18,6 +19,7 @@
     ItemCall,
     ItemEnd,
     ItemResult,
+    PlatformStore,
 )
 from guavadyke.adapters.settled import SettledStore
 from guavadyke.batch import BatchService
@@ -194,29 +196,12 @@
     )
 
 
-def batch_settings(host_id: str, **batch: object) -> EntrySettings:
-    """Return settings of a host, quick enough for tests."""
-    quick: dict[str, object] = {
-        'lease_s': 1.5,
-        'lease_renewal_s': 0.3,
-        'lease_margin_s': 0.4,
-        'poll_interval_s': 0.1,
-        'workers': 8,
-    }
-    document = {
-        **entry_document(),
-        'host_id': host_id,
-        'batch': {**quick, **batch},
-    }
-    return EntrySettings.model_validate(document)
-
-
 @dataclasses.dataclass
 class BatchHost:
     """One entry host with batch work only."""
 
     service: BatchService
-    link: MemoryStore
+    link: Any
     runner: FakeRunner
     application: HttpApplication
 
@@ -265,6 +250,25 @@
     clock: Clock = dataclasses.field(default_factory=SystemClock)
     fleet: FleetSnapshot = dataclasses.field(default_factory=FleetSnapshot)
     batch: Mapping[str, object] = dataclasses.field(default_factory=dict)
+    data_folder: str | None = None
+
+
+def batch_settings(plan: HostPlan) -> EntrySettings:
+    """Return settings of a host, quick enough for tests."""
+    quick: dict[str, object] = {
+        'lease_s': 1.5,
+        'lease_renewal_s': 0.3,
+        'lease_margin_s': 0.4,
+        'poll_interval_s': 0.1,
+        'workers': 8,
+    }
+    document = {
+        **entry_document(),
+        'host_id': plan.host_id,
+        'batch': {**quick, **plan.batch},
+        'data_folder': plan.data_folder,
+    }
+    return EntrySettings.model_validate(document)
 
 
 def batch_host(platform: MemoryPlatform, plan: HostPlan) -> BatchHost:
@@ -272,7 +276,7 @@
     return host_on(MemoryStore(platform), plan)
 
 
-def host_on(link: MemoryStore, plan: HostPlan) -> BatchHost:
+def host_on(link: PlatformStore, plan: HostPlan) -> BatchHost:
     """Return a host with a given link, not started."""
     rng = random.Random(plan.host_id)
     runner = FakeRunner(
@@ -284,7 +288,7 @@
     )
     logger = EventLogger(entry_host=plan.host_id)
     service = BatchService(
-        settings=batch_settings(plan.host_id, **plan.batch),
+        settings=batch_settings(plan),
         clock=plan.clock,
         rng=rng,
         catalogue=catalogue(),
--- a/features/builders_batch_platform.py
+++ b/features/builders_batch_platform.py
@@ -64,12 +64,14 @@
 
     ``lose_every`` loses every so many answers to writes of a kind, after
     their effect; 0 loses none. ``cut_after`` cuts the link after so many
-    more calls. Watches wait only if ``waits``.
+    more calls. ``stale_watches`` show no event. Watches wait only if
+    ``waits``.
     """
 
     cut: bool = False
     cut_writes: bool = False
     cut_watches: bool = False
+    stale_watches: bool = False
     cut_after: int | None = None
     lose_every: int = 0
     waits: bool = True
@@ -79,6 +81,7 @@
         self.cut = False
         self.cut_writes = False
         self.cut_watches = False
+        self.stale_watches = False
         self.cut_after = None
         self.lose_every = 0
 
@@ -175,6 +178,8 @@
                 self.platform.changed.wait(min(left_s, 0.2))
             if self.faults.cut:
                 raise PlatformUnavailableError('cut off')
+            if self.faults.stale_watches:
+                return WatchAnswer(revision, ())
             return WatchAnswer(self.platform.revision, events)
 
     def hosts(self) -> tuple[ListedHost, ...]:
--- a/features/machines/batch_fleet.py
+++ b/features/machines/batch_fleet.py
@@ -54,7 +54,7 @@
         for name in HOSTS:
             self.replace(name)
 
-    def replace(self, name: str) -> None:
+    def replace(self, name: str, data_folder: str | None = None) -> None:
         """Put a new host in the place of one that dies."""
         link = builders_batch.MemoryStore(
             self.platform,
@@ -73,6 +73,7 @@
                 'chunk_items': 5,
                 'max_attempts': MAX_ATTEMPTS,
             },
+            data_folder=data_folder,
         )
         host = builders_batch.host_on(link, plan)
         self.hosts[name] = SimulatedHost(host)
--- a/features/machines/batch_jobs.py
+++ b/features/machines/batch_jobs.py
@@ -25,6 +25,7 @@
 STEP_S = 1.0
 LONGEST_STEPS = 600
 KEYS = ('key-0', 'key-1', 'key-2', 'key-3')
+PARTS = ('cut', 'cut_writes', 'cut_watches', 'stale_watches')
 ENDED = frozenset(('completed', 'cancelled'))
 
 names = st.sampled_from(HOSTS)
@@ -135,7 +136,7 @@
 
     @rule(
         name=names,
-        fault=st.sampled_from(('cut', 'cut_writes', 'cut_watches')),
+        fault=st.sampled_from(PARTS),
         cut=st.booleans(),
     )
     def cut_off(self, name: str, fault: str, *, cut: bool) -> None:
--- a/features/steps/batch_leases_steps.py
+++ b/features/steps/batch_leases_steps.py
@@ -1,5 +1,8 @@
 """Steps of batch_leases.feature."""
 
+import tempfile
+from pathlib import Path
+
 from behave import given, then, when
 from behave.runner import Context
 
@@ -12,8 +15,16 @@
 ONE_TURN = 12
 
 
-def _submit(context: Context, count: int, name: str) -> None:
-    lines = [builders_batch.item_line(f'job/{index}') for index in range(count)]
+def _submit(
+    context: Context,
+    count: int,
+    name: str,
+    **more: object,
+) -> None:
+    lines = [
+        builders_batch.item_line(f'job/{index}', **more)
+        for index in range(count)
+    ]
     status, document = context.simulated.call(
         name,
         'POST',
@@ -74,6 +85,11 @@
     context.simulated.hosts[name].faults.cut_watches = True
 
 
+@when('watches of "{name}" show no event')
+def step_stale(context: Context, name: str) -> None:
+    context.simulated.hosts[name].faults.stale_watches = True
+
+
 @when('writes of "{name}" are cut off')
 def step_cut_writes(context: Context, name: str) -> None:
     context.simulated.hosts[name].faults.cut_writes = True
@@ -316,3 +332,70 @@
 @when('the simulated batch of {count:d} items is sent again to "{name}"')
 def step_send_again(context: Context, count: int, name: str) -> None:
     _submit(context, count, name)
+
+
+@given('a simulated batch fleet where "{name}" has a data folder')
+def step_fleet_folder(context: Context, name: str) -> None:
+    context.simulated = SimulatedFleet()
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.folder = folder.name
+    context.simulated.replace(name, context.folder)
+
+
+def _start_alone(context: Context, name: str, steps: int) -> None:
+    """Let only one host take a job of five non-idempotent items."""
+    _submit(context, 5, name, idempotent=False)
+    for other in HOSTS:
+        context.simulated.hosts[other].paused = other != name
+    while not context.simulated.platform.of_kind('chunk'):
+        context.simulated.clock.now += 1
+        context.simulated.work(name, 0)
+    context.simulated.work(name, steps)
+
+
+@when(
+    'a batch of 5 non-idempotent items runs at "{name}" during an outage',
+)
+def step_outage(context: Context, name: str) -> None:
+    _start_alone(context, name, 2)
+    simulated = context.simulated.hosts[name]
+    for _ in range(5):
+        context.simulated.work(name, ONE_TURN)
+        if len(context.simulated.starts) < 5:
+            context.simulated.end_items(name, ItemEnd.completed, 1)
+    assert len(context.simulated.starts) == 5
+    simulated.faults.cut = True
+    context.simulated.end_items(name, ItemEnd.completed, 8)
+    context.simulated.work(name, ONE_TURN)
+    assert list(Path(context.folder).rglob('*.json'))
+
+
+@when('"{name}" restarts with its data folder and the platform is back')
+def step_restart(context: Context, name: str) -> None:
+    context.simulated.replace(name, context.folder)
+    for other in HOSTS:
+        context.simulated.hosts[other].paused = False
+
+
+@when('"{name}" records starts of 5 non-idempotent items and hands over')
+def step_record_and_release(context: Context, name: str) -> None:
+    _start_alone(context, name, 1)
+    assert not context.simulated.starts
+    service = context.simulated.hosts[name].host.service
+    service._claimer.stop()
+    service._holdings.stop(preempt=False)
+    context.simulated.work(name, ONE_TURN)
+    assert not service._holdings.chunks
+    for other in HOSTS:
+        context.simulated.hosts[other].paused = other == name
+
+
+@then('the simulated batch completed with each item run once')
+def step_each_once(context: Context) -> None:
+    _run_until_ended(context, HOSTS[1])
+    assert set(_outcomes(context, HOSTS[1]).values()) == {'completed'}
+    ran = sorted(start.custom_id for start in context.simulated.starts)
+    assert ran == [f'job/{index}' for index in range(5)], ran
+    if hasattr(context, 'folder'):
+        assert not list(Path(context.folder).rglob('*.json'))
--- a/guavadyke/batch.py
+++ b/guavadyke/batch.py
@@ -15,6 +15,7 @@
 from guavadyke.controllers.batch_lease import LeaseKeeper
 from guavadyke.controllers.batch_loops import BatchLoops, LoopParts
 from guavadyke.controllers.batch_routes import BatchRoutes, RouteParts
+from guavadyke.controllers.batch_spool import Spool
 from guavadyke.controllers.batch_steps import StepPerformer
 from guavadyke.controllers.batch_workers import Workers
 from guavadyke.errors import GuavadykeError
@@ -77,6 +78,7 @@
             self._holdings,
         )
         self._claimer = self._made_claimer()
+        spool = Spool(self.settings.data_folder, self.store, self.logger)
         self._cleaner = Cleaner(
             CleaningParts(
                 self.settings,
@@ -84,6 +86,7 @@
                 self.store,
                 self.fleet,
                 self._index,
+                spool,
                 self.logger,
             ),
         )
@@ -92,6 +95,7 @@
             self._holdings,
             self.runner,
             self.store,
+            spool,
             self.logger,
         )
         self._performer.subscribe(self._claimer.note_written)
@@ -166,7 +170,9 @@
                 3,
             ),
             'open_jobs': len(self._index.open_jobs()),
-            'index_confirmed': self._index.is_confirmed(),
+            'index_confirmed': self._lease.covers(
+                self._index.snapshot.current.revision,
+            ),
             'chunks': [held.name for held in self._holdings.chunks],
             'items_in_flight': sum(
                 held.run.in_flight for held in self._holdings.chunks
--- a/guavadyke/controllers/batch_archive.py
+++ b/guavadyke/controllers/batch_archive.py
@@ -47,6 +47,8 @@
     Raises:
         GuavadykeError: the platform does not answer.
     """
+    if job.stored.kind != JOB_KIND:
+        return
     with contextlib.suppress(ObjectConflictError):
         store.create(ARCHIVE_KIND, job.record.job_id, job.stored.body)
     with contextlib.suppress(ObjectConflictError):
--- a/guavadyke/controllers/batch_claims.py
+++ b/guavadyke/controllers/batch_claims.py
@@ -188,9 +188,21 @@
         for chunk in self._allowed(table)[:_CLAIMS_IN_ONE_TURN]:
             if self._room(table.job) <= 0 and table.job.cancelled_at is None:
                 return
-            holder = self._parts.lease.ensure()
+            holder = self._leased()
             self._taker.take(table, chunk, ledger.claim(chunk.state, holder))
 
+    def _leased(self) -> str:
+        """Return the name of a valid lease.
+
+        Jobs are followed up to its newest renewal, since nothing starts
+        before that.
+        """
+        known = self._parts.lease.view.current
+        holder = self._parts.lease.ensure()
+        if self._parts.lease.view.current != known:
+            self._parts.index.follow(0)
+        return holder
+
     def _allowed(self, table: ChunkTable) -> list[KnownChunk]:
         """Return waiting chunks that this host may try, its own first."""
         host_id = self._parts.settings.host_id
@@ -224,7 +236,7 @@
                 self._take_orphan(table, chunk)
 
     def _take_orphan(self, table: ChunkTable, chunk: KnownChunk) -> None:
-        holder = self._parts.lease.ensure()
+        holder = self._leased()
         state = ledger.take_over(
             chunk.state,
             holder,
--- a/guavadyke/controllers/batch_cleaning.py
+++ b/guavadyke/controllers/batch_cleaning.py
@@ -1,4 +1,7 @@
-"""Cleaning: archives ended jobs and deletes what nobody needs any more."""
+"""Cleaning: archives ended jobs and deletes what nobody needs any more.
+
+It also takes up what an earlier process of this host left behind.
+"""
 
 from __future__ import annotations
 
@@ -19,6 +22,7 @@
     JobRecord,
     decode_job,
 )
+from guavadyke.controllers.batch_spool import Spool
 from guavadyke.decisions.schedule import rank
 from guavadyke.errors import ObjectConflictError
 from guavadyke.log import EventLogger
@@ -47,6 +51,7 @@
     store: SettledStore
     fleet: SnapshotCell[FleetSnapshot]
     index: JobIndex
+    spool: Spool
     logger: EventLogger
 
 
@@ -64,11 +69,12 @@
         self._page_at: float = 0
 
     def turn(self) -> None:
-        """Archive, delete abandoned submissions and old jobs.
+        """Take up spooled results, archive, delete what is abandoned or old.
 
         Raises:
             GuavadykeError: the platform does not answer.
         """
+        self._parts.spool.take_up()
         jobs = self._parts.index.snapshot.current.jobs
         self._archive(jobs.values())
         self._delete_abandoned(jobs.values())
--- a/guavadyke/controllers/batch_held.py
+++ b/guavadyke/controllers/batch_held.py
@@ -224,8 +224,8 @@
     def _permissions(self, held: HeldChunk, now: float) -> Permissions:
         expires = held.job.expires
         current = self._lease.view.current.name == held.holder
-        start = self._lease.is_valid(held.holder) and (
-            self._index.is_confirmed()
+        start = self._lease.is_valid(held.holder) and self._lease.covers(
+            self._index.snapshot.current.revision,
         )
         return Permissions(
             now=now,
--- a/guavadyke/controllers/batch_jobs.py
+++ b/guavadyke/controllers/batch_jobs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import threading
 import types
 from collections.abc import Iterable, Iterator, Mapping
 
@@ -28,12 +29,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class JobsSnapshot:
-    """Jobs by id, as of ``confirmed_at`` on this host's monotonic clock."""
+    """Jobs by id, as of a revision of the platform.
+
+    ``listed_at`` is when they were last listed, in monotonic seconds.
+    """
 
     jobs: Mapping[str, StoredJob] = dataclasses.field(default_factory=dict)
     revision: int = 0
-    confirmed_at: float | None = None
-    listed_at: float = 0
+    listed_at: float | None = None
 
 
 def list_all(
@@ -91,19 +94,11 @@
         self._clock = clock
         self._store = store
         self._logger = logger
+        self._lock = threading.Lock()
         self.snapshot: SnapshotCell[JobsSnapshot] = SnapshotCell(
             JobsSnapshot(),
         )
 
-    def is_confirmed(self) -> bool:
-        """Return whether a cancelled job would be known here by now."""
-        confirmed_at = self.snapshot.current.confirmed_at
-        if confirmed_at is None:
-            return False
-        batch = self._settings.batch
-        bound_s = batch.lease_s - batch.lease_margin_s
-        return self._clock.monotonic() < confirmed_at + bound_s
-
     def open_jobs(self) -> Mapping[str, StoredJob]:
         """Return the jobs that are accepted and have not ended."""
         return {
@@ -120,46 +115,54 @@
         """
         known = self.snapshot.current
         now = self._clock.monotonic()
-        platform = self._settings.platform
-        old = now - known.listed_at > platform.relist_interval_s
-        if known.confirmed_at is None or old:
+        interval_s = self._settings.platform.relist_interval_s
+        if known.listed_at is None or now - known.listed_at > interval_s:
             self._relist(now)
             return
         answer = self._store.watch(JOB_KIND, known.revision, wait_s)
         if answer.expired:
             self._relist(now)
             return
-        jobs = dict(known.jobs)
-        for event in answer.events:
-            self._apply(jobs, event)
-        self.snapshot.publish(
-            dataclasses.replace(
-                known,
-                jobs=types.MappingProxyType(jobs),
-                revision=answer.revision,
-                confirmed_at=now,
-            ),
-        )
+        with self._lock:
+            jobs = dict(self.snapshot.current.jobs)
+            for event in answer.events:
+                self._apply(jobs, event)
+            self._publish(jobs, answer.revision)
 
     def put(self, job: StoredJob) -> None:
-        """Take in a job that this host has just written or read.
+        """Take in a job that this host has just written or read."""
+        if job.stored.kind != JOB_KIND:
+            return
+        with self._lock:
+            jobs = dict(self.snapshot.current.jobs)
+            _keep_newer(jobs, job)
+            self._publish(jobs, self.snapshot.current.revision)
 
-        Called beside ``follow``: a newer version is never replaced by an
-        older one.
-        """
+    def _publish(
+        self,
+        jobs: dict[str, StoredJob],
+        revision: int,
+        listed_at: float | None = None,
+    ) -> None:
+        """Replace the snapshot; revisions never go back."""
         known = self.snapshot.current
-        jobs = dict(known.jobs)
-        _keep_newer(jobs, job)
         self.snapshot.publish(
-            dataclasses.replace(known, jobs=types.MappingProxyType(jobs)),
+            JobsSnapshot(
+                types.MappingProxyType(jobs),
+                max(known.revision, revision),
+                known.listed_at if listed_at is None else listed_at,
+            ),
         )
 
     def _relist(self, now: float) -> None:
+        """Read all jobs; what is known to be newer than the list stays."""
         objects, revision = list_all(self._store, JOB_KIND)
-        jobs = {job.record.job_id: job for job in self._readable(objects)}
-        self.snapshot.publish(
-            JobsSnapshot(types.MappingProxyType(jobs), revision, now, now),
-        )
+        listed = {job.record.job_id: job for job in self._readable(objects)}
+        with self._lock:
+            for job_id, job in self.snapshot.current.jobs.items():
+                if job_id in listed or job.stored.version > revision:
+                    _keep_newer(listed, job)
+            self._publish(listed, revision, now)
 
     def _readable(
         self,
@@ -183,7 +186,9 @@
 
     def _apply(self, jobs: dict[str, StoredJob], event: ObjectEvent) -> None:
         if event.current is None:
-            jobs.pop(event.name, None)
+            known = jobs.get(event.name)
+            if known is not None and known.stored.version < event.version:
+                jobs.pop(event.name)
             return
         job = self._read(event.current)
         if job is not None:
--- a/guavadyke/controllers/batch_lease.py
+++ b/guavadyke/controllers/batch_lease.py
@@ -13,7 +13,7 @@
     LeaseRecord,
     encode_lease,
 )
-from guavadyke.decisions.leases import LeaseView, valid_until
+from guavadyke.decisions.leases import LeaseView, Renewals, valid_until
 from guavadyke.errors import ObjectConflictError
 from guavadyke.settings import EntrySettings
 from guavadyke.snapshots import SnapshotCell
@@ -44,6 +44,7 @@
         self._counter = itertools.count(1)
         self._lock = threading.Lock()
         self._stored: StoredObject | None = None
+        self._renewals = Renewals(settings.batch)
         self._body = encode_lease(
             LeaseRecord(settings.host_id, settings.zone),
         )
@@ -54,6 +55,15 @@
         view = self.view.current
         return view.name == name and self._clock.monotonic() < view.valid_until
 
+    def covers(self, revision: int) -> bool:
+        """Return whether what is known as of a revision still counts.
+
+        A cancel that came later than a renewal has a higher version, so
+        that what is known as of the renewal's version may miss it.
+        """
+        now = self._clock.monotonic()
+        return now < self._renewals.known_until(revision)
+
     def ensure(self) -> str:
         """Return the name of a valid lease, renewed where needed.
 
@@ -78,6 +88,7 @@
             except ObjectConflictError:
                 stored = self._reconciled()
             self._stored = stored
+            self._renewals.add(stored.version, started)
             self.view.publish(
                 LeaseView(
                     stored.name,
--- a/guavadyke/controllers/batch_steps.py
+++ b/guavadyke/controllers/batch_steps.py
@@ -29,6 +29,7 @@
     encode_part,
     part_name,
 )
+from guavadyke.controllers.batch_spool import Spool, SpooledResults
 from guavadyke.decisions import ledger
 from guavadyke.decisions.chunkrun import Commit, RunItem, Step, WriteState
 from guavadyke.errors import GuavadykeError, ObjectConflictError
@@ -46,6 +47,7 @@
         holdings: chunks of this host.
         runner: runs single items.
         store: the platform.
+        spool: keeps results while the platform is away.
         logger: told of faults.
     """
 
@@ -55,12 +57,14 @@
         holdings: Holdings,
         runner: ItemRunner,
         store: SettledStore,
+        spool: Spool,
         logger: EventLogger,
     ) -> None:
         self._settings = settings
         self._holdings = holdings
         self._runner = runner
         self._store = store
+        self._spool = spool
         self._logger = logger
         self._written: Callable[[HeldChunk], None] | None = None
         self._perform = functools.singledispatch(_unknown_step)
@@ -158,6 +162,7 @@
                 chunk=held.name,
                 reason=error.message,
             )
+            self._spool.keep(_spooled(held), held.run.board.outcomes)
             self._holdings.postpone(held)
 
     def _write_once(
@@ -168,6 +173,7 @@
         state = next_state()
         stored = self._store.update(held.stored, encode_chunk(state))
         self._holdings.written(held, stored, state)
+        self._spool.forget(_spooled(held))
         if self._written is not None:
             self._written(held)
 
@@ -179,7 +185,7 @@
             self._holdings.postpone(held)
             return
         if stored is None:
-            self._holdings.drop(held)
+            self._drop(held)
             return
         state = decode_chunk(stored.body)
         if state.holder == held.holder:
@@ -190,7 +196,20 @@
             chunk=held.name,
             holder=state.holder,
         )
+        self._drop(held)
+
+    def _drop(self, held: HeldChunk) -> None:
         self._holdings.drop(held)
+        self._spool.forget(_spooled(held))
+
+
+def _spooled(held: HeldChunk) -> SpooledResults:
+    return SpooledResults(
+        held.job.job_id,
+        held.index,
+        held.holder,
+        len(held.items),
+    )
 
 
 def _unknown_step(step: Step, held: HeldChunk) -> None:
--- a/guavadyke/decisions/leases.py
+++ b/guavadyke/decisions/leases.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Iterable, Mapping
+import math
+from collections.abc import Iterable, Mapping, Sequence
 
 from guavadyke.adapters.ports import StoredObject
 from guavadyke.settings import BatchSettings
 
+_KEPT_RENEWALS = 8
+
 
 @dataclasses.dataclass(frozen=True)
 class LeaseView:
@@ -31,6 +34,43 @@
     return confirmed_at + settings.lease_s - settings.lease_margin_s
 
 
+class Renewals:
+    """The last renewals of an own lease, by the versions they got.
+
+    Versions are revisions of the whole platform. What is known as of a
+    revision is therefore at least as new as the renewals up to it.
+
+    Args:
+        settings: length and margin of a lease.
+    """
+
+    def __init__(self, settings: BatchSettings) -> None:
+        self._settings = settings
+        self._renewals: Sequence[_Renewal] = ()
+
+    def add(self, version: int, started: float) -> None:
+        """Take in a renewal that began at ``started`` and succeeded."""
+        kept = self._renewals[-_KEPT_RENEWALS:]
+        self._renewals = (*kept, _Renewal(version, started))
+
+    def known_until(self, revision: int) -> float:
+        """Return how long knowledge as of a revision is good enough."""
+        starts = [
+            renewal.started
+            for renewal in self._renewals
+            if renewal.version <= revision
+        ]
+        if not starts:
+            return -math.inf
+        return valid_until(max(starts), self._settings)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Renewal:
+    version: int
+    started: float
+
+
 @dataclasses.dataclass(frozen=True)
 class _Sighting:
     version: int
--- a/guavadyke/decisions/ledger.py
+++ b/guavadyke/decisions/ledger.py
@@ -107,12 +107,17 @@
     attempts: Mapping[int, int],
     partials: Mapping[int, str],
 ) -> ChunkState:
-    """Return the state of a chunk that its holder gives back."""
+    """Return the state of a chunk that its holder gives back.
+
+    No item runs any more, so that an item without an outcome whose start
+    was recorded is known not to have run.
+    """
     return dataclasses.replace(
         state,
         status=ChunkStatus.waiting,
         attempts=dict(attempts),
         partials=dict(partials),
+        started=(),
         running=(),
     )
 
