Fill slots at once with short batch items, and make fewer calls

Change: the room is read again at each end of an item, jobs are listed only where no chunk is known to wait, and followed once in a renewal's interval; uploads outwait a short lack of calls.

--- a/features/builders_batch_platform.py
+++ b/features/builders_batch_platform.py
@@ -64,8 +64,8 @@
 
     ``lose_every`` loses every so many answers to writes of a kind, after
     their effect; 0 loses none. ``cut_after`` cuts the link after so many
-    more calls. ``stale_watches`` show no event. Watches wait only if
-    ``waits``.
+    more calls, ``cut_behind`` after the next write of that kind.
+    ``stale_watches`` show no event. Watches wait only if ``waits``.
     """
 
     cut: bool = False
@@ -73,6 +73,7 @@
     cut_watches: bool = False
     stale_watches: bool = False
     cut_after: int | None = None
+    cut_behind: str = ''
     lose_every: int = 0
     waits: bool = True
 
@@ -83,6 +84,7 @@
         self.cut_watches = False
         self.stale_watches = False
         self.cut_after = None
+        self.cut_behind = ''
         self.lose_every = 0
 
     def refuses(self, call: str) -> bool:
@@ -205,6 +207,7 @@
         Raises:
             PlatformOutcomeUnknownError: it is lost.
         """
+        self.faults.cut = self.faults.cut or self.faults.cut_behind == kind
         self._writes[kind] += 1
         every = self.faults.lose_every
         if every and not self._writes[kind] % every:
--- a/features/steps/batch_leases_steps.py
+++ b/features/steps/batch_leases_steps.py
@@ -168,12 +168,8 @@
     simulated = context.simulated.hosts[name]
     for other in HOSTS:
         context.simulated.hosts[other].paused = other != name
-    platform = context.simulated.platform
-    while not platform.of_kind('chunk'):
-        # One call more each time, until the link breaks behind the claim.
-        context.calls = getattr(context, 'calls', 0) + 1
-        simulated.faults.mend()
-        simulated.faults.cut_after = context.calls
+    simulated.faults.cut_behind = 'chunk'
+    while not context.simulated.platform.of_kind('chunk'):
         context.simulated.clock.now += 1
         context.simulated.work(name, 0)
     assert not simulated.host.service._holdings.chunks
--- a/guavadyke/controllers/batch_claims.py
+++ b/guavadyke/controllers/batch_claims.py
@@ -134,8 +134,9 @@
         """Return how long a list of chunks is good enough."""
         interval_s = self._parts.settings.batch.poll_interval_s
         growth = min(table.looks, 4) / 2 + 1
-        wanted = table.job.cancelled_at is not None or self._room(table.job) > 0
-        if not wanted:
+        cancelled = table.job.cancelled_at is not None
+        starved = self._room(table.job) > 0 and not self._allowed(table)
+        if not cancelled and not starved:
             growth *= _UNWANTED_PATIENCE
         return interval_s * growth * self._parts.rng.uniform(0.75, 1.25)
 
--- a/guavadyke/controllers/batch_held.py
+++ b/guavadyke/controllers/batch_held.py
@@ -30,7 +30,8 @@
 from guavadyke.decisions.forecast import RunKey, RunMeter
 from guavadyke.decisions.ledger import ChunkState, ChunkStatus
 
-_SLOT_DELAY_S = 0.05
+_SLOT_DELAY_S = 0.003
+_ROOM_INTERVAL_S = 0.01
 _FIRST_RETRY_S = 0.5
 _LONGEST_RETRY_S = 10.0
 
@@ -69,6 +70,14 @@
     step: Step
 
 
+@dataclasses.dataclass(frozen=True)
+class _Room:
+    """How many more items could start at ``read_at``, monotonic seconds."""
+
+    items: int
+    read_at: float
+
+
 @dataclasses.dataclass(frozen=True)
 class RunCancellation:
     """Tells a run that its job was cancelled or its chunk is gone.
@@ -113,6 +122,7 @@
         self._changed = threading.Condition(threading.RLock())
         self._chunks: dict[str, HeldChunk] = {}
         self.runs = RunMeter()
+        self._rooms: dict[str, _Room] = {}
         self._stopping = False
         self._preempting = False
 
@@ -165,6 +175,7 @@
         with self._changed:
             now = self._clock.monotonic()
             self.runs.end(_run_key(held, index), now)
+            self._rooms.pop(held.job.entry_name, None)
             if ended.end is ItemEnd.cancelled and self.is_cancelled(held):
                 held.run.item_withdrawn(index)
             else:
@@ -230,20 +241,24 @@
         return Permissions(
             now=now,
             start=start,
-            free=self._free(held.job.entry_name) if start else 0,
+            free=self._free(held.job.entry_name, now) if start else 0,
             cancelled=self.is_cancelled(held),
             expired=expires is not None and self._clock.wall() >= expires,
             stopping=self._stopping or not current,
         )
 
-    def _free(self, entry_name: str) -> int:
+    def _free(self, entry_name: str, now: float) -> int:
         """Return how many items may start now.
 
-        Items that began a moment ago may not have their slots yet.
+        The runner is asked now and then; items that began since, or just
+        before, may not have their slots yet.
         """
-        since = self._clock.monotonic() - _SLOT_DELAY_S
-        beginning = self.runs.begun_since(since)
-        return self._runner.capacity(entry_name) - beginning
+        known = self._rooms.get(entry_name)
+        if known is None or now - known.read_at >= _ROOM_INTERVAL_S:
+            known = _Room(self._runner.capacity(entry_name), now)
+            self._rooms[entry_name] = known
+        begun = self.runs.begun_since(entry_name, known.read_at - _SLOT_DELAY_S)
+        return known.items - begun
 
 
 def _in_order(chunks: Iterable[HeldChunk]) -> list[HeldChunk]:
--- a/guavadyke/controllers/batch_loops.py
+++ b/guavadyke/controllers/batch_loops.py
@@ -159,7 +159,7 @@
         settings = self._parts.settings
         wait_s = settings.platform.watch_wait_s
         if self._parts.index.open_jobs():
-            wait_s = min(wait_s, settings.batch.lease_renewal_s / 2)
+            wait_s = min(wait_s, settings.batch.lease_renewal_s)
         self._parts.index.follow(wait_s)
         return 0
 
--- a/guavadyke/controllers/batch_submit.py
+++ b/guavadyke/controllers/batch_submit.py
@@ -33,12 +33,15 @@
     GuavadykeError,
     ObjectConflictError,
     PlatformOutcomeUnknownError,
+    PlatformUnavailableError,
     Run,
 )
 
 _WRITES_IN_FLIGHT = 8
 _FOLLOW_INTERVAL_S = 0.25
 _FOLLOW_S = 30.0
+_UPLOAD_PATIENCE_S = 5.0
+_UPLOAD_INTERVAL_S = 0.5
 _ID_CHARACTERS = 32
 
 
@@ -185,10 +188,23 @@
 
     def _write_input(self, name: str, body: bytes) -> None:
         try:
-            self._store.create(INPUT_KIND, name, body)
+            self._create_input(name, body)
         finally:
             self._window.release()
 
+    def _create_input(self, name: str, body: bytes) -> None:
+        """Write an input, again where the platform or the budget is short."""
+        until = self._clock.monotonic() + _UPLOAD_PATIENCE_S
+        while True:
+            try:
+                self._store.create(INPUT_KIND, name, body)
+            except PlatformUnavailableError:
+                if self._clock.monotonic() >= until:
+                    raise
+                self._clock.sleep(_UPLOAD_INTERVAL_S)
+            else:
+                return
+
     def _commit(self, ready: StoredJob) -> StoredJob:
         """Make the job exist for callers and hosts."""
         stored = self._store.update(ready.stored, encode_job(ready.record))
--- a/guavadyke/decisions/forecast.py
+++ b/guavadyke/decisions/forecast.py
@@ -80,9 +80,12 @@
         if started_at is not None:
             self._meter.note(key.entry_name, now - started_at, in_flight)
 
-    def begun_since(self, since: float) -> int:
-        """Return how many runs in flight began after ``since``."""
-        return sum(start > since for start in self._started_at.values())
+    def begun_since(self, entry_name: str, since: float) -> int:
+        """Return how many runs in flight of an entry began since then."""
+        return sum(
+            started_at >= since and key.entry_name == entry_name
+            for key, started_at in self._started_at.items()
+        )
 
     def throughput(self, entry_name: str) -> Throughput | None:
         """Return what is known of an entry."""
