Let one suspect item run at a time on a host

Cause: two chunks could each run a suspect alone at the same time, so that a poisonous item could count attempts against a suspect of another chunk. Change: a host runs one suspect at a time; the index of jobs keeps no bodies of objects. Measured: an item that ends its engine with all runs beside it fails after 3 runs and the 79 others complete.

--- a/features/batch_jobs.feature
+++ b/features/batch_jobs.feature
@@ -87,3 +87,11 @@
   Scenario: batch jobs hold their promises on hosts that fail
     When the batch machine runs
     Then no batch promise was broken
+
+  Scenario: an item that ends its engines takes no neighbour of other chunks
+    Given batch hosts "entry-1" on one platform, 10 ms an item
+    And batch item "note-13" breaks off every run beside it
+    When an urgent batch of 80 items is submitted to "entry-1"
+    And the batch has ended
+    Then batch item "note-13" failed after 3 runs
+    And only batch item "note-13" failed
--- a/features/builders_batch.py
+++ b/features/builders_batch.py
@@ -95,6 +95,7 @@
     rejected: set[str] = dataclasses.field(default_factory=set)
     preempted: dict[str, int] = dataclasses.field(default_factory=dict)
     not_run: dict[str, int] = dataclasses.field(default_factory=dict)
+    engine_enders: set[str] = dataclasses.field(default_factory=set)
 
     def __call__(self, call: ItemCall, run: int) -> ItemResult:
         item = json.loads(call.body)['text']
@@ -127,6 +128,7 @@
         self.slots = slots
         self.dead = False
         self.running = 0
+        self.engine_ended_at: float = 0
 
     def run(self, call: ItemCall, cancellation: Cancellation) -> ItemResult:
         if self.dead:
@@ -156,11 +158,16 @@
         runs: int,
         cancellation: Cancellation,
     ) -> ItemResult:
-        until = time.monotonic() + self.delay_s
-        while time.monotonic() < until:
+        began_at = time.monotonic()
+        while time.monotonic() < began_at + self.delay_s:
             if cancellation.is_set():
                 return ItemResult(ItemEnd.cancelled)
             time.sleep(0.005)
+        enders = getattr(self.script, 'engine_enders', ())
+        if json.loads(call.body)['text'] in enders:
+            self.engine_ended_at = time.monotonic()
+        if self.engine_ended_at >= began_at:
+            return ItemResult(ItemEnd.retry, reason='its engine ended')
         return self.script(call, runs)
 
 
--- a/features/steps/batch_jobs_steps.py
+++ b/features/steps/batch_jobs_steps.py
@@ -102,6 +102,30 @@
     context.scripts.not_run[item] = times
 
 
+@given('batch item "{item}" breaks off every run beside it')
+def step_ends_engine(context: Context, item: str) -> None:
+    context.scripts.engine_enders.add(item)
+
+
+@when('an urgent batch of {count:d} items is submitted to "{name}"')
+def step_submit_urgent(context: Context, count: int, name: str) -> None:
+    body = builders_batch.submission(count)
+    context.submitted = body
+    path = f'/v1/batches?entry={builders_batch.ENTRY}&due=2020-01-01T00:00:00Z'
+    status, answer = context.hosts[name].call('POST', path, body)
+    assert status == 201, answer
+    context.job = json.loads(answer)['id']
+
+
+@then('only batch item "{item}" failed')
+def step_only_failed(context: Context, item: str) -> None:
+    lines = _results(_working(context), context.job)
+    failed = [one['custom_id'] for one in lines if one['outcome'] == 'failed']
+    assert failed == [item], failed
+    completed = [one for one in lines if one['outcome'] == 'completed']
+    assert len(completed) == len(lines) - 1
+
+
 @when('a batch of {count:d} items is submitted to "{name}"')
 def step_submit(context: Context, count: int, name: str) -> None:
     _submit(context, name, builders_batch.submission(count))
--- a/guavadyke/controllers/batch_archive.py
+++ b/guavadyke/controllers/batch_archive.py
@@ -10,6 +10,7 @@
     ARCHIVE_KIND,
     JOB_KIND,
     decode_job,
+    encode_job,
 )
 from guavadyke.errors import ObjectConflictError
 
@@ -50,6 +51,6 @@
     if job.stored.kind != JOB_KIND:
         return
     with contextlib.suppress(ObjectConflictError):
-        store.create(ARCHIVE_KIND, job.record.job_id, job.stored.body)
+        store.create(ARCHIVE_KIND, job.record.job_id, encode_job(job.record))
     with contextlib.suppress(ObjectConflictError):
         store.delete(job.stored)
--- a/guavadyke/controllers/batch_held.py
+++ b/guavadyke/controllers/batch_held.py
@@ -245,6 +245,7 @@
             cancelled=self.is_cancelled(held),
             expired=expires is not None and self._clock.wall() >= expires,
             stopping=self._stopping or not current,
+            lone=not any(one.run.alone for one in self._chunks.values()),
         )
 
     def _free(self, entry_name: str, now: float) -> int:
--- a/guavadyke/controllers/batch_jobs.py
+++ b/guavadyke/controllers/batch_jobs.py
@@ -175,7 +175,7 @@
 
     def _read(self, stored: StoredObject) -> StoredJob | None:
         try:
-            return StoredJob(decode_job(stored.body), stored)
+            record = decode_job(stored.body)
         except ValueError as error:
             self._logger.error(
                 'job_unreadable',
@@ -183,6 +183,7 @@
                 reason=str(error).splitlines()[0],
             )
             return None
+        return StoredJob(record, dataclasses.replace(stored, body=b''))
 
     def _apply(self, jobs: dict[str, StoredJob], event: ObjectEvent) -> None:
         if event.current is None:
--- a/guavadyke/decisions/chunkrun.py
+++ b/guavadyke/decisions/chunkrun.py
@@ -56,6 +56,7 @@
 
     ``start`` is False while the lease is not confirmed. ``free`` is how
     many items may start. ``stopping`` asks to give the chunk back.
+    ``lone`` is False while another chunk runs an item alone.
     """
 
     now: float
@@ -64,6 +65,7 @@
     cancelled: bool = False
     expired: bool = False
     stopping: bool = False
+    lone: bool = True
 
 
 class ChunkRun:
@@ -88,6 +90,7 @@
         self._state = state
         self._max_attempts = max_attempts
         self._in_flight: set[int] = set()
+        self._alone = False
         self._writing = False
         self._board = ItemBoard(state, idempotent, max_attempts)
         self._lanes = Lanes(state, self._board.open_trials())
@@ -107,6 +110,11 @@
         """Items that run now."""
         return len(self._in_flight)
 
+    @property
+    def alone(self) -> bool:
+        """Whether the item that runs now has to run alone."""
+        return self._alone and bool(self._in_flight)
+
     @property
     def backlog(self) -> int:
         """Items that have neither begun nor ended."""
@@ -117,7 +125,8 @@
         if self._writing:
             return None
         if allowed.cancelled or allowed.expired:
-            self._end_waiting(allowed)
+            for index in self._lanes.clear():
+                self._board.settle(_not_begun(index, allowed))
         if not self.backlog and not self._in_flight:
             return self._writes(Commit(self._board.outcomes, final=True))
         if self._board.outcome_bytes >= PART_BYTES:
@@ -164,23 +173,16 @@
         """Take in that the platform did not take a write; it is repeated."""
         self._writing = False
 
-    def _end_waiting(self, allowed: Permissions) -> None:
-        cancelled, expired = ledger.Outcome.cancelled, ledger.Outcome.expired
-        outcome = cancelled if allowed.cancelled else expired
-        for index in self._lanes.clear():
-            self._board.settle(
-                ledger.ItemOutcome(index, outcome, error=_NOT_BEGUN),
-            )
-
     def _start(self, allowed: Permissions) -> Step | None:
         lanes = self._lanes
+        self._alone = self.alone
         if lanes.group:
             return self._start_from(lanes.group, allowed)
         if self._in_flight and self._state.running:
             return None
         if lanes.suspects or self._state.running:
             return self._start_group(allowed)
-        if lanes.crowd:
+        if lanes.crowd and not self.alone:
             return self._start_from(lanes.crowd, allowed)
         return None if self._in_flight else self._start_lone(allowed)
 
@@ -200,6 +202,9 @@
             return self._writes(
                 WriteState(ledger.record_attempts(self._state, attempts)),
             )
+        if not allowed.lone:
+            return None
+        self._alone = True
         return self._start_from(self._lanes.lone, allowed)
 
     def _start_from(self, lane: Lane, allowed: Permissions) -> Step | None:
@@ -222,3 +227,11 @@
     def _writes(self, step: WriteState | Commit) -> Step:
         self._writing = True
         return step
+
+
+def _not_begun(index: int, allowed: Permissions) -> ledger.ItemOutcome:
+    """Return the outcome of an item whose job ended before it began."""
+    outcome = ledger.Outcome.expired
+    if allowed.cancelled:
+        outcome = ledger.Outcome.cancelled
+    return ledger.ItemOutcome(index, outcome, error=_NOT_BEGUN)
