--- a/features/builders_batch_platform.py
+++ b/features/builders_batch_platform.py
@@ -64,13 +64,16 @@
 
     ``lose_every`` loses every so many answers to writes of a kind, after
     their effect; 0 loses none. ``cut_after`` cuts the link after so many
-    more calls. Watches wait only if ``waits``.
+    more calls, ``cut_behind`` after the next write of that kind.
+    ``stale_watches`` show no event. Watches wait only if ``waits``.
     """
 
     cut: bool = False
     cut_writes: bool = False
     cut_watches: bool = False
+    stale_watches: bool = False
     cut_after: int | None = None
+    cut_behind: str = ''
     lose_every: int = 0
     waits: bool = True
 
@@ -79,7 +82,9 @@
         self.cut = False
         self.cut_writes = False
         self.cut_watches = False
+        self.stale_watches = False
         self.cut_after = None
+        self.cut_behind = ''
         self.lose_every = 0
 
     def refuses(self, call: str) -> bool:
@@ -175,6 +180,8 @@
                 self.platform.changed.wait(min(left_s, 0.2))
             if self.faults.cut:
                 raise PlatformUnavailableError('cut off')
+            if self.faults.stale_watches:
+                return WatchAnswer(revision, ())
             return WatchAnswer(self.platform.revision, events)
 
     def hosts(self) -> tuple[ListedHost, ...]:
@@ -200,6 +207,7 @@
         Raises:
             PlatformOutcomeUnknownError: it is lost.
         """
+        self.faults.cut = self.faults.cut or self.faults.cut_behind == kind
         self._writes[kind] += 1
         every = self.faults.lose_every
         if every and not self._writes[kind] % every:
