Lose a host that runs items, so that the takeover can be measured

Cause: the last host of the fleet was ended, whether or not it held chunks of the job; the takeover came out as null on an embedded fleet of four. Change: the host is chosen from the engines' records of running items.

--- a/guavadyke/measure/target.py
+++ b/guavadyke/measure/target.py
@@ -33,7 +33,7 @@
     jobs; ``model`` is what engines know ``entry`` as.
     ``platform_address`` is the platform stand-in's, for its counts;
     ``host_pid`` is the process of the first entry host; ``lose_host`` ends
-    an entry host without a planned stop and returns its id.
+    an entry host, given its id, without a planned stop.
     """
 
     caller_urls: tuple[str, ...]
@@ -45,7 +45,7 @@
     operator_token: str = ''
     platform_address: str = ''
     host_pid: int | None = None
-    lose_host: Callable[[], str] | None = None
+    lose_host: Callable[[str], None] | None = None
     place: str = EMBEDDED
 
     @property
