--- a/guavadyke/measure/experiments/batch.py
+++ b/guavadyke/measure/experiments/batch.py
@@ -225,29 +225,25 @@
     if not running:
         return None
     host_id = running[-1].host_id
+    held = {one.prompt for one in running if one.host_id == host_id}
     target.lose_host(host_id)
-    return _taken_over_s(engines, host_id, time.time())
+    return _taken_over_s(engines, held, host_id, time.time())
 
 
 def _taken_over_s(
     engines: Engines,
+    held: set[str],
     host_id: str,
     lost_at: float,
 ) -> float | None:
-    """Wait until other hosts have started each item that was cut off."""
-    time.sleep(_LOOK_INTERVAL_S)
-    cut_off = {
-        one.prompt
-        for one in engines.records()
-        if one.host_id == host_id and one.outcome == 'cancelled'
-    }
-    while cut_off and time.time() < lost_at + _LONGEST_S:
+    """Wait until other hosts have started each item that the lost one ran."""
+    while time.time() < lost_at + _LONGEST_S:
         time.sleep(_LOOK_INTERVAL_S)
         again = {
             one.prompt: one.started
             for one in engines.records()
-            if one.host_id != host_id and one.prompt in cut_off
+            if one.host_id != host_id and one.prompt in held
         }
-        if len(again) == len(cut_off):
+        if len(again) == len(held):
             return max(again.values()) - lost_at
     return None
