Retry failed batch items a few at a time, and look at leases less

Cause: an engine that breaks off makes all its items suspects, which then ran one after the other at the end of their chunk; every idle host listed the leases every two seconds. Change: items that failed run four at a time until one attempt is left, which they have alone, each after a short delay; two hosts a job look at the leases often, the others once in a lease.

--- a/guavadyke/controllers/batch_claims.py
+++ b/guavadyke/controllers/batch_claims.py
@@ -19,6 +19,7 @@
 from guavadyke.controllers.batch_jobs import JobIndex, StoredJob
 from guavadyke.controllers.batch_lease import LeaseKeeper
 from guavadyke.controllers.batch_orphans import Orphans
+from guavadyke.controllers.batch_places import Places
 from guavadyke.controllers.batch_records import JobRecord, encode_job
 from guavadyke.controllers.batch_take import ChunkTaker
 from guavadyke.decisions import ledger, schedule
@@ -30,6 +31,7 @@
 _CLAIMS_IN_ONE_TURN = 8
 _CLOSES_IN_ONE_TURN = 16
 _UNWANTED_PATIENCE = 4
+_WATCHERS = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -62,8 +64,9 @@
         self._tables: dict[str, ChunkTable] = {}
         self._stopped = False
         self._foresight = parts.foresight
+        self._places = Places(parts.settings.host_id, parts.fleet)
         self._orphans = Orphans(
-            parts.settings.batch,
+            parts.settings.batch.lease_s,
             parts.clock,
             parts.store,
             parts.logger,
@@ -149,15 +152,11 @@
             self._taker.adopt(table, own)
         if job.record.cancelled_at is not None:
             self._close(table, ledger.Outcome.cancelled)
-        elif self._is_expired(job.record):
+        elif job.record.is_expired(self._parts.clock.wall()):
             self._close(table, ledger.Outcome.expired)
         self._claim_waiting(table)
         self._take_over(table)
 
-    def _is_expired(self, job: JobRecord) -> bool:
-        now = self._parts.clock.wall()
-        return job.expires is not None and now >= job.expires
-
     def _finish(self, job: StoredJob) -> None:
         """Record that the job has ended, which nothing changes any more."""
         record = dataclasses.replace(
@@ -206,14 +205,8 @@
 
     def _allowed(self, table: ChunkTable) -> list[KnownChunk]:
         """Return waiting chunks that this host may try, its own first."""
-        host_id = self._parts.settings.host_id
-        peers = [
-            peer.host_id
-            for peer in self._parts.fleet.current.peers
-            if peer.state == 'alive'
-        ]
         ranked = [
-            (schedule.rank(chunk.name, host_id, peers), chunk.index)
+            (self._places.place(chunk.name), chunk.index)
             for chunk in table.waiting()
         ]
         allowed = schedule.rank_allowed(table.looks)
@@ -229,13 +222,22 @@
         held = table.held_by_others(own)
         if not held or self._room(table.job) <= 0:
             return
-        fresh = self._orphans.observe(after=table.refreshed_at)
+        fresh = self._orphans.observe(
+            after=table.refreshed_at,
+            interval_s=self._lease_interval_s(table.job),
+        )
         for chunk in held:
             if self._room(table.job) <= 0:
                 return
             if self._orphans.is_gone(chunk.state.holder, fresh=fresh):
                 self._take_orphan(table, chunk)
 
+    def _lease_interval_s(self, job: JobRecord) -> float:
+        """Return how often to look at leases: few hosts do it often."""
+        batch = self._parts.settings.batch
+        first = self._places.place(job.job_id) < _WATCHERS
+        return batch.poll_interval_s if first else batch.lease_s
+
     def _take_orphan(self, table: ChunkTable, chunk: KnownChunk) -> None:
         holder = self._leased()
         state = ledger.take_over(
--- a/guavadyke/controllers/batch_cleaning.py
+++ b/guavadyke/controllers/batch_cleaning.py
@@ -14,6 +14,7 @@
 from guavadyke.adapters.settled import SettledStore
 from guavadyke.controllers.batch_archive import archive
 from guavadyke.controllers.batch_jobs import JobIndex, StoredJob
+from guavadyke.controllers.batch_places import Places
 from guavadyke.controllers.batch_records import (
     ARCHIVE_KIND,
     CHUNK_KIND,
@@ -23,7 +24,6 @@
     decode_job,
 )
 from guavadyke.controllers.batch_spool import Spool
-from guavadyke.decisions.schedule import rank
 from guavadyke.errors import ObjectConflictError
 from guavadyke.log import EventLogger
 from guavadyke.settings import EntrySettings
@@ -64,6 +64,7 @@
 
     def __init__(self, parts: CleaningParts) -> None:
         self._parts = parts
+        self._places = Places(parts.settings.host_id, parts.fleet)
         self._pending: dict[str, _Pending] = {}
         self._after = ''
         self._page_at: float = 0
@@ -85,12 +86,7 @@
 
     def _leads(self, key: str) -> bool:
         """Return whether this host comes first for a key."""
-        peers = (
-            peer.host_id
-            for peer in self._parts.fleet.current.peers
-            if peer.state == 'alive'
-        )
-        return not rank(key, self._parts.settings.host_id, peers)
+        return not self._places.place(key)
 
     def _archive(self, jobs: Iterable[StoredJob]) -> None:
         before = self._parts.clock.wall() - _ARCHIVE_AFTER_S
--- a/guavadyke/controllers/batch_held.py
+++ b/guavadyke/controllers/batch_held.py
@@ -233,7 +233,6 @@
         return job is not None and job.record.cancelled_at is not None
 
     def _permissions(self, held: HeldChunk, now: float) -> Permissions:
-        expires = held.job.expires
         current = self._lease.view.current.name == held.holder
         start = self._lease.is_valid(held.holder) and self._lease.covers(
             self._index.snapshot.current.revision,
@@ -243,7 +242,7 @@
             start=start,
             free=self._free(held.job.entry_name, now) if start else 0,
             cancelled=self.is_cancelled(held),
-            expired=expires is not None and self._clock.wall() >= expires,
+            expired=held.job.is_expired(self._clock.wall()),
             stopping=self._stopping or not current,
             lone=not any(one.run.alone for one in self._chunks.values()),
         )
--- a/guavadyke/controllers/batch_orphans.py
+++ b/guavadyke/controllers/batch_orphans.py
@@ -9,14 +9,13 @@
 from guavadyke.decisions.leases import LeaseWatch
 from guavadyke.errors import ObjectConflictError
 from guavadyke.log import EventLogger
-from guavadyke.settings import BatchSettings
 
 
 class Orphans:
     """Judges by what this host has itself seen of the leases.
 
     Args:
-        settings: lengths of leases.
+        lease_s: length of a lease, in seconds.
         clock: the host's clock.
         store: the platform.
         logger: told of broken leases.
@@ -24,23 +23,23 @@
 
     def __init__(
         self,
-        settings: BatchSettings,
+        lease_s: float,
         clock: Clock,
         store: SettledStore,
         logger: EventLogger,
     ) -> None:
-        self._settings = settings
         self._clock = clock
         self._store = store
         self._logger = logger
-        self._watch = LeaseWatch(settings.lease_s)
+        self._watch = LeaseWatch(lease_s)
         self._observed_at: float | None = None
 
-    def observe(self, *, after: float) -> bool:
+    def observe(self, *, after: float, interval_s: float) -> bool:
         """List the leases, unless that was done a moment ago.
 
         Args:
             after: monotonic time at which the holders were read.
+            interval_s: seconds for which a list is good enough.
 
         Returns:
             Whether the newest list is younger than ``after``, so that a
@@ -51,7 +50,7 @@
         """
         now = self._clock.monotonic()
         last = self._observed_at
-        if last is None or now - last >= self._settings.poll_interval_s:
+        if last is None or now - last >= interval_s:
             leases, _revision = list_all(
                 self._store,
                 LEASE_KIND,
--- a/guavadyke/controllers/batch_records.py
+++ b/guavadyke/controllers/batch_records.py
@@ -48,6 +48,10 @@
         """Items of the whole job."""
         return sum(self.sizes)
 
+    def is_expired(self, now: float) -> bool:
+        """Return whether nothing of the job begins any more."""
+        return self.expires is not None and now >= self.expires
+
 
 @dataclasses.dataclass(frozen=True)
 class BatchItem:
--- a/guavadyke/decisions/chunkrun.py
+++ b/guavadyke/decisions/chunkrun.py
@@ -17,6 +17,7 @@
 
 STARTS_IN_ONE_WRITE = 16
 PART_BYTES = 512 * 1024
+FEW_ITEMS = 4
 _WITHDRAWN = 'the job was cancelled during its run'
 _NOT_BEGUN = 'it had not begun'
 
@@ -71,9 +72,9 @@
 class ChunkRun:
     """Progress of a chunk in the hands of one holder.
 
-    Items run in three lanes: suspects of a holder's loss in groups that
-    are recorded first, then the crowd, then one at a time those whose
-    attempt failed.
+    Items run in lanes: suspects of a holder's loss in groups that are
+    recorded first, then the crowd, then a few at a time those that have
+    failed, and alone those that have one attempt left.
 
     Args:
         state: the chunk's state as this holder took it.
@@ -93,7 +94,11 @@
         self._alone = False
         self._writing = False
         self._board = ItemBoard(state, idempotent, max_attempts)
-        self._lanes = Lanes(state, self._board.open_trials())
+        self._lanes = Lanes(
+            state,
+            self._board.open_trials(),
+            max_attempts,
+        )
 
     @property
     def state(self) -> ledger.ChunkState:
@@ -184,6 +189,9 @@
             return self._start_group(allowed)
         if lanes.crowd and not self.alone:
             return self._start_from(lanes.crowd, allowed)
+        if lanes.few and not self.alone:
+            few = len(self._in_flight) < FEW_ITEMS
+            return self._start_from(lanes.few, allowed) if few else None
         return None if self._in_flight else self._start_lone(allowed)
 
     def _start_group(self, allowed: Permissions) -> Step | None:
--- a/guavadyke/decisions/lanes.py
+++ b/guavadyke/decisions/lanes.py
@@ -45,30 +45,34 @@
     """The lanes of one chunk.
 
     ``suspects`` wait to become the ``group``, whose items run together;
-    ``crowd`` holds ordinary items; those in ``lone`` run one at a time.
+    ``crowd`` holds ordinary items; those in ``few`` have failed and run a
+    few at a time; those in ``lone`` have one attempt left and run alone.
 
     Args:
         state: the chunk's state as its holder took it.
         trials: items without an outcome.
+        max_attempts: attempts after which an item fails.
     """
 
     def __init__(
         self,
         state: ledger.ChunkState,
         trials: Iterable[ItemTrial],
+        max_attempts: int,
     ) -> None:
+        self._max_attempts = max_attempts
         waiting = {trial.index: trial for trial in trials}
         self.suspects = tuple(one for one in state.suspects if one in waiting)
         self.group = Lane()
         self.crowd = Lane()
+        self.few = Lane()
         self.lone = Lane()
         for index in ledger.without(waiting, self.suspects):
-            lane = self.lone if waiting[index].attempts else self.crowd
-            lane.add(index)
+            self._lane(waiting[index]).add(index)
 
     def __len__(self) -> int:
-        lanes = (self.suspects, self.group, self.crowd, self.lone)
-        return sum(len(lane) for lane in lanes)
+        lanes = (self.group, self.crowd, self.few, self.lone)
+        return len(self.suspects) + sum(len(lane) for lane in lanes)
 
     def begin_group(self, group: tuple[int, ...]) -> None:
         """Move suspects into the group that runs now."""
@@ -89,10 +93,8 @@
             running: suspects that were let run.
             now: seconds of the monotonic clock.
         """
-        lane = self.crowd
-        if again.alone or again.trial.attempts:
-            lane = self.lone
-        elif again.trial.index in running:
+        lane = self._lane(again.trial)
+        if lane is self.crowd and again.trial.index in running:
             lane = self.group
         lane.add(again.trial.index, now + again.delay_s)
 
@@ -100,6 +102,13 @@
         """Take all items out and return them."""
         suspects = self.suspects
         self.suspects = ()
-        lanes = (self.group, self.crowd, self.lone)
+        lanes = (self.group, self.crowd, self.few, self.lone)
         cleared = itertools.chain.from_iterable(lane.clear() for lane in lanes)
         return (*suspects, *cleared)
+
+    def _lane(self, trial: ItemTrial) -> Lane:
+        """Return the lane of an item by the attempts that failed."""
+        if not trial.attempts:
+            return self.crowd
+        last = trial.attempts + 1 >= self._max_attempts
+        return self.lone if last else self.few
--- a/guavadyke/decisions/outcomes.py
+++ b/guavadyke/decisions/outcomes.py
@@ -10,6 +10,7 @@
 NOT_RUN_DELAY_S = 0.25
 LONGEST_DELAY_S = 5.0
 PREEMPTED_DELAY_S = 0.05
+RETRY_DELAY_S = 0.2
 _MOST_DOUBLINGS = 8
 
 
@@ -29,11 +30,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Again:
-    """The item runs again after ``delay_s``; ``alone`` if it is suspect."""
+    """The item runs again after ``delay_s``."""
 
     trial: ItemTrial
     delay_s: float = 0
-    alone: bool = False
 
 
 def judge(
@@ -111,5 +111,5 @@
         )
     return Again(
         dataclasses.replace(trial, attempts=attempts, refusals=0),
-        alone=True,
+        RETRY_DELAY_S * attempts,
     )
