Retry the renewal of a lease within half of its interval

Cause: after a few failures the renewal and the following of jobs waited up to 8 s, of a lease's 12, so that a short outage stopped work longer than it lasted. Change: these two loops wait no longer than half of lease_renewal_s.

--- a/guavadyke/controllers/batch_loops.py
+++ b/guavadyke/controllers/batch_loops.py
@@ -22,6 +22,7 @@
 _CLEANING_INTERVAL_S = 5.0
 _FIRST_RETRY_S = 0.5
 _LONGEST_RETRY_S = 8.0
+_MOST_DOUBLINGS = 8
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,13 +34,15 @@
 class LoopSettings:
     """A loop: ``turn`` acts and returns the seconds to wait before the next.
 
-    ``name`` is told in logs.
+    ``name`` is told in logs; after failures the wait grows up to
+    ``longest_retry_s``.
     """
 
     name: str
     turn: Callable[[], float]
     rng: random.Random
     logger: EventLogger
+    longest_retry_s: float = _LONGEST_RETRY_S
 
 
 class LoopActor(pykka.ThreadingActor):
@@ -88,7 +91,10 @@
             failures=self._failures,
             reason=str(error) if expected else repr(error),
         )
-        longest_s = min(_LONGEST_RETRY_S, _FIRST_RETRY_S * 2**self._failures)
+        longest_s = min(
+            self._loop.longest_retry_s,
+            _FIRST_RETRY_S * 2 ** min(self._failures, _MOST_DOUBLINGS),
+        )
         return self._loop.rng.uniform(longest_s / 2, longest_s)
 
 
@@ -127,19 +133,15 @@
 
     def start(self) -> None:
         """Start the actors."""
-        turns = {
-            'lease': self._renew,
-            'index': self._follow,
-            'claims': self._look,
-            'cleaning': self._clean,
-        }
-        self._actors = [
-            LoopActor.start(
-                LoopSettings(name, turn, self._rng, self._logger),
-                self._closed,
-            )
-            for name, turn in turns.items()
-        ]
+        batch = self._parts.settings.batch
+        often_s = min(_LONGEST_RETRY_S, batch.lease_renewal_s / 2)
+        loops = (
+            self._loop('lease', self._renew, often_s),
+            self._loop('index', self._follow, often_s),
+            self._loop('claims', self._look),
+            self._loop('cleaning', self._clean),
+        )
+        self._actors = [LoopActor.start(loop, self._closed) for loop in loops]
 
     def close(self) -> None:
         """Let the actors end; a waiting watch ends by itself."""
@@ -147,6 +149,20 @@
         for actor in self._actors:
             actor.stop(block=False)
 
+    def _loop(
+        self,
+        name: str,
+        turn: Callable[[], float],
+        longest_retry_s: float = _LONGEST_RETRY_S,
+    ) -> LoopSettings:
+        return LoopSettings(
+            name,
+            turn,
+            self._rng,
+            self._logger,
+            longest_retry_s,
+        )
+
     def _renew(self) -> float:
         interval_s = self._parts.settings.batch.lease_renewal_s
         if self._parts.holdings.chunks:
