--- /dev/null
+++ b/features/steps/online_history_steps.py
@@ -0,0 +1,208 @@
+"""Steps of online_history.feature: callers' answers against histories."""
+
+import collections
+import dataclasses
+import itertools
+import json
+import random
+import time
+import types
+from concurrent.futures import ThreadPoolExecutor
+
+import urllib3
+from behave import given, then, when
+from behave.runner import Context
+
+from features import builders_online_bench as bench
+from guavadyke.decisions.streams import documents, text_of
+from guavadyke.standins.batching import BatchSpec
+from guavadyke.standins.completions import answer_text, chat_prompt
+from guavadyke.standins.faults import BackendFaults
+
+_CHATS = 100
+_RESERVATIONS = 20
+_TOKENS = 12
+_LONG_TOKENS = 3000
+_CALLERS = 12
+_SEED = 11
+_TIMEOUT_S = 20
+_DONE = b'data: [DONE]\n\n'
+_SPEC = BatchSpec(slots=8, step_s=0.003, step_growth_s=0.0001)
+_FAULTS = types.MappingProxyType({
+    'sound': BackendFaults(),
+    'breaking': BackendFaults(broken_after=5, probability=0.5),
+    'ending early': BackendFaults(ended_after=5, probability=0.5),
+    'silent midway': BackendFaults(silent_after=5, probability=0.3),
+    'crossing': BackendFaults(crossed_after=4, probability=0.5),
+    'refusing': BackendFaults(refuse=True),
+})
+
+
+@dataclasses.dataclass(frozen=True)
+class _Told:
+    """What a caller was told; ``key`` is empty for chats."""
+
+    number: int
+    key: str
+    streamed: bool
+    reply: bench.Reply
+
+
+def _prompt(number: int) -> list[dict[str, object]]:
+    return [{'role': 'user', 'content': f'is costume {number} free?'}]
+
+
+def _chat(context: Context, number: int, host: int) -> None:
+    streamed = bool(number % 2)
+    request = {
+        'model': 'desk',
+        'messages': _prompt(number),
+        'max_tokens': _TOKENS,
+        'stream': streamed,
+    }
+    reply = bench.call(context.bench.hosts[host], bench.CHAT, request)
+    context.told.append(_Told(number, '', streamed, reply))
+
+
+def _reserve(context: Context, number: int, host: int) -> None:
+    key = f'key-{number}'
+    reply = bench.call(
+        context.bench.hosts[host],
+        f'{bench.BOOKING}/{number}',
+        {'number': number},
+        idempotency_key=key,
+    )
+    context.told.append(_Told(number, key, streamed=False, reply=reply))
+
+
+def _text(told: _Told) -> str | None:
+    """Return the text of an answer that looks whole, else None."""
+    if told.reply.status != 200:
+        return None
+    if not told.streamed:
+        choice = told.reply.document['choices'][0]
+        return str(choice['message']['content'])
+    if not told.reply.body.endswith(_DONE):
+        last = list(documents(told.reply.body))[-1]
+        assert 'error' in last, 'neither whole nor an error'
+        return None
+    events = documents(told.reply.body)
+    return ''.join(text_of(event['choices'][0]) for event in events)
+
+
+def _records(context: Context) -> list[dict[str, object]]:
+    histories = [engine.history.records() for engine in context.bench.engines]
+    return list(itertools.chain.from_iterable(histories))
+
+
+@given('entry hosts before four engines and a booking service')
+def step_bench(context: Context) -> None:
+    context.bench = bench.OnlineBench(
+        engines=4,
+        batch=_SPEC,
+        online={'gap_timeout_s': 0.4, 'first_byte_timeout_s': 2},
+    )
+    context.add_cleanup(context.bench.close)
+    context.told = []
+
+
+@given('one engine that is {fault}')
+def step_fault(context: Context, fault: str) -> None:
+    engine = context.bench.engines[0]
+    if fault == 'gone':
+        engine.close()
+    else:
+        engine.faults = _FAULTS[fault]
+
+
+@when('callers send chats and reservations at once and resend some')
+def step_send(context: Context) -> None:
+    rng = random.Random(_SEED)
+    calls = [(_chat, number) for number in range(_CHATS)]
+    calls.extend((_reserve, number) for number in range(_RESERVATIONS))
+    calls.extend((_reserve, number) for number in range(_RESERVATIONS))
+    rng.shuffle(calls)
+    with ThreadPoolExecutor(_CALLERS) as pool:
+        sent = [
+            pool.submit(call, context, number, rng.randrange(2))
+            for call, number in calls
+        ]
+    for one in sent:
+        one.result()
+
+
+@when('a caller leaves while its long chat streams')
+def step_leave(context: Context) -> None:
+    request = {
+        'model': 'desk',
+        'messages': _prompt(0),
+        'max_tokens': _LONG_TOKENS,
+        'stream': True,
+    }
+    pool = urllib3.PoolManager(retries=False)
+    response = pool.request(
+        'POST',
+        f'{context.bench.hosts[0].url}{bench.CHAT}',
+        body=json.dumps(request).encode(),
+        headers={'Authorization': f'Bearer {bench.CALLER_KEY}'},
+        timeout=_TIMEOUT_S,
+        preload_content=False,
+    )
+    assert response.read(64)
+    response.close()
+    pool.clear()
+
+
+@then('every answer that looks whole is the one to its own request')
+def step_own(context: Context) -> None:
+    for told in context.told:
+        if told.key:
+            continue
+        text = _text(told)
+        expected = answer_text(chat_prompt(_prompt(told.number)), _TOKENS)
+        assert text in {None, expected}, (told.number, text, expected)
+
+
+@then('what was refused as not run did not run')
+def step_truth(context: Context) -> None:
+    ran = {str(one['request_id']).split('.')[0] for one in _records(context)}
+    for told in context.told:
+        if told.reply.status == 200:
+            continue
+        error = told.reply.document['error']
+        if error['run'] == 'not_run' and not told.key:
+            assert error['request_id'] not in ran, error
+
+
+@then('no key and no reservation ran twice')
+def step_once(context: Context) -> None:
+    runs = context.bench.service.runs
+    assert len(runs) == _RESERVATIONS, runs
+    assert set(runs.values()) == {1}, runs
+    answers = collections.defaultdict(set)
+    for told in context.told:
+        if told.key and told.reply.status == 200:
+            answers[told.key].add(told.reply.body)
+    assert all(len(bodies) == 1 for bodies in answers.values()), answers
+
+
+@then('the attempts are at most {ratio:f} times the chats')
+def step_attempts(context: Context, ratio: float) -> None:
+    attempts = len(_records(context))
+    assert attempts <= ratio * _CHATS, attempts
+
+
+@then('at least {least:d} in 100 chats were answered whole')
+def step_least(context: Context, least: int) -> None:
+    chats = [told for told in context.told if not told.key]
+    whole = sum(_text(told) is not None for told in chats)
+    assert whole >= least, (whole, len(chats))
+
+
+@then('the engines are idle before the chat could have ended')
+def step_idle(context: Context) -> None:
+    until = time.monotonic() + _SPEC.step_s * _LONG_TOKENS / 2
+    engines = context.bench.engines
+    while any(engine.batch.running for engine in engines):
+        assert time.monotonic() < until, 'the slot was not freed'
+        time.sleep(0.01)
--- a/guavadyke/cli.py
+++ b/guavadyke/cli.py
@@ -17,6 +17,7 @@
 _EXIT_SETTINGS = 2
 _MODULES = types.MappingProxyType({
     'batch': 'guavadyke.cli_batch',
+    'chat': 'guavadyke.cli_chat',
     'measure': 'guavadyke.cli_measure',
     'standin': 'guavadyke.cli_standin',
 })
