Delete old claims, and work out batch senders once for each view

The sender of an engine was worked out for each grant over all peers, and live hosts were counted for each server: at 390 hosts and 2,700 engines that is a million steps for each view of the fleet. Both are now worked out once for each view. Claims are deleted when they have been kept long enough, each prefix by the host that it falls to.

--- a/features/online_claims.feature
+++ b/features/online_claims.feature
@@ -68,6 +68,13 @@
     Then the last booking answer is 502 "outcome_unknown" with run "unknown"
     And the service ran 0 reservations
 
+  Scenario: old claims are deleted and others are not
+    Given entry hosts before a booking service
+    And a claim of key "k1" whose claimant died long ago
+    When a reservation is sent to host 0 with key "k2"
+    And a host cleans all claims
+    Then the platform holds 1 claim
+
   Scenario: a claimant that was paused past its deadline dispatches nothing
     Given entry hosts before a booking service
     And the platform answers after 1.0 seconds
--- a/features/steps/online_claims_steps.py
+++ b/features/steps/online_claims_steps.py
@@ -9,12 +9,18 @@
 
 from features import builders_online as online
 from features import builders_online_bench as bench
+from guavadyke.adapters.clock import SystemClock
 from guavadyke.decisions.claims import (
     CLAIM_KIND,
     Claim,
     ClaimState,
     ClaimWish,
 )
+from guavadyke.filters.claim import ClaimTools
+from guavadyke.filters.claim_cleaning import ClaimCleaning
+from guavadyke.filters.claim_writes import ClaimWrites
+from guavadyke.log import EventLogger
+from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 from guavadyke.standins.faults import BackendFaults, PlatformFaults
 
 _ANGEL = types.MappingProxyType({'costume': 'angel', 'size': 'M'})
@@ -135,6 +141,21 @@
             pool.submit(_reserve, context, host, idempotency_key=key)
 
 
+@when('a host cleans all claims')
+def step_clean(context: Context) -> None:
+    host = context.bench.hosts[0]
+    writes = ClaimWrites(host.store, EventLogger())
+    tools = ClaimTools('entry-0', SystemClock(), host.store, writes)
+    fleet = SnapshotCell(FleetSnapshot())
+    ClaimCleaning(tools, fleet, kept_s=3600).clean('')
+
+
+@then('the platform holds {count:d} claim')
+def step_claims(context: Context, count: int) -> None:
+    listed = context.bench.hosts[0].store.list_objects(CLAIM_KIND)
+    assert len(listed.objects) == count, listed.objects
+
+
 @then('both reservations have the same answer')
 def step_same(context: Context) -> None:
     first, second = context.replies
--- a/guavadyke/decisions/candidates.py
+++ b/guavadyke/decisions/candidates.py
@@ -6,6 +6,7 @@
 import itertools
 import operator
 import types
+from collections import Counter
 from collections.abc import Iterator, Mapping
 
 from guavadyke.adapters.ports import ReportedLoad
@@ -46,8 +47,9 @@
         reports: the last report of each server.
         host_zone: availability zone of this host.
     """
+    hosts = live_hosts(host_zone, fleet.peers)
     views = {
-        server_id: _view(server_id, server, fleet, host_zone)
+        server_id: _view(server_id, server, hosts)
         for server_id, server in catalogue.backend_servers.items()
         if not _leaves(server_id, server, fleet, reports)
     }
@@ -101,14 +103,13 @@
 def _view(
     server_id: str,
     server: BackendServerEntry,
-    fleet: FleetSnapshot,
-    host_zone: str,
+    hosts: Counter[str],
 ) -> ServerView:
-    hosts = live_hosts(server.zone, host_zone, fleet.peers)
+    near = hosts[server.zone] or hosts.total()
     return ServerView(
         server_id=server_id,
         zone=server.zone,
         address=server.address,
         slots=server.slots,
-        fair_slots=fair_slots(server.slots, hosts or len(fleet.peers) + 1),
+        fair_slots=fair_slots(server.slots, near),
     )
--- a/guavadyke/decisions/sharing.py
+++ b/guavadyke/decisions/sharing.py
@@ -38,13 +38,19 @@
     ) -> None:
         self.online_elsewhere = CountsByHost()
         self.candidates = Candidates({}, {})
-        self.fleet = FleetSnapshot()
         self.tail_weight: float = 1
         self._place = place
         self._router = router
         self._line = line
         self._batch: dict[str, list[Slot]] = collections.defaultdict(list)
         self._no_refill_until: dict[str, float] = {}
+        self._fleet = FleetSnapshot()
+        self._senders: dict[str, str] = {}
+
+    def take_fleet(self, fleet: FleetSnapshot) -> None:
+        """Take the newest view of the fleet."""
+        self._fleet = fleet
+        self._senders = {}
 
     def take(
         self,
@@ -121,9 +127,13 @@
 
     def sender(self, view: ServerView) -> str:
         """Return the host that sends batch items to a server."""
-        place = self._place
-        peers = self.fleet.peers
-        return batch_sender(view, place.host_id, place.zone, peers)
+        found = self._senders.get(view.server_id)
+        if found is None:
+            place = self._place
+            peers = self._fleet.peers
+            found = batch_sender(view, place.host_id, place.zone, peers)
+            self._senders[view.server_id] = found
+        return found
 
     def _room(self, view: ServerView, now: float) -> int:
         """Return the batch items that may start at a server."""
--- a/guavadyke/decisions/slots.py
+++ b/guavadyke/decisions/slots.py
@@ -70,7 +70,7 @@
             return
         self._catalogue = catalogue
         self._fleet = fleet
-        self.batch.fleet = fleet
+        self.batch.take_fleet(fleet)
         self.batch.tail_weight = catalogue.policy.tail_weight
         self._rebuild()
         self.router.keep(catalogue.backend_servers)
--- a/guavadyke/decisions/yielding.py
+++ b/guavadyke/decisions/yielding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 from collections.abc import Collection
 
@@ -62,13 +63,13 @@
 
 
 def live_hosts(
-    zone: str,
     host_zone: str,
     peers: Collection[PeerView],
-) -> int:
-    """Return how many live entry hosts a zone has, this one included."""
-    live = sum(peer.zone == zone for peer in peers if _live(peer))
-    return live + int(zone == host_zone)
+) -> collections.Counter[str]:
+    """Return how many live entry hosts each zone has, this one included."""
+    zones = collections.Counter(peer.zone for peer in peers if _live(peer))
+    zones[host_zone] += 1
+    return zones
 
 
 def _live(peer: PeerView) -> bool:
--- a/guavadyke/online.py
+++ b/guavadyke/online.py
@@ -17,6 +17,7 @@
 from guavadyke.filters.base import Answer, Exchange, Filter, Handler, chain
 from guavadyke.filters.capacity import Capacity
 from guavadyke.filters.claim import ClaimKey, ClaimTools
+from guavadyke.filters.claim_cleaning import ClaimCleaning
 from guavadyke.filters.claim_writes import ClaimWrites
 from guavadyke.filters.dispatch import Dispatch
 from guavadyke.filters.items import BatchItems
@@ -99,9 +100,10 @@
         self._dispatch = Dispatch(tools, settings.host_id)
         self._parse_tools = ParseTools(settings, clock, catalogue)
         self._writes = ClaimWrites(store, logger)
-        self._claim = ClaimKey(
-            ClaimTools(settings.host_id, clock, store, self._writes),
-        )
+        claims = ClaimTools(settings.host_id, clock, store, self._writes)
+        self._claim = ClaimKey(claims)
+        kept_s = settings.online.claim_kept_s
+        self._cleaning = ClaimCleaning(claims, fleet, kept_s)
         table = LimitTable(settings, clock, catalogue, fleet)
         self._limit = Limit(table)
         self._sharing = LimitSharing(
@@ -142,6 +144,7 @@
         self._watch.start()
         self._loads.start()
         self._writes.start()
+        self._cleaning.start()
         self._notices.start()
         self._sharing.start()
 
@@ -153,6 +156,7 @@
         """End the work in the background."""
         self._loads.close()
         self._writes.close()
+        self._cleaning.close()
         self._notices.close()
         self._sharing.close()
         self._watch.close()
