Keep the caller port up beyond 1,024 open files

Cause: the HTTP server watched its sockets by select(), which raises at the 1,024th open file and ends the port. Before: with 1,100 idle connections a health request got no answer and the server's loop was gone. After, with poll(): it is answered. The test fails without the change.

--- a/features/online_border.feature
+++ b/features/online_border.feature
@@ -9,6 +9,11 @@
     When a chat comes with a wrong body and two wrong headers
     Then the refusal names "$.messages", "$.stream", "headers.guavadyke-deadline-ms" and "headers.guavadyke-idempotent"
 
+  Scenario: a caller port with more connections than select() can watch
+    Given a caller port that holds 1100 idle connections
+    When a caller asks for its health
+    Then the caller port answers that it lives
+
   Scenario Outline: <what> over a socket
     Given an entry host before engines
     When a caller sends <what>
--- a/guavadyke/http_server.py
+++ b/guavadyke/http_server.py
@@ -159,6 +159,8 @@
             outbuf_high_watermark=settings.stream_buffer_bytes,
             send_bytes=1,
             clear_untrusted_proxy_headers=True,
+            # select() ends the server at the 1,024th open file.
+            asyncore_use_poll=True,
             ident='guavadyke',
         )
     except OSError as error:
