--- a/guavadyke/cli.py
+++ b/guavadyke/cli.py
@@ -18,6 +18,9 @@
 _MODULES = types.MappingProxyType({
     'batch': 'guavadyke.cli_batch',
     'chat': 'guavadyke.cli_chat',
+    'catalogue': 'guavadyke.cli_catalogue',
+    'drain': 'guavadyke.cli_fleet',
+    'fleet': 'guavadyke.cli_fleet',
     'measure': 'guavadyke.cli_measure',
     'standin': 'guavadyke.cli_standin',
 })
