Let a stand-in engine or service cut off single hosts

A zone that is cut off reaches no engine of another zone: cut_hosts of the engine and service stand-ins resets the calls of these hosts or answers them nothing, answers under way included.

--- a/features/outside_backend.feature
+++ b/features/outside_backend.feature
@@ -140,6 +140,35 @@
     When the engine loads a model of 100000 bytes
     Then the load took at least 0.2 seconds
 
+  Scenario Outline: a host that is cut off by <cut> while others go on
+    Given an engine stand-in
+    When a streamed completion of 60 tokens is asked by each of 2 hosts
+    And the engine cuts the first host off by <cut> meanwhile
+    Then the first host's call fails as <end>, the other's is whole
+
+    Examples:
+      | cut    | end    |
+      | silent | silent |
+      | reset  | broken |
+
+  Scenario: a doubled stream goes on after its end mark
+    Given an engine stand-in
+    And the engine's faults are {"doubled": true}
+    When a streamed completion of 4 tokens is asked of the engine
+    Then the text before the end mark is whole, and comes again after it
+
+  Scenario Outline: <fault> makes answers late
+    Given an engine stand-in
+    And the engine's faults are <fault>
+    When a whole completion of 10 tokens is asked of the engine
+    Then the engine's answer is whole with 10 tokens
+    And it took at least 0.2 seconds
+
+    Examples:
+      | fault            |
+      | {"delay_s": 0.2} |
+      | {"slow": 6}      |
+
   Scenario: a service counts what ran, also where the answer was lost
     Given a service stand-in
     And the service's faults are {"broken_after": 1, "limit": 1}
--- a/features/steps/outside_backend_steps.py
+++ b/features/steps/outside_backend_steps.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import json
+import threading
+import time
+from collections.abc import Callable
 
 from behave import given, then, when
 from behave.runner import Context
@@ -15,6 +18,7 @@
 from guavadyke.standins.faults import BackendFaults
 
 STEP_S = 0.004
+LONGEST_S = 10
 PLAIN_PROMPT = 'free shepherds:'
 
 
@@ -53,6 +57,83 @@
     )
 
 
+@when(
+    'a streamed completion of {tokens:d} tokens is asked'
+    ' by each of {hosts:d} hosts',
+)
+def step_hosts(context: Context, tokens: int, hosts: int) -> None:
+    context.tokens = tokens
+    body = builders.chat_body(stream=True, max_tokens=tokens)
+    context.asked = [_Asked(context, body) for _ in range(hosts)]
+    for number, asked in enumerate(context.asked):
+        asked.start(f'entry-{number}')
+    wait_until(lambda: context.engine.batch.running == hosts)
+
+
+class _Asked:
+    """A call in a thread of its own, with its own error and body."""
+
+    def __init__(self, context: Context, body: bytes) -> None:
+        self.engine = context.engine
+        self.servers = context.servers
+        self.error: BackendServerError | None = None
+        self.body = b''
+        self._sent = body
+        self._thread = threading.Thread()
+
+    def start(self, host_id: str) -> None:
+        headers = {'Guavadyke-Host': host_id}
+        self._thread = threading.Thread(
+            target=ask,
+            args=(self, self._sent),
+            kwargs={'headers': headers},
+        )
+        self._thread.start()
+
+    def join(self) -> None:
+        self._thread.join(LONGEST_S)
+        assert not self._thread.is_alive()
+
+
+def wait_until(holds: Callable[[], bool]) -> None:
+    until = time.monotonic() + LONGEST_S
+    while not holds():
+        assert time.monotonic() < until, 'it did not come to hold'
+        time.sleep(0.005)
+
+
+@when('the engine cuts the first host off by {cut} meanwhile')
+def step_cut(context: Context, cut: str) -> None:
+    context.engine.faults = BackendFaults(cut_hosts=('entry-0',), cut=cut)
+
+
+@then("the first host's call fails as {end}, the other's is whole")
+def step_first_cut(context: Context, end: str) -> None:
+    for asked in context.asked:
+        asked.join()
+    first, other = context.asked
+    assert first.error is not None, first.body
+    assert first.error.fault.value == end, first.error.message
+    assert other.error is None, other.error
+    text = builders.streamed_text(other.body)
+    assert text == builders.whole_text(context.tokens), text
+
+
+@then('the text before the end mark is whole, and comes again after it')
+def step_doubled(context: Context) -> None:
+    assert context.error is None, context.error
+    before, _mark, after = context.body.partition(b'data: [DONE]\n\n')
+    whole = builders.whole_text(4)
+    assert builders.streamed_text(before) == whole
+    assert builders.streamed_text(after) == whole
+
+
+@then('it took at least {seconds:g} seconds')
+def step_late(context: Context, seconds: float) -> None:
+    record = context.engine.history.records()[-1]
+    assert record['ended'] - record['started'] >= seconds, record
+
+
 @given("the engine's faults are {document}")
 def step_faults(context: Context, document: str) -> None:
     context.engine.faults = BackendFaults.model_validate_json(document)
--- a/features/steps/outside_engine_steps.py
+++ b/features/steps/outside_engine_steps.py
@@ -7,13 +7,18 @@
 import operator
 import threading
 import time
-from collections.abc import Callable
 
 from behave import given, then, when
 from behave.runner import Context
 
 from features import builders_outside as builders
-from features.steps.outside_backend_steps import STEP_S, ask, start_engine
+from features.steps.outside_backend_steps import (
+    LONGEST_S,
+    STEP_S,
+    ask,
+    start_engine,
+    wait_until,
+)
 from guavadyke.adapters.backend import HttpBackendServers
 from guavadyke.adapters.cancellation import CallCancellation
 from guavadyke.adapters.ports import BackendCall, BackendServerError
@@ -25,17 +30,9 @@
 from guavadyke.standins.service import ServiceStandin
 from guavadyke.standins.weights import WeightSpec
 
-LONGEST_S = 10
 LONG_PROMPT = 'all the angels of all the schools ' * 200
 
 
-def wait_until(holds: Callable[[], bool]) -> None:
-    until = time.monotonic() + LONGEST_S
-    while not holds():
-        assert time.monotonic() < until, 'it did not come to hold'
-        time.sleep(0.005)
-
-
 def post(context: Context, path: str, document: object) -> tuple[int, bytes]:
     """Post to the engine's own interface."""
     call = builders.backend_call(
--- a/guavadyke/standins/backend.py
+++ b/guavadyke/standins/backend.py
@@ -26,6 +26,16 @@
         faults: faults from the start.
     """
 
+    def resets(self, request: StandinRequest) -> bool:
+        """Return whether the request's connection is to be reset."""
+        faults = self.faults
+        return faults.reset or (faults.cut == 'reset' and self._cuts(request))
+
+    def holds(self, request: StandinRequest) -> bool:
+        """Return whether the request is to get nothing for now."""
+        faults = self.faults
+        return faults.silent or (faults.cut == 'silent' and self._cuts(request))
+
     def delay(self) -> None:
         """Wait where answers are to be late."""
         if self.faults.delay_s:
@@ -40,6 +50,13 @@
             return faults
         return BackendFaults()
 
+    def _cuts(self, request: StandinRequest) -> bool:
+        cut_hosts = self.faults.cut_hosts
+        return (
+            bool(cut_hosts)
+            and request.headers.get('guavadyke-host') in cut_hosts
+        )
+
     def _reachable(self, action: Action) -> Action:
         """Return the action with the faults that hit every call."""
 
@@ -47,10 +64,10 @@
             request: StandinRequest,
             match: re.Match[str],
         ) -> StandinAnswer | None:
-            if self.faults.reset:
+            if self.resets(request):
                 request.connection.reset()
-            if self.faults.silent:
-                request.connection.hang(lambda: not self.faults.silent)
+            if self.holds(request):
+                request.connection.hang(lambda: not self.holds(request))
             return action(request, match)
 
         return guarded
--- a/guavadyke/standins/completing.py
+++ b/guavadyke/standins/completing.py
@@ -139,12 +139,13 @@
                 request.connection,
                 faults,
                 other,
-                lambda: self._standin.faults.reset,
+                lambda: self._standin.resets(request),
+                lambda: self._standin.holds(request),
             ),
         )
 
     def _drop(self, request: StandinRequest) -> None:
-        if self._standin.faults.reset:
+        if self._standin.resets(request):
             request.connection.reset()
         raise DroppedConnectionError
 
--- a/guavadyke/standins/faults.py
+++ b/guavadyke/standins/faults.py
@@ -50,7 +50,8 @@
     """Faults of an engine or service stand-in; the default is none.
 
     ``reset`` resets connections and ``silent`` answers nothing, both also
-    where an answer has begun. ``refuse`` answers 503 with proof that
+    where an answer has begun. ``cut_hosts`` are the host ids of callers
+    that are cut off likewise. ``refuse`` answers 503 with proof that
     nothing ran, ``error`` answers with this HTTP status and no proof.
     ``delay_s`` comes before each answer and ``slow`` divides the speed.
 
@@ -65,6 +66,8 @@
 
     reset: bool = False
     silent: bool = False
+    cut_hosts: tuple[str, ...] = ()
+    cut: Literal['reset', 'silent'] = 'silent'
     refuse: bool = False
     error: Annotated[int, pydantic.Field(ge=400, le=599)] | None = None
     delay_s: Seconds = 0
--- a/guavadyke/standins/generation.py
+++ b/guavadyke/standins/generation.py
@@ -35,7 +35,8 @@
     """What a request is answered with.
 
     ``faults`` are those that hit this request; ``other`` is the request
-    whose answer is given where answers cross.
+    whose answer is given where answers cross. ``broken`` tells whether
+    the connection is to be reset, ``held`` whether nothing is sent now.
     """
 
     completion: Completion
@@ -43,6 +44,7 @@
     faults: BackendFaults
     other: Completion
     broken: Callable[[], bool]
+    held: Callable[[], bool]
 
 
 class Generation:
@@ -98,7 +100,7 @@
 
     def step(self) -> bool:
         """Generate one token; return whether the request goes on."""
-        if self.outcome != 'running':
+        if self.outcome != 'running' or self._answering.held():
             return True
         try:
             return self._advance()
--- a/guavadyke/standins/service.py
+++ b/guavadyke/standins/service.py
@@ -100,7 +100,7 @@
         if faults.silent_after is not None:
             self._history.end(record, 'silent')
             request.connection.hang(bool)
-        if faults.broken_after is not None or self.faults.reset:
+        if faults.broken_after is not None or self.resets(request):
             self._history.end(record, 'broken')
             _break(request, answer, faults.broken_after or 0)
         self._history.end(record, 'completed')
