--- a/guavadyke/decisions/routing.py
+++ b/guavadyke/decisions/routing.py
@@ -64,6 +64,14 @@
             if server_id in server_ids or server.in_flight
         }
 
+    def used(self) -> frozenset[str]:
+        """Return the servers in use here, and those that are ejected."""
+        return frozenset(
+            server_id
+            for server_id, server in self._servers.items()
+            if server.in_flight or server.health.ejected_until is not None
+        )
+
     def report(self, server_id: str, load: ReportedLoad, now: float) -> None:
         """Take a server's own report of its load."""
         server = self.server(server_id)
@@ -175,6 +183,11 @@
     return max(names, key=lambda name: _score(key, name), default='')
 
 
+def rendezvous_order(key: str, names: Collection[str]) -> list[str]:
+    """Return names in the order in which a key falls to them."""
+    return sorted(names, key=lambda name: _score(key, name), reverse=True)
+
+
 def _score(key: str, name: str) -> bytes:
     text = f'{name}\0{key}'.encode()
     return hashlib.blake2b(text, digest_size=_HASH_BYTES).digest()
