--- a/features/fleet_catalogue.feature
+++ b/features/fleet_catalogue.feature
@@ -34,3 +34,8 @@
     When an operator puts the owner "lammikko" and the entry "report"
     And the platform loses the answer to the next edit of "report"
     Then the edit was accepted once and the history shows it once
+
+  Scenario: A long history is kept whole in objects of bounded size
+    When an operator edits an owner with many keys 25 times
+    Then the history of the owner holds all 25 edits
+    And no object on the platform is larger than a megabyte
--- a/features/steps/fleet_catalogue_steps.py
+++ b/features/steps/fleet_catalogue_steps.py
@@ -215,3 +215,37 @@
     answer = context.hosts[0].operator.call('GET', 'catalogue/report/history')
     versions = [change['version'] for change in answer.json()['changes']]
     assert versions == [2, 1]
+
+
+@step('an operator edits an owner with many keys {count:d} times')
+def step_many_edits(context: Context, count: int) -> None:
+    keys = [f'{number:064x}' for number in range(600)]
+    for number in range(count):
+        document = {'kind': 'owner', 'key_hashes': keys[number:]}
+        answer = put(
+            context.hosts[number % 3],
+            'lammikko',
+            document,
+            **({'If_Match': f'"{number}"'} if number else {}),
+        )
+        assert answer.status in {200, 201}, answer.data
+
+
+@step('the history of the owner holds all {count:d} edits')
+def step_whole_history(context: Context, count: int) -> None:
+    answer = context.hosts[0].operator.call(
+        'GET',
+        'catalogue/lammikko/history',
+    )
+    versions = [change['version'] for change in answer.json()['changes']]
+    assert versions == list(range(count, 0, -1)), versions
+
+
+@step('no object on the platform is larger than a megabyte')
+def step_bounded(context: Context) -> None:
+    sizes = {
+        key: len(stored.body)
+        for key, stored in context.platform.objects.items()
+    }
+    assert max(sizes.values()) < 1_000_000, sizes
+    assert any(kind == 'catalogue-history' for kind, _name in sizes)
--- a/guavadyke/catalogue_objects.py
+++ b/guavadyke/catalogue_objects.py
@@ -14,7 +14,8 @@
 CATALOGUE_KIND = 'catalogue'
 ARCHIVE_KIND = 'catalogue-history'
 FORMAT = 1
-KEPT_CHANGES = 16
+_KEPT_CHANGES = 16
+_KEPT_BYTES = 400_000
 
 Version = Annotated[int, pydantic.Field(ge=1)]
 _Document = dict[str, object]
@@ -95,3 +96,11 @@
 def encode_object(one: CatalogueObject) -> bytes:
     """Return a body without history, for peers and the disk copy."""
     return encode(CatalogueDocument(version=one.version, entry=one.entry))
+
+
+def is_full(history: tuple[ChangeRecord, ...]) -> bool:
+    """Return whether an object with this history would grow too large."""
+    if len(history) > _KEPT_CHANGES:
+        return True
+    sizes = (len(record.model_dump_json()) for record in history)
+    return len(history) > 1 and sum(sizes) > _KEPT_BYTES
--- a/guavadyke/catalogue_routes.py
+++ b/guavadyke/catalogue_routes.py
@@ -35,7 +35,7 @@
 from guavadyke.snapshots import SnapshotCell
 
 _NAME: pydantic.TypeAdapter[str] = pydantic.TypeAdapter(Name)
-_MAX_BODY_BYTES = 262_144
+_MAX_BODY_BYTES = 65_536
 _MAX_REASON = 1000
 _AUDIT_PAGE = 100
 _AUDIT_LIMIT = 200
--- a/guavadyke/controllers/catalogue_edits.py
+++ b/guavadyke/controllers/catalogue_edits.py
@@ -4,7 +4,8 @@
 
 import dataclasses
 import datetime as dt
-from collections.abc import Callable
+import itertools
+from collections.abc import Callable, Iterator
 from typing import Literal
 
 from guavadyke.adapters.ports import Clock, StoredObject
@@ -14,12 +15,12 @@
 from guavadyke.catalogue_objects import (
     ARCHIVE_KIND,
     CATALOGUE_KIND,
-    KEPT_CHANGES,
     CatalogueDocument,
     CatalogueObject,
     ChangeRecord,
     decode,
     encode,
+    is_full,
 )
 from guavadyke.controllers.catalogue import EDIT, CatalogueState, Offered
 from guavadyke.errors import (
@@ -32,6 +33,7 @@
 
 _ATTEMPTS = 8
 _PAUSE_S = 0.02
+_ARCHIVE_PAGE = 8
 
 
 @dataclasses.dataclass(frozen=True)
@@ -133,22 +135,29 @@
         """Return the accepted edits of an object, the newest first."""
         stored = self._store.read(CATALOGUE_KIND, name)
         recent = () if stored is None else decode(stored.body).history
-        older = self._store.list_objects(ARCHIVE_KIND, prefix=f'{name}/')
         records = {
             record.version: record
-            for record in (
-                *(
-                    record
-                    for archived in older.objects
-                    for record in decode(archived.body).history
-                ),
-                *recent,
-            )
+            for record in itertools.chain(self._archived(name), recent)
         }
         return tuple(
             sorted(records.values(), key=_by_version, reverse=True),
         )
 
+    def _archived(self, name: str) -> Iterator[ChangeRecord]:
+        after = ''
+        more = True
+        while more:
+            page = self._store.list_objects(
+                ARCHIVE_KIND,
+                prefix=f'{name}/',
+                after=after,
+                limit=_ARCHIVE_PAGE,
+            )
+            for archived in page.objects:
+                yield from decode(archived.body).history
+            after = page.objects[-1].name if page.objects else ''
+            more = page.more and bool(page.objects)
+
     def _base(self, name: str) -> _Base:
         """Return the newer of the platform's copy and the one in force."""
         stored = self._store.read(CATALOGUE_KIND, name)
@@ -200,10 +209,11 @@
         history: tuple[ChangeRecord, ...],
     ) -> tuple[ChangeRecord, ...]:
         """Archive the older half of a full history before it leaves."""
-        if len(history) <= KEPT_CHANGES:
+        if not is_full(history):
             return history
-        kept = history[: KEPT_CHANGES // 2]
-        leaving = history[KEPT_CHANGES // 2 :]
+        half = max(1, len(history) // 2)
+        kept = history[:half]
+        leaving = history[half:]
         newest = leaving[0].version
         archived = CatalogueDocument(version=newest, history=leaving)
         try:
--- a/guavadyke/controllers/catalogue_watch.py
+++ b/guavadyke/controllers/catalogue_watch.py
@@ -220,6 +220,8 @@
     def _failed(self, error: GuavadykeError) -> None:
         if not self._failures:
             self._logger.warning('platform_lost', reason=error.message)
+        # A watch that cannot be made is not one that has gone silent.
+        self._expected.clear()
         longest_s = min(_LONGEST_RETRY_S, _FIRST_RETRY_S * 2**self._failures)
         self._failures = min(self._failures + 1, 16)
         self._stop.wait(self._rng.uniform(longest_s / 2, longest_s))
