--- a/guavadyke/cli.py
+++ b/guavadyke/cli.py
@@ -17,6 +17,7 @@
 _EXIT_SETTINGS = 2
 _MODULES = types.MappingProxyType({
     'batch': 'guavadyke.cli_batch',
+    'chat': 'guavadyke.cli_chat',
     'catalogue': 'guavadyke.cli_catalogue',
     'drain': 'guavadyke.cli_fleet',
     'fleet': 'guavadyke.cli_fleet',
