Close HTTP servers in their own loop, and take test ports that stay free

Cause: closing from another thread closed descriptors that the loop and the workers still used (EBADF, or a byte written into a stranger's connection); tests took ports of the ephemeral range, which outgoing connections could take before the daemon listened (fleet starts failed at a machine load of 19); the idle age of connections in the settings had no effect; repeated query parameters of a plain service were collapsed. Change: one close_server for daemons and stand-ins; ports below 32,000; the setting is passed on; the query string goes through as it was sent.

--- a/features/builders_processes.py
+++ b/features/builders_processes.py
@@ -19,6 +19,7 @@
 
 from features import builders
 from guavadyke.client import Client
+from guavadyke.embedded import free_port
 from guavadyke.errors import GuavadykeError
 from guavadyke.trial_catalogue import EnginePlace, TrialFleet, trial_catalogue
 
@@ -33,13 +34,6 @@
 _TOKEN = 'operator-token'
 
 
-def free_port() -> int:
-    """Return a port that nothing listens on."""
-    with contextlib.closing(socket.socket()) as probe:
-        probe.bind((LOOPBACK, 0))
-        return int(probe.getsockname()[1])
-
-
 def wait_until(condition: Callable[[], bool], timeout_s: float) -> bool:
     """Wait for a condition; return whether it came to hold."""
     until = time.monotonic() + timeout_s
--- a/guavadyke/decisions/claims.py
+++ b/guavadyke/decisions/claims.py
@@ -94,8 +94,7 @@
         """Return the wish of a request with an idempotency key."""
         key = exchange.idempotency_key
         scope = [exchange.owner, exchange.entry_name, key]
-        query = sorted(exchange.query.items())
-        asked = [exchange.method, exchange.path, query]
+        asked = [exchange.method, exchange.path, exchange.query_string]
         return cls(
             name=_digest(json.dumps(scope).encode()),
             body_hash=_digest(json.dumps(asked).encode(), exchange.body),
--- a/guavadyke/embedded.py
+++ b/guavadyke/embedded.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import contextlib
 import dataclasses
 import json
 import os
+import random
 import socket
 import time
 from collections.abc import Mapping, Sequence
@@ -26,7 +26,8 @@
 _TOKEN_VARIABLE = 'GUAVADYKE_EMBEDDED_OPERATOR_TOKEN'  # ruff: ignore[hardcoded-password-string]
 _FLEET_KEY_VARIABLE = 'GUAVADYKE_EMBEDDED_FLEET_KEY'
 _FLEET_KEY = 'embedded-fleet-key'
-_IN_FORCE_TIMEOUT_S = 10.0
+_PORTS = range(10_000, 32_000)
+_IN_FORCE_TIMEOUT_S = 30.0
 _LOOK_INTERVAL_S = 0.02
 
 
@@ -48,11 +49,31 @@
     overrides: Mapping[str, object] = dataclasses.field(default_factory=dict)
 
 
-def _free_port() -> int:
-    """Return a port that is free for both TCP and UDP."""
-    with contextlib.closing(socket.socket()) as tcp:
-        tcp.bind((LOOPBACK, 0))
-        return int(tcp.getsockname()[1])
+def free_port() -> int:
+    """Return a port on loopback that nothing uses for TCP or UDP.
+
+    It is below those that the system gives to outgoing connections, so
+    that none of them takes it before it is listened on.
+
+    Raises:
+        OSError: there is none.
+    """
+    for port in random.SystemRandom().sample(_PORTS, len(_PORTS)):
+        if _is_free(port, socket.SOCK_STREAM) and _is_free(
+            port,
+            socket.SOCK_DGRAM,
+        ):
+            return port
+    raise OSError('no port is free')
+
+
+def _is_free(port: int, kind: socket.SocketKind) -> bool:
+    with socket.socket(socket.AF_INET, kind) as probe:
+        try:
+            probe.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
 
 
 class EmbeddedFleet:
@@ -129,7 +150,7 @@
 
     def _start_hosts(self) -> list[str]:
         places = {
-            f'{zone}-entry-{number}': (zone, _free_port())
+            f'{zone}-entry-{number}': (zone, free_port())
             for zone in self._plan.zones
             for number in range(1, self._plan.entry_hosts + 1)
         }
--- a/guavadyke/entry.py
+++ b/guavadyke/entry.py
@@ -45,7 +45,7 @@
             zone=settings.zone,
         )
         rng = random.Random(uuid.uuid4().int)
-        servers = HttpBackendServers()
+        servers = HttpBackendServers(settings.online.idle_connection_s)
         self.fleet = FleetService(
             settings,
             self._clock,
--- a/guavadyke/filters/base.py
+++ b/guavadyke/filters/base.py
@@ -38,6 +38,7 @@
     idempotency_key: str = ''
     streamed: bool = False
     document: Mapping[str, object] = dataclasses.field(default_factory=dict)
+    query_string: str = ''
 
 
 @dataclasses.dataclass
--- a/guavadyke/filters/dispatch.py
+++ b/guavadyke/filters/dispatch.py
@@ -7,7 +7,7 @@
 import json
 from collections.abc import Iterator, Mapping
 from typing import Any
-from urllib.parse import quote, urlencode
+from urllib.parse import quote
 
 from guavadyke.adapters.ports import (
     BackendFault,
@@ -254,7 +254,8 @@
 
 def _service_path(exchange: Exchange) -> str:
     path = quote(f'/{exchange.path_parts["path"]}')
-    return f'{path}?{urlencode(exchange.query)}' if exchange.query else path
+    query = exchange.query_string
+    return f'{path}?{query}' if query else path
 
 
 def _is_json(body: bytes) -> bool:
--- a/guavadyke/http.py
+++ b/guavadyke/http.py
@@ -239,6 +239,7 @@
         body_input=environ['wsgi.input'],
         received_at=received_at,
         disconnected=environ.get('waitress.client_disconnected', bool),
+        query_string=environ.get('QUERY_STRING', ''),
     )
 
 
--- a/guavadyke/http_server.py
+++ b/guavadyke/http_server.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import json
+import socket
 import threading
 import uuid
 from typing import Any
@@ -11,6 +13,7 @@
 from waitress.channel import HTTPChannel
 from waitress.server import create_server
 from waitress.task import ErrorTask
+from waitress.wasyncore import dispatcher
 
 from guavadyke.adapters.ports import Clock
 from guavadyke.errors import ErrorCode, Finding, GuavadykeError, Run
@@ -19,6 +22,7 @@
 
 _CHANNEL_TIMEOUT_S = 120
 _SETTLE_INTERVAL_S = 0.02
+_JOIN_S = 5.0
 
 
 class _JsonErrorTask(ErrorTask):  # type: ignore[misc]
@@ -133,8 +137,44 @@
 
     def close(self) -> None:
         """Stop listening and close every connection."""
-        self._server.close()
-        self._server.task_dispatcher.shutdown()
+        close_server(self._server, self._thread)
+
+
+def close_server(
+    server: Any,
+    thread: threading.Thread,
+    linger: bytes | None = None,
+) -> None:
+    """Close a waitress server and its connections.
+
+    Args:
+        server: the server.
+        thread: runs the server's loop, where it has been started.
+        linger: socket option for the connections before they close.
+    """
+    drop = functools.partial(_drop_all, server, linger)
+    if thread.is_alive():
+        server.trigger.pull_trigger(drop)
+        thread.join(_JOIN_S)
+    else:
+        drop()
+    # Threads that still serve write to the trigger, so it goes last.
+    if server.task_dispatcher.shutdown():
+        server.trigger.close()
+
+
+def _drop_all(server: Any, linger: bytes | None) -> None:
+    """Close what the loop polls; called in its own thread."""
+    for channel in tuple(server.active_channels.values()):
+        if linger is not None:
+            channel.socket.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_LINGER,
+                linger,
+            )
+        channel.handle_close()
+    server.trigger.del_channel()
+    dispatcher.close(server)
 
 
 def _bound_server(
