Bound retries under lasting faults, and work out who is responsible once

A large upload could use up the calls that leases and claims need. Change: ten retries saved at the most, a share of 0.15; a report readmits only a server that could not be reached; answers are kept while the same hosts live; batch looks only at engines that the host sends to; calls that are not bulk data have a credit of their own.

--- a/features/outside_settled.feature
+++ b/features/outside_settled.feature
@@ -78,5 +78,5 @@
   Scenario: a host keeps within its own budget of calls
     Given a platform stand-in with a store
     And 2 hosts that share 4 reads and 2 writes a second, without a burst
-    When 4 reads and 3 writes are made at once
+    When 4 bulk reads and 3 bulk writes are made at once
     Then 2 reads and 1 write reached the platform and the rest were refused
--- a/features/path_demo.feature
+++ b/features/path_demo.feature
@@ -23,3 +23,9 @@
     Given 100 entry hosts that share 300 writes a second, 10 of them at once
     When one of them writes 40 objects
     Then its writes took 10 seconds
+
+  Scenario: a claim of an online request does not wait behind bulk data
+    Given 100 entry hosts that share 300 writes a second, 10 of them at once
+    When one of them writes 40 objects
+    And it claims a key
+    Then its writes took 10 seconds
--- a/features/steps/outside_settled_steps.py
+++ b/features/steps/outside_settled_steps.py
@@ -13,8 +13,8 @@
 
 from features import builders_outside as builders
 from features.machines import outside_settled
+from guavadyke.adapters.budget import BudgetedStore
 from guavadyke.adapters.clock import SystemClock
-from guavadyke.adapters.platform import BudgetedStore
 from guavadyke.errors import (
     GuavadykeError,
     ObjectConflictError,
@@ -185,14 +185,14 @@
     )
 
 
-@when('{reads:d} reads and {writes:d} writes are made at once')
+@when('{reads:d} bulk reads and {writes:d} bulk writes are made at once')
 def step_calls(context: Context, reads: int, writes: int) -> None:
     context.refusals = []
     store = context.budgeted
     calls = [
-        *(functools.partial(store.read, KIND, 'a') for _ in range(reads)),
+        *(functools.partial(store.read, 'chunk', 'a') for _ in range(reads)),
         *(
-            functools.partial(store.create, KIND, f'made-{number}', b'')
+            functools.partial(store.create, 'chunk', f'made-{number}', b'')
             for number in range(writes)
         ),
     ]
--- /dev/null
+++ b/features/steps/path_retries_steps.py
@@ -0,0 +1,129 @@
+"""Steps of path_retries.feature."""
+
+import random
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features import builders
+from guavadyke.controllers.responsibility import Responsibility
+from guavadyke.decisions.health import ServerHealth
+from guavadyke.decisions.retries import RetryBudget
+from guavadyke.settings import EntrySettings
+from guavadyke.snapshots import FleetSnapshot, PeerView, SnapshotCell
+
+_SLOTS = 8
+_FAILED_AT = 10.0
+_QUIET_PAUSE_S = 0.05
+
+
+@given('a server that three requests failed at, and that is reached')
+def step_failing(context: Context) -> None:
+    context.health = ServerHealth(random.Random(1))
+    for _ in range(3):
+        context.health.failed(_FAILED_AT, unreachable=False)
+
+
+@given('a server that one request could not reach')
+def step_unreachable(context: Context) -> None:
+    context.health = ServerHealth(random.Random(1))
+    context.health.failed(_FAILED_AT, unreachable=True)
+    assert not context.health.usable_slots(_SLOTS, _FAILED_AT)
+
+
+@when('it reports its load')
+def step_report(context: Context) -> None:
+    context.health.reported(_FAILED_AT)
+
+
+@then('it gets no request yet')
+def step_no_request(context: Context) -> None:
+    assert not context.health.usable_slots(_SLOTS, _FAILED_AT)
+
+
+@then('it gets requests again')
+def step_requests(context: Context) -> None:
+    assert context.health.usable_slots(_SLOTS, _FAILED_AT) > 0
+
+
+@given('a retry budget of {ratio:f} after {quiet:d} requests without a fault')
+def step_budget(context: Context, ratio: float, quiet: int) -> None:
+    context.budget = RetryBudget(ratio)
+    context.budget_now = quiet * _QUIET_PAUSE_S
+    for number in range(quiet):
+        context.budget.note_request((number + 1) * _QUIET_PAUSE_S)
+
+
+@when('half of {count:d} requests fail at {rate:d} a second')
+def step_half_fail(context: Context, count: int, rate: int) -> None:
+    context.attempts = _attempts(context, count, 1 / rate, 2)
+
+
+@when('all of {count:d} requests fail at one in {pause_s:d} seconds')
+def step_all_fail(context: Context, count: int, pause_s: int) -> None:
+    context.attempts = _attempts(context, count, pause_s, 1)
+
+
+@then('there are at most {count:d} attempts')
+def step_at_most_attempts(context: Context, count: int) -> None:
+    assert context.attempts <= count, context.attempts
+
+
+@then('there are {count:d} attempts')
+def step_attempts(context: Context, count: int) -> None:
+    assert context.attempts == count, context.attempts
+
+
+@given('a host that sees {count:d} live peers in its zone')
+def step_responsible_host(context: Context, count: int) -> None:
+    settings = EntrySettings.model_validate(builders.entry_document())
+    context.peer_cell = SnapshotCell(FleetSnapshot(peers=_peers(count)))
+    context.responsibility = Responsibility(settings, context.peer_cell)
+
+
+@when('it asks for {keys:d} keys, loses {lost:d} of the peers and asks again')
+def step_ask_twice(context: Context, keys: int, lost: int) -> None:
+    names = [f'key-{number}' for number in range(keys)]
+    first = context.responsibility.first
+    context.had = {name for name in names if first(name)}
+    left = len(context.peer_cell.current.peers) - lost
+    context.peer_cell.publish(FleetSnapshot(peers=_peers(left)))
+    context.has = {name for name in names if first(name)}
+
+
+@then('it is responsible for every key that it had and for more')
+def step_more_keys(context: Context) -> None:
+    assert context.had, 'it had no key'
+    assert context.had < context.has, (len(context.had), len(context.has))
+
+
+def _attempts(
+    context: Context,
+    count: int,
+    pause_s: float,
+    failing: int,
+) -> int:
+    """Return the attempts when each so many requests fail once."""
+    attempts = 0
+    for number in range(count):
+        context.budget_now += pause_s
+        context.budget.note_request(context.budget_now)
+        attempts += 1
+        if number % failing == 0 and context.budget.take():
+            attempts += 1
+    return attempts
+
+
+def _peers(count: int) -> tuple[PeerView, ...]:
+    return tuple(
+        PeerView(
+            host_id=f'peer-{number}',
+            zone='cali-norte',
+            region='default',
+            address=f'127.0.0.1:{number + 1}',
+            state='alive',
+            incarnation=1,
+            age_s=0,
+        )
+        for number in range(count)
+    )
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -14,7 +14,8 @@
 from behave.runner import Context
 
 from features import builders
-from guavadyke.adapters.platform import BudgetedStore, HttpPlatformStore
+from guavadyke.adapters.budget import BudgetedStore
+from guavadyke.adapters.platform import HttpPlatformStore
 from guavadyke.demo import run_demo
 from guavadyke.settings import PlatformSettings
 from guavadyke.standins.platform import PlatformStandin
@@ -142,7 +143,12 @@
 @when('one of them writes {count:d} objects')
 def step_write_objects(context: Context, count: int) -> None:
     for number in range(count):
-        context.budgeted.create('job', f'job-{number}', b'1')
+        context.budgeted.create('chunk-input', f'job-{number}', b'1')
+
+
+@when('it claims a key')
+def step_claim_key(context: Context) -> None:
+    context.budgeted.create('claim', 'key', b'1')
 
 
 @then('its writes took {seconds:d} seconds')
--- a/guavadyke/controllers/responsibility.py
+++ b/guavadyke/controllers/responsibility.py
@@ -11,7 +11,7 @@
     """Rendezvous over the live hosts of a zone.
 
     Hosts may disagree; then two of them try, and conditional updates
-    decide where it matters.
+    decide where it matters. Answers are kept while the same hosts live.
 
     Args:
         settings: this host and its zone.
@@ -26,6 +26,9 @@
         self._host_id = settings.host_id
         self._zone = settings.zone
         self._fleet = fleet
+        self._seen: FleetSnapshot | None = None
+        self._zones: dict[str, str] = {}
+        self._answers: dict[tuple[str, str], bool] = {}
 
     def first(self, key: str, zone: str = '') -> bool:
         """Return whether this host is the first to try for the key.
@@ -35,13 +38,31 @@
             zone: whose hosts it falls to, this host's own where it is
                 empty; all hosts where the zone has none.
         """
-        alive = [
-            peer for peer in self._fleet.current.peers if peer.state == 'alive'
-        ]
+        self._look()
         wanted = zone or self._zone
-        hosts = {peer.host_id for peer in alive if peer.zone == wanted}
-        if wanted == self._zone:
-            hosts.add(self._host_id)
-        if not hosts:
-            hosts = {self._host_id, *(peer.host_id for peer in alive)}
-        return rendezvous(key, hosts) == self._host_id
+        answer = self._answers.get((key, wanted))
+        if answer is None:
+            answer = rendezvous(key, self._hosts(wanted)) == self._host_id
+            self._answers[key, wanted] = answer
+        return answer
+
+    def _look(self) -> None:
+        """Forget the answers where other hosts are alive than before."""
+        fleet = self._fleet.current
+        if fleet is self._seen:
+            return
+        zones = {
+            peer.host_id: peer.zone
+            for peer in fleet.peers
+            if peer.state == 'alive'
+        }
+        zones[self._host_id] = self._zone
+        if zones != self._zones:
+            self._zones = zones
+            self._answers = {}
+        self._seen = fleet
+
+    def _hosts(self, zone: str) -> frozenset[str]:
+        """Return the live hosts of a zone, or all where it has none."""
+        near = (one for one, place in self._zones.items() if place == zone)
+        return frozenset(near) or frozenset(self._zones)
--- a/guavadyke/decisions/health.py
+++ b/guavadyke/decisions/health.py
@@ -24,6 +24,7 @@
         self._ejections = 0
         self._ejected_until: float | None = None
         self._back_since: float | None = None
+        self._unreachable = False
 
     @property
     def ejected_until(self) -> float | None:
@@ -39,9 +40,18 @@
         elif self._share(now) >= 1:
             self._ejections = 0
 
+    def reported(self, now: float) -> None:
+        """Take a report of load; it shows only that the server is reached.
+
+        A server that is reached and fails requests stays ejected.
+        """
+        if self._ejected_until is not None and self._unreachable:
+            self.succeeded(now)
+
     def failed(self, now: float, *, unreachable: bool) -> None:
         """Take a failure; one that cannot be reached is ejected at once."""
         self._failures += 1
+        self._unreachable = unreachable
         if not unreachable and self._failures < _FAILURES_TO_EJECT:
             return
         longest_s = min(
--- a/guavadyke/decisions/retries.py
+++ b/guavadyke/decisions/retries.py
@@ -6,9 +6,9 @@
 
 from guavadyke.adapters.ports import BackendFault
 
-_FLOOR = 3.0
-_FLOOR_PER_S = 1.0
-_MOST_SAVED = 200.0
+_FIRST_BALANCE = 3.0
+_LEAST_PER_S = 1.0
+_MOST_SAVED = 10.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -25,8 +25,9 @@
 class RetryBudget:
     """Allows retries as a share of requests, so that faults bring no storm.
 
-    A host with little traffic may still retry a few times: the balance
-    grows by one each second up to a small floor.
+    A request after a pause earns more, so that a host with little traffic
+    may still retry; little is saved, so that a fault after a quiet time
+    brings no storm either.
 
     Args:
         ratio: retries allowed for each request.
@@ -34,29 +35,23 @@
 
     def __init__(self, ratio: float) -> None:
         self._ratio = ratio
-        self._balance = _FLOOR
+        self._balance = _FIRST_BALANCE
         self._at: float | None = None
 
     def note_request(self, now: float) -> None:
         """Count a request."""
-        self._grow(now)
-        self._balance = min(_MOST_SAVED, self._balance + self._ratio)
+        pause_s = 0 if self._at is None else max(0, now - self._at)
+        self._at = now
+        earned = max(self._ratio, pause_s * _LEAST_PER_S)
+        self._balance = min(_MOST_SAVED, self._balance + earned)
 
-    def take(self, now: float) -> bool:
+    def take(self) -> bool:
         """Take one retry from the budget; False where it is used up."""
-        self._grow(now)
         if self._balance < 1:
             return False
         self._balance -= 1
         return True
 
-    def _grow(self, now: float) -> None:
-        if self._at is not None and self._balance < _FLOOR:
-            elapsed_s = max(0, now - self._at)
-            grown = self._balance + elapsed_s * _FLOOR_PER_S
-            self._balance = min(_FLOOR, grown)
-        self._at = now
-
 
 def may_repeat(failed: FailedAttempt, *, idempotent: bool) -> bool:
     """Return whether sending the request again can do no harm."""
--- a/guavadyke/decisions/routing.py
+++ b/guavadyke/decisions/routing.py
@@ -77,8 +77,7 @@
         server = self.server(server_id)
         foreign = self.foreign_batch.total_at(server_id, now - load.age_s)
         server.take_report(load, now, foreign)
-        if server.health.ejected_until is not None:
-            server.health.succeeded(now)
+        server.health.reported(now)
 
     def others(self, server_id: str, now: float) -> int | None:
         """Return online requests of other hosts; None where unknown."""
--- a/guavadyke/decisions/sharing.py
+++ b/guavadyke/decisions/sharing.py
@@ -46,11 +46,18 @@
         self._no_refill_until: dict[str, float] = {}
         self._fleet = FleetSnapshot()
         self._senders: dict[str, str] = {}
+        self._own: dict[str, tuple[ServerView, ...]] = {}
 
     def take_fleet(self, fleet: FleetSnapshot) -> None:
         """Take the newest view of the fleet."""
         self._fleet = fleet
         self._senders = {}
+        self._own = {}
+
+    def take_candidates(self, candidates: Candidates) -> None:
+        """Take the servers that may take new work."""
+        self.candidates = candidates
+        self._own = {}
 
     def take(
         self,
@@ -60,10 +67,9 @@
         kept: bool = False,
     ) -> Slot | None:
         """Return a slot for a batch item, None where none is idle."""
-        views = self.candidates.of(entry_name)
         room = {
             view.server_id: self._room(view, now)
-            for view in views
+            for view in self._own_views(entry_name)
             if not kept or self._keeps(view)
         }
         roomiest = max(room, key=lambda one: room[one], default='')
@@ -77,19 +83,16 @@
 
     def room(self, entry_name: str, now: float) -> int:
         """Return how many more batch items of an entry may start."""
-        views = self.candidates.of(entry_name)
+        views = self._own_views(entry_name)
         return sum(max(0, self._room(view, now)) for view in views)
 
     def sends(self, entry_name: str) -> bool:
         """Return whether this host sends batch items of an entry."""
-        return any(
-            self.sender(view) == self._place.host_id
-            for view in self.candidates.of(entry_name)
-        )
+        return bool(self._own_views(entry_name))
 
     def yielding(self, now: float) -> Iterator[Slot]:
         """Yield the batch slots that online requests need now."""
-        for server_id, slots in self._batch.items():
+        for server_id, slots in tuple(self._batch.items()):
             held = [slot for slot in slots if not slot.preempted]
             if not held:
                 continue
@@ -113,6 +116,8 @@
         """Take the slot of an item back that has ended."""
         server_id = slot.view.server_id
         self._batch[server_id].remove(slot)
+        if not self._batch[server_id]:
+            self._batch.pop(server_id)
         self._router.server(server_id).add_batch(-1, now)
 
     def waiting_share(self, view: ServerView) -> int:
@@ -135,6 +140,18 @@
             self._senders[view.server_id] = found
         return found
 
+    def _own_views(self, entry_name: str) -> tuple[ServerView, ...]:
+        """Return the servers of an entry that this host sends batch to."""
+        own = self._own.get(entry_name)
+        if own is None:
+            own = tuple(
+                view
+                for view in self.candidates.of(entry_name)
+                if self.sender(view) == self._place.host_id
+            )
+            self._own[entry_name] = own
+        return own
+
     def _room(self, view: ServerView, now: float) -> int:
         """Return the batch items that may start at a server."""
         server_id = view.server_id
@@ -142,13 +159,14 @@
             return 0
         if not self._router.available(view) or self._waiting_for(view):
             return 0
-        held = len(self._batch[server_id])
+        held = len(self._batch.get(server_id, ()))
         elsewhere = self._router.foreign_batch.total(server_id, now)
         return self._allowed(view, now) - held - elsewhere
 
     def _keeps(self, view: ServerView) -> bool:
         """Return whether one more item that cannot yield may start."""
-        kept = sum(slot.kept for slot in self._batch[view.server_id])
+        held = self._batch.get(view.server_id, ())
+        kept = sum(slot.kept for slot in held)
         return kept < max(1, int(view.slots * _KEPT_SHARE))
 
     def _allowed(self, view: ServerView, now: float) -> int:
@@ -158,7 +176,7 @@
             return 0
         server = self._router.server(view.server_id)
         online = self.online_elsewhere.total(view.server_id, now)
-        if not self._batch[view.server_id]:
+        if view.server_id not in self._batch:
             reported = self._router.others(view.server_id, now) or 0
             online = max(online, reported)
         return batch_slots(
--- a/guavadyke/decisions/slots.py
+++ b/guavadyke/decisions/slots.py
@@ -68,8 +68,11 @@
         """Take the newest snapshots; nothing is done for known ones."""
         if catalogue is self._catalogue and fleet is self._fleet:
             return
+        same = catalogue is self._catalogue and _same_hosts(fleet, self._fleet)
         self._catalogue = catalogue
         self._fleet = fleet
+        if same:
+            return
         self.batch.take_fleet(fleet)
         self.batch.tail_weight = catalogue.policy.tail_weight
         self._rebuild()
@@ -140,7 +143,7 @@
             self._reports,
             self._place.zone,
         )
-        self.batch.candidates = self._candidates
+        self.batch.take_candidates(self._candidates)
 
     def _grant(self, ticket: Ticket, now: float) -> Slot | None:
         views = self._candidates.of(ticket.entry_name)
@@ -216,5 +219,14 @@
     return max(1, min(_LONGEST_RETRY_AFTER_S, round(wait_s)))
 
 
+def _same_hosts(fleet: FleetSnapshot, other: FleetSnapshot) -> bool:
+    """Return whether two views differ in nothing that routing asks."""
+    return fleet.leaving == other.leaving and _hosts(fleet) == _hosts(other)
+
+
+def _hosts(fleet: FleetSnapshot) -> list[tuple[str, str, str]]:
+    return [(peer.host_id, peer.zone, peer.state) for peer in fleet.peers]
+
+
 def _standing(load: ReportedLoad) -> tuple[bool, tuple[str, ...]]:
     return load.leaving, tuple(itertools.chain(load.serves))
--- a/guavadyke/entry.py
+++ b/guavadyke/entry.py
@@ -9,8 +9,9 @@
 import uuid
 
 from guavadyke.adapters.backend import HttpBackendServers
+from guavadyke.adapters.budget import BudgetedStore
 from guavadyke.adapters.clock import SystemClock
-from guavadyke.adapters.platform import BudgetedStore, HttpPlatformStore
+from guavadyke.adapters.platform import HttpPlatformStore
 from guavadyke.adapters.ports import Clock, PlatformStore
 from guavadyke.batch import BatchService
 from guavadyke.filters.base import chain
--- a/guavadyke/filters/retrying.py
+++ b/guavadyke/filters/retrying.py
@@ -48,4 +48,4 @@
         if not loads_server(failed):
             return True
         with self._lock:
-            return self._budget.take(self._clock.monotonic())
+            return self._budget.take()
--- a/guavadyke/settings.py
+++ b/guavadyke/settings.py
@@ -210,7 +210,7 @@
         description='Backend servers asked for their load each second.',
     )
     retry_budget_ratio: Positive = pydantic.Field(
-        default=0.2,
+        default=0.15,
         description='Retries allowed as a share of requests.',
     )
     claim_kept_s: Positive = pydantic.Field(
