Hold a host for not ready until a configuration is in force

Cause: a host that started while the platform was away told the balancer that it was ready and then refused every request as unknown. Change: readiness is 503 with the code not_ready until a catalogue object is in force.

--- a/features/path_demo.feature
+++ b/features/path_demo.feature
@@ -29,3 +29,9 @@
     When one of them writes 40 objects
     And it claims a key
     Then its writes took 10 seconds
+
+  Scenario: a host without a configuration in force is not ready
+    Given an entry host whose platform is away from the start
+    Then it is live and not ready, with the code "not_ready"
+    When the platform comes with a catalogue object
+    Then it is ready
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -1,6 +1,7 @@
 """Steps of path_demo.feature."""
 
 import contextlib
+import functools
 import json
 import os
 import socket
@@ -14,10 +15,14 @@
 from behave.runner import Context
 
 from features import builders
+from features.builders_processes import wait_until
 from guavadyke.adapters.budget import BudgetedStore
 from guavadyke.adapters.platform import HttpPlatformStore
+from guavadyke.client import Client
 from guavadyke.demo import run_demo
-from guavadyke.settings import PlatformSettings
+from guavadyke.entry import EntryHost
+from guavadyke.settings import EntrySettings, PlatformSettings
+from guavadyke.standins.faults import PlatformFaults
 from guavadyke.standins.platform import PlatformStandin
 
 _START_TIMEOUT_S = 30
@@ -154,3 +159,56 @@
 @then('its writes took {seconds:d} seconds')
 def step_writes_took(context: Context, seconds: int) -> None:
     assert round(context.stepped_clock.now, 6) == seconds
+
+
+@given('an entry host whose platform is away from the start')
+def step_host_without_platform(context: Context) -> None:
+    platform = PlatformStandin(
+        ip='127.0.0.1',
+        faults=PlatformFaults(outage='refuse'),
+    )
+    platform.start()
+    context.add_cleanup(platform.close)
+    os.environ.update(_SECRETS)
+    document = builders.entry_document()
+    document['platform'] = {'url': f'http://{platform.address}'}
+    context.late_platform = platform
+    context.lone_host = EntryHost(EntrySettings.model_validate(document))
+    context.lone_host.start()
+    context.add_cleanup(context.lone_host.close)
+
+
+@then('it is live and not ready, with the code "{code}"')
+def step_not_ready(context: Context, code: str) -> None:
+    client = Client(context.lone_host.caller_url, '')
+    assert client.expect('GET', '/health/live').document() == {'live': True}
+    answer = client.call('GET', '/health/ready')
+    assert answer.document()['error']['code'] == code, answer.body
+
+
+@when('the platform comes with a catalogue object')
+def step_platform_comes(context: Context) -> None:
+    url = f'http://{context.late_platform.address}'
+    standin = Client(url, '')
+    standin.expect('PUT', '/standin/faults', b'{}')
+    operator = Client(
+        context.lone_host.operator_url,
+        _SECRETS['GUAVADYKE_OPERATOR_TOKEN'],
+    )
+    edited = functools.partial(
+        operator.call,
+        'PUT',
+        '/operator/catalogue/policy',
+        b'{"kind": "policy"}',
+        {'If-None-Match': '*'},
+    )
+    assert wait_until(lambda: edited().status < 300, _START_TIMEOUT_S)
+
+
+@then('it is ready')
+def step_ready(context: Context) -> None:
+    client = Client(context.lone_host.caller_url, '')
+    assert wait_until(
+        lambda: client.call('GET', '/health/ready').status == 200,
+        _START_TIMEOUT_S,
+    )
--- a/guavadyke/errors.py
+++ b/guavadyke/errors.py
@@ -45,6 +45,7 @@
     no_backend_server = 'no_backend_server'
     platform_unavailable = 'platform_unavailable'
     stopping = 'stopping'
+    not_ready = 'not_ready'
     deadline_exceeded = 'deadline_exceeded'
     backend_failed = 'backend_failed'
     backend_silent = 'backend_silent'
@@ -86,6 +87,7 @@
     ErrorCode.no_backend_server: _CodeMeaning(503, Run.not_run),
     ErrorCode.platform_unavailable: _CodeMeaning(503, Run.not_run),
     ErrorCode.stopping: _CodeMeaning(503, Run.not_run),
+    ErrorCode.not_ready: _CodeMeaning(503, Run.not_run),
     ErrorCode.deadline_exceeded: _CodeMeaning(504, Run.not_run),
     ErrorCode.backend_failed: _CodeMeaning(502, Run.unknown),
     ErrorCode.backend_silent: _CodeMeaning(504, Run.unknown),
--- a/guavadyke/online.py
+++ b/guavadyke/online.py
@@ -76,6 +76,7 @@
         logger: EventLogger,
     ) -> None:
         self.metrics = OnlineMetrics()
+        self._configuration = catalogue
         self._capacity = Capacity(settings, clock, rng, catalogue, fleet)
         self._watch = CallerWatch()
         tools = Tools(
@@ -183,6 +184,11 @@
     def _ready(self, _exchange: Exchange) -> Answer:
         if self._stopping:
             raise GuavadykeError(ErrorCode.stopping, 'this host is stopping')
+        if not self._configuration.current.versions:
+            raise GuavadykeError(
+                ErrorCode.not_ready,
+                'this host has no configuration in force yet',
+            )
         return json_answer({'ready': True})
 
 
