Probe a failing zone at a bounded rate, and keep a smaller reserve

Result: new scenario: at most 120 of 1,000 requests go to a failing zone and each engine is still probed.

--- a/features/path_retries.feature
+++ b/features/path_retries.feature
@@ -24,3 +24,9 @@
     Given a host that sees 5 live peers in its zone
     When it asks for 200 keys, loses 4 of the peers and asks again
     Then it is responsible for every key that it had and for more
+
+  Scenario: a zone whose engines all fail leaves requests to other zones
+    Given a router with 4 engines in its zone and 4 in another
+    When the engines of its zone fail every request for 10 seconds
+    Then at most 120 of 1000 requests went to the failing engines
+    And every failing engine is probed again
--- a/features/steps/path_retries_steps.py
+++ b/features/steps/path_retries_steps.py
@@ -1,5 +1,6 @@
 """Steps of path_retries.feature."""
 
+import collections
 import random
 
 from behave import given, then, when
@@ -9,12 +10,14 @@
 from guavadyke.controllers.responsibility import Responsibility
 from guavadyke.decisions.health import ServerHealth
 from guavadyke.decisions.retries import RetryBudget
+from guavadyke.decisions.routing import Router, ServerView
 from guavadyke.settings import EntrySettings
 from guavadyke.snapshots import FleetSnapshot, PeerView, SnapshotCell
 
 _SLOTS = 8
 _FAILED_AT = 10.0
 _QUIET_PAUSE_S = 0.05
+_REQUESTS_PER_S = 100
 
 
 @given('a server that three requests failed at, and that is reached')
@@ -127,3 +130,50 @@
         )
         for number in range(count)
     )
+
+
+@given('a router with {near:d} engines in its zone and {far:d} in another')
+def step_router(context: Context, near: int, far: int) -> None:
+    context.router = Router('near', random.Random(1))
+    context.views = [
+        ServerView(
+            server_id=f'{zone}-{number}',
+            zone=zone,
+            address='127.0.0.1:1',
+            slots=_SLOTS,
+            fair_slots=_SLOTS,
+        )
+        for zone, count in (('near', near), ('far', far))
+        for number in range(count)
+    ]
+
+
+@when('the engines of its zone fail every request for {seconds:d} seconds')
+def step_zone_fails(context: Context, seconds: int) -> None:
+    context.went = collections.Counter()
+    for number in range(seconds * _REQUESTS_PER_S):
+        now = _FAILED_AT + number / _REQUESTS_PER_S
+        view = context.router.choose(context.views, b'%d' % number, now)
+        health = context.router.server(view.server_id).health
+        context.went[view.server_id] += 1
+        if view.zone == 'near':
+            health.failed(now, unreachable=False)
+        else:
+            health.succeeded(now)
+
+
+@then('at most {count:d} of 1000 requests went to the failing engines')
+def step_few_failed(context: Context, count: int) -> None:
+    assert context.went.total() == 1000
+    assert _near_requests(context) <= count, context.went
+
+
+@then('every failing engine is probed again')
+def step_probed(context: Context) -> None:
+    near = [count for name, count in context.went.items() if 'near' in name]
+    assert len(near) == 4, context.went
+    assert min(near) > 3, context.went
+
+
+def _near_requests(context: Context) -> int:
+    return sum(count for name, count in context.went.items() if 'near' in name)
--- a/guavadyke/decisions/health.py
+++ b/guavadyke/decisions/health.py
@@ -7,6 +7,7 @@
 _FAILURES_TO_EJECT = 3
 _FIRST_EJECTION_S = 1.0
 _LONGEST_EJECTION_S = 15.0
+_READMISSION_S = 0.5
 _SLOW_START_S = 5.0
 _SLOW_START_SHARE = 0.25
 
@@ -25,6 +26,7 @@
         self._ejected_until: float | None = None
         self._back_since: float | None = None
         self._unreachable = False
+        self._failed_at = float('-inf')
 
     @property
     def ejected_until(self) -> float | None:
@@ -52,6 +54,7 @@
         """Take a failure; one that cannot be reached is ejected at once."""
         self._failures += 1
         self._unreachable = unreachable
+        self._failed_at = now
         if not unreachable and self._failures < _FAILURES_TO_EJECT:
             return
         longest_s = min(
@@ -62,9 +65,17 @@
         self._ejected_until = now + self._rng.uniform(longest_s / 2, longest_s)
         self._back_since = None
 
-    def readmit(self, now: float) -> None:
-        """Allow a probe now, since too many servers are ejected."""
+    def readmit(self, now: float) -> bool:
+        """Allow a probe before its time, since many servers are ejected.
+
+        Returns:
+            False where the last failure was just now, so that a server that
+            fails fast does not take most requests of its zone.
+        """
+        if now - self._failed_at < _READMISSION_S:
+            return False
         self._ejected_until = now
+        return True
 
     def usable_slots(self, slots: int, now: float) -> int:
         """Return how many of the slots may be used now.
--- a/guavadyke/decisions/routing.py
+++ b/guavadyke/decisions/routing.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import hashlib
+import itertools
 import math
 import random
 from collections.abc import Collection, Sequence
@@ -161,10 +162,13 @@
             (view for view in views if view not in usable),
             key=lambda view: until[view.server_id] or 0,
         )
-        for view in ejected[: least - len(usable)]:
-            self.server(view.server_id).health.readmit(now)
-            usable.append(view)
-        return usable
+        readmitted = (
+            view
+            for view in ejected
+            if self.server(view.server_id).health.readmit(now)
+        )
+        missing = least - len(usable)
+        return [*usable, *itertools.islice(readmitted, missing)]
 
 
 def rank(view: ServerView, key: bytes) -> float:
--- a/guavadyke/decisions/yielding.py
+++ b/guavadyke/decisions/yielding.py
@@ -9,8 +9,8 @@
 from guavadyke.decisions.routing import ServerView, rendezvous
 from guavadyke.snapshots import PeerView
 
-_RESERVE_SHARE = 0.25
-_LONGEST_REFILL_DELAY_S = 0.4
+_RESERVE_SHARE = 0.125
+_LONGEST_REFILL_DELAY_S = 0.2
 
 
 def reserve(slots: int, tail_weight: float) -> int:
