--- a/guavadyke/controllers/batch_attention.py
+++ b/guavadyke/controllers/batch_attention.py
@@ -12,8 +12,8 @@
 from guavadyke.snapshots import CatalogueSnapshot, FleetSnapshot, SnapshotCell
 
 _CHOICE_KEPT_S = 1.0
-_FLEET_LISTS_PER_S = 300
-_FLEET_FOLLOWS_PER_S = 400
+FLEET_LISTS_PER_S = 300
+FLEET_FOLLOWS_PER_S = 400
 _ALIVE = 'alive'
 
 
@@ -74,7 +74,7 @@
         now = self._clock.monotonic()
         if now < self._list_at:
             return 0
-        self._list_at = now + len(self._zones()) / _FLEET_LISTS_PER_S
+        self._list_at = now + len(self._zones()) / FLEET_LISTS_PER_S
         return 1
 
     def follow_spacing_s(self) -> float:
@@ -85,7 +85,7 @@
         """
         if self._holdings.chunks:
             return 0
-        return len(self._zones()) / _FLEET_FOLLOWS_PER_S
+        return len(self._zones()) / FLEET_FOLLOWS_PER_S
 
     def _choose(self, jobs: Mapping[str, StoredJob], now: float) -> None:
         hosts = hosts_by_entry(self._catalogue.current, self._zones())
--- a/guavadyke/measure/slopes/capacity.py
+++ b/guavadyke/measure/slopes/capacity.py
@@ -41,19 +41,10 @@
 """
 _NEXT = """## What would make it fit
 
-- *Engines anew with each view of the fleet*: counting the live hosts of a
-  zone once for a view, rather than for each engine.
-- *Finding slots for batch items* and *finding out which engines are its
-  own*: ranking hosts once for a view of the fleet, rather than for each item
-  and each second.
-- *Looking what must yield*: only at engines with batch items of this host.
-- *Looks at the chunks of open jobs*: each host lists the chunks of every
-  open job it may work on. Rendezvous of jobs on a few hosts each, with the
-  others joining when these are full, makes the cost independent of the
-  number of hosts.
-- *Jobs, over all hosts that watch them*: every change of a job wakes the
-  watch of every host. A watch on a shard of the jobs wakes only those that
-  work on it.
+- *Jobs, over all hosts that watch them*, and *looks at the chunks of open
+  jobs* are bounded by what the hosts allow each other (see
+  [batch](design/batch.md)); a watch on a shard of the jobs would wake only
+  those that work on it and make a job start sooner.
 - *Loads of idle engines*: at a bounded rate an idle engine is asked seldom;
   one host of the zone that asks and tells the others would see it sooner.
 """
--- a/guavadyke/measure/slopes/platform_roles.py
+++ b/guavadyke/measure/slopes/platform_roles.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from guavadyke.controllers.batch_attention import (
+    FLEET_FOLLOWS_PER_S,
+    FLEET_LISTS_PER_S,
+)
 from guavadyke.measure.slopes.lines import Lines
-from guavadyke.measure.slopes.rows import Role, Row, scaled, total
+from guavadyke.measure.slopes.rows import Role, Row, at_most, scaled, total
 from guavadyke.measure.slopes.sizes import Budget, FleetSize
 from guavadyke.settings import BatchSettings
 
@@ -201,22 +205,30 @@
             ),
             Row(
                 'jobs, over all hosts that watch them',
-                scaled(
-                    lines.at('batch.fleet_reads', size.hosts),
-                    size.jobs_per_s,
+                at_most(
+                    scaled(
+                        lines.at('batch.fleet_reads', size.hosts),
+                        size.jobs_per_s,
+                    ),
+                    FLEET_FOLLOWS_PER_S,
                 ),
                 _READS,
-                'batch.fleet_reads at 390 hosts, 0.98 jobs a second',
+                'batch.fleet_reads at 390 hosts, 0.98 jobs a second; at most '
+                'the follows that the hosts allow each other',
             ),
             Row(
                 'looks at the chunks of open jobs',
-                scaled(
-                    lines.slope('platform.open_job_reads'),
-                    open_jobs * size.hosts,
+                at_most(
+                    scaled(
+                        lines.slope('platform.open_job_reads'),
+                        open_jobs * size.hosts,
+                    ),
+                    FLEET_LISTS_PER_S,
                 ),
                 _READS,
                 'slope of platform.open_job_reads, 3,542 jobs open (one hour '
-                'each) on 390 hosts',
+                'each) on 390 hosts; at most the lists that the hosts allow '
+                'each other',
             ),
             Row(
                 'edits that wake every watch',
--- a/guavadyke/measure/slopes/rows.py
+++ b/guavadyke/measure/slopes/rows.py
@@ -42,6 +42,11 @@
     return None if found is None else found * factor
 
 
+def at_most(found: float | None, bound: float) -> float | None:
+    """Return the smaller one, None where the cost was not measured."""
+    return None if found is None else min(found, bound)
+
+
 def total(rows: Iterable[Row]) -> float | None:
     """Return the sum of all rows, None where one was not measured."""
     summed: float = 0
