--- a/guavadyke/decisions/limits.py
+++ b/guavadyke/decisions/limits.py
@@ -8,7 +8,7 @@
 from collections.abc import Collection, Iterator
 
 from guavadyke.catalogue import Limits
-from guavadyke.decisions.routing import rendezvous_order
+from guavadyke.decisions.ranking import rank_names
 
 FLOOR_SHARE = 0.2
 _BURST_S = 1.0
@@ -78,7 +78,7 @@
     if spec.measure is not Measure.concurrency:
         return floor / max(1, len(zone_hosts))
     each, left = divmod(int(floor), max(1, len(zone_hosts)))
-    first = rendezvous_order(spec.name, zone_hosts)[:left]
+    first = rank_names(spec.name, zone_hosts)[:left]
     return each + int(host_id in first)
 
 
--- a/guavadyke/decisions/routing.py
+++ b/guavadyke/decisions/routing.py
@@ -179,18 +179,3 @@
     ).digest()
     drawn = (int.from_bytes(digest) + 1) / (_HASH_RANGE + 1)
     return view.slots / -math.log(drawn)
-
-
-def rendezvous(key: str, names: Collection[str]) -> str:
-    """Return the name that a key falls to; empty where there is none."""
-    return max(names, key=lambda name: _score(key, name), default='')
-
-
-def rendezvous_order(key: str, names: Collection[str]) -> list[str]:
-    """Return names in the order in which a key falls to them."""
-    return sorted(names, key=lambda name: _score(key, name), reverse=True)
-
-
-def _score(key: str, name: str) -> bytes:
-    text = f'{name}\0{key}'.encode()
-    return hashlib.blake2b(text, digest_size=_HASH_BYTES).digest()
--- a/guavadyke/decisions/schedule.py
+++ b/guavadyke/decisions/schedule.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
-import hashlib
 import itertools
 from collections.abc import Iterable, Sequence
 
 _GATE_GROWTH = 4
 _MOST_LOOKS = 8
-_WEIGHT_BYTES = 8
 
 
 @dataclasses.dataclass(frozen=True)
@@ -58,19 +56,6 @@
     return tuple(job for one in rounds for job in one if job is not None)
 
 
-def rank(name: str, host_id: str, hosts: Iterable[str]) -> int:
-    """Return how many live hosts come before this one for an object."""
-    own = _weight(name, host_id)
-    return sum(
-        _weight(name, other) > own for other in hosts if other != host_id
-    )
-
-
 def rank_allowed(looks: int) -> int:
     """Return the ranks that may try after so many looks in vain."""
     return int(_GATE_GROWTH ** min(looks, _MOST_LOOKS))
-
-
-def _weight(name: str, host_id: str) -> bytes:
-    text = f'{name}\0{host_id}'.encode()
-    return hashlib.blake2b(text, digest_size=_WEIGHT_BYTES).digest()
--- a/guavadyke/decisions/yielding.py
+++ b/guavadyke/decisions/yielding.py
@@ -6,7 +6,8 @@
 import math
 from collections.abc import Collection
 
-from guavadyke.decisions.routing import ServerView, rendezvous
+from guavadyke.decisions.ranking import rendezvous
+from guavadyke.decisions.routing import ServerView
 from guavadyke.snapshots import PeerView
 
 _RESERVE_SHARE = 0.125
--- a/guavadyke/filters/limit_coordinator.py
+++ b/guavadyke/filters/limit_coordinator.py
@@ -16,7 +16,7 @@
 )
 from guavadyke.adapters.settled import SettledStore
 from guavadyke.decisions.grants import GRANT_S, GrantLedger, HostDemand
-from guavadyke.decisions.routing import rendezvous
+from guavadyke.decisions.ranking import rendezvous
 from guavadyke.decisions.shard_lease import (
     LEASE_KIND,
     SHARDS,
