--- a/guavadyke/controllers/leaving.py
+++ b/guavadyke/controllers/leaving.py
@@ -6,7 +6,9 @@
 import random
 import threading
 from collections.abc import Callable, Iterable
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import CancelledError, ThreadPoolExecutor
+
+import pykka
 
 from guavadyke.adapters.ports import (
     BackendServerError,
@@ -39,6 +41,13 @@
 _LOAD_TIMEOUT_S = 0.5
 _POLL_THREADS = 8
 _LIST_KEY = 'host-list'
+# The pool and the actor end before this thread where the host closes.
+_SKIPPED = (
+    GuavadykeError,
+    RuntimeError,
+    CancelledError,
+    pykka.ActorDeadError,
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -96,7 +105,7 @@
         try:
             self._poll_list()
             self._poll_servers()
-        except (GuavadykeError, RuntimeError) as error:
+        except _SKIPPED as error:
             self._sights.logger.info('leaving_watch_skipped', reason=error)
 
     def _poll_list(self) -> None:
