--- a/guavadyke/adapters/backend.py
+++ b/guavadyke/adapters/backend.py
@@ -44,6 +44,29 @@
     serves: tuple[str, ...] = ()
 
 
+class BackendDialect:
+    """How backend servers are told of a request and say what became of it.
+
+    Each step may be overridden for servers that speak otherwise.
+    """
+
+    def request_headers(self, call: BackendCall) -> Mapping[str, str]:
+        """Return the headers of a request."""
+        return {**call.headers, 'X-Request-Id': call.request_id}
+
+    def answered_id(self, headers: Mapping[str, str]) -> str | None:
+        """Return the id of the request that an answer belongs to."""
+        return headers.get(_REQUEST_ID_HEADER)
+
+    def not_run(self, status: int, headers: Mapping[str, str]) -> bool:
+        """Return whether an answer proves that the request did not run."""
+        return status == _REFUSED and NOT_RUN_HEADER.lower() in headers
+
+    def misleading(self, _status: int, _headers: Mapping[str, str]) -> bool:
+        """Return whether a status would promise what is not proved."""
+        return False
+
+
 class HttpBackendServers:
     """Implements ``BackendServers`` by HTTP.
 
@@ -52,10 +75,16 @@
 
     Args:
         idle_s: seconds after which an idle connection is not reused.
+        dialect: headers that the servers know.
     """
 
-    def __init__(self, idle_s: float = _IDLE_S) -> None:
+    def __init__(
+        self,
+        idle_s: float = _IDLE_S,
+        dialect: BackendDialect | None = None,
+    ) -> None:
         self._pool = ConnectionPool(idle_s)
+        self._dialect = dialect or BackendDialect()
 
     def send(self, call: BackendCall) -> HttpBackendAnswer:
         """Send the request and wait for the head of the answer.
@@ -65,12 +94,17 @@
         """
         connection = self._connection(call)
         try:
-            answer = HttpBackendAnswer(call, connection, self._pool)
+            answer = HttpBackendAnswer(
+                call,
+                connection,
+                self._pool,
+                self._dialect,
+            )
         except _FAILURES as error:
             connection.close()
             self._pool.drop(_origin(call))
             raise _failure(error, call.address) from error
-        _check_head(call, answer)
+        _check_head(call, answer, self._dialect)
         return answer
 
     def load(self, address: str, timeout_s: float) -> ReportedLoad:
@@ -133,6 +167,7 @@
         call: the request, which is sent at once.
         connection: a connected connection.
         pool: takes the connection back after a whole answer.
+        dialect: headers that the server knows.
     """
 
     def __init__(
@@ -140,6 +175,7 @@
         call: BackendCall,
         connection: HTTPConnection,
         pool: ConnectionPool,
+        dialect: BackendDialect,
     ) -> None:
         self._call = call
         self._connection = connection
@@ -150,7 +186,7 @@
         self._cancelled = False
         if call.cancellation is not None:
             call.cancellation.bind(self.cancel)
-        self._response = self._exchange()
+        self._response = self._exchange(dialect)
         self._headers = {
             name.lower(): text for name, text in self._response.headers.items()
         }
@@ -202,7 +238,7 @@
         """Close the connection of an answer that is not read."""
         self._leave(whole=False)
 
-    def _exchange(self) -> BaseHTTPResponse:
+    def _exchange(self, dialect: BackendDialect) -> BaseHTTPResponse:
         call = self._call
         # The library sets the socket's timeout anew from this one.
         self._connection.timeout = call.first_byte_timeout_s
@@ -210,7 +246,7 @@
             call.method,
             call.path,
             body=call.body or None,
-            headers={**call.headers, 'X-Request-Id': call.request_id},
+            headers=dialect.request_headers(call),
             preload_content=False,
             decode_content=False,
         )
@@ -244,27 +280,38 @@
     return f'http://{call.address}'
 
 
-def _check_head(call: BackendCall, answer: HttpBackendAnswer) -> None:
+def _check_head(
+    call: BackendCall,
+    answer: HttpBackendAnswer,
+    dialect: BackendDialect,
+) -> None:
     """Refuse an answer to another request or one that proves no run.
 
     Raises:
         BackendServerError: in both cases.
     """
-    answered_id = answer.headers.get(_REQUEST_ID_HEADER, call.request_id)
-    if answered_id != call.request_id:
+    answered_id = dialect.answered_id(answer.headers)
+    if answered_id not in {None, call.request_id}:
         answer.discard()
         raise BackendServerError(
             BackendFault.crossed,
             f'{call.address} answered another request',
             not_run=False,
         )
-    if answer.status == _REFUSED and NOT_RUN_HEADER.lower() in answer.headers:
+    if dialect.not_run(answer.status, answer.headers):
         answer.discard()
         raise BackendServerError(
             BackendFault.refused,
             f'{call.address} takes no new requests',
             not_run=True,
         )
+    if dialect.misleading(answer.status, answer.headers):
+        answer.discard()
+        raise BackendServerError(
+            BackendFault.broken,
+            f'{call.address} answered {answer.status} without proof of no run',
+            not_run=False,
+        )
 
 
 def _failure(error: Exception, address: str) -> BackendServerError:
--- a/guavadyke/adapters/connections.py
+++ b/guavadyke/adapters/connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import socket
 import threading
 import time
 
@@ -10,6 +11,20 @@
 from urllib3.util import parse_url
 
 _KEPT_CONNECTIONS = 64
+# A connection can go silent without an end; probes of the kernel find it
+# within about two seconds, as fast as a leaving server has to be noticed.
+_PROBE_IDLE_S = 1
+_PROBE_INTERVAL_S = 1
+_PROBES = 1
+_UNACKNOWLEDGED_MS = 2500
+_SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS),
+)
 
 
 class ConnectionPool:
@@ -97,4 +112,5 @@
         url.port,
         timeout=connect_timeout_s,
         blocksize=65_536,
+        socket_options=list(_SOCKET_OPTIONS),
     )
--- a/guavadyke/adapters/peer_port.py
+++ b/guavadyke/adapters/peer_port.py
@@ -20,7 +20,7 @@
 from guavadyke.adapters.ports import Clock
 from guavadyke.decisions.peers import PeerRecord
 from guavadyke.log import EventLogger
-from guavadyke.settings import EntrySettings
+from guavadyke.settings import HostSettings
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
 
@@ -28,7 +28,7 @@
     """Binds the peer port and takes datagrams apart.
 
     Args:
-        settings: the entry host's settings.
+        settings: the host's settings.
         fleet: tells the addresses of peers.
         clock: dates datagrams.
         logger: gets a line for refused messages now and then.
@@ -39,7 +39,7 @@
 
     def __init__(
         self,
-        settings: EntrySettings,
+        settings: HostSettings,
         fleet: SnapshotCell[FleetSnapshot],
         clock: Clock,
         logger: EventLogger,
--- a/guavadyke/adapters/platform_calls.py
+++ b/guavadyke/adapters/platform_calls.py
@@ -24,7 +24,7 @@
 EXPIRED = 410
 _CONFLICT = 412
 _TOO_LARGE = 413
-_REFUSED = 503
+_NOT_TAKEN = frozenset((429, 503))
 _FIRST_ERROR = 400
 _FIRST_FAULT = 500
 _IDLE_S = 5
@@ -52,16 +52,34 @@
     body: bytes
 
 
+class AnswerReader:
+    """What the platform's answers say; platforms may differ in each step."""
+
+    conflicts = frozenset((_CONFLICT,))
+
+    def version(self, headers: Mapping[str, str], _body: bytes) -> int:
+        """Return the version that an answer names, 0 where there is none."""
+        digits = headers.get('ETag', '').strip('"')
+        return int(digits) if digits.isdecimal() else 0
+
+
 class PlatformCalls:
     """Sends requests to the platform.
 
     Args:
         settings: where the platform is and how long a call may take.
         host_id: this host's id, which the platform is told.
+        reader: tells what answers say.
     """
 
-    def __init__(self, settings: PlatformSettings, host_id: str) -> None:
+    def __init__(
+        self,
+        settings: PlatformSettings,
+        host_id: str,
+        reader: AnswerReader | None = None,
+    ) -> None:
         self._settings = settings
+        self._reader = reader or AnswerReader()
         self._pool = ConnectionPool(_IDLE_S)
         self._headers = {'Guavadyke-Host': host_id}
         if settings.token is not None:
@@ -121,7 +139,7 @@
             raise PlatformOutcomeUnknownError(
                 f'the answer to {call.method} {call.path} was lost: {error!r}',
             ) from error
-        return _answer_to_write(call, reply)
+        return self._answer_to_write(call, reply)
 
     def _read_on(
         self,
@@ -194,14 +212,39 @@
         body = response.read()
         return PlatformReply(
             response.status,
-            _version(response.headers.get('ETag', '')),
+            self._reader.version(response.headers, body),
             body,
         )
 
-
-def _version(etag: str) -> int:
-    digits = etag.strip('"')
-    return int(digits) if digits.isdecimal() else 0
+    def _answer_to_write(
+        self,
+        call: PlatformCall,
+        reply: PlatformReply,
+    ) -> PlatformReply:
+        if reply.status in self._reader.conflicts:
+            raise ObjectConflictError(
+                f'{call.path} has another version',
+                reply.version,
+            )
+        if reply.status in _NOT_TAKEN:
+            raise PlatformUnavailableError(
+                f'the platform answered {reply.status} to a write',
+            )
+        if reply.status == _TOO_LARGE:
+            raise GuavadykeError(
+                ErrorCode.too_large,
+                f'{call.path} is too large for the platform',
+            )
+        if _FIRST_ERROR <= reply.status < _FIRST_FAULT:
+            raise GuavadykeError(
+                ErrorCode.internal,
+                f'the platform answered {reply.status} to {call.path}',
+            )
+        if reply.status >= _FIRST_FAULT or not reply.version:
+            raise PlatformOutcomeUnknownError(
+                f'the platform answered {reply.status} to {call.path}',
+            )
+        return reply
 
 
 def _answer_to_read(call: PlatformCall, reply: PlatformReply) -> PlatformReply:
@@ -210,28 +253,3 @@
     raise PlatformUnavailableError(
         f'the platform answered {reply.status} to {call.path}',
     )
-
-
-def _answer_to_write(call: PlatformCall, reply: PlatformReply) -> PlatformReply:
-    if reply.status == _CONFLICT:
-        raise ObjectConflictError(
-            f'{call.path} has another version',
-            reply.version,
-        )
-    if reply.status == _REFUSED:
-        raise PlatformUnavailableError('the platform refuses the write')
-    if reply.status == _TOO_LARGE:
-        raise GuavadykeError(
-            ErrorCode.too_large,
-            f'{call.path} is too large for the platform',
-        )
-    if _FIRST_ERROR <= reply.status < _FIRST_FAULT:
-        raise GuavadykeError(
-            ErrorCode.internal,
-            f'the platform answered {reply.status} to {call.path}',
-        )
-    if reply.status >= _FIRST_FAULT or not reply.version:
-        raise PlatformOutcomeUnknownError(
-            f'the platform answered {reply.status} to {call.path}',
-        )
-    return reply
--- a/guavadyke/adapters/ports.py
+++ b/guavadyke/adapters/ports.py
@@ -189,6 +189,9 @@
     ``path`` starts with a slash. Timeouts are in seconds. ``fresh`` asks
     for a new connection, as retries and non-idempotent calls do. The
     adapter binds ``cancellation`` to the connection before it sends.
+    ``server_id`` names the only server that may run the request;
+    ``deadline_s`` is what is left of its deadline, 0 without one;
+    ``last_event_id`` is the event after which a stream goes on.
     """
 
     request_id: str
@@ -202,6 +205,9 @@
     gap_timeout_s: float
     fresh: bool = False
     cancellation: CallCancellation | None = None
+    server_id: str = ''
+    deadline_s: float = 0
+    last_event_id: int = 0
 
 
 class BackendAnswer(Protocol):
--- /dev/null
+++ b/guavadyke/controllers/item_run.py
@@ -0,0 +1,162 @@
+"""One run of a batch item at one backend server."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from guavadyke.adapters.cancellation import CallCancellation
+from guavadyke.adapters.ports import (
+    BackendCall,
+    BackendServerError,
+    BackendServers,
+)
+from guavadyke.controllers.server_pool import ServerLease, ServerPool
+from guavadyke.decisions.eventstream import EventOrderError, EventSplitter
+from guavadyke.decisions.jobrecords import AcceptedJob, ForwardItem
+from guavadyke.settings import ForwardSettings
+
+_OK = 200
+_REJECTED = 422
+_FAILED = 500
+
+
+class RunEnd(enum.Enum):
+    """How a run ended.
+
+    ``failed`` is the server's own failure, which counts as an attempt;
+    ``rejected`` its final word; ``broken`` a run to go on elsewhere;
+    ``not_run`` a refusal; ``preempted`` a run that this host ended.
+    """
+
+    completed = 'completed'
+    failed = 'failed'
+    rejected = 'rejected'
+    broken = 'broken'
+    not_run = 'not_run'
+    preempted = 'preempted'
+
+
+@dataclasses.dataclass(frozen=True)
+class PartialText:
+    """Events of an item so far: their data, and the id of the last one."""
+
+    last_id: int = 0
+    pieces: tuple[bytes, ...] = ()
+
+    @property
+    def text(self) -> str:
+        """The data of all events, one a line."""
+        return b'\n'.join(self.pieces).decode(errors='replace')
+
+
+@dataclasses.dataclass(frozen=True)
+class RunOutcome:
+    """The end of a run, with the text that the item has by now."""
+
+    end: RunEnd
+    partial: PartialText
+    reason: str = ''
+
+
+class ItemRun:
+    """Runs an item from where earlier runs stopped.
+
+    Args:
+        job: the item's job.
+        item: the item.
+        lease: the place at a server; given back at the end.
+        partial: what earlier runs brought.
+        pool: takes the place back.
+    """
+
+    def __init__(
+        self,
+        job: AcceptedJob,
+        item: ForwardItem,
+        lease: ServerLease,
+        partial: PartialText,
+        pool: ServerPool,
+    ) -> None:
+        self.cancellation = CallCancellation()
+        self.lease = lease
+        self.item = item
+        self.job_id = job.job_id
+        self._host = job.host
+        self._partial = partial
+        self._pieces = list(partial.pieces)
+        self._splitter = EventSplitter(partial.last_id)
+        self._pool = pool
+
+    def perform(
+        self,
+        servers: BackendServers,
+        settings: ForwardSettings,
+    ) -> RunOutcome:
+        """Run the item; blocks until it ends or is preempted."""
+        fault = None
+        try:
+            return self._read(servers, settings)
+        except BackendServerError as error:
+            fault = error.fault
+            return self._outcome(_end_of(error, self.cancellation), str(error))
+        finally:
+            blamed = None if self.cancellation.cancelled else fault
+            self._pool.give_back(self.lease, blamed)
+
+    def _read(
+        self,
+        servers: BackendServers,
+        settings: ForwardSettings,
+    ) -> RunOutcome:
+        answer = servers.send(self._call(settings))
+        if answer.status != _OK:
+            for _piece in answer.chunks():
+                continue
+            return self._outcome(
+                _END_OF_STATUS.get(answer.status, RunEnd.broken),
+                f'status {answer.status}',
+            )
+        try:
+            for piece in answer.chunks():
+                for event in self._splitter.feed(piece):
+                    if event.event_id is not None:
+                        self._pieces.append(event.data)
+        except EventOrderError as error:
+            answer.cancel()
+            return self._outcome(RunEnd.broken, str(error))
+        if self._splitter.partial:
+            return self._outcome(RunEnd.broken, 'ended within an event')
+        return self._outcome(RunEnd.completed)
+
+    def _outcome(self, end: RunEnd, reason: str = '') -> RunOutcome:
+        partial = PartialText(self._splitter.last_id, tuple(self._pieces))
+        return RunOutcome(end, partial, reason)
+
+    def _call(self, settings: ForwardSettings) -> BackendCall:
+        return BackendCall(
+            request_id=self.item.item_id,
+            address=self.lease.server.address,
+            method='POST',
+            path=self.item.path,
+            headers={**self.item.headers, 'Host': self._host},
+            body=self.item.body,
+            connect_timeout_s=settings.connect_timeout_s,
+            first_byte_timeout_s=settings.item_silence_s,
+            gap_timeout_s=settings.item_silence_s,
+            cancellation=self.cancellation,
+            server_id=self.lease.server.server_id,
+            last_event_id=self._partial.last_id,
+        )
+
+
+_END_OF_STATUS = {_FAILED: RunEnd.failed, _REJECTED: RunEnd.rejected}
+
+
+def _end_of(
+    error: BackendServerError,
+    cancellation: CallCancellation,
+) -> RunEnd:
+    if cancellation.cancelled:
+        return RunEnd.preempted
+    return RunEnd.not_run if error.not_run else RunEnd.broken
--- /dev/null
+++ b/guavadyke/controllers/mirror.py
@@ -0,0 +1,220 @@
+"""Follows all objects of one kind on the platform by lists and watches."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import threading
+from typing import Protocol
+
+from guavadyke.adapters.ports import (
+    Clock,
+    ObjectEvent,
+    ObjectListing,
+    StoredObject,
+    WatchAnswer,
+)
+from guavadyke.errors import GuavadykeError
+from guavadyke.log import EventLogger
+
+# Seconds between attempts while the platform is away; short, since what
+# lapsed and changed meanwhile has to be known soon after its return.
+_FIRST_RETRY_S = 0.1
+_LONGEST_RETRY_S = 0.8
+_FACTOR = 2
+_MOST_DOUBLINGS = 8
+
+
+class ListedStore(Protocol):
+    """What a mirror asks of the platform."""
+
+    def list_objects(
+        self,
+        kind: str,
+        *,
+        prefix: str = '',
+        after: str = '',
+        limit: int = 500,
+        bodies: bool = True,
+    ) -> ObjectListing:
+        """Return a page of objects by name."""
+        ...
+
+    def watch(self, kind: str, revision: int, wait_s: float) -> WatchAnswer:
+        """Wait for changes after a revision."""
+        ...
+
+
+class MirrorSink(Protocol):
+    """Takes what a mirror learns; called from the mirror's thread."""
+
+    def replace(
+        self,
+        objects: tuple[StoredObject, ...],
+        *,
+        after_outage: bool,
+    ) -> None:
+        """Take a full list."""
+        ...
+
+    def put(self, stored: StoredObject) -> None:
+        """Take an object that was written."""
+        ...
+
+    def remove(self, name: str) -> None:
+        """Take the removal of an object."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True)
+class MirrorSettings:
+    """The kind that is followed, and how long one watch waits in seconds."""
+
+    kind: str
+    watch_wait_s: float
+
+
+class Mirror:
+    """A thread that keeps a sink equal to what the platform holds.
+
+    Args:
+        settings: what is followed.
+        store: the platform.
+        sink: takes lists and changes.
+        clock: tells when the platform was last reached.
+        rng: spreads the retries of many hosts.
+        logger: gets a line when the platform is lost and found.
+    """
+
+    def __init__(
+        self,
+        settings: MirrorSettings,
+        store: ListedStore,
+        sink: MirrorSink,
+        clock: Clock,
+        rng: random.Random,
+        logger: EventLogger,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._sink = sink
+        self._clock = clock
+        self._rng = rng
+        self._logger = logger
+        self._versions: dict[str, int] = {}
+        self._revision: int | None = None
+        self._failures = 0
+        self._reached_at: float | None = None
+        self._stop = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run,
+            name=f'mirror-{settings.kind}',
+            daemon=True,
+        )
+
+    @property
+    def listed(self) -> bool:
+        """Whether the kind has been listed at least once."""
+        return self._reached_at is not None
+
+    @property
+    def failing(self) -> bool:
+        """Whether the last call to the platform failed."""
+        return self._failures > 0
+
+    def start(self) -> None:
+        """Follow in the background."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """End after the present call; does not wait for it."""
+        self._stop.set()
+
+    def step(self) -> None:
+        """Make one full list or one bounded watch.
+
+        Raises:
+            GuavadykeError: the platform is away.
+        """
+        if self._revision is None:
+            self._list()
+            return
+        answer = self._store.watch(
+            self._settings.kind,
+            self._revision,
+            self._settings.watch_wait_s,
+        )
+        if answer.expired:
+            self._logger.info(
+                'history_expired',
+                kind=self._settings.kind,
+                revision=self._revision,
+            )
+            self._revision = None
+            return
+        for event in answer.events:
+            self._take(event)
+        self._revision = max(self._revision, answer.revision)
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            try:
+                self.step()
+            except GuavadykeError as error:
+                self._failed(error)
+            else:
+                self._reached()
+
+    def _list(self) -> None:
+        found: dict[str, StoredObject] = {}
+        first_revision: int | None = None
+        after = ''
+        more = True
+        while more:
+            page = self._store.list_objects(self._settings.kind, after=after)
+            if first_revision is None:
+                first_revision = page.revision
+            found.update({one.name: one for one in page.objects})
+            more = page.more and bool(page.objects)
+            after = page.objects[-1].name if page.objects else ''
+        self._versions = {name: one.version for name, one in found.items()}
+        self._sink.replace(
+            tuple(found.values()),
+            after_outage=self._failures > 0,
+        )
+        self._revision = first_revision
+
+    def _take(self, event: ObjectEvent) -> None:
+        """Take an event, unless a list has told of a newer state."""
+        if event.version <= self._versions.get(event.name, -1):
+            return
+        self._versions[event.name] = event.version
+        if event.current is None:
+            self._sink.remove(event.name)
+        else:
+            self._sink.put(event.current)
+
+    def _reached(self) -> None:
+        if self._failures:
+            self._logger.info(
+                'platform_found',
+                kind=self._settings.kind,
+                failures=self._failures,
+            )
+        self._failures = 0
+        self._reached_at = self._clock.monotonic()
+
+    def _failed(self, error: GuavadykeError) -> None:
+        if not self._failures:
+            self._logger.warning(
+                'platform_lost',
+                kind=self._settings.kind,
+                reason=error.message,
+            )
+        doublings = min(self._failures, _MOST_DOUBLINGS)
+        self._failures += 1
+        # A watch that failed may have missed nothing, but entries may have
+        # lapsed while it was away, so that a list follows.
+        self._revision = None
+        longest_s = min(_LONGEST_RETRY_S, _FIRST_RETRY_S * _FACTOR**doublings)
+        self._stop.wait(self._rng.uniform(longest_s / 2, longest_s))
--- /dev/null
+++ b/guavadyke/decisions/attempting.py
@@ -0,0 +1,83 @@
+"""What follows a failed attempt, and what the caller may be told."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from guavadyke.adapters.ports import BackendFault
+from guavadyke.decisions.forwarding import ForwardRoute
+from guavadyke.errors import ErrorCode, Run
+
+# Refusals that one request meets before it is given up; each costs the time
+# of one exchange with a backend server.
+_MOST_REFUSALS = 6
+_RETRY_AFTER_S = 1.0
+_CODES = {
+    BackendFault.not_reached: ErrorCode.no_backend_server,
+    BackendFault.refused: ErrorCode.overloaded,
+    BackendFault.broken: ErrorCode.backend_failed,
+    BackendFault.crossed: ErrorCode.backend_failed,
+    BackendFault.silent: ErrorCode.backend_silent,
+}
+
+
+@dataclasses.dataclass
+class AttemptRecord:
+    """Attempts at one request so far.
+
+    ``possible_runs`` counts those without proof that nothing ran;
+    ``failed`` names the servers that are not tried again.
+    """
+
+    route: ForwardRoute
+    possible_runs: int = 0
+    refusals: int = 0
+    failed: frozenset[str] = frozenset()
+    last_fault: BackendFault | None = None
+
+    def note(
+        self,
+        server_id: str,
+        fault: BackendFault,
+        *,
+        not_run: bool,
+    ) -> None:
+        """Take a failed attempt."""
+        self.failed |= {server_id}
+        self.last_fault = fault
+        if not_run:
+            self.refusals += 1
+        else:
+            self.possible_runs += 1
+
+    @property
+    def may_go_on(self) -> bool:
+        """Whether another attempt is allowed."""
+        if self.refusals > _MOST_REFUSALS:
+            return False
+        if not self.possible_runs:
+            return True
+        return (
+            self.route.repeatable
+            and self.possible_runs < self.route.max_attempts
+        )
+
+    def final_code(self, wanted: ErrorCode | None = None) -> ErrorCode:
+        """Return the code for a request that is given up.
+
+        A code that promises that nothing ran needs proof for every attempt.
+        """
+        code = wanted or _CODES.get(
+            self.last_fault or BackendFault.refused,
+            ErrorCode.overloaded,
+        )
+        if self.possible_runs and code.run is Run.not_run:
+            return ErrorCode.outcome_unknown
+        return code
+
+
+def retry_after_s(code: ErrorCode) -> float | None:
+    """Return when a refused caller may come back; None where it ran."""
+    return (
+        _RETRY_AFTER_S if code.status == ErrorCode.overloaded.status else None
+    )
--- /dev/null
+++ b/guavadyke/decisions/spreading.py
@@ -0,0 +1,186 @@
+"""Choice of a backend server for forwarded requests and batch items.
+
+Answers two loads: a steady one, in which every server should hold about the
+same number of requests, and a burst, in which batch items give way.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import random
+from collections.abc import Iterable, Mapping, Sequence
+
+from guavadyke.decisions.counts import CountsByHost
+from guavadyke.decisions.health import ServerHealth
+from guavadyke.decisions.ranking import rank_names
+from guavadyke.decisions.serverlist import ListedServer
+
+# Load that a server of another availability zone has to be below a near one
+# to be chosen, as a share of its slots: about one request.
+_ZONE_PENALTY = 0.13
+# Slots of each server that batch leaves for online requests to come.
+_ONLINE_RESERVE = 2
+# Requests that wait at a server beyond its slots before it counts as full,
+# as a share of its slots.
+_QUEUE_SHARE = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class ServerLoad:
+    """Requests at one server, of all hosts as far as this host knows."""
+
+    online: int
+    batch: int
+
+    @property
+    def total(self) -> int:
+        """Requests of both classes."""
+        return self.online + self.batch
+
+
+class SpreadTable:
+    """What this host and others have at each server.
+
+    Not safe for threads: its owner holds a lock.
+
+    Args:
+        zone: availability zone of this host.
+        rng: breaks ties and spreads probes.
+    """
+
+    def __init__(self, zone: str, rng: random.Random) -> None:
+        self._zone = zone
+        self._rng = rng
+        self.own_online: collections.Counter[str] = collections.Counter()
+        self.own_batch: collections.Counter[str] = collections.Counter()
+        self.online_elsewhere = CountsByHost()
+        self.batch_elsewhere = CountsByHost()
+        self._health: dict[str, ServerHealth] = {}
+
+    def health(self, server: ListedServer) -> ServerHealth:
+        """Return the health of one incarnation of a server."""
+        key = f'{server.server_id}/{server.born_ms}'
+        found = self._health.get(key)
+        if found is None:
+            found = ServerHealth(self._rng)
+            self._health[key] = found
+        return found
+
+    def load(self, server_id: str, now: float) -> ServerLoad:
+        """Return the requests at a server."""
+        return ServerLoad(
+            self.own_online[server_id]
+            + self.online_elsewhere.total(server_id, now),
+            self.own_batch[server_id]
+            + self.batch_elsewhere.total(server_id, now),
+        )
+
+    def forget(self, servers: Iterable[ListedServer]) -> None:
+        """Keep the health of these servers only."""
+        kept = {f'{one.server_id}/{one.born_ms}' for one in servers}
+        self._health = {
+            key: health for key, health in self._health.items() if key in kept
+        }
+
+    def choose_online(
+        self,
+        servers: Sequence[ListedServer],
+        excluded: frozenset[str],
+        key: str,
+        now: float,
+    ) -> ListedServer | None:
+        """Return the least loaded server that may take a request.
+
+        Batch items count as half a request, since they give way. Of equal
+        servers the one that ranks first for the key is taken, so that
+        requests with the same prompt parts meet.
+        """
+        usable = [
+            server
+            for server in self._in_service(servers, now)
+            if server.server_id not in excluded
+        ]
+        if not usable:
+            return None
+        ranked = rank_names(key, [server.server_id for server in usable])
+        places = {name: place for place, name in enumerate(ranked)}
+        return min(
+            usable,
+            key=lambda server: (
+                self._score(server, now),
+                places[server.server_id],
+            ),
+        )
+
+    def crowded(self, server: ListedServer, now: float) -> bool:
+        """Return whether a request would wait long at a server."""
+        online = self.load(server.server_id, now).online
+        return online >= server.slots * (1 + _QUEUE_SHARE)
+
+    def batch_room(self, server: ListedServer, now: float) -> int:
+        """Return how many more items may start; negative where to yield."""
+        load = self.load(server.server_id, now)
+        reserve = min(_ONLINE_RESERVE, server.slots - 1)
+        return server.slots - reserve - load.total
+
+    def choose_batch(
+        self,
+        servers: Sequence[ListedServer],
+        excluded: frozenset[str],
+        now: float,
+    ) -> ListedServer | None:
+        """Return the server with most room for an item, None without."""
+        rooms = {
+            server: self.batch_room(server, now)
+            for server in self._in_service(servers, now)
+            if server.server_id not in excluded
+        }
+        best = max(rooms.values(), default=0)
+        if best <= 0:
+            return None
+        return self._rng.choice([
+            server for server, room in rooms.items() if room == best
+        ])
+
+    def surplus(self, server: ListedServer, now: float) -> int:
+        """Return how many items of this host are to give way at a server.
+
+        All hosts with items there give way in proportion to what they have.
+        """
+        load = self.load(server.server_id, now)
+        own = self.own_batch[server.server_id]
+        over = load.total - server.slots
+        if over <= 0 or not own:
+            return 0
+        return min(own, -(-over * own // load.batch))
+
+    def _score(self, server: ListedServer, now: float) -> float:
+        load = self.load(server.server_id, now)
+        held = load.online + load.batch / 2
+        penalty = 0 if server.zone == self._zone else _ZONE_PENALTY
+        return round(held / server.slots, 2) + penalty
+
+    def _in_service(
+        self,
+        servers: Sequence[ListedServer],
+        now: float,
+    ) -> list[ListedServer]:
+        """Leave out leaving and ejected servers, but not the last ones."""
+        staying = [server for server in servers if not server.leaving]
+        sound = [
+            server
+            for server in staying
+            if (self.health(server).ejected_until or 0) <= now
+        ]
+        return sound or staying
+
+
+def by_service(
+    servers: Iterable[ListedServer],
+) -> Mapping[str, tuple[ListedServer, ...]]:
+    """Return the servers of each service."""
+    found: dict[str, list[ListedServer]] = collections.defaultdict(list)
+    for server in servers:
+        found[server.service].append(server)
+    return {service: tuple(group) for service, group in found.items()}
--- a/guavadyke/errors.py
+++ b/guavadyke/errors.py
@@ -117,7 +117,7 @@
         *,
         findings: tuple[Finding, ...] = (),
         run: Run | None = None,
-        retry_after_s: int | None = None,
+        retry_after_s: float | None = None,
     ) -> None:
         super().__init__(message)
         self.code = code
--- a/guavadyke/filters/base.py
+++ b/guavadyke/filters/base.py
@@ -17,7 +17,7 @@
 
     Header names are in lower case. ``received_at`` and ``deadline`` are
     seconds of the monotonic clock. ``disconnected`` tells whether the
-    caller has left.
+    caller has left. ``target`` is the path with its query as it came.
     """
 
     request_id: str
@@ -39,6 +39,7 @@
     streamed: bool = False
     document: Mapping[str, object] = dataclasses.field(default_factory=dict)
     query_string: str = ''
+    target: str = ''
 
 
 @dataclasses.dataclass
--- /dev/null
+++ b/guavadyke/forward_host.py
@@ -0,0 +1,255 @@
+"""A host that forwards requests and runs batch items like them."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Callable
+
+from guavadyke.adapters.budget import BudgetedStore
+from guavadyke.adapters.clock import SystemClock
+from guavadyke.adapters.peer_port import PeerPort
+from guavadyke.adapters.ports import (
+    BackendServers,
+    Clock,
+    PlatformStore,
+    StoredObject,
+)
+from guavadyke.adapters.settled import SettledStore
+from guavadyke.controllers.forward_board import JobBoard
+from guavadyke.controllers.forward_desk import DeskParts, JobDesk
+from guavadyke.controllers.forward_runner import (
+    HandOver,
+    JobRunner,
+    RunnerParts,
+    RunnerTicker,
+)
+from guavadyke.controllers.forward_store import JobStore
+from guavadyke.controllers.load_exchange import LoadExchange
+from guavadyke.controllers.membership import FleetCells, PeerEvents
+from guavadyke.controllers.mirror import (
+    ListedStore,
+    Mirror,
+    MirrorSettings,
+    MirrorSink,
+)
+from guavadyke.controllers.route_view import RouteView
+from guavadyke.controllers.server_pool import ServerDecoder, ServerPool
+from guavadyke.decisions.forwarding import RouteTable
+from guavadyke.filters.forward_attempt import ForwardTools
+from guavadyke.filters.watch import CallerWatch
+from guavadyke.forward_objects import JOB_KIND, PROGRESS_KIND
+from guavadyke.log import EventLogger
+from guavadyke.membership_service import MembershipService
+from guavadyke.metrics import OnlineMetrics
+from guavadyke.settings import ForwardHostSettings
+from guavadyke.snapshots import CatalogueSnapshot, FleetSnapshot, SnapshotCell
+
+_ALIVE = 'alive'
+_MOVED_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class ForwardPorts:
+    """How a host meets its platform and backend servers.
+
+    ``table_kind`` and ``server_kind`` name the kinds of objects that hold
+    the routes and the backend servers; the decoders return None for
+    objects that hold neither, after saying so in the log.
+    """
+
+    store: PlatformStore
+    servers: BackendServers
+    table_kind: str
+    server_kind: str
+    decode_table: Callable[[StoredObject], RouteTable | None]
+    decode_server: ServerDecoder
+
+
+class ForwardHost:
+    """All parts of one host but its caller port.
+
+    Args:
+        settings: what the host is told at its start.
+        ports: its platform and backend servers.
+        logger: gets the events.
+
+    Raises:
+        GuavadykeError: the peer port is taken or a secret is missing.
+    """
+
+    def __init__(
+        self,
+        settings: ForwardHostSettings,
+        ports: ForwardPorts,
+        logger: EventLogger,
+    ) -> None:
+        self.settings = settings
+        self.clock: Clock = SystemClock()
+        self.logger = logger
+        self.metrics = OnlineMetrics()
+        self.fleet = SnapshotCell(FleetSnapshot())
+        self.table = SnapshotCell(RouteTable())
+        self._rng = random.Random()
+        self._budgeted = BudgetedStore(
+            ports.store,
+            settings.platform,
+            self.clock,
+            self._live_hosts,
+        )
+        self._store = SettledStore(self._budgeted, self.clock, self._child())
+        self.pool = ServerPool(
+            settings.zone,
+            ports.decode_server,
+            self.clock,
+            self._child(),
+            logger,
+        )
+        self._watch = CallerWatch()
+        self.tools = ForwardTools(
+            settings.forward,
+            self.clock,
+            ports.servers,
+            self.pool,
+            self._watch,
+            self.metrics,
+            logger,
+        )
+        self.board = JobBoard(self._wake, logger)
+        self._job_store = JobStore(self._store)
+        self.desk = JobDesk(
+            DeskParts(
+                settings.host_id,
+                self.board,
+                self._job_store,
+                self.fleet,
+                self.clock,
+                logger,
+            ),
+        )
+        self._mirrors = self._made_mirrors(ports)
+        self._membership = self._made_membership()
+        self._runner = JobRunner.start(
+            RunnerParts(
+                settings,
+                self.board,
+                self._job_store,
+                self.pool,
+                ports.servers,
+                self.table,
+                self.fleet,
+                self.connected,
+                self.clock,
+                logger,
+            ),
+        )
+        self._ticker = RunnerTicker(self._runner.tell)
+
+    @property
+    def ready(self) -> bool:
+        """Whether requests can be served by what is known here."""
+        return self.table.current.known and all(
+            mirror.listed for mirror in self._mirrors
+        )
+
+    def connected(self) -> bool:
+        """Return whether the platform answered when it was last asked."""
+        return not any(mirror.failing for mirror in self._mirrors)
+
+    def start(self) -> None:
+        """Join the fleet and begin to follow the platform."""
+        self._watch.start()
+        self._membership.start(frozenset(self.settings.peer.seeds))
+        for mirror in self._mirrors:
+            mirror.start()
+        self._exchange.start()
+        self._ticker.start()
+        self.logger.info(
+            'host_started',
+            caller=self.settings.caller is not None,
+            seeds=','.join(self.settings.peer.seeds),
+        )
+
+    def hand_over(self, longest_s: float) -> None:
+        """Let runs end for a while, then give the jobs to other hosts."""
+        until = self.clock.monotonic() + longest_s
+        while self._runner.ask(HandOver(leave=False)):
+            if self.clock.monotonic() >= until:
+                break
+            self.clock.sleep(_MOVED_S / 10)
+        if self._runner.ask(HandOver(leave=True)):
+            self.clock.sleep(_MOVED_S)
+        self._membership.leave()
+
+    def close(self) -> None:
+        """End every part."""
+        self._ticker.close()
+        self._exchange.close()
+        for mirror in self._mirrors:
+            mirror.close()
+        self._runner.stop()
+        self._watch.close()
+        self._membership.close()
+
+    def _made_mirrors(self, ports: ForwardPorts) -> tuple[Mirror, ...]:
+        routes = RouteView(ports.decode_table, self.table, self.logger)
+        return (
+            self._mirror(ports.table_kind, self._budgeted, routes),
+            self._mirror(ports.server_kind, self._budgeted, self.pool),
+            self._mirror(JOB_KIND, self._store, self.board.jobs),
+            self._mirror(PROGRESS_KIND, self._store, self.board.progress),
+        )
+
+    def _mirror(
+        self,
+        kind: str,
+        store: ListedStore,
+        sink: MirrorSink,
+    ) -> Mirror:
+        return Mirror(
+            MirrorSettings(kind, self.settings.platform.watch_wait_s),
+            store,
+            sink,
+            self.clock,
+            self._child(),
+            self.logger,
+        )
+
+    def _made_membership(self) -> MembershipService:
+        port = PeerPort(self.settings, self.fleet, self.clock, self.logger)
+        self._exchange = LoadExchange(
+            self.settings.forward,
+            self.fleet,
+            port.messenger,
+            self.pool,
+            self._child(),
+        )
+        return MembershipService(
+            self.settings.peer,
+            port,
+            FleetCells(
+                SnapshotCell(CatalogueSnapshot()),
+                self.fleet,
+                SnapshotCell({}),
+            ),
+            PeerEvents(_ignore, _ignore),
+            self.clock,
+            self._child(),
+            self.logger,
+        )
+
+    def _live_hosts(self) -> int:
+        """Return how many hosts share the platform's rates."""
+        peers = self.fleet.current.peers
+        return 1 + sum(peer.state == _ALIVE for peer in peers)
+
+    def _wake(self) -> None:
+        self._ticker.wake()
+
+    def _child(self) -> random.Random:
+        """Return a generator for one thread."""
+        return random.Random(self._rng.getrandbits(64))
+
+
+def _ignore(_address: str) -> None:
+    """Take nothing from a peer's catalogue: the platform holds it all."""
--- a/guavadyke/http.py
+++ b/guavadyke/http.py
@@ -25,6 +25,11 @@
 })
 _HEADER_PREFIX = 'HTTP_'
 
+
+class AnswerCutError(Exception):
+    """An answer cannot be completed; its connection ends without an end."""
+
+
 Environ: TypeAlias = dict[str, Any]
 StartResponse: TypeAlias = Callable[[str, list[tuple[str, str]]], object]
 
@@ -211,7 +216,10 @@
         self._ended = ended
 
     def __iter__(self) -> Iterator[bytes]:
-        return self._pieces
+        try:
+            yield from self._pieces
+        except GuavadykeError as error:
+            raise AnswerCutError(error.message) from error
 
     def close(self) -> None:
         """End the exchange, also where the caller has left."""
@@ -240,6 +248,7 @@
         received_at=received_at,
         disconnected=environ.get('waitress.client_disconnected', bool),
         query_string=environ.get('QUERY_STRING', ''),
+        target=environ.get('REQUEST_URI', ''),
     )
 
 
--- a/guavadyke/http_server.py
+++ b/guavadyke/http_server.py
@@ -10,14 +10,14 @@
 import uuid
 from typing import Any
 
-from waitress.channel import HTTPChannel
+from waitress.channel import ClientDisconnected, HTTPChannel
 from waitress.server import create_server
-from waitress.task import ErrorTask
+from waitress.task import ErrorTask, WSGITask
 from waitress.wasyncore import dispatcher
 
 from guavadyke.adapters.ports import Clock
 from guavadyke.errors import ErrorCode, Finding, GuavadykeError, Run
-from guavadyke.http import HttpApplication, error_document
+from guavadyke.http import AnswerCutError, HttpApplication, error_document
 from guavadyke.settings import ListenSettings
 
 _CHANNEL_TIMEOUT_S = 120
@@ -61,8 +61,30 @@
     return known.get(status, ErrorCode.bad_request)
 
 
+class _ApplicationTask(WSGITask):  # type: ignore[misc]
+    """Serves a request; a stopping server's answers close the connection."""
+
+    def execute(self) -> None:
+        """Write the answer.
+
+        Raises:
+            ClientDisconnected: the answer is cut, so the connection closes.
+        """
+        try:
+            super().execute()
+        except AnswerCutError as error:
+            raise ClientDisconnected from error
+
+    def build_response_header(self) -> bytes:
+        """Return the head, which closes the connection while stopping."""
+        if getattr(self.channel.server, 'stopping', False):
+            self.set_close_on_finish()
+        return bytes(super().build_response_header())
+
+
 class _JsonChannel(HTTPChannel):  # type: ignore[misc]
     error_task_class = _JsonErrorTask
+    task_class = _ApplicationTask
 
 
 @dataclasses.dataclass(frozen=True)
@@ -124,6 +146,10 @@
         """Serve in the background."""
         self._thread.start()
 
+    def stop_keeping(self) -> None:
+        """Close each connection with its next answer from now on."""
+        self._server.stopping = True
+
     def settle(self, clock: Clock, longest_s: float) -> bool:
         """Wait until nothing is being served.
 
--- /dev/null
+++ b/guavadyke/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the product and the users' platform, and no more."""
--- a/guavadyke/settings.py
+++ b/guavadyke/settings.py
@@ -310,8 +310,45 @@
     )
 
 
-class EntrySettings(SettingsModel):
-    """Everything that an entry host is told at its start."""
+class ForwardSettings(SettingsModel):
+    """Requests that are forwarded unchanged, and batch items like them."""
+
+    longest_wait_s: Positive = pydantic.Field(
+        default=1.5,
+        description='Wait at backend servers from which requests are refused.',
+    )
+    silence_s: Positive = pydantic.Field(
+        default=1,
+        description='Silence after which a resumable stream changes server.',
+    )
+    connect_timeout_s: Positive = pydantic.Field(
+        default=0.3,
+        description='Seconds to connect to a backend server.',
+    )
+    idle_connection_s: Positive = pydantic.Field(
+        default=4,
+        description='Seconds after which an idle connection is not reused.',
+    )
+    item_workers: Count = pydantic.Field(
+        default=32,
+        description='Batch items in flight on this host at the most.',
+    )
+    item_silence_s: Positive = pydantic.Field(
+        default=3,
+        description='Silence after which a batch item changes server.',
+    )
+    result_retention_s: Positive = pydantic.Field(
+        default=120,
+        description='Seconds for which results stay readable.',
+    )
+    notice_interval_s: Positive = pydantic.Field(
+        default=0.1,
+        description='Seconds between notices of load to other hosts.',
+    )
+
+
+class HostSettings(SettingsModel):
+    """What every daemon of the fleet is told at its start."""
 
     host_id: str = pydantic.Field(
         pattern=r'^[a-z0-9][a-z0-9.-]{0,62}$',
@@ -325,22 +362,41 @@
         default='default',
         description='Region of the availability zone.',
     )
-    caller: CallerSettings
-    operator: OperatorSettings
     peer: PeerSettings
     platform: PlatformSettings
+    stop: StopSettings = StopSettings()
+    verbosity: Literal['debug', 'info', 'warning', 'error'] = pydantic.Field(
+        default='info',
+        description='Least severity that is logged.',
+    )
+
+
+class EntrySettings(HostSettings):
+    """Everything that an entry host is told at its start."""
+
+    caller: CallerSettings
+    operator: OperatorSettings
     online: OnlineSettings = OnlineSettings()
     batch: BatchSettings = BatchSettings()
     orders: OrderSettings = OrderSettings()
-    stop: StopSettings = StopSettings()
     data_folder: Path | None = pydantic.Field(
         default=None,
         description='Folder for bulk data on hosts that have a disk.',
     )
-    verbosity: Literal['debug', 'info', 'warning', 'error'] = pydantic.Field(
-        default='info',
-        description='Least severity that is logged.',
+
+
+class ForwardHostSettings(HostSettings):
+    """What a host is told that forwards requests and runs their items.
+
+    A host without a caller port only runs batch items.
+    """
+
+    caller: CallerSettings | None = None
+    readiness: ListenSettings | None = pydantic.Field(
+        default=None,
+        description='Port that tells a balancer whether the host is ready.',
     )
+    forward: ForwardSettings = ForwardSettings()
 
 
 def findings_of(error: pydantic.ValidationError) -> tuple[Finding, ...]:
