Test forwarded requests, their decisions and their jobs

Two faults were found by the tests and mended: a request whose servers had all refused it ended as 'no server' instead of with the last refusal, and an attempt that failed in mid-stream did not cancel its call.

--- /dev/null
+++ b/features/builders_forward.py
@@ -0,0 +1,309 @@
+"""Builders for forwarded requests and their jobs."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import random
+from collections.abc import Iterator, Mapping
+
+from features.builders_batch_platform import MemoryPlatform, MemoryStore
+from guavadyke.adapters.ports import (
+    BackendAnswer,
+    BackendCall,
+    BackendFault,
+    BackendServerError,
+    ReportedLoad,
+    StoredObject,
+)
+from guavadyke.adapters.settled import SettledStore
+from guavadyke.controllers.forward_board import JobBoard
+from guavadyke.controllers.forward_desk import DeskParts, JobDesk
+from guavadyke.controllers.forward_store import JobStore
+from guavadyke.controllers.server_pool import ServerPool
+from guavadyke.decisions.forwarding import (
+    ForwardRoute,
+    RouteKind,
+    RouteTable,
+    ServiceShare,
+)
+from guavadyke.decisions.jobrecords import AcceptedJob, ForwardItem
+from guavadyke.decisions.serverlist import ListedServer
+from guavadyke.filters.forward_attempt import ForwardRequest, ForwardTools
+from guavadyke.filters.watch import CallerWatch
+from guavadyke.log import EventLogger
+from guavadyke.metrics import OnlineMetrics
+from guavadyke.settings import ForwardSettings
+from guavadyke.snapshots import FleetSnapshot, SnapshotCell
+
+SERVICE = 'puddles'
+ZONE = 'south-a'
+OTHER_ZONE = 'south-b'
+DEADLINE_S = 5.0
+EVENTS = 6
+NOW = 100.0
+
+
+class StillClock:
+    """A clock that moves only by hand and by sleeping."""
+
+    def __init__(self, now: float = NOW) -> None:
+        self.now = now
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return self.now
+
+    def sleep(self, seconds: float) -> None:
+        self.now += seconds
+
+
+def server(
+    name: str,
+    *,
+    zone: str = ZONE,
+    leaving: bool = False,
+    slots: int = 8,
+) -> ListedServer:
+    """Return a backend server."""
+    return ListedServer(name, SERVICE, f'10.0.0.{name[-1]}:80', zone, slots,
+                        leaving)
+
+
+def server_body(one: ListedServer) -> bytes:
+    """Return the entry of a server as the pool's decoder reads it."""
+    return json.dumps(dataclasses.asdict(one)).encode()
+
+
+def decode_server(stored: StoredObject) -> ListedServer | None:
+    """Read what ``server_body`` wrote."""
+    return ListedServer(**json.loads(stored.body))
+
+
+def server_object(one: ListedServer, version: int = 1) -> StoredObject:
+    """Return a server's entry as an object."""
+    return StoredObject('servers', one.server_id, version, server_body(one))
+
+
+def pool(
+    servers: tuple[ListedServer, ...],
+    clock: StillClock | None = None,
+) -> ServerPool:
+    """Return a pool that knows these servers."""
+    made = ServerPool(
+        ZONE,
+        decode_server,
+        clock or StillClock(),
+        random.Random(3),
+        EventLogger(),
+    )
+    made.replace(tuple(map(server_object, servers)), after_outage=False)
+    return made
+
+
+def route(
+    kind: RouteKind = RouteKind.streamed,
+    *,
+    resumable: bool = False,
+    max_attempts: int = 2,
+    waiting_tokens: int = 0,
+    abandon_after_s: float = 0,
+) -> ForwardRoute:
+    """Return a route to the one service."""
+    return ForwardRoute(
+        name='replies',
+        host='reports.example',
+        path_prefix='/reply/',
+        kind=kind,
+        timeout_s=DEADLINE_S,
+        shares=(ServiceShare(SERVICE, 1),),
+        max_attempts=max_attempts,
+        resumable=resumable,
+        waiting_tokens=waiting_tokens,
+        abandon_after_s=abandon_after_s,
+    )
+
+
+def table(*routes: ForwardRoute, version: int = 1) -> RouteTable:
+    """Return a version of the routes."""
+    return RouteTable(version, routes)
+
+
+def event(number: int) -> bytes:
+    """Return an event of a stream."""
+    return f'id: {number}\ndata: word {number}\n\n'.encode()
+
+
+def stream(first: int = 1, last: int = EVENTS) -> bytes:
+    """Return the events from one to another."""
+    return b''.join(map(event, range(first, last + 1)))
+
+
+@dataclasses.dataclass(frozen=True)
+class Scripted:
+    """What a fake server does with one call.
+
+    ``sent`` is how many events it sends before ``fault``, None for all.
+    """
+
+    status: int = 200
+    fault: BackendFault | None = None
+    not_run: bool = False
+    sent: int | None = None
+    body: bytes = b''
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
+
+
+class FakeAnswer:
+    """A scripted answer."""
+
+    def __init__(self, script: Scripted, call: BackendCall) -> None:
+        self.status = script.status
+        self.headers = {'content-type': 'text/event-stream', **script.headers}
+        self.cancelled = False
+        self._script = script
+        self._after = call.last_event_id
+
+    def chunks(self) -> Iterator[bytes]:
+        if self._script.body:
+            yield self._script.body
+            return
+        last = EVENTS if self._script.sent is None else self._script.sent
+        for number in range(self._after + 1, last + 1):
+            yield event(number)
+        if self._script.fault is not None:
+            raise BackendServerError(
+                self._script.fault,
+                'the stream broke',
+                not_run=False,
+            )
+
+    def cancel(self) -> None:
+        self.cancelled = True
+
+
+class FakeServers:
+    """Backend servers that follow a script, one entry a call."""
+
+    def __init__(self, *scripts: Scripted) -> None:
+        self.scripts = list(scripts)
+        self.calls: list[BackendCall] = []
+        self.answers: list[FakeAnswer] = []
+
+    def send(self, call: BackendCall) -> BackendAnswer:
+        self.calls.append(call)
+        script = self.scripts.pop(0) if self.scripts else Scripted()
+        if script.fault is not None and script.sent is None:
+            raise BackendServerError(
+                script.fault,
+                'scripted',
+                not_run=script.not_run,
+            )
+        answer = FakeAnswer(script, call)
+        self.answers.append(answer)
+        return answer
+
+    def load(self, address: str, timeout_s: float) -> ReportedLoad:
+        raise NotImplementedError(address)
+
+
+def tools(servers: FakeServers, made: ServerPool) -> ForwardTools:
+    """Return what requests share."""
+    return ForwardTools(
+        ForwardSettings(),
+        StillClock(),
+        servers,
+        made,
+        CallerWatch(),
+        OnlineMetrics(),
+        EventLogger(),
+    )
+
+
+def request(request_id: str = 'request-1') -> ForwardRequest:
+    """Return a request that has all its time left."""
+    return ForwardRequest(
+        request_id=request_id,
+        method='POST',
+        target='/reply/1?x=%20y',
+        headers={'Host': 'reports.example'},
+        body=b'text',
+        received_at=NOW,
+        deadline=NOW + DEADLINE_S,
+        abandoned=bool,
+    )
+
+
+def item(number: int, tokens: int = 100) -> ForwardItem:
+    """Return an item of a job."""
+    return ForwardItem(
+        f'item-{number}',
+        f'/reply/{number}',
+        {'Model': 'm'},
+        f'body {number}'.encode(),
+        tokens,
+    )
+
+
+def job(
+    job_id: str = 'job-1',
+    *,
+    items: int = 3,
+    owner: str = 'host-1',
+    accepted_at: float = NOW,
+) -> AcceptedJob:
+    """Return an accepted job."""
+    return AcceptedJob(
+        job_id,
+        'replies',
+        'reports.example',
+        accepted_at,
+        owner,
+        tuple(map(item, range(items))),
+    )
+
+
+def settled(store: MemoryStore) -> SettledStore:
+    """Return a store with definite outcomes."""
+    return SettledStore(store, StillClock(), random.Random(5))
+
+
+@dataclasses.dataclass
+class DeskHost:
+    """A host's link to the platform with its job store and desk."""
+
+    link: MemoryStore
+    store: JobStore
+    board: JobBoard
+    desk: JobDesk
+
+    def catch_up(self) -> None:
+        """Bring the board up to what the platform holds."""
+        for kind, sink in (
+            ('forward-jobs', self.board.jobs),
+            ('forward-progress', self.board.progress),
+        ):
+            listing = settled(self.link).list_objects(kind)
+            sink.replace(listing.objects, after_outage=False)
+
+
+def desk_host(platform: MemoryPlatform, name: str = 'host-1') -> DeskHost:
+    """Return a host on a platform."""
+    link = MemoryStore(platform)
+    store = JobStore(settled(link))
+    board = JobBoard(_nothing, EventLogger())
+    parts = DeskParts(
+        name,
+        board,
+        store,
+        SnapshotCell(FleetSnapshot()),
+        StillClock(),
+        EventLogger(),
+    )
+    return DeskHost(link, store, board, JobDesk(parts))
+
+
+def _nothing() -> None:
+    """Take no note of a change."""
--- /dev/null
+++ b/features/forward_decisions.feature
@@ -0,0 +1,114 @@
+Feature: Decisions on forwarded requests
+
+  Scenario Outline: the route of <host> <path>
+    Given routes of reports.example with the prefixes / and /reply/ and /reply/urgent/
+    Then the path <path> at <host> is of route <route>
+
+    Examples:
+      | host                 | path            | route          |
+      | reports.example      | /reply/urgent/7 | /reply/urgent/ |
+      | reports.example      | /reply/7        | /reply/        |
+      | reports.example:8161 | /reply/7        | /reply/        |
+      | REPORTS.example      | /replying       | /              |
+      | other.example        | /reply/7        | nothing        |
+
+  Scenario: an older configuration never replaces a newer one
+    Given a configuration of version 7 is in force
+    When versions 6, 9, 8 and 9 are offered
+    Then the versions in force were 7, 9, 9 and 9
+
+  Scenario: a weight of a split decides over shares of requests
+    Given a route that splits 90 to 10 between two services
+    Then of 2000 requests 4 to 16 in 100 go to the smaller share
+    And a request that is sent once more goes to the same service
+
+  Scenario Outline: events are cut out of any pieces, here of <size> bytes
+    Then a stream in pieces of <size> bytes gives its events whole
+
+    Examples:
+      | size |
+      | 1    |
+      | 7    |
+      | 4096 |
+
+  Scenario: servers that lapsed during an outage get work until they are back
+    Given a list of servers s1 and s2 before an outage
+    When the first list after the outage holds s1 only
+    Then s1 and s2 may get work 1.9 seconds later
+    And s1 may get work 2.1 seconds later
+
+  Scenario: a server that left while the platform answered gets no more work
+    Given a list of servers s1 and s2 before an outage
+    When a list without an outage holds s1 only
+    Then s1 may get work 0 seconds later
+
+  Scenario: requests of many hosts spread evenly over servers
+    When 4 hosts that tell each other their counts place 48 requests on 6 servers
+    Then no server has more than 9 requests
+
+  Scenario: another availability zone takes what the own one cannot
+    Given a server s1 in the own zone with 8 requests and s2 elsewhere with none
+    Then an online request is placed at s2
+
+  Scenario: the own availability zone is preferred
+    Given a server s1 in the own zone with 0 requests and s2 elsewhere with none
+    Then an online request is placed at s1
+
+  Scenario: batch leaves slots for online requests to come
+    Given a server s1 in the own zone with 3 requests and s2 elsewhere with none
+    When batch items start until there is no room
+    Then s1 has 3 of them and s2 has 6
+
+  Scenario: a burst of online requests takes the place of batch items
+    Given a server s1 in the own zone with 0 requests and s2 elsewhere with none
+    When batch items start until there is no room
+    And another host tells of 5 online requests at s1
+    Then 3 items at s1 and none at s2 are to give way
+
+  Scenario: a job goes to the host that has the fewest
+    Given open jobs of which h1 has 2, h2 has 1 and h3 has none
+    Then a new job is given to h3
+
+  Scenario: only jobs of hosts that stay away are taken over, each by one host
+    Given open jobs of which h1 has 20, h2 has 0 and h3 has none
+    When h1 is absent for 1 second
+    Then no job is taken over
+    When h1 is absent for 2 seconds
+    Then h2 and h3 take over each job once
+
+  Scenario: a job that does not fit the tokens that may wait is refused
+    Given open jobs of which h1 has 2, h2 has 0 and h3 has none
+    Then a job of 300 tokens fits a limit of 900 and not one of 899
+    And any job fits where there is no limit
+
+  Scenario Outline: an item whose server answers <answers>
+    Given the work on a job of one item with 3 attempts
+    When runs of the item end as <answers>
+    Then the item is <state>
+
+    Examples:
+      | answers                                | state    |
+      | failed, failed                         | waiting  |
+      | failed, failed, failed                 | given up |
+      | broken, broken, broken, broken, broken | waiting  |
+      | failed, broken, preempted, failed      | waiting  |
+      | rejected                               | given up |
+      | failed, completed                      | done     |
+
+  Scenario Outline: an item that waits for <seconds> seconds of its 20
+    Given the work on a job of one item with 3 attempts
+    When the job has waited <seconds> seconds of the 20 after which it may end
+    Then the item is <state>
+
+    Examples:
+      | seconds | state    |
+      | 19      | waiting  |
+      | 24      | waiting  |
+      | 26      | given up |
+
+  Scenario: items of a route that was removed are given up after a while
+    Given the work on a job of one item with 3 attempts
+    When the job's route has been missing for 2 seconds
+    Then the item is waiting
+    When the job's route has been missing for 4 seconds
+    Then the item is given up
--- /dev/null
+++ b/features/forward_jobs.feature
@@ -0,0 +1,69 @@
+Feature: Jobs whose items are forwarded
+
+  Scenario: a job that arrives again, anywhere, is accepted once
+    Given two hosts on one platform
+    When a job is submitted at both hosts and again at the first
+    Then every submission is accepted and the platform holds one job
+
+  Scenario: an accepted job is known everywhere at once
+    Given two hosts on one platform
+    When a job is submitted at the first host
+    Then the second host reads it with 3 items and no result
+    And the second host gives the body of each item
+
+  Scenario: a job that nobody accepted is not found, unless the host cannot be sure
+    Given two hosts on one platform
+    Then an unknown job is not_found
+    When the first host loses the platform
+    Then an unknown job is platform_unavailable
+
+  Scenario: a submission without the platform is refused as not run
+    Given two hosts on one platform
+    When the first host loses the platform
+    And a job is submitted at the first host
+    Then the submission ends with platform_unavailable
+    And the platform holds no job
+
+  Scenario: a job that may have been accepted is not refused as not run
+    Given two hosts on one platform
+    When the first host loses the platform behind the next job
+    And a job is submitted at the first host
+    Then the submission ends with outcome_unknown
+    And the platform holds one job
+
+  Scenario: a job that was cancelled anywhere stays cancelled
+    Given two hosts on one platform
+    When a job is submitted at the first host
+    And it is cancelled at both hosts
+    Then both hosts see it cancelled
+
+  Scenario: results that were read stay readable without the platform
+    Given two hosts on one platform
+    When a job is submitted at the first host
+    And results of items 0 and 2 are listed at the first host
+    And the first host loses the platform
+    Then the first host reads items 0 and 2 from position 0
+    And the first host cannot tell what is at position 2
+
+  Scenario: a reader goes on from any position
+    Given two hosts on one platform
+    When a job is submitted at the first host
+    And results of items 2 and 0 are listed at the first host
+    Then the second host reads items 2 and 0 from position 0
+    And the second host reads item 0 from position 1
+
+  Scenario: an item has one result, whoever lists it
+    Given two hosts on one platform
+    When a job is submitted at the first host
+    And both hosts list a result of every item in another order
+    Then each host reads each item once, in the same order
+
+  Scenario: large results fill several pages in their order
+    Given two hosts on one platform
+    When a job is submitted at the first host
+    And results of 30,000 bytes of all items are listed one by one
+    Then the platform holds 2 pages
+    And each host reads each item once, in the same order
+
+  Scenario: jobs that lose answers, hosts and races list each item once
+    Then the state machine of forwarded jobs finds no fault
--- /dev/null
+++ b/features/steps/forward_decisions_steps.py
@@ -0,0 +1,349 @@
+"""Steps of forward_decisions.feature."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import itertools
+import random
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features import builders_forward as build
+from guavadyke.decisions.eventstream import EventSplitter
+from guavadyke.decisions.forwarding import (
+    ForwardRoute,
+    RouteTable,
+    ServiceShare,
+    newer,
+    split_host,
+)
+from guavadyke.decisions.jobrecords import JobView
+from guavadyke.decisions.jobshare import (
+    Absences,
+    first_owner,
+    quota_verdict,
+    taken_over,
+)
+from guavadyke.decisions.jobwork import JobWork
+from guavadyke.decisions.serverlist import ServerList
+from guavadyke.decisions.spreading import SpreadTable
+
+_PREFIXES = ('/', '/reply/', '/reply/urgent/')
+_REQUESTS = 2000
+
+
+@given(
+    'routes of reports.example with the prefixes '
+    '/ and /reply/ and /reply/urgent/',
+)
+def step_routes(context: Context) -> None:
+    context.routes = build.table(*(
+        dataclasses.replace(build.route(), name=prefix, path_prefix=prefix)
+        for prefix in _PREFIXES
+    ))
+
+
+@then('the path {path} at {host} is of route {expected}')
+def step_goes(context: Context, host: str, path: str, expected: str) -> None:
+    found = context.routes.match(split_host(host), path)
+    assert (found.name if found else 'nothing') == expected
+
+
+@given('a configuration of version {version:d} is in force')
+def step_version(context: Context, version: int) -> None:
+    context.tables = [RouteTable(version)]
+
+
+@when('versions 6, 9, 8 and 9 are offered')
+def step_offered(context: Context) -> None:
+    for version in (6, 9, 8, 9):
+        in_force = newer(context.tables[-1], RouteTable(version))
+        context.tables.append(in_force)
+
+
+@then('the versions in force were 7, 9, 9 and 9')
+def step_in_force(context: Context) -> None:
+    versions = [table.version for table in context.tables[1:]]
+    assert versions == [7, 9, 9, 9]
+
+
+@given('a route that splits 90 to 10 between two services')
+def step_split(context: Context) -> None:
+    shares = (ServiceShare('large', 90), ServiceShare('small', 10))
+    context.route = dataclasses.replace(build.route(), shares=shares)
+
+
+@then('of 2000 requests 4 to 16 in 100 go to the smaller share')
+def step_shares(context: Context) -> None:
+    chosen = collections.Counter(_services(context.route))
+    assert 0.04 * _REQUESTS < chosen['small'] < 0.16 * _REQUESTS, chosen
+
+
+@then('a request that is sent once more goes to the same service')
+def step_same(context: Context) -> None:
+    assert _services(context.route) == _services(context.route)
+
+
+@then('a stream in pieces of {size:d} bytes gives its events whole')
+def step_pieces(context: Context, size: int) -> None:
+    whole = build.stream()
+    splitter = EventSplitter()
+    events = [
+        one
+        for start in range(0, len(whole), size)
+        for one in splitter.feed(whole[start : start + size])
+    ]
+    assert [one.event_id for one in events] == list(range(1, build.EVENTS + 1))
+    assert b''.join(one.raw for one in events) == whole
+    assert events[0].data == b'word 1'
+    assert not splitter.partial
+
+
+@given('a list of servers s1 and s2 before an outage')
+def step_listed(context: Context) -> None:
+    context.servers = ServerList()
+    context.servers.replace(
+        (build.server('s1'), build.server('s2')),
+        build.NOW,
+        after_outage=False,
+    )
+
+
+@when('the first list after the outage holds s1 only')
+def step_after_outage(context: Context) -> None:
+    context.servers.replace(
+        (build.server('s1'),),
+        build.NOW,
+        after_outage=True,
+    )
+
+
+@when('a list without an outage holds s1 only')
+def step_no_outage(context: Context) -> None:
+    context.servers.replace(
+        (build.server('s1'),),
+        build.NOW,
+        after_outage=False,
+    )
+
+
+@then('s1 and s2 may get work {seconds:g} seconds later')
+def step_both(context: Context, seconds: float) -> None:
+    assert _names(context, seconds) == {'s1', 's2'}
+
+
+@then('s1 may get work {seconds:g} seconds later')
+def step_one(context: Context, seconds: float) -> None:
+    assert _names(context, seconds) == {'s1'}
+
+
+@when(
+    '{hosts:d} hosts that tell each other their counts place {count:d} '
+    'requests on {servers:d} servers',
+)
+def step_place(context: Context, hosts: int, count: int, servers: int) -> None:
+    listed = [build.server(f's{number}') for number in range(servers)]
+    tables = {
+        f'h{number}': SpreadTable(build.ZONE, random.Random(number))
+        for number in range(hosts)
+    }
+    context.placed = collections.Counter()
+    turns = itertools.islice(itertools.cycle(tables.items()), count)
+    for number, (host_id, table) in enumerate(turns):
+        chosen = table.choose_online(
+            listed,
+            frozenset(),
+            f'prompt-{number}',
+            build.NOW,
+        )
+        table.own_online[chosen.server_id] += 1
+        context.placed[chosen.server_id] += 1
+        for other_id, other in tables.items():
+            if other_id != host_id:
+                other.online_elsewhere.note(
+                    host_id,
+                    chosen.server_id,
+                    table.own_online[chosen.server_id],
+                    build.NOW,
+                )
+
+
+@then('no server has more than {most:d} requests')
+def step_most(context: Context, most: int) -> None:
+    assert max(context.placed.values()) <= most, context.placed
+
+
+@given(
+    'a server s1 in the own zone with {count:d} requests '
+    'and s2 elsewhere with none',
+)
+def step_two_zones(context: Context, count: int) -> None:
+    context.listed = [
+        build.server('s1'),
+        build.server('s2', zone=build.OTHER_ZONE),
+    ]
+    context.spread = SpreadTable(build.ZONE, random.Random(2))
+    context.spread.own_online['s1'] = count
+
+
+@then('an online request is placed at {expected}')
+def step_request_goes(context: Context, expected: str) -> None:
+    chosen = context.spread.choose_online(
+        context.listed,
+        frozenset(),
+        'prompt',
+        build.NOW,
+    )
+    assert chosen.server_id == expected
+
+
+@when('batch items start until there is no room')
+def step_fill(context: Context) -> None:
+    while True:
+        chosen = context.spread.choose_batch(
+            context.listed,
+            frozenset(),
+            build.NOW,
+        )
+        if chosen is None:
+            break
+        context.spread.own_batch[chosen.server_id] += 1
+
+
+@then('s1 has {first:d} of them and s2 has {second:d}')
+def step_filled(context: Context, first: int, second: int) -> None:
+    held = context.spread.own_batch
+    assert (held['s1'], held['s2']) == (first, second), held
+
+
+@when('another host tells of {count:d} online requests at s1')
+def step_burst(context: Context, count: int) -> None:
+    context.spread.online_elsewhere.note('h2', 's1', count, build.NOW)
+
+
+@then('{count:d} items at s1 and none at s2 are to give way')
+def step_give_way(context: Context, count: int) -> None:
+    first, second = context.listed
+    assert context.spread.surplus(first, build.NOW) == count
+    assert not context.spread.surplus(second, build.NOW)
+
+
+@given('open jobs of which h1 has {first:d}, h2 has {second:d} and h3 has none')
+def step_jobs(context: Context, first: int, second: int) -> None:
+    owners = ['h1'] * first + ['h2'] * second
+    context.jobs = {
+        f'job-{number}': JobView(build.job(f'job-{number}', owner=owner))
+        for number, owner in enumerate(owners)
+    }
+    context.absences = Absences()
+    context.now = build.NOW
+
+
+@then('a new job is given to {expected}')
+def step_new_job(context: Context, expected: str) -> None:
+    chosen = first_owner('new', 'h1', ('h2', 'h3'), context.jobs.values())
+    assert chosen == expected
+
+
+@when('h1 is absent for {seconds:d} second')
+@when('h1 is absent for {seconds:d} seconds')
+def step_absent(context: Context, seconds: int) -> None:
+    owners = {view.owner for view in context.jobs.values()}
+    context.absences.note(owners, ('h2', 'h3'), build.NOW)
+    context.lost = context.absences.note(
+        owners,
+        ('h2', 'h3'),
+        build.NOW + seconds,
+    )
+
+
+@then('no job is taken over')
+def step_none_taken(context: Context) -> None:
+    assert not context.lost
+
+
+@then('h2 and h3 take over each job once')
+def step_taken(context: Context) -> None:
+    alive = ('h2', 'h3')
+    taken = [
+        view.job.job_id
+        for me in alive
+        for view in taken_over(context.jobs.values(), context.lost, me, alive)
+    ]
+    assert sorted(taken) == sorted(context.jobs)
+
+
+@then('a job of 300 tokens fits a limit of 900 and not one of 899')
+def step_quota(context: Context) -> None:
+    assert quota_verdict('replies', 300, 900, context.jobs).fits
+    verdict = quota_verdict('replies', 300, 899, context.jobs)
+    assert not verdict.fits
+    assert verdict.excess == 1
+
+
+@then('any job fits where there is no limit')
+def step_no_limit(context: Context) -> None:
+    assert quota_verdict('replies', 10**9, 0, context.jobs).fits
+
+
+@given('the work on a job of one item with 3 attempts')
+def step_work(context: Context) -> None:
+    context.work = JobWork(build.job(items=1))
+    context.work.take_pages(())
+    context.now = build.NOW
+
+
+@when('runs of the item end as {answers}')
+def step_answers(context: Context, answers: str) -> None:
+    work = context.work
+    for answer in answers.split(', '):
+        context.now += 10
+        (item,) = work.startable(context.now)
+        work.started(item.item_id)
+        assert not list(work.startable(context.now))
+        ends = {
+            'failed': lambda: work.failed('item-0', 3, context.now),
+            'broken': lambda: work.broken('item-0', context.now),
+            'preempted': lambda: work.preempted('item-0'),
+            'rejected': lambda: work.rejected('item-0'),
+            'completed': lambda: work.completed('item-0', 'text'),
+        }
+        ends[answer]()
+
+
+@when('the job has waited {seconds:d} seconds of the 20 after which it may end')
+def step_waited(context: Context, seconds: int) -> None:
+    route = build.route(abandon_after_s=20)
+    wall = build.NOW + seconds
+    context.work.give_up_overdue(route, context.now, wall)
+
+
+@when("the job's route has been missing for {seconds:d} seconds")
+def step_missing(context: Context, seconds: int) -> None:
+    for now in (build.NOW, build.NOW + seconds):
+        context.work.give_up_overdue(None, now, now)
+
+
+@then('the item is {state}')
+def step_state(context: Context, state: str) -> None:
+    unlisted = context.work.unlisted
+    if state == 'waiting':
+        assert not unlisted
+        assert list(context.work.startable(context.now + 10))
+        return
+    (listing,) = unlisted
+    assert listing.completed is (state == 'done')
+    assert not list(context.work.startable(context.now + 10))
+
+
+def _services(route: ForwardRoute) -> list[str]:
+    return [
+        route.service_of(f'request-{number}') for number in range(_REQUESTS)
+    ]
+
+
+def _names(context: Context, seconds: float) -> set[str]:
+    listed = context.servers.current(build.NOW + seconds)
+    return {server.server_id for server in listed}
--- /dev/null
+++ b/features/steps/forward_jobs_steps.py
@@ -0,0 +1,187 @@
+"""Steps of forward_jobs.feature."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from features import builders_forward as build
+from features.builders_batch_platform import MemoryPlatform
+from features.machines.forward_jobs import ForwardJobsMachine
+from guavadyke.decisions.jobrecords import ItemListing
+from guavadyke.errors import ErrorCode, GuavadykeError
+from guavadyke.forward_objects import JOB_KIND, PAGE_KIND
+
+_EXAMPLES = 60
+_STEPS = 40
+_ITEMS = 3
+
+
+@given('two hosts on one platform')
+def step_hosts(context: Context) -> None:
+    context.platform = MemoryPlatform()
+    context.first = build.desk_host(context.platform, 'host-1')
+    context.second = build.desk_host(context.platform, 'host-2')
+    context.error = None
+
+
+@when('a job is submitted at both hosts and again at the first')
+def step_submit_often(context: Context) -> None:
+    for host in (context.first, context.second, context.first):
+        _submit(host)
+
+
+@when('a job is submitted at the first host')
+def step_submit(context: Context) -> None:
+    try:
+        _submit(context.first)
+    except GuavadykeError as error:
+        context.error = error
+
+
+@when('the first host loses the platform')
+def step_lose(context: Context) -> None:
+    context.first.link.faults.cut = True
+
+
+@when('the first host loses the platform behind the next job')
+def step_lose_behind(context: Context) -> None:
+    context.first.link.faults.lose_every = 1
+    context.first.link.faults.cut_behind = JOB_KIND
+
+
+@when('it is cancelled at both hosts')
+def step_cancel(context: Context) -> None:
+    context.first.desk.cancel('job-1')
+    context.second.desk.cancel('job-1')
+
+
+@when('results of items {first:d} and {second:d} are listed at the first host')
+def step_list(context: Context, first: int, second: int) -> None:
+    context.first.store.append('job-1', (_listing(first), _listing(second)))
+
+
+@when('both hosts list a result of every item in another order')
+def step_list_both(context: Context) -> None:
+    forth = tuple(map(_listing, range(_ITEMS)))
+    context.first.store.append('job-1', forth[:1])
+    context.second.store.append('job-1', forth[::-1])
+    context.first.store.append('job-1', forth)
+
+
+@when('results of 30,000 bytes of all items are listed one by one')
+def step_list_large(context: Context) -> None:
+    for number in range(_ITEMS):
+        context.first.store.append('job-1', (_listing(number, 'x' * 30_000),))
+
+
+@then('every submission is accepted and the platform holds one job')
+@then('the platform holds one job')
+def step_one_job(context: Context) -> None:
+    assert len(context.platform.of_kind(JOB_KIND)) == 1
+
+
+@then('the platform holds no job')
+def step_no_job(context: Context) -> None:
+    assert not context.platform.of_kind(JOB_KIND)
+
+
+@then('the platform holds {count:d} pages')
+def step_pages(context: Context, count: int) -> None:
+    assert len(context.platform.of_kind(PAGE_KIND)) == count
+
+
+@then('the second host reads it with {total:d} items and no result')
+def step_read_empty(context: Context, total: int) -> None:
+    answer = context.second.desk.results('job-1', 0)
+    assert answer.total == total
+    assert not answer.listings
+
+
+@then('the second host gives the body of each item')
+def step_bodies(context: Context) -> None:
+    for number in range(_ITEMS):
+        body = context.second.desk.body('job-1', f'item-{number}')
+        assert body == f'body {number}'.encode()
+
+
+@then('an unknown job is {code}')
+def step_unknown(context: Context, code: str) -> None:
+    calls = (
+        lambda: context.first.desk.results('other', 0),
+        lambda: context.first.desk.body('other', 'item-1'),
+        lambda: context.first.desk.cancel('other'),
+    )
+    assert {_code_of(call) for call in calls} == {ErrorCode(code)}
+
+
+@then('the submission ends with {code}')
+def step_submission_ends(context: Context, code: str) -> None:
+    assert context.error is not None
+    assert context.error.code is ErrorCode(code), context.error.code
+
+
+@then('both hosts see it cancelled')
+def step_cancelled(context: Context) -> None:
+    for host in (context.first, context.second):
+        host.catch_up()
+        assert not host.board.view('job-1').open
+
+
+@then('the {which} host reads items {one:d} and {two:d} from position 0')
+def step_reads_two(context: Context, which: str, one: int, two: int) -> None:
+    answer = getattr(context, which).desk.results('job-1', 0)
+    assert answer.listings == (_listing(one), _listing(two))
+
+
+@then('the second host reads item {number:d} from position 1')
+def step_reads_one(context: Context, number: int) -> None:
+    answer = context.second.desk.results('job-1', 1)
+    assert answer.listings == (_listing(number),)
+
+
+@then('the first host cannot tell what is at position 2')
+def step_cannot_tell(context: Context) -> None:
+    code = _code_of(lambda: context.first.desk.results('job-1', 2))
+    assert code is ErrorCode.platform_unavailable
+
+
+@then('each host reads each item once, in the same order')
+def step_same_order(context: Context) -> None:
+    first = context.first.desk.results('job-1', 0).listings
+    second = context.second.desk.results('job-1', 0).listings
+    assert first == second
+    assert len(first) == _ITEMS
+    assert len({one.item_id for one in first}) == _ITEMS
+
+
+@then('the state machine of forwarded jobs finds no fault')
+def step_machine(_context: Context) -> None:
+    run_state_machine_as_test(
+        ForwardJobsMachine,
+        settings=settings(
+            max_examples=_EXAMPLES,
+            stateful_step_count=_STEPS,
+            deadline=None,
+            derandomize=True,
+        ),
+    )
+
+
+def _submit(host: build.DeskHost) -> None:
+    route = build.route()
+    host.desk.submit('job-1', route, route.host, build.job().items)
+
+
+def _listing(number: int, text: str = 'done') -> ItemListing:
+    return ItemListing(f'item-{number}', completed=True, text=text)
+
+
+def _code_of(call: object) -> ErrorCode | None:
+    try:
+        call()
+    except GuavadykeError as error:
+        return error.code
+    return None
--- /dev/null
+++ b/features/steps/forward_requests_steps.py
@@ -0,0 +1,179 @@
+"""Steps of forward_requests.feature."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features import builders_forward as build
+from guavadyke.adapters.ports import BackendFault
+from guavadyke.decisions.forwarding import RouteKind
+from guavadyke.errors import ErrorCode, GuavadykeError
+from guavadyke.filters.forward import Forwarder
+
+_COUNTS = {'no': 0, 'two': 2, 'three': 3}
+_PROOF = ' with proof'
+
+
+@given('a {kind} route and {count} servers')
+def step_route(context: Context, kind: str, count: str) -> None:
+    resumable = kind == 'resumable stream'
+    name = 'streamed' if resumable else kind
+    context.route = build.route(RouteKind(name), resumable=resumable)
+    context.listed = tuple(
+        build.server(f's{number + 1}') for number in range(_COUNTS[count])
+    )
+    context.pool = build.pool(context.listed)
+    context.servers = build.FakeServers()
+
+
+@given('the {_which} attempt ends as {fault}')
+def step_fault(context: Context, _which: str, fault: str) -> None:
+    context.servers.scripts.append(
+        build.Scripted(
+            fault=BackendFault(fault.removesuffix(_PROOF)),
+            not_run=fault.endswith(_PROOF),
+        ),
+    )
+
+
+@given('the first server breaks off after {sent:d} events')
+def step_breaks(context: Context, sent: int) -> None:
+    context.servers.scripts.append(
+        build.Scripted(fault=BackendFault.broken, sent=sent),
+    )
+
+
+@given('the first server sends {fault}')
+def step_sends(context: Context, fault: str) -> None:
+    bodies = {
+        'an event twice': build.stream(1, 2) + build.stream(2, 6),
+        'a gap': build.stream(1, 2) + build.stream(4, 6),
+        'half of its last event': build.stream(1, 5) + build.event(6)[:9],
+    }
+    context.servers.scripts.append(build.Scripted(body=bodies[fault]))
+
+
+@given('the first server answers 500 with a signature')
+def step_answers_500(context: Context) -> None:
+    context.servers.scripts.append(
+        build.Scripted(
+            status=500,
+            body=b'out of memory',
+            headers={'response-signature': '3e1b'},
+        ),
+    )
+
+
+@given('the first server is leaving')
+def step_leaving(context: Context) -> None:
+    gone = build.server('s1', leaving=True)
+    context.pool.put(build.server_object(gone, version=2))
+
+
+@when('a request is forwarded')
+def step_forward(context: Context) -> None:
+    context.error = None
+    context.answer = None
+    try:
+        context.answer = _forward(context, 'request-1')
+    except GuavadykeError as error:
+        context.error = error
+
+
+@when('{count:d} requests are forwarded')
+def step_forward_many(context: Context, count: int) -> None:
+    for number in range(count):
+        b''.join(_forward(context, f'request-{number}').body)
+
+
+@when('a request is forwarded and its caller leaves after {count:d} events')
+def step_leaves(context: Context, count: int) -> None:
+    body = _forward(context, 'request-1').body
+    for _ in range(count):
+        next(body)
+    body.close()
+
+
+@then('it ends with {end} after {attempts:d} attempts')
+def step_ends(context: Context, end: str, attempts: int) -> None:
+    if end == 'an answer':
+        assert context.error is None, context.error
+        assert context.answer.status == 200
+    else:
+        assert context.error is not None
+        assert context.error.code is ErrorCode(end), context.error.code
+    assert len(context.servers.calls) == attempts
+    named = {call.server_id for call in context.servers.calls}
+    assert len(named) == attempts
+
+
+@then('the error says when to come back')
+def step_retry_after(context: Context) -> None:
+    assert context.error.retry_after_s > 0
+
+
+@then('the caller gets every event once')
+def step_every_event(context: Context) -> None:
+    assert b''.join(context.answer.body) == build.stream()
+
+
+@then('the second server was asked to go on after event {number:d}')
+def step_asked(context: Context, number: int) -> None:
+    assert context.servers.calls[1].last_event_id == number
+
+
+@then('the answer breaks off after {count:d} events')
+def step_breaks_off(context: Context, count: int) -> None:
+    passed = 0
+    cut = False
+    try:
+        for _event in context.answer.body:
+            passed += 1
+    except GuavadykeError:
+        cut = True
+    assert cut
+    assert passed == count
+    assert context.servers.answers[0].cancelled
+    assert len(context.servers.calls) == 1
+
+
+@then('the caller gets that answer')
+def step_passed_on(context: Context) -> None:
+    assert context.answer.status == 500
+    assert context.answer.body == b'out of memory'
+    assert context.answer.headers['Response-Signature'] == '3e1b'
+
+
+@then('the call to the server is cancelled')
+def step_cancelled(context: Context) -> None:
+    assert context.servers.answers[0].cancelled
+
+
+@then('nothing is in flight')
+def step_nothing(context: Context) -> None:
+    counts = context.pool.counts()
+    assert not counts.counts
+    assert not counts.batch_counts
+
+
+@then('all of them went to the second server')
+def step_second(context: Context) -> None:
+    assert {call.server_id for call in context.servers.calls} == {'s2'}
+
+
+@then('the call names the server, the path as it came and the time left')
+def step_call(context: Context) -> None:
+    call = context.servers.calls[0]
+    assert call.server_id in {'s1', 's2'}
+    assert call.path == '/reply/1?x=%20y'
+    assert call.deadline_s == build.DEADLINE_S
+    assert call.request_id == 'request-1'
+
+
+def _forward(context: Context, request_id: str) -> object:
+    return Forwarder(
+        build.request(request_id),
+        context.route,
+        build.tools(context.servers, context.pool),
+    ).answer()
--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -137,8 +137,10 @@
             self._request.prompt_key or self._request.request_id,
         )
         if lease is None:
+            # After failed attempts it is their end that counts.
+            untried = self._record.last_fault is None
             raise self._given_up(
-                ErrorCode.no_backend_server,
+                ErrorCode.no_backend_server if untried else None,
                 f'no backend server of {self._service} takes requests',
             )
         return Attempt(
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -124,6 +124,7 @@
 
     def done(self) -> None:
         """Give the place back after a whole answer."""
+        self._answer = None
         self._give_back(None)
 
     def failed(self, error: BackendServerError) -> None:
@@ -132,7 +133,7 @@
 
     def close(self) -> None:
         """End the attempt whatever it is at; the server is set free."""
-        if self._held and self._answer is not None:
+        if self._answer is not None:
             self._answer.cancel()
         self._give_back(None)
 
