Test the adapter and its daemons as processes; split the runner of jobs

Written with the stand-ins of the users' store and engines in the tests' own builders. The controller of jobs is split into the actor, the threads that write and the care for jobs of other hosts.

--- a/features/builders_forward.py
+++ b/features/builders_forward.py
@@ -68,8 +68,9 @@
     slots: int = 8,
 ) -> ListedServer:
     """Return a backend server."""
-    return ListedServer(name, SERVICE, f'10.0.0.{name[-1]}:80', zone, slots,
-                        leaving)
+    return ListedServer(
+        name, SERVICE, f'10.0.0.{name[-1]}:80', zone, slots, leaving
+    )
 
 
 def server_body(one: ListedServer) -> bytes:
--- /dev/null
+++ b/features/builders_forward_processes.py
@@ -0,0 +1,173 @@
+"""Daemons of the users' platform as processes on loopback."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from collections.abc import Mapping
+from pathlib import Path
+
+import urllib3
+
+from features import builders_users_platform as users
+from features.builders_processes import wait_until
+from guavadyke.embedded import free_port
+
+_ROOT = Path(__file__).resolve().parents[1]
+START_S = 20.0
+STOP_S = 12.0
+_CALL_S = 10.0
+
+
+@dataclasses.dataclass
+class DaemonProcess:
+    """One daemon with its settings file and log."""
+
+    name: str
+    ip: str
+    front: int
+    ready: int
+    folder: Path
+    process: subprocess.Popen[bytes]
+
+    @property
+    def settings_path(self) -> Path:
+        return self.folder / f'{self.name}.conf'
+
+    @property
+    def log(self) -> str:
+        return (self.folder / f'{self.name}.log').read_text(encoding='utf-8')
+
+    def is_ready(self) -> bool:
+        """Ask as the balancer does."""
+        try:
+            answer = urllib3.request(
+                'GET',
+                f'http://{self.ip}:{self.ready}/api/readyz',
+                retries=False,
+                timeout=1,
+            )
+        except urllib3.exceptions.HTTPError:
+            return False
+        return answer.status == 200
+
+    def call(
+        self,
+        method: str,
+        target: str,
+        *,
+        body: bytes = b'',
+        headers: Mapping[str, str] | None = None,
+        preload: bool = True,
+    ) -> urllib3.BaseHTTPResponse:
+        """Make a client's call on a connection of its own."""
+        pool = urllib3.HTTPConnectionPool(self.ip, self.front)
+        return pool.urlopen(
+            method,
+            target,
+            body=body,
+            headers={'Host': users.HOST, **(headers or {})},
+            retries=False,
+            timeout=_CALL_S,
+            preload_content=preload,
+        )
+
+
+class UsersFleet:
+    """A store, engines and daemons, ended by ``close``."""
+
+    def __init__(self) -> None:
+        self.store = users.UsersStore()
+        self.engines: list[users.UsersEngine] = []
+        self.daemons: list[DaemonProcess] = []
+        self._folder = tempfile.TemporaryDirectory()
+        # All hosts have the same peer port, as on the users' machines.
+        self._peer_port = free_port()
+
+    def add_engine(self) -> users.UsersEngine:
+        """Start an engine and register it."""
+        engine = users.UsersEngine(f'i-{len(self.engines) + 1}')
+        self.engines.append(engine)
+        self.store.put(
+            'servers',
+            engine.name,
+            users.engine_entry(engine.address),
+        )
+        return engine
+
+    def configure(self) -> None:
+        """Write the first configuration."""
+        self.store.put('config', 'main', users.configuration())
+
+    def start_daemon(self) -> DaemonProcess:
+        """Start a daemon."""
+        number = len(self.daemons)
+        name = f'front-{number + 1}'
+        ip = f'127.0.0.{number + 1}'
+        front, ready = free_port(), free_port()
+        folder = Path(self._folder.name)
+        lines = users.settings_lines(
+            Node=name,
+            Ip=ip,
+            Listen__Front=f'{ip}:{front}',
+            Listen__ReadyAddr=f'{ip}:{ready}',
+            PortRange=str(self._peer_port),
+            Seeds='127.0.0.1:1,127.0.0.2:1',
+            Provider__Address=self.store.address,
+        )
+        path = folder / f'{name}.conf'
+        path.write_text(lines, encoding='utf-8')
+        with (folder / f'{name}.log').open('ab') as log:
+            process = subprocess.Popen(
+                [sys.executable, '-m', 'guavadyke.platform', 'entry'],
+                cwd=_ROOT,
+                stdout=log,
+                stderr=log,
+                env={
+                    **os.environ,
+                    'GUAVADYKE_CONFIG': str(path),
+                    'GUAVADYKE_FLEET_KEY': 'fleet-key',
+                },
+            )
+        daemon = DaemonProcess(name, ip, front, ready, folder, process)
+        self.daemons.append(daemon)
+        return daemon
+
+    def wait_ready(self) -> None:
+        """Wait until every daemon is ready."""
+        for daemon in self.daemons:
+            assert wait_until(daemon.is_ready, START_S), daemon.log
+
+    def submit(self, items: int) -> None:
+        """Submit a job at the first daemon."""
+        answer = self.daemons[0].call(
+            'POST',
+            f'{users.JOB_PREFIX}1',
+            body=json.dumps(users.job_document(items)).encode(),
+            headers={'Request-Id': 'job-1'},
+        )
+        assert answer.status == 202, answer.data
+
+    def close(self) -> None:
+        """End everything that was started."""
+        for daemon in self.daemons:
+            if daemon.process.poll() is None:
+                daemon.process.send_signal(signal.SIGKILL)
+                daemon.process.wait(STOP_S)
+        for engine in self.engines:
+            engine.close()
+        self.store.close()
+        self._folder.cleanup()
+
+
+def results(daemon: DaemonProcess, after: int = 0) -> list[dict[str, str]]:
+    """Read the results of the job from a position."""
+    answer = daemon.call('GET', f'/api/lots/job-1?After={after}')
+    if answer.status != 200:
+        return []
+    return list(answer.json()['Results'])
--- /dev/null
+++ b/features/builders_users_platform.py
@@ -0,0 +1,311 @@
+"""Stand-ins of the users' platform and engines, by their published pages."""
+
+from __future__ import annotations
+
+import base64
+import dataclasses
+import json
+import re
+import threading
+import time
+from collections import Counter
+from collections.abc import Mapping
+
+from guavadyke.standins.http import (
+    StandinAnswer,
+    StandinRequest,
+    StandinServer,
+    json_answer,
+)
+from guavadyke.standins.objects import (
+    ConditionFailedError,
+    ObjectState,
+    ObjectTable,
+    RevisionTooOldError,
+)
+
+LOOPBACK = '127.0.0.1'
+SERVICE = 'huvo11a'
+HOST = 'nony24.example'
+STREAM_PREFIX = '/lohu930/'
+JOB_PREFIX = '/pule252/'
+_KIND_PATH = re.compile(r'/api/objects/([^/]+)')
+_NAME_PATH = re.compile(r'/api/objects/([^/]+)/([^/]+)')
+_FROM_MS = 0.001
+
+
+def route(name: str, prefix: str, kind: str, **fields: object) -> dict:
+    """Return a route as the operator writes it."""
+    return {
+        'Name': name,
+        'Host': HOST,
+        'PathPrefix': prefix,
+        'Kind': kind,
+        'TimeoutMs': 5000,
+        'TargetLatencyMs': 300,
+        'Priority': 0,
+        'Service': SERVICE,
+        'MaxAttempts': 2,
+        **fields,
+    }
+
+
+def configuration(version: int = 1, *routes: dict) -> dict:
+    """Return a configuration as the operator writes it."""
+    return {
+        'Version': version,
+        'Routes': routes
+        or (
+            route('replies', STREAM_PREFIX, 'streaming', Resumable=True),
+            route('digests', JOB_PREFIX, 'batch', MaxCount=0, MaxWaitS=60),
+        ),
+        'Services': [],
+        'Limits': {
+            'MaxHeaderBytes': 16384,
+            'MaxBodyBytes': 4194304,
+            'HeaderTimeoutMs': 3000,
+            'IdleTimeoutMs': 15000,
+        },
+    }
+
+
+def engine_entry(address: str, **fields: object) -> dict:
+    """Return an engine's entry as the engine writes it."""
+    return {
+        'Service': SERVICE,
+        'Address': address,
+        'Zone': 'south-a',
+        'Version': 'v1',
+        'Slots': 8,
+        'State': 'ready',
+        'ColdLeftMs': 0,
+        'Seq': 1,
+        'born': 1_700_000_000_000,
+        **fields,
+    }
+
+
+class UsersStore:
+    """The users' metadata store, with objects in memory."""
+
+    def __init__(self) -> None:
+        self.table = ObjectTable()
+        self.calls: Counter[str] = Counter()
+        # Statuses to answer before anything is done, the next one first.
+        self.refusals: list[int] = []
+        # Writes that take effect and whose answers are lost.
+        self.lost_answers = 0
+        self._server = StandinServer(LOOPBACK, 0, self._answer)
+        self._server.start()
+
+    @property
+    def address(self) -> str:
+        return self._server.address
+
+    def put(self, kind: str, name: str, spec: object) -> int:
+        """Write an object as the operator or an engine would."""
+        body = json.dumps(spec).encode()
+        return self.table.write(kind, name, body, None).version
+
+    def remove(self, kind: str, name: str) -> None:
+        self.table.write(kind, name, None, None)
+
+    def names(self, kind: str) -> list[str]:
+        page = self.table.page(kind, '', '', 500)
+        return [state.name for state in page.objects]
+
+    def close(self) -> None:
+        self._server.close()
+
+    def _answer(self, request: StandinRequest) -> StandinAnswer:
+        self.calls[request.method] += 1
+        if self.refusals:
+            return json_answer({}, self.refusals.pop(0))
+        named = _NAME_PATH.fullmatch(request.path)
+        if request.method == 'GET':
+            return self._read(request, named)
+        answer = self._write(request, named)
+        if self.lost_answers and answer.status == 200:
+            self.lost_answers -= 1
+            request.connection.reset()
+        return answer
+
+    def _read(
+        self,
+        request: StandinRequest,
+        named: re.Match[str] | None,
+    ) -> StandinAnswer:
+        if named is not None:
+            state = self.table.read(named[1], named[2])
+            if state is None:
+                return json_answer({}, 404)
+            return json_answer(_document(state))
+        kind = _KIND_PATH.fullmatch(request.path)[1]
+        if 'Watch' in request.query:
+            return self._watch(kind, request.query)
+        page = self.table.page(kind, '', request.query.get('After', ''), 3)
+        return json_answer({
+            'Items': [_document(state) for state in page.objects],
+            'HasMore': page.more,
+            'AsOf': page.revision,
+        })
+
+    def _watch(self, kind: str, query: Mapping[str, str]) -> StandinAnswer:
+        try:
+            changes = self.table.changes(
+                kind,
+                int(query['Watch']),
+                int(query['WaitMs']) * _FROM_MS,
+            )
+        except RevisionTooOldError:
+            return json_answer({}, 410)
+        return json_answer({
+            'AsOf': changes.revision,
+            'events': [
+                {'Deleted': state.body is None, 'Object': _document(state)}
+                for state in changes.events
+            ],
+        })
+
+    def _write(
+        self,
+        request: StandinRequest,
+        named: re.Match[str] | None,
+    ) -> StandinAnswer:
+        if request.method == 'DELETE':
+            version = int(request.query.get('Rev', 0)) or None
+            return self._change(named[1], named[2], None, version)
+        document = json.loads(request.body)
+        body = json.dumps(document['Spec']).encode()
+        if request.method == 'POST':
+            kind = _KIND_PATH.fullmatch(request.path)[1]
+            return self._change(kind, document['Metadata']['Name'], body, 0)
+        version = document['Metadata'].get('Rev')
+        return self._change(named[1], named[2], body, version)
+
+    def _change(
+        self,
+        kind: str,
+        name: str,
+        body: bytes | None,
+        version: int | None,
+    ) -> StandinAnswer:
+        try:
+            state = self.table.write(kind, name, body, version)
+        except ConditionFailedError:
+            present = self.table.read(kind, name)
+            if present is None:
+                return json_answer({}, 404)
+            return json_answer(_document(present), 409)
+        return json_answer(_document(state))
+
+
+def _document(state: ObjectState) -> dict[str, object]:
+    return {
+        'Metadata': {
+            'Name': state.name,
+            'Rev': state.version,
+            'Created': 1,
+            'Finalizers': [],
+            'Deleting': False,
+        },
+        'Spec': None if state.body is None else json.loads(state.body),
+        'Status': None,
+    }
+
+
+@dataclasses.dataclass
+class EngineScript:
+    """How an engine stand-in behaves; ``pause_s`` is between events."""
+
+    events: int = 5
+    pause_s: float = 0.01
+    refuse: bool = False
+    status: int = 200
+
+
+class UsersEngine:
+    """An engine of the users that streams events."""
+
+    def __init__(self, name: str, script: EngineScript | None = None) -> None:
+        self.name = name
+        self.script = script or EngineScript()
+        self.seen: list[StandinRequest] = []
+        self.left = threading.Event()
+        self._server = StandinServer(LOOPBACK, 0, self._answer)
+        self._server.start()
+
+    @property
+    def address(self) -> str:
+        return self._server.address
+
+    def close(self) -> None:
+        self._server.close()
+
+    def _answer(self, request: StandinRequest) -> StandinAnswer | None:
+        self.seen.append(request)
+        if request.headers.get('expect-instance') != self.name:
+            return json_answer({}, 421, {'Instance-Id': self.name})
+        if self.script.refuse:
+            return json_answer({}, 503, {'Not-Executed': '1'})
+        if self.script.status != 200:
+            return json_answer({}, self.script.status)
+        self._stream(request)
+        return None
+
+    def _stream(self, request: StandinRequest) -> None:
+        write = request.connection.start(
+            200,
+            {
+                'Content-Type': 'text/event-stream',
+                'Request-Id': request.headers['request-id'],
+                'Response-Signature': f'signed by {self.name}',
+            },
+        )
+        first = int(request.headers.get('last-event-id', '0')) + 1
+        for number in range(first, self.script.events + 1):
+            if request.connection.lost:
+                self.left.set()
+                return
+            write(f'id: {number}\ndata: word {number}\n\n'.encode())
+            time.sleep(self.script.pause_s)
+
+
+def job_document(items: int = 3) -> dict[str, object]:
+    """Return a job as a client submits it."""
+    return {
+        'Items': [
+            {
+                'Id': f'item-{number}',
+                'Path': f'{JOB_PREFIX}3/{number}',
+                'Headers': {'Model': 'm', 'Token-Counts': '540,400'},
+                'Body': base64.b64encode(b'text').decode(),
+                'Tokens': 940,
+            }
+            for number in range(items)
+        ],
+    }
+
+
+def settings_lines(**changes: str) -> str:
+    """Return the text of a settings file."""
+    values = {
+        'Node': 'front-south-a-1',
+        'Role': 'entry',
+        'Class': 'front',
+        'Ip': LOOPBACK,
+        'Zone': 'south-a',
+        'Region': 'south',
+        'Listen.Front': f'{LOOPBACK}:8161',
+        'Listen.ReadyAddr': f'{LOOPBACK}:8167',
+        'PortRange': '7720,7735',
+        'Seeds': '10.1.0.10:8166,10.2.0.40:8166',
+        'Limits.MemoryMb': '222',
+        'Bounds.GraceS': '8',
+        'Bounds.StatusS': '120',
+        'Provider.Address': f'{LOOPBACK}:8169',
+        'Provider.WritesPerS': '400',
+        'Provider.ReadsPerS': '2000',
+        'SomethingNew': 'of tomorrow',
+    } | {key.replace('__', '.'): text for key, text in changes.items()}
+    return ''.join(f'{key}={text}\n' for key, text in values.items() if text)
--- a/features/steps/forward_decisions_steps.py
+++ b/features/steps/forward_decisions_steps.py
@@ -39,10 +39,12 @@
     '/ and /reply/ and /reply/urgent/',
 )
 def step_routes(context: Context) -> None:
-    context.routes = build.table(*(
-        dataclasses.replace(build.route(), name=prefix, path_prefix=prefix)
-        for prefix in _PREFIXES
-    ))
+    context.routes = build.table(
+        *(
+            dataclasses.replace(build.route(), name=prefix, path_prefix=prefix)
+            for prefix in _PREFIXES
+        )
+    )
 
 
 @then('the path {path} at {host} is of route {expected}')
--- a/guavadyke/controllers/forward_runner.py
+++ b/guavadyke/controllers/forward_runner.py
@@ -14,7 +14,9 @@
 from guavadyke.adapters.ports import BackendServers, Clock
 from guavadyke.controllers.actors import telling
 from guavadyke.controllers.forward_board import JobBoard
+from guavadyke.controllers.forward_care import JobCare
 from guavadyke.controllers.forward_store import JobStore
+from guavadyke.controllers.forward_writes import JobWrites
 from guavadyke.controllers.item_run import (
     ItemRun,
     PartialText,
@@ -23,30 +25,14 @@
 )
 from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.decisions.forwarding import RouteTable
-from guavadyke.decisions.jobrecords import (
-    ItemListing,
-    JobProgress,
-    JobView,
-    ResultPage,
-)
-from guavadyke.decisions.jobshare import Absences, first_owner, taken_over
+from guavadyke.decisions.jobrecords import ForwardItem, JobView, ResultPage
 from guavadyke.decisions.jobwork import JobWork
-from guavadyke.decisions.ranking import rendezvous
-from guavadyke.errors import GuavadykeError
 from guavadyke.log import EventLogger
 from guavadyke.settings import ForwardHostSettings
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
 # Seconds between looks at servers that have room and at items to go on.
 _TICK_S = 0.05
-# Seconds between looks at jobs of lost hosts and at old jobs.
-_CARE_S = 0.5
-# Threads that write results; a write takes one exchange with the platform.
-_WRITERS = 4
-# Seconds beyond the retention after which a job is removed.
-_REMOVAL_MARGIN_S = 60.0
-_ALIVE = 'alive'
-_REACHABLE = frozenset(('alive', 'suspect'))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -109,25 +95,23 @@
         super().__init__()
         self._parts = parts
         self._me = parts.settings.host_id
-        forward = parts.settings.forward
         self._works: dict[str, JobWork] = {}
         self._runs: dict[str, ItemRun] = {}
         self._partials: dict[str, PartialText] = {}
-        self._busy: set[str] = set()
-        self._noted: set[str] = set()
-        self._absences = Absences()
-        self._care_due: float = 0
+        self._tell = telling(self.actor_ref)
+        self._writes = JobWrites(
+            parts.store,
+            parts.board,
+            parts.clock,
+            parts.logger,
+            lambda job_id, pages: self._tell(Listed(job_id, pages)),
+        )
+        self._care = JobCare(parts.settings, parts.fleet, self._writes)
         self._stopping = False
-        self._most_runs = forward.item_workers
         self._workers = ThreadPoolExecutor(
-            forward.item_workers,
+            parts.settings.forward.item_workers,
             thread_name_prefix='item',
         )
-        self._writers = ThreadPoolExecutor(
-            _WRITERS,
-            thread_name_prefix='results',
-        )
-        self._tell = telling(self.actor_ref)
 
     def on_receive(self, message: Any) -> Any:
         """Handle a message."""
@@ -138,7 +122,7 @@
         for run in tuple(self._runs.values()):
             run.cancellation.cancel()
         self._workers.shutdown(wait=False, cancel_futures=True)
-        self._writers.shutdown(wait=False, cancel_futures=True)
+        self._writes.close()
 
     def tick(self) -> None:
         """Do all that is due."""
@@ -149,17 +133,15 @@
         self._judge_overdue(now)
         if not self._stopping:
             self._start_items(now)
-            if now >= self._care_due:
-                self._care_due = now + _CARE_S
-                self._care(views, now)
-        self._list_results()
+            if self._parts.connected():
+                self._care.look(views, now, self._parts.clock.wall())
+        for job_id, work in self._works.items():
+            self._writes.advance(job_id, work)
 
     def ended(self, run: ItemRun, outcome: RunOutcome) -> None:
         """Take the end of a run."""
         item_id = run.item.item_id
         self._runs.pop(item_id, None)
-        self._partials[item_id] = outcome.partial
-        work = self._works.get(run.job_id)
         self._parts.logger.info(
             'item_run_ended',
             job_id=run.job_id,
@@ -169,11 +151,11 @@
             events=outcome.partial.last_id,
             reason=outcome.reason,
         )
-        if work is None:
-            self._partials.pop(item_id, None)
-            return
-        self._take_outcome(work, item_id, outcome)
-        self.tick()
+        work = self._works.get(run.job_id)
+        if work is not None:
+            self._partials[item_id] = outcome.partial
+            self._take_outcome(work, item_id, outcome)
+            self.tick()
 
     def listed(
         self,
@@ -181,28 +163,25 @@
         pages: tuple[ResultPage, ...] | None,
     ) -> None:
         """Take the end of a read or write of results."""
-        self._busy.discard(job_id)
+        self._writes.ended(job_id)
         work = self._works.get(job_id)
-        if work is None or pages is None:
-            return
-        work.take_pages(pages)
-        self.tick()
+        if work is not None and pages is not None:
+            work.take_pages(pages)
+            self.tick()
 
     def hand_over(self, *, leave: bool) -> int:
-        """Start nothing more, and return how many runs are in flight."""
+        """Start nothing more, and return how many runs or jobs are left."""
         self._stopping = True
         if not leave:
             return len(self._runs)
         for run in tuple(self._runs.values()):
             run.cancellation.cancel()
-        others = self._alive()
-        views = self._parts.board.views()
-        for job_id, work in tuple(self._works.items()):
-            if work.finished or not others:
-                continue
-            owner = first_owner(job_id, others[0], others[1:], views.values())
-            self._writers.submit(self._pass_on, job_id, owner, work.unlisted)
-        return len(self._works)
+        left = {
+            job_id: work
+            for job_id, work in self._works.items()
+            if not work.finished
+        }
+        return self._care.pass_on(left, self._parts.board.views())
 
     def _take_views(self, views: dict[str, JobView]) -> None:
         mine = {
@@ -212,15 +191,17 @@
         }
         for job_id in self._works.keys() - mine.keys():
             self._drop(job_id)
-        for job_id, view in mine.items():
-            if job_id not in self._works and job_id not in self._noted:
-                self._works[job_id] = JobWork(view.job)
-                self._parts.logger.info(
-                    'job_taken',
-                    job_id=job_id,
-                    items=len(view.job.items),
-                    first_owner=view.job.owner,
-                )
+        for job_id in mine.keys() - self._works.keys():
+            if self._writes.is_noted(job_id):
+                continue
+            job = mine[job_id].job
+            self._works[job_id] = JobWork(job)
+            self._parts.logger.info(
+                'job_taken',
+                job_id=job_id,
+                items=len(job.items),
+                first_owner=job.owner,
+            )
 
     def _drop(self, job_id: str) -> None:
         """Stop the work on a job that is over or not this host's any more."""
@@ -261,8 +242,8 @@
                 if run.lease.server.server_id == server_id
                 and not run.cancellation.cancelled
             ]
-            here.sort(key=_taken_at)
-            for run in here[-count:]:
+            here.sort(key=_taken_at, reverse=True)
+            for run in here[:count]:
                 run.cancellation.cancel()
 
     def _judge_overdue(self, now: float) -> None:
@@ -276,90 +257,36 @@
                 work.give_up_overdue(route, now, wall)
 
     def _start_items(self, now: float) -> None:
-        oldest_first = sorted(self._works.values(), key=_accepted_at)
+        """Start what there is room for, items of older jobs first."""
+        table = self._parts.table.current
         full: set[str] = set()
-        for work in oldest_first:
-            route = self._parts.table.current.named(work.job.route)
-            if route is None:
-                continue
-            for item in work.startable(now):
-                service = route.service_of(item.item_id)
-                if service in full:
-                    continue
-                if not self._start(work, item.item_id, service):
+        for work in sorted(self._works.values(), key=_accepted_at):
+            route = table.named(work.job.route)
+            items = () if route is None else work.startable(now)
+            for item in items:
+                service = route.service_of(item.item_id) if route else ''
+                if service not in full and not self._start(work, item, service):
                     full.add(service)
 
-    def _start(self, work: JobWork, item_id: str, service: str) -> bool:
-        if len(self._runs) >= self._most_runs or item_id in self._runs:
+    def _start(self, work: JobWork, item: ForwardItem, service: str) -> bool:
+        most = self._parts.settings.forward.item_workers
+        if len(self._runs) >= most or item.item_id in self._runs:
             return False
         lease = self._parts.pool.take_batch(service, frozenset())
         if lease is None:
             return False
-        item = work.job.item(item_id)
-        if item is None:
-            raise LookupError(f'{item_id} is not an item of its job')
         run = ItemRun(
             work.job,
             item,
             lease,
-            self._partials.get(item_id, PartialText()),
+            self._partials.get(item.item_id, PartialText()),
             self._parts.pool,
         )
-        self._runs[item_id] = run
-        work.started(item_id)
+        self._runs[item.item_id] = run
+        work.started(item.item_id)
         self._workers.submit(self._perform, run)
         return True
 
-    def _list_results(self) -> None:
-        """Read or write results of the jobs that are not at it already."""
-        for job_id, work in self._works.items():
-            if job_id in self._busy:
-                continue
-            if not work.loaded:
-                self._write(job_id, self._load, job_id)
-            elif work.unlisted:
-                self._write(job_id, self._append, job_id, work.unlisted)
-            elif work.finished and job_id not in self._noted:
-                self._noted.add(job_id)
-                self._write(job_id, self._finish, job_id, work.job.tokens)
-
-    def _write(
-        self, job_id: str, call: Callable[..., None], *args: Any
-    ) -> None:
-        self._busy.add(job_id)
-        self._writers.submit(self._guarded, job_id, call, *args)
-
-    def _care(self, views: dict[str, JobView], now: float) -> None:
-        """Take over jobs of lost hosts and remove old ones."""
-        if not self._parts.connected():
-            return
-        alive = self._alive()
-        owners = {view.owner for view in views.values() if view.open}
-        reachable = {
-            peer.host_id
-            for peer in self._parts.fleet.current.peers
-            if peer.state in _REACHABLE
-        }
-        lost = self._absences.note(owners, {self._me, *reachable}, now)
-        for view in taken_over(views.values(), lost, self._me, alive):
-            job_id = view.job.job_id
-            if job_id not in self._busy:
-                self._write(job_id, self._claim, job_id, view.owner)
-        wall = self._parts.clock.wall()
-        kept_s = self._parts.settings.forward.result_retention_s
-        for job_id, view in views.items():
-            old = wall - view.job.accepted_at > kept_s + _REMOVAL_MARGIN_S
-            mine = rendezvous(job_id, {self._me, *alive}) == self._me
-            if old and not view.open and mine and job_id not in self._busy:
-                self._write(job_id, self._remove, job_id)
-
-    def _alive(self) -> list[str]:
-        return [
-            peer.host_id
-            for peer in self._parts.fleet.current.peers
-            if peer.state == _ALIVE
-        ]
-
     def _perform(self, run: ItemRun) -> None:
         try:
             outcome = run.perform(
@@ -376,80 +303,6 @@
             outcome = RunOutcome(RunEnd.broken, PartialText(), repr(error))
         self._tell(Ended(run, outcome))
 
-    def _guarded(
-        self,
-        job_id: str,
-        call: Callable[..., None],
-        *args: Any,
-    ) -> None:
-        """Call in a writer's thread; a failure is logged and tried again."""
-        try:
-            call(*args)
-        except GuavadykeError as error:
-            self._parts.logger.warning(
-                'job_write_failed',
-                job_id=job_id,
-                step=call.__name__.removeprefix('_'),
-                code=error.code,
-                reason=error.message,
-            )
-            self._noted.discard(job_id)
-            self._parts.clock.sleep(_TICK_S)
-            self._tell(Listed(job_id, None))
-
-    def _load(self, job_id: str) -> None:
-        self._tell(Listed(job_id, self._parts.store.pages(job_id)))
-
-    def _append(
-        self,
-        job_id: str,
-        unlisted: tuple[ItemListing, ...],
-    ) -> None:
-        pages = self._parts.store.append(job_id, unlisted)
-        self._tell(Listed(job_id, pages))
-
-    def _finish(self, job_id: str, tokens: int) -> None:
-        progress = self._parts.store.note(
-            job_id,
-            JobProgress(finished=True, listed_tokens=tokens),
-        )
-        self._parts.board.noted(job_id, progress)
-        self._tell(Listed(job_id, None))
-
-    def _claim(self, job_id: str, owner: str) -> None:
-        progress = self._parts.store.note(job_id, JobProgress(owner=self._me))
-        self._parts.logger.info(
-            'job_taken_over',
-            job_id=job_id,
-            owner_before=owner,
-        )
-        self._parts.board.noted(job_id, progress)
-        self._tell(Listed(job_id, None))
-
-    def _remove(self, job_id: str) -> None:
-        self._parts.store.remove(job_id)
-        self._parts.board.forget(job_id)
-        self._parts.logger.info('job_removed', job_id=job_id)
-        self._tell(Listed(job_id, None))
-
-    def _pass_on(
-        self,
-        job_id: str,
-        owner: str,
-        unlisted: tuple[ItemListing, ...],
-    ) -> None:
-        try:
-            self._parts.store.append(job_id, unlisted)
-            self._parts.store.note(job_id, JobProgress(owner=owner))
-        except GuavadykeError as error:
-            self._parts.logger.warning(
-                'job_not_passed_on',
-                job_id=job_id,
-                reason=error.message,
-            )
-            return
-        self._parts.logger.info('job_passed_on', job_id=job_id, owner=owner)
-
 
 class RunnerTicker:
     """Ticks a runner, at once when something has changed.
--- a/guavadyke/controllers/forward_store.py
+++ b/guavadyke/controllers/forward_store.py
@@ -4,6 +4,7 @@
 
 import threading
 
+from guavadyke import forward_objects as objects
 from guavadyke.adapters.ports import StoredObject
 from guavadyke.adapters.settled import SettledStore
 from guavadyke.decisions.jobrecords import (
@@ -20,18 +21,6 @@
     ObjectConflictError,
     PlatformUnavailableError,
 )
-from guavadyke.forward_objects import (
-    JOB_KIND,
-    PAGE_KIND,
-    PROGRESS_KIND,
-    decode_job,
-    decode_page,
-    decode_progress,
-    encode_job,
-    encode_page,
-    encode_progress,
-    page_name,
-)
 
 # Rounds in which a write may lose a race against other hosts.
 _ROUNDS = 8
@@ -61,7 +50,9 @@
             PlatformOutcomeUnknownError: it may have been accepted.
         """
         try:
-            self._store.create(JOB_KIND, job.job_id, encode_job(job))
+            self._store.create(
+                objects.JOB_KIND, job.job_id, objects.encode_job(job)
+            )
         except ObjectConflictError:
             return False
         return True
@@ -72,8 +63,10 @@
         Raises:
             PlatformUnavailableError: the platform does not answer.
         """
-        stored = self._store.read(JOB_KIND, job_id)
-        return None if stored is None else decode_job(job_id, stored.body)
+        stored = self._store.read(objects.JOB_KIND, job_id)
+        return (
+            None if stored is None else objects.decode_job(job_id, stored.body)
+        )
 
     def note(self, job_id: str, change: JobProgress) -> JobProgress:
         """Add to a job's progress and return all of it.
@@ -81,20 +74,13 @@
         Raises:
             GuavadykeError: the platform does not take it, or it may have.
         """
-        for _round in range(_ROUNDS):
-            stored = self._store.read(PROGRESS_KIND, job_id)
-            known = JobProgress()
-            if stored is not None:
-                known = decode_progress(job_id, stored.body)
-            joined = known.joined(change)
-            if stored is not None and joined == known:
-                return joined
-            try:
-                self._write(PROGRESS_KIND, job_id, stored, joined)
-            except ObjectConflictError:
-                continue
-            return joined
-        raise PlatformUnavailableError(f'{job_id} is written by many hosts')
+        rounds = (self._noted(job_id, change) for _round in range(_ROUNDS))
+        joined = next(filter(None, rounds), None)
+        if joined is None:
+            raise PlatformUnavailableError(
+                f'{job_id} is written by many hosts',
+            )
+        return joined
 
     def pages(self, job_id: str) -> tuple[ResultPage, ...]:
         """Return all results as the platform has them now.
@@ -104,11 +90,11 @@
         """
         known = self._full_pages(job_id)
         while True:
-            name = page_name(job_id, len(known))
-            stored = self._store.read(PAGE_KIND, name)
+            name = objects.page_name(job_id, len(known))
+            stored = self._store.read(objects.PAGE_KIND, name)
             if stored is None:
                 break
-            page = decode_page(name, stored.body)
+            page = objects.decode_page(name, stored.body)
             known.append((stored, page))
             if not page.full:
                 break
@@ -131,16 +117,22 @@
         Raises:
             GuavadykeError: the platform does not take them, or it may have.
         """
-        for _round in range(_ROUNDS + len(waiting)):
-            pages = self.known_pages(job_id)
-            missing = new_listings(pages, waiting)
-            if not missing:
-                return pages
+        rounds = _ROUNDS + len(waiting)
+        pages = self.known_pages(job_id)
+        missing = new_listings(pages, waiting)
+        while missing and rounds:
+            rounds -= 1
             try:
                 self._append_some(job_id, missing)
             except ObjectConflictError:
                 self.pages(job_id)
-        raise PlatformUnavailableError(f'{job_id} is written by many hosts')
+            pages = self.known_pages(job_id)
+            missing = new_listings(pages, waiting)
+        if missing:
+            raise PlatformUnavailableError(
+                f'{job_id} is written by many hosts',
+            )
+        return pages
 
     def remove(self, job_id: str) -> None:
         """Remove a job with all that belongs to it.
@@ -153,11 +145,26 @@
             known = list(self._pages.pop(job_id, ()))
         for stored, _page in known:
             self._delete(stored)
-        for kind in (PROGRESS_KIND, JOB_KIND):
+        for kind in (objects.PROGRESS_KIND, objects.JOB_KIND):
             left = self._store.read(kind, job_id)
             if left is not None:
                 self._delete(left)
 
+    def _noted(self, job_id: str, change: JobProgress) -> JobProgress | None:
+        """Write progress once; None where another host was faster."""
+        stored = self._store.read(objects.PROGRESS_KIND, job_id)
+        known = JobProgress()
+        if stored is not None:
+            known = objects.decode_progress(job_id, stored.body)
+        joined = known.joined(change)
+        if stored is not None and joined == known:
+            return joined
+        try:
+            self._write(job_id, stored, joined)
+        except ObjectConflictError:
+            return None
+        return joined
+
     def _append_some(
         self,
         job_id: str,
@@ -169,13 +176,13 @@
         if known and not known[-1][1].full:
             stored, page = known.pop()
             grown = page.appended(fitting(page, missing))
-            written = self._store.update(stored, encode_page(grown))
+            written = self._store.update(stored, objects.encode_page(grown))
         else:
             grown = ResultPage(fitting(ResultPage(), missing))
             written = self._store.create(
-                PAGE_KIND,
-                page_name(job_id, len(known)),
-                encode_page(grown),
+                objects.PAGE_KIND,
+                objects.page_name(job_id, len(known)),
+                objects.encode_page(grown),
             )
         self._remember(job_id, [*known, (written, grown)])
 
@@ -209,14 +216,13 @@
 
     def _write(
         self,
-        kind: str,
-        name: str,
+        job_id: str,
         stored: StoredObject | None,
         progress: JobProgress,
     ) -> None:
-        body = encode_progress(progress)
+        body = objects.encode_progress(progress)
         if stored is None:
-            self._store.create(kind, name, body)
+            self._store.create(objects.PROGRESS_KIND, job_id, body)
         else:
             self._store.update(stored, body)
 
--- a/guavadyke/controllers/item_run.py
+++ b/guavadyke/controllers/item_run.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import enum
+import itertools
+import types
 
 from guavadyke.adapters.cancellation import CallCancellation
 from guavadyke.adapters.ports import (
+    BackendAnswer,
     BackendCall,
     BackendServerError,
     BackendServers,
@@ -111,17 +115,14 @@
     ) -> RunOutcome:
         answer = servers.send(self._call(settings))
         if answer.status != _OK:
-            for _piece in answer.chunks():
-                continue
+            # Reading to the end lets the connection be used again.
+            collections.deque(answer.chunks(), maxlen=0)
             return self._outcome(
                 _END_OF_STATUS.get(answer.status, RunEnd.broken),
                 f'status {answer.status}',
             )
         try:
-            for piece in answer.chunks():
-                for event in self._splitter.feed(piece):
-                    if event.event_id is not None:
-                        self._pieces.append(event.data)
+            self._take_events(answer)
         except EventOrderError as error:
             answer.cancel()
             return self._outcome(RunEnd.broken, str(error))
@@ -129,6 +130,14 @@
             return self._outcome(RunEnd.broken, 'ended within an event')
         return self._outcome(RunEnd.completed)
 
+    def _take_events(self, answer: BackendAnswer) -> None:
+        events = itertools.chain.from_iterable(
+            map(self._splitter.feed, answer.chunks()),
+        )
+        self._pieces.extend(
+            event.data for event in events if event.event_id is not None
+        )
+
     def _outcome(self, end: RunEnd, reason: str = '') -> RunOutcome:
         partial = PartialText(self._splitter.last_id, tuple(self._pieces))
         return RunOutcome(end, partial, reason)
@@ -150,7 +159,10 @@
         )
 
 
-_END_OF_STATUS = {_FAILED: RunEnd.failed, _REJECTED: RunEnd.rejected}
+_END_OF_STATUS = types.MappingProxyType({
+    _FAILED: RunEnd.failed,
+    _REJECTED: RunEnd.rejected,
+})
 
 
 def _end_of(
--- a/guavadyke/controllers/server_pool.py
+++ b/guavadyke/controllers/server_pool.py
@@ -173,8 +173,7 @@
             now = self._clock.monotonic()
             owed = {
                 server.server_id: self._table.surplus(server, now)
-                for group in self._by_service.values()
-                for server in group
+                for server in self._known
                 if server.server_id in self._table.own_batch
             }
             return {name: count for name, count in owed.items() if count}
--- a/guavadyke/decisions/attempting.py
+++ b/guavadyke/decisions/attempting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import types
 
 from guavadyke.adapters.ports import BackendFault
 from guavadyke.decisions.forwarding import ForwardRoute
@@ -12,13 +13,13 @@
 # of one exchange with a backend server.
 _MOST_REFUSALS = 6
 _RETRY_AFTER_S = 1.0
-_CODES = {
+_CODES = types.MappingProxyType({
     BackendFault.not_reached: ErrorCode.no_backend_server,
     BackendFault.refused: ErrorCode.overloaded,
     BackendFault.broken: ErrorCode.backend_failed,
     BackendFault.crossed: ErrorCode.backend_failed,
     BackendFault.silent: ErrorCode.backend_silent,
-}
+})
 
 
 @dataclasses.dataclass
--- a/guavadyke/decisions/eventstream.py
+++ b/guavadyke/decisions/eventstream.py
@@ -55,8 +55,8 @@
             end = _end_of_event(self._rest)
             if end < 0:
                 return
-            raw, self._rest = self._rest[:end], self._rest[end:]
-            event = parse_event(raw)
+            event = parse_event(self._rest[:end])
+            self._rest = self._rest[end:]
             self._check(event)
             yield event
 
--- a/guavadyke/decisions/jobwork.py
+++ b/guavadyke/decisions/jobwork.py
@@ -142,11 +142,6 @@
         if now - self._route_missing_since >= _ROUTE_GONE_S:
             self._give_up_all()
 
-    def tokens_listed(self) -> int:
-        """Return the tokens of the items that have a result."""
-        waiting = sum(state.item.tokens for state in self._states.values())
-        return self.job.tokens - waiting
-
     def counts(self) -> collections.Counter[str]:
         """Return how many items run, wait and are to be listed."""
         running = sum(state.running for state in self._states.values())
--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -60,6 +60,9 @@
         self._service = route.service_of(request.request_id)
         self._record = AttemptRecord(route)
         self._cancellation = CallCancellation()
+        self._splitter = EventSplitter(request.last_event_id)
+        self._started = False
+        self._ended = False
 
     def answer(self) -> Answer:
         """Return the answer of a backend server.
@@ -96,31 +99,40 @@
 
     def _events(self) -> Generator[Answer | bytes]:
         """Yield the head of the answer, then whole events."""
-        splitter = EventSplitter(self._request.last_event_id)
-        started = False
         with self._watched():
-            while True:
-                attempt = self._begin()
-                try:
-                    answer = attempt.send(splitter.last_id)
-                    if answer.status != _OK and not started:
-                        yield _whole_answer(answer, attempt)
-                        return
-                    _check_continued(answer)
-                    for event in _events_of(answer, splitter):
-                        if not started:
-                            started = True
-                            yield _head(answer)
-                        yield event
-                    if not started:
-                        yield _head(answer)
-                    attempt.done()
-                    return
-                except BackendServerError as error:
-                    splitter = EventSplitter(splitter.last_id)
-                    self._after(attempt, error)
-                finally:
-                    attempt.close()
+            while not self._ended:
+                yield from self._attempted()
+
+    def _attempted(self) -> Generator[Answer | bytes]:
+        """Yield what one attempt brings."""
+        attempt = self._begin()
+        try:
+            yield from self._relayed(attempt)
+        except BackendServerError as error:
+            self._splitter = EventSplitter(self._splitter.last_id)
+            self._after(attempt, error)
+        else:
+            self._ended = True
+        finally:
+            attempt.close()
+
+    def _relayed(self, attempt: Attempt) -> Generator[Answer | bytes]:
+        answer = attempt.send(self._splitter.last_id)
+        if answer.status != _OK and not self._started:
+            yield _whole_answer(answer, attempt)
+            return
+        _check_continued(answer)
+        for event in _events_of(answer, self._splitter):
+            yield from self._head_once(answer)
+            yield event
+        yield from self._head_once(answer)
+        attempt.done()
+
+    def _head_once(self, answer: BackendAnswer) -> Generator[Answer]:
+        """Yield the head of the first server that began to answer."""
+        if not self._started:
+            self._started = True
+            yield _head(answer)
 
     def _begin(self) -> Attempt:
         """Return the next attempt.
--- a/guavadyke/platform/daemon.py
+++ b/guavadyke/platform/daemon.py
@@ -12,13 +12,12 @@
 
 import click
 
-from guavadyke import log
 from guavadyke.adapters.backend import HttpBackendServers
 from guavadyke.errors import GuavadykeError
 from guavadyke.forward_host import ForwardHost, ForwardPorts
 from guavadyke.http import HttpApplication
 from guavadyke.http_server import HttpServer, HttpServerSettings
-from guavadyke.log import EventLogger
+from guavadyke.log import EventLogger, configure
 from guavadyke.platform.callers import CallerPort, ReadinessPort
 from guavadyke.platform.configuration import (
     CONFIGURATION_KIND,
@@ -171,7 +170,7 @@
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, note)
     settings = host_settings(read_settings_file(path))
-    log.configure(settings.verbosity)
+    configure(settings.verbosity)
     daemon = Daemon(settings)
     daemon.start()
     while signals.get() == signal.SIGHUP:
--- a/guavadyke/platform/store.py
+++ b/guavadyke/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import types
 from collections.abc import Mapping
 from typing import Any, TypeVar
 from urllib.parse import quote, urlencode
@@ -29,6 +30,7 @@
 
 _PATH = '/api/objects'
 _CONFLICT = 409
+_JSON = types.MappingProxyType({'Content-Type': 'application/json'})
 Document = TypeVar('Document', bound=pydantic.BaseModel)
 
 
@@ -208,9 +210,6 @@
         return StoredObject(kind, name, reply.version, body)
 
 
-_JSON = {'Content-Type': 'application/json'}
-
-
 def _path(kind: str, name: str = '') -> str:
     parts = (_PATH, quote(kind, safe=''), quote(name, safe=''))
     return '/'.join(filter(None, parts))
