--- a/features/builders_forward_processes.py
+++ b/features/builders_forward_processes.py
@@ -33,7 +33,7 @@
     front: int
     ready: int
     folder: Path
-    process: subprocess.Popen[bytes]
+    process: subprocess.Popen[bytes] | None = None
 
     @property
     def settings_path(self) -> Path:
@@ -43,6 +43,21 @@
     def log(self) -> str:
         return (self.folder / f'{self.name}.log').read_text(encoding='utf-8')
 
+    def start(self) -> None:
+        """Start the process."""
+        with (self.folder / f'{self.name}.log').open('ab') as log:
+            self.process = subprocess.Popen(
+                [sys.executable, '-m', 'guavadyke.platform', 'entry'],
+                cwd=_ROOT,
+                stdout=log,
+                stderr=log,
+                env={
+                    **os.environ,
+                    'GUAVADYKE_CONFIG': str(self.settings_path),
+                    'GUAVADYKE_FLEET_KEY': 'fleet-key',
+                },
+            )
+
     def is_ready(self) -> bool:
         """Ask as the balancer does."""
         try:
@@ -106,35 +121,27 @@
 
     def start_daemon(self) -> DaemonProcess:
         """Start a daemon."""
-        number = len(self.daemons)
-        name = f'front-{number + 1}'
-        ip = f'127.0.0.{number + 1}'
-        front, ready = free_port(), free_port()
-        folder = Path(self._folder.name)
-        lines = users.settings_lines(
-            Node=name,
-            Ip=ip,
-            Listen__Front=f'{ip}:{front}',
-            Listen__ReadyAddr=f'{ip}:{ready}',
-            PortRange=str(self._peer_port),
-            Seeds='127.0.0.1:1,127.0.0.2:1',
-            Provider__Address=self.store.address,
+        number = len(self.daemons) + 1
+        daemon = DaemonProcess(
+            f'front-{number}',
+            f'127.0.0.{number}',
+            free_port(),
+            free_port(),
+            Path(self._folder.name),
         )
-        path = folder / f'{name}.conf'
-        path.write_text(lines, encoding='utf-8')
-        with (folder / f'{name}.log').open('ab') as log:
-            process = subprocess.Popen(
-                [sys.executable, '-m', 'guavadyke.platform', 'entry'],
-                cwd=_ROOT,
-                stdout=log,
-                stderr=log,
-                env={
-                    **os.environ,
-                    'GUAVADYKE_CONFIG': str(path),
-                    'GUAVADYKE_FLEET_KEY': 'fleet-key',
-                },
-            )
-        daemon = DaemonProcess(name, ip, front, ready, folder, process)
+        daemon.settings_path.write_text(
+            users.settings_lines(
+                Node=daemon.name,
+                Ip=daemon.ip,
+                Listen__Front=f'{daemon.ip}:{daemon.front}',
+                Listen__ReadyAddr=f'{daemon.ip}:{daemon.ready}',
+                PortRange=str(self._peer_port),
+                Seeds='127.0.0.1:1,127.0.0.2:1',
+                Provider__Address=self.store.address,
+            ),
+            encoding='utf-8',
+        )
+        daemon.start()
         self.daemons.append(daemon)
         return daemon
 
--- a/features/builders_users_platform.py
+++ b/features/builders_users_platform.py
@@ -34,7 +34,9 @@
 _FROM_MS = 0.001
 
 
-def route(name: str, prefix: str, kind: str, **fields: object) -> dict:
+def route(
+    name: str, prefix: str, kind: str, **fields: object
+) -> dict[str, object]:
     """Return a route as the operator writes it."""
     return {
         'Name': name,
@@ -50,7 +52,10 @@
     }
 
 
-def configuration(version: int = 1, *routes: dict) -> dict:
+def configuration(
+    *routes: dict[str, object],
+    version: int = 1,
+) -> dict[str, object]:
     """Return a configuration as the operator writes it."""
     return {
         'Version': version,
@@ -69,7 +74,7 @@
     }
 
 
-def engine_entry(address: str, **fields: object) -> dict:
+def engine_entry(address: str, **fields: object) -> dict[str, object]:
     """Return an engine's entry as the engine writes it."""
     return {
         'Service': SERVICE,
--- a/features/machines/forward_jobs.py
+++ b/features/machines/forward_jobs.py
@@ -104,12 +104,10 @@
         if known is None:
             return
         assert answer.total == ITEMS
-        end = after + len(answer.listings)
-        assert len(known.read) <= end or not known.read[after:]
-        overlap = known.read[after:end]
-        assert list(answer.listings[: len(overlap)]) == overlap
+        before = known.read[after:]
+        assert list(answer.listings[: len(before)]) == before
         if after <= len(known.read):
-            known.read[after:end] = answer.listings
+            known.read = [*known.read[:after], *answer.listings]
         listed = [one.item_id for one in known.read]
         assert len(set(listed)) == len(listed)
 
--- a/features/steps/forward_decisions_steps.py
+++ b/features/steps/forward_decisions_steps.py
@@ -6,6 +6,7 @@
 import dataclasses
 import itertools
 import random
+import types
 
 from behave import given, then, when
 from behave.runner import Context
@@ -32,6 +33,14 @@
 
 _PREFIXES = ('/', '/reply/', '/reply/urgent/')
 _REQUESTS = 2000
+_ATTEMPTS = 3
+_END_RUN = types.MappingProxyType({
+    'failed': lambda work, now: work.failed('item-0', _ATTEMPTS, now),
+    'broken': lambda work, now: work.broken('item-0', now),
+    'preempted': lambda work, _now: work.preempted('item-0'),
+    'rejected': lambda work, _now: work.rejected('item-0'),
+    'completed': lambda work, _now: work.completed('item-0', 'text'),
+})
 
 
 @given(
@@ -50,7 +59,8 @@
 @then('the path {path} at {host} is of route {expected}')
 def step_goes(context: Context, host: str, path: str, expected: str) -> None:
     found = context.routes.match(split_host(host), path)
-    assert (found.name if found else 'nothing') == expected
+    name = found.name if found else 'nothing'
+    assert name == expected
 
 
 @given('a configuration of version {version:d} is in force')
@@ -234,7 +244,10 @@
 
 @given('open jobs of which h1 has {first:d}, h2 has {second:d} and h3 has none')
 def step_jobs(context: Context, first: int, second: int) -> None:
-    owners = ['h1'] * first + ['h2'] * second
+    owners = itertools.chain(
+        itertools.repeat('h1', first),
+        itertools.repeat('h2', second),
+    )
     context.jobs = {
         f'job-{number}': JobView(build.job(f'job-{number}', owner=owner))
         for number, owner in enumerate(owners)
@@ -302,17 +315,11 @@
     work = context.work
     for answer in answers.split(', '):
         context.now += 10
-        (item,) = work.startable(context.now)
-        work.started(item.item_id)
+        started = [item.item_id for item in work.startable(context.now)]
+        assert started == ['item-0']
+        work.started('item-0')
         assert not list(work.startable(context.now))
-        ends = {
-            'failed': lambda: work.failed('item-0', 3, context.now),
-            'broken': lambda: work.broken('item-0', context.now),
-            'preempted': lambda: work.preempted('item-0'),
-            'rejected': lambda: work.rejected('item-0'),
-            'completed': lambda: work.completed('item-0', 'text'),
-        }
-        ends[answer]()
+        _END_RUN[answer](work, context.now)
 
 
 @when('the job has waited {seconds:d} seconds of the 20 after which it may end')
@@ -335,8 +342,8 @@
         assert not unlisted
         assert list(context.work.startable(context.now + 10))
         return
-    (listing,) = unlisted
-    assert listing.completed is (state == 'done')
+    assert len(unlisted) == 1
+    assert unlisted[0].completed is (state == 'done')
     assert not list(context.work.startable(context.now + 10))
 
 
--- a/features/steps/forward_jobs_steps.py
+++ b/features/steps/forward_jobs_steps.py
@@ -66,8 +66,8 @@
 @when('both hosts list a result of every item in another order')
 def step_list_both(context: Context) -> None:
     forth = tuple(map(_listing, range(_ITEMS)))
-    context.first.store.append('job-1', forth[:1])
-    context.second.store.append('job-1', forth[::-1])
+    context.first.store.append('job-1', (_listing(0),))
+    context.second.store.append('job-1', tuple(reversed(forth)))
     context.first.store.append('job-1', forth)
 
 
--- a/features/steps/forward_requests_steps.py
+++ b/features/steps/forward_requests_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import types
+
 from behave import given, then, when
 from behave.runner import Context
 
@@ -11,7 +13,7 @@
 from guavadyke.errors import ErrorCode, GuavadykeError
 from guavadyke.filters.forward import Forwarder
 
-_COUNTS = {'no': 0, 'two': 2, 'three': 3}
+_COUNTS = types.MappingProxyType({'no': 0, 'two': 2, 'three': 3})
 _PROOF = ' with proof'
 
 
@@ -125,15 +127,14 @@
 
 @then('the answer breaks off after {count:d} events')
 def step_breaks_off(context: Context, count: int) -> None:
-    passed = 0
+    events = [next(context.answer.body) for _ in range(count)]
+    assert len(events) == count
     cut = False
     try:
-        for _event in context.answer.body:
-            passed += 1
+        next(context.answer.body)
     except GuavadykeError:
         cut = True
     assert cut
-    assert passed == count
     assert context.servers.answers[0].cancelled
     assert len(context.servers.calls) == 1
 
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -86,7 +86,8 @@
 @then('it answers in flight requests before the grace period ends')
 def step_grace(context: Context) -> None:
     stop = context.settings.stop
-    assert 7 > stop.balancer_delay_s + stop.longest_s > 6
+    longest_s = stop.balancer_delay_s + stop.longest_s
+    assert 6 < longest_s < 7
 
 
 @then('it is refused with a finding at {place}')
@@ -102,7 +103,6 @@
 @given('a configuration with a stream, a batch route and a split')
 def step_configuration(context: Context) -> None:
     document = users.configuration(
-        7,
         users.route(
             'replies',
             users.STREAM_PREFIX,
@@ -129,6 +129,7 @@
             ],
         ),
         users.route('later', '/later/', 'of tomorrow'),
+        version=7,
     )
     context.found = _read_configuration(json.dumps(document).encode())
 
@@ -153,7 +154,7 @@
 
 @when('a configuration with {fault} is read')
 def step_read_configuration(context: Context, fault: str) -> None:
-    document = users.configuration(3)
+    document = users.configuration(version=3)
     if fault == 'no routes':
         document.pop('Routes')
     if fault == 'a wrong version':
@@ -311,7 +312,8 @@
     created, removed = answer.events
     assert created.current == first
     assert removed.current is None
-    assert answer.revision == removed.version > created.version
+    assert answer.revision == removed.version
+    assert created.version < removed.version
     assert not store.watch('own', answer.revision, 0.05).events
 
 
--- a/guavadyke/controllers/forward_writes.py
+++ b/guavadyke/controllers/forward_writes.py
@@ -145,16 +145,15 @@
     ) -> Pages:
         return self._store.append(job_id, unlisted)
 
-    def _finish(self, job_id: str, tokens: int) -> Pages:
+    def _finish(self, job_id: str, tokens: int) -> None:
         progress = self._store.note(
             job_id,
             JobProgress(finished=True, listed_tokens=tokens),
         )
         self._noted.add(job_id)
         self._board.noted(job_id, progress)
-        return None
 
-    def _claim(self, job_id: str, me: str, owner_before: str) -> Pages:
+    def _claim(self, job_id: str, me: str, owner_before: str) -> None:
         progress = self._store.note(job_id, JobProgress(owner=me))
         self._logger.info(
             'job_taken_over',
@@ -162,23 +161,20 @@
             owner_before=owner_before,
         )
         self._board.noted(job_id, progress)
-        return None
 
-    def _remove(self, job_id: str) -> Pages:
+    def _remove(self, job_id: str) -> None:
         self._store.remove(job_id)
         self._board.forget(job_id)
         self._noted.discard(job_id)
         self._logger.info('job_removed', job_id=job_id)
-        return None
 
     def _pass_on(
         self,
         job_id: str,
         owner: str,
         unlisted: tuple[ItemListing, ...],
-    ) -> Pages:
+    ) -> None:
         self._store.append(job_id, unlisted)
         progress = self._store.note(job_id, JobProgress(owner=owner))
         self._board.noted(job_id, progress)
         self._logger.info('job_passed_on', job_id=job_id, owner=owner)
-        return None
--- a/guavadyke/controllers/server_pool.py
+++ b/guavadyke/controllers/server_pool.py
@@ -227,20 +227,20 @@
         servers = frozenset(self._list.current(self._clock.monotonic()))
         if servers == self._known:
             return
-        for server in servers - self._known:
+        for appeared in servers - self._known:
             self._logger.info(
                 'backend_server_listed',
-                backend_server=server.server_id,
-                service=server.service,
-                address=server.address,
-                leaving=server.leaving,
+                backend_server=appeared.server_id,
+                service=appeared.service,
+                address=appeared.address,
+                leaving=appeared.leaving,
             )
         ids = {server.server_id for server in servers}
-        for server in self._known:
-            if server.server_id not in ids:
+        for known in self._known:
+            if known.server_id not in ids:
                 self._logger.info(
                     'backend_server_gone',
-                    backend_server=server.server_id,
+                    backend_server=known.server_id,
                 )
         self._known = servers
         self._by_service = by_service(servers)
--- a/guavadyke/platform/settings_file.py
+++ b/guavadyke/platform/settings_file.py
@@ -16,7 +16,6 @@
     ListenSettings,
     PeerSettings,
     PlatformSettings,
-    Secret,
     StopSettings,
     findings_of,
 )
@@ -100,18 +99,15 @@
             region=found.values.get('Region') or 'default',
             caller=_caller(found),
             readiness=_listen(found, 'Listen.ReadyAddr'),
-            peer=PeerSettings(
-                listen=ListenSettings.model_validate({
-                    'ip': found.text('Ip'),
-                    'port': peer_port,
-                }),
-                fleet_key=Secret(environment=FLEET_KEY_VARIABLE),
+            peer=PeerSettings.model_validate({
+                'listen': {'ip': found.text('Ip'), 'port': peer_port},
+                'fleet_key': {'environment': FLEET_KEY_VARIABLE},
                 # Seeds name another port of the same hosts.
-                seeds=tuple(
+                'seeds': [
                     f'{seed.rpartition(":")[0]}:{peer_port}'
                     for seed in found.addresses('Seeds')
-                ),
-            ),
+                ],
+            }),
             platform=PlatformSettings(
                 url=f'http://{found.text("Provider.Address")}',
                 call_timeout_s=_CALL_TIMEOUT_S,
