Share batch slots evenly over the hosts that have items waiting

Change: what online requests and a reserve leave of a server is divided over the hosts that want it, the rest by rank; what gives way is rounded so that it adds up; a server that refused an item is left alone for 0.4 s. The load test plays 20 hosts that start before they hear of each other; its inputs are new, so it was not run on the earlier rule.

--- a/features/builders_forward.py
+++ b/features/builders_forward.py
@@ -29,6 +29,8 @@
 )
 from guavadyke.decisions.jobrecords import AcceptedJob, ForwardItem
 from guavadyke.decisions.serverlist import ListedServer
+from guavadyke.decisions.slot import HostPlace
+from guavadyke.decisions.spreading import SpreadTable
 from guavadyke.filters.forward_attempt import ForwardRequest, ForwardTools
 from guavadyke.filters.watch import CallerWatch
 from guavadyke.log import EventLogger
@@ -88,13 +90,18 @@
     return StoredObject('servers', one.server_id, version, server_body(one))
 
 
+def spread_table(host_id: str, seed: int) -> SpreadTable:
+    """Return the table of a host in the own zone."""
+    return SpreadTable(HostPlace(host_id, ZONE), random.Random(seed))
+
+
 def pool(
     servers: tuple[ListedServer, ...],
     clock: StillClock | None = None,
 ) -> ServerPool:
     """Return a pool that knows these servers."""
     made = ServerPool(
-        ZONE,
+        HostPlace('host-1', ZONE),
         decode_server,
         clock or StillClock(),
         random.Random(3),
--- a/features/forward_decisions.feature
+++ b/features/forward_decisions.feature
@@ -65,6 +65,21 @@
     And another host tells of 5 online requests at s1
     Then 3 items at s1 and none at s2 are to give way
 
+  Scenario: hosts with many items share the servers without taking any back
+    When 20 hosts with 10 items each start what they may on 5 servers
+    Then each server has 6 of them
+    And no host is to give way
+
+  Scenario: what has to give way is divided over the hosts to the item
+    When 20 hosts with 10 items each start what they may on 5 servers
+    And 5 online requests come to each server
+    Then 3 of the items at each server are to give way, in all
+
+  Scenario: a server that refused an item is left alone for a moment
+    Given a server s1 in the own zone with 0 requests and s2 elsewhere with none
+    When s1 refuses an item
+    Then an item goes to s2 at once and to either a second later
+
   Scenario: a job goes to the host that has the fewest
     Given open jobs of which h1 has 2, h2 has 1 and h3 has none
     Then a new job is given to h3
--- a/features/steps/forward_decisions_steps.py
+++ b/features/steps/forward_decisions_steps.py
@@ -5,7 +5,6 @@
 import collections
 import dataclasses
 import itertools
-import random
 import types
 
 from behave import given, then, when
@@ -29,7 +28,7 @@
 )
 from guavadyke.decisions.jobwork import JobWork
 from guavadyke.decisions.serverlist import ServerList
-from guavadyke.decisions.spreading import SpreadTable
+from guavadyke.decisions.spreading import ANY_SERVER
 
 _PREFIXES = ('/', '/reply/', '/reply/urgent/')
 _REQUESTS = 2000
@@ -158,7 +157,7 @@
 def step_place(context: Context, hosts: int, count: int, servers: int) -> None:
     listed = [build.server(f's{number}') for number in range(servers)]
     tables = {
-        f'h{number}': SpreadTable(build.ZONE, random.Random(number))
+        f'h{number}': build.spread_table(f'h{number}', number)
         for number in range(hosts)
     }
     context.placed = collections.Counter()
@@ -196,7 +195,7 @@
         build.server('s1'),
         build.server('s2', zone=build.OTHER_ZONE),
     ]
-    context.spread = SpreadTable(build.ZONE, random.Random(2))
+    context.spread = build.spread_table('h1', 2)
     context.spread.own_online['s1'] = count
 
 
@@ -242,6 +241,88 @@
     assert not context.spread.surplus(second, build.NOW)
 
 
+@when(
+    '{hosts:d} hosts with {items:d} items each start what they may '
+    'on {servers:d} servers',
+)
+def step_many_batch(
+    context: Context,
+    hosts: int,
+    items: int,
+    servers: int,
+) -> None:
+    context.listed = [build.server(f's{number}') for number in range(servers)]
+    context.tables = {
+        f'h{number}': build.spread_table(f'h{number}', number)
+        for number in range(hosts)
+    }
+    _tell_all(context, {ANY_SERVER: items})
+    # Every host starts before it hears what the others have started.
+    for table in context.tables.values():
+        for _ in range(items):
+            chosen = table.choose_batch(
+                context.listed,
+                frozenset(),
+                build.NOW,
+            )
+            if chosen is not None:
+                table.own_batch[chosen.server_id] += 1
+    _tell_all(context, {})
+
+
+@when('{count:d} online requests come to each server')
+def step_online_come(context: Context, count: int) -> None:
+    for table, one in itertools.product(
+        context.tables.values(),
+        context.listed,
+    ):
+        table.online_elsewhere.note('front', one.server_id, count, build.NOW)
+
+
+@when('s1 refuses an item')
+def step_refuses(context: Context) -> None:
+    context.spread.refused('s1', build.NOW)
+
+
+@then('each server has {count:d} of them')
+def step_each_has(context: Context, count: int) -> None:
+    held = _batch_totals(context)
+    assert set(held.values()) == {count}, held
+
+
+@then('no host is to give way')
+def step_no_surplus(context: Context) -> None:
+    assert not any(_surplus(context).values())
+
+
+@then('{count:d} of the items at each server are to give way, in all')
+def step_surplus(context: Context, count: int) -> None:
+    owed = _surplus(context)
+    assert set(owed.values()) == {count}, owed
+
+
+@then('an item goes to s2 at once and to either a second later')
+def step_left_alone(context: Context) -> None:
+    at_once = {
+        context.spread.choose_batch(
+            context.listed,
+            frozenset(),
+            build.NOW,
+        ).server_id
+        for _ in range(10)
+    }
+    later = {
+        context.spread.choose_batch(
+            context.listed,
+            frozenset(),
+            build.NOW + 1,
+        ).server_id
+        for _ in range(20)
+    }
+    assert at_once == {'s2'}
+    assert later == {'s1', 's2'}
+
+
 @given('open jobs of which h1 has {first:d}, h2 has {second:d} and h3 has none')
 def step_jobs(context: Context, first: int, second: int) -> None:
     owners = itertools.chain(
@@ -347,6 +428,30 @@
     assert not list(context.work.startable(context.now + 10))
 
 
+def _tell_all(context: Context, counts: dict[str, int]) -> None:
+    """Let all hosts tell each other what they have."""
+    pairs = itertools.permutations(context.tables.items(), 2)
+    for (_me, table), (other_id, other) in pairs:
+        for name, count in {**other.own_batch, **counts}.items():
+            table.batch_elsewhere.note(other_id, name, count, build.NOW)
+
+
+def _batch_totals(context: Context) -> collections.Counter[str]:
+    return sum(
+        (table.own_batch for table in context.tables.values()),
+        collections.Counter(),
+    )
+
+
+def _surplus(context: Context) -> dict[str, int]:
+    return {
+        one.server_id: sum(
+            table.surplus(one, build.NOW) for table in context.tables.values()
+        )
+        for one in context.listed
+    }
+
+
 def _services(route: ForwardRoute) -> list[str]:
     return [
         route.service_of(f'request-{number}') for number in range(_REQUESTS)
--- a/guavadyke/controllers/server_pool.py
+++ b/guavadyke/controllers/server_pool.py
@@ -18,7 +18,12 @@
 )
 from guavadyke.controllers.mirror import MirrorSink
 from guavadyke.decisions.serverlist import ListedServer, ServerList
-from guavadyke.decisions.spreading import SpreadTable, by_service
+from guavadyke.decisions.slot import HostPlace
+from guavadyke.decisions.spreading import (
+    ANY_SERVER,
+    SpreadTable,
+    by_service,
+)
 from guavadyke.log import EventLogger
 
 _UNREACHABLE = frozenset((BackendFault.not_reached, BackendFault.silent))
@@ -44,7 +49,7 @@
     Safe for threads.
 
     Args:
-        zone: availability zone of this host.
+        here: this host.
         decode: reads a server's entry; None for one that names no server.
         clock: gives the time.
         rng: breaks ties.
@@ -53,7 +58,7 @@
 
     def __init__(
         self,
-        zone: str,
+        here: HostPlace,
         decode: ServerDecoder,
         clock: Clock,
         rng: random.Random,
@@ -64,7 +69,8 @@
         self._logger = logger
         self._lock = threading.Lock()
         self._list = ServerList()
-        self._table = SpreadTable(zone, rng)
+        self._wanted = 0
+        self._table = SpreadTable(here, rng)
         self._by_service: Mapping[str, tuple[ListedServer, ...]] = {}
         self._known: frozenset[ListedServer] = frozenset()
 
@@ -154,11 +160,17 @@
                 held.pop(server_id)
             health = self._table.health(lease.server)
             now = self._clock.monotonic()
+            if lease.batch and fault is BackendFault.refused:
+                self._table.refused(server_id, now)
             if fault is None:
                 health.succeeded(now)
             elif fault is not BackendFault.refused:
                 health.failed(now, unreachable=fault in _UNREACHABLE)
 
+    def want(self, items: int) -> None:
+        """Note how many items of this host wait for a place."""
+        self._wanted = items
+
     def queue_ahead(self, lease: ServerLease) -> int:
         """Return the online requests that wait before one at its server."""
         with self._lock:
@@ -194,7 +206,7 @@
                     for name, held in self._table.own_online.items()
                 ),
                 batch_counts=tuple(
-                    starmap(BatchCount, self._table.own_batch.items())
+                    starmap(BatchCount, self._batch_counts().items()),
                 ),
             )
 
@@ -217,6 +229,10 @@
                     now,
                 )
 
+    def _batch_counts(self) -> dict[str, int]:
+        held = dict(self._table.own_batch)
+        return {**held, ANY_SERVER: self._wanted} if self._wanted else held
+
     def _servers(self, service: str, now: float) -> tuple[ListedServer, ...]:
         due = self._list.due()
         if due is not None and due <= now:
--- a/guavadyke/decisions/counts.py
+++ b/guavadyke/decisions/counts.py
@@ -50,6 +50,14 @@
             if now - noticed.at <= _NOTICE_KEPT_S
         )
 
+    def by_host(self, backend_id: str, now: float) -> dict[str, int]:
+        """Return what each host has lately told, hosts without any left out."""
+        return {
+            host_id: noticed.count
+            for host_id, noticed in self._noticed.get(backend_id, {}).items()
+            if noticed.count and now - noticed.at <= _NOTICE_KEPT_S
+        }
+
     def total_at(self, backend_id: str, at: float) -> int:
         """Return what the sum was at an earlier time."""
         totals = self._totals.get(backend_id, ())
--- a/guavadyke/decisions/spreading.py
+++ b/guavadyke/decisions/spreading.py
@@ -13,14 +13,19 @@
 
 from guavadyke.decisions.counts import CountsByHost
 from guavadyke.decisions.health import ServerHealth
-from guavadyke.decisions.ranking import rank_names
+from guavadyke.decisions.ranking import place, rank_names
 from guavadyke.decisions.serverlist import ListedServer
+from guavadyke.decisions.slot import HostPlace
 
 # Load that a server of another availability zone has to be below a near one
 # to be chosen, as a share of its slots: about one request.
 _ZONE_PENALTY = 0.13
 # Slots of each server that batch leaves for online requests to come.
 _ONLINE_RESERVE = 2
+# Stands for all servers in counts of the items that wait for any of them.
+ANY_SERVER = '*'
+# Seconds for which a server that refused an item gets no other one.
+_REFUSED_PAUSE_S = 0.4
 # Requests that wait at a server beyond its slots before it counts as full,
 # as a share of its slots.
 _QUEUE_SHARE = 1.0
@@ -45,13 +50,14 @@
     Not safe for threads: its owner holds a lock.
 
     Args:
-        zone: availability zone of this host.
+        here: this host.
         rng: breaks ties and spreads probes.
     """
 
-    def __init__(self, zone: str, rng: random.Random) -> None:
-        self._zone = zone
+    def __init__(self, here: HostPlace, rng: random.Random) -> None:
+        self._here = here
         self._rng = rng
+        self._paused: dict[str, float] = {}
         self.own_online: collections.Counter[str] = collections.Counter()
         self.own_batch: collections.Counter[str] = collections.Counter()
         self.online_elsewhere = CountsByHost()
@@ -118,11 +124,28 @@
         online = self.load(server.server_id, now).online
         return online >= server.slots * (1 + _QUEUE_SHARE)
 
+    def refused(self, server_id: str, now: float) -> None:
+        """Leave a server that refused an item alone for a moment."""
+        self._paused[server_id] = now + _REFUSED_PAUSE_S
+
     def batch_room(self, server: ListedServer, now: float) -> int:
-        """Return how many more items may start; negative where to yield."""
+        """Return how many more items this host may start at a server.
+
+        What online requests and a reserve leave is shared evenly by the
+        hosts that have items waiting; the rest goes to those that rank
+        first for the server. All hosts come to the same shares, so that
+        none of them has to take an item back when the others have started.
+        """
         load = self.load(server.server_id, now)
         reserve = min(_ONLINE_RESERVE, server.slots - 1)
-        return server.slots - reserve - load.total
+        free = server.slots - reserve - load.total
+        wanting = self._wanting(now)
+        held = self._batch_by_host(server.server_id, now)
+        shared = free + sum(held.get(host, 0) for host in wanting)
+        even, rest = divmod(max(0, shared), len(wanting))
+        me = self._here.host_id
+        share = even + (place(server.server_id, me, wanting) < rest)
+        return min(free, share - held.get(me, 0))
 
     def choose_batch(
         self,
@@ -135,6 +158,7 @@
             server: self.batch_room(server, now)
             for server in self._in_service(servers, now)
             if server.server_id not in excluded
+            and self._paused.get(server.server_id, 0) <= now
         }
         best = max(rooms.values(), default=0)
         if best <= 0:
@@ -146,19 +170,36 @@
     def surplus(self, server: ListedServer, now: float) -> int:
         """Return how many items of this host are to give way at a server.
 
-        All hosts with items there give way in proportion to what they have.
+        The items beyond the slots are divided over the hosts in proportion
+        to what they have, and rounded so that just these give way.
         """
         load = self.load(server.server_id, now)
+        over = min(load.total - server.slots, load.batch)
         own = self.own_batch[server.server_id]
-        over = load.total - server.slots
         if over <= 0 or not own:
             return 0
-        return min(own, -(-over * own // load.batch))
+        held = self._batch_by_host(server.server_id, now)
+        ranked = rank_names(server.server_id, held)
+        before = sum(
+            held[host] for host in ranked[: ranked.index(self._here.host_id)]
+        )
+        batch = sum(held.values())
+        return over * (before + own) // batch - over * before // batch
+
+    def _wanting(self, now: float) -> frozenset[str]:
+        """Return the hosts that have items waiting, and this one."""
+        others = self.batch_elsewhere.by_host(ANY_SERVER, now)
+        return frozenset((self._here.host_id, *others))
+
+    def _batch_by_host(self, server_id: str, now: float) -> dict[str, int]:
+        held = self.batch_elsewhere.by_host(server_id, now)
+        own = self.own_batch[server_id]
+        return {**held, self._here.host_id: own} if own else held
 
     def _score(self, server: ListedServer, now: float) -> float:
         load = self.load(server.server_id, now)
         held = load.online + load.batch / 2
-        penalty = 0 if server.zone == self._zone else _ZONE_PENALTY
+        penalty = 0 if server.zone == self._here.zone else _ZONE_PENALTY
         return round(held / server.slots, 2) + penalty
 
     def _in_service(
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -36,6 +36,7 @@
 from guavadyke.controllers.route_view import RouteView
 from guavadyke.controllers.server_pool import ServerDecoder, ServerPool
 from guavadyke.decisions.forwarding import RouteTable
+from guavadyke.decisions.slot import HostPlace
 from guavadyke.filters.forward_attempt import ForwardTools
 from guavadyke.filters.watch import CallerWatch
 from guavadyke.forward_objects import JOB_KIND, PROGRESS_KIND
@@ -99,7 +100,7 @@
         )
         self._store = SettledStore(self._budgeted, self.clock, self._child())
         self.pool = ServerPool(
-            settings.zone,
+            HostPlace(settings.host_id, settings.zone),
             ports.decode_server,
             self.clock,
             self._child(),
