Empty a host on request, answer a server's failure by another server, wake idle hosts less

Retirement: a worker that is asked to hands its jobs over and says so; for a host that is gone one live host says so. A repeatable request whose server answers 5xx goes to another server while its route allows one. Deadlines count the time in which a machine is suspended. Idle hosts tick twice a second in place of twenty times.

--- a/features/builders_users_platform.py
+++ b/features/builders_users_platform.py
@@ -31,6 +31,7 @@
 JOB_PREFIX = '/pule252/'
 _KIND_PATH = re.compile(r'/api/objects/([^/]+)')
 _NAME_PATH = re.compile(r'/api/objects/([^/]+)/([^/]+)')
+_STATUS_PATH = re.compile(r'/api/objects/([^/]+)/([^/]+)/status')
 _FROM_MS = 0.001
 
 
@@ -96,6 +97,7 @@
     def __init__(self) -> None:
         self.table = ObjectTable()
         self.calls: Counter[str] = Counter()
+        self.statuses: dict[tuple[str, str], object] = {}
         # Statuses to answer before anything is done, the next one first.
         self.refusals: list[int] = []
         # Writes that take effect and whose answers are lost.
@@ -181,6 +183,10 @@
             version = int(request.query.get('Rev', 0)) or None
             return self._change(named[1], named[2], None, version)
         document = json.loads(request.body)
+        status = _STATUS_PATH.fullmatch(request.path)
+        if status is not None:
+            self.statuses[status[1], status[2]] = document['Status']
+            return json_answer({'Metadata': {'Name': status[2], 'Rev': 1}})
         body = json.dumps(document['Spec']).encode()
         if request.method == 'POST':
             kind = _KIND_PATH.fullmatch(request.path)[1]
--- a/features/forward_requests.feature
+++ b/features/forward_requests.feature
@@ -82,6 +82,24 @@
     When a request is forwarded
     Then the caller gets that answer
 
+  Scenario Outline: a failure of one server is answered by another on <kind>
+    Given a <kind> route and two servers
+    And the first server answers 500 with a signature
+    When a request is forwarded
+    Then it ends with an answer after 2 attempts
+
+    Examples:
+      | kind             |
+      | idempotent       |
+      | resumable stream |
+
+  Scenario: a failure of the last server allowed is passed on unchanged
+    Given a resumable stream route and three servers
+    And the first attempt ends as broken
+    And the first server answers 500 with a signature
+    When a request is forwarded
+    Then the caller gets that answer
+
   Scenario: a caller that leaves in mid-stream frees the server
     Given a streamed route and two servers
     When a request is forwarded and its caller leaves after 2 events
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -86,6 +86,10 @@
     Given the users' store
     Then a watch brings changes and removals with their versions
 
+  Scenario: a machine that is to be emptied is taken for a host that retires
+    Given the users' store
+    Then a retirement is read, and its end is written as the users expect
+
   Scenario: names of the wire stay in the adapter
     Then no other module of the product names the wire
     And no lower layer imports the adapter
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -13,6 +13,7 @@
 
 from features import builders_users_platform as users
 from guavadyke.adapters.ports import BackendCall, StoredObject
+from guavadyke.controllers.retirement import RetirementRequest
 from guavadyke.decisions.forwarding import RouteKind
 from guavadyke.errors import (
     GuavadykeError,
@@ -23,6 +24,10 @@
 from guavadyke.log import EventLogger
 from guavadyke.platform.configuration import ConfigurationDecoder
 from guavadyke.platform.engines import EngineDecoder, EngineDialect
+from guavadyke.platform.retirements import (
+    RetirementDecoder,
+    RetirementStatus,
+)
 from guavadyke.platform.settings_file import host_settings, read_settings_file
 from guavadyke.platform.store import ObjectStore
 from guavadyke.settings import PlatformSettings
@@ -317,6 +322,18 @@
     assert not store.watch('own', answer.revision, 0.05).events
 
 
+@then('a retirement is read, and its end is written as the users expect')
+def step_retirement(context: Context) -> None:
+    context.users_store.put('retirements', 'store-1', {'DurationS': 10})
+    decode = RetirementDecoder(EventLogger())
+    asked = decode(context.store.read('retirements', 'store-1'))
+    assert asked == RetirementRequest('store-1', 10)
+    assert decode(StoredObject('retirements', 'x', 1, b'[]')) is None
+    RetirementStatus(context.store)('store-1')
+    written = context.users_store.statuses['retirements', 'store-1']
+    assert written == {'State': 'completed'}
+
+
 @then('no other module of the product names the wire')
 def step_wire_names(_context: Context) -> None:
     found = [
--- a/guavadyke/adapters/clock.py
+++ b/guavadyke/adapters/clock.py
@@ -17,3 +17,15 @@
     def sleep(self, seconds: float) -> None:
         """Block the calling thread."""
         time.sleep(seconds)
+
+
+class SuspendAwareClock(SystemClock):
+    """Time of this machine that goes on while the machine is suspended.
+
+    A host that wakes then sees at once that deadlines are over and that
+    what it knows is old.
+    """
+
+    def monotonic(self) -> float:
+        """Return seconds since the machine's start, suspension included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/guavadyke/controllers/forward_runner.py
+++ b/guavadyke/controllers/forward_runner.py
@@ -33,13 +33,16 @@
 
 # Seconds between looks at servers that have room and at items to go on.
 _TICK_S = 0.05
+# Seconds between looks of a host without jobs, which is told of new ones.
+_IDLE_TICK_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
 class RunnerParts:
     """What the controller works with.
 
-    ``connected`` tells whether this host reaches the platform.
+    ``connected`` tells whether this host reaches the platform; ``busy``
+    gets whether this host has jobs.
     """
 
     settings: ForwardHostSettings
@@ -50,6 +53,7 @@
     table: SnapshotCell[RouteTable]
     fleet: SnapshotCell[FleetSnapshot]
     connected: Callable[[], bool]
+    busy: SnapshotCell[bool]
     clock: Clock
     logger: EventLogger
 
@@ -129,6 +133,7 @@
         now = self._parts.clock.monotonic()
         views = self._parts.board.views()
         self._take_views(views)
+        self._parts.busy.publish(bool(self._works))
         self._give_way()
         self._judge_overdue(now)
         if not self._stopping:
@@ -311,10 +316,16 @@
 
     Args:
         tell: sends the runner a message.
+        busy: whether the runner has jobs.
     """
 
-    def __init__(self, tell: Callable[[object], None]) -> None:
+    def __init__(
+        self,
+        tell: Callable[[object], None],
+        busy: SnapshotCell[bool],
+    ) -> None:
         self._tell = tell
+        self._busy = busy
         self._stopped = threading.Event()
         self._changed = threading.Event()
         self._thread = threading.Thread(
@@ -338,7 +349,8 @@
 
     def _run(self) -> None:
         while not self._stopped.is_set():
-            self._changed.wait(_TICK_S)
+            busy = self._busy.current
+            self._changed.wait(_TICK_S if busy else _IDLE_TICK_S)
             self._changed.clear()
             self._tell(Tick())
 
--- a/guavadyke/decisions/attempting.py
+++ b/guavadyke/decisions/attempting.py
@@ -56,12 +56,16 @@
         """Whether another attempt is allowed."""
         if self.refusals > _MOST_REFUSALS:
             return False
-        if not self.possible_runs:
-            return True
-        return (
-            self.route.repeatable
-            and self.possible_runs < self.route.max_attempts
-        )
+        return not self.possible_runs or self._allows(self.possible_runs)
+
+    @property
+    def may_repeat_run(self) -> bool:
+        """Whether another server may run what one is running now."""
+        return self._allows(self.possible_runs + 1)
+
+    def _allows(self, runs: int) -> bool:
+        """Whether another run is allowed after so many."""
+        return self.route.repeatable and runs < self.route.max_attempts
 
     def final_code(self, wanted: ErrorCode | None = None) -> ErrorCode:
         """Return the code for a request that is given up.
--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -25,6 +25,7 @@
 # Least time that an attempt is worth, in seconds: some exchanges in a zone.
 _LEAST_ATTEMPT_S = 0.02
 _OK = 200
+_FIRST_FAILURE = 500
 _FRAMING_HEADERS = frozenset((
     'connection',
     'content-length',
@@ -80,7 +81,9 @@
         while True:
             attempt = self._begin()
             try:
-                return _whole_answer(attempt.send(), attempt)
+                answer = attempt.send()
+                self._check_failure(answer)
+                return _whole_answer(answer, attempt)
             except BackendServerError as error:
                 self._after(attempt, error)
             finally:
@@ -118,6 +121,7 @@
 
     def _relayed(self, attempt: Attempt) -> Generator[Answer | bytes]:
         answer = attempt.send(self._splitter.last_id)
+        self._check_failure(answer)
         if answer.status != _OK and not self._started:
             yield _whole_answer(answer, attempt)
             return
@@ -128,6 +132,20 @@
         yield from self._head_once(answer)
         attempt.done()
 
+    def _check_failure(self, answer: BackendAnswer) -> None:
+        """Refuse a server's failure where another server may still answer.
+
+        Raises:
+            BackendServerError: another attempt is allowed.
+        """
+        if answer.status >= _FIRST_FAILURE and self._record.may_repeat_run:
+            answer.cancel()
+            raise BackendServerError(
+                BackendFault.broken,
+                f'the server failed with status {answer.status}',
+                not_run=False,
+            )
+
     def _head_once(self, answer: BackendAnswer) -> Generator[Answer]:
         """Yield the head of the first server that began to answer."""
         if not self._started:
--- a/guavadyke/filters/watch.py
+++ b/guavadyke/filters/watch.py
@@ -26,6 +26,7 @@
         self._watched: dict[int, _Watched] = {}
         self._numbers = itertools.count()
         self._stopped = threading.Event()
+        self._any = threading.Event()
         self._thread = threading.Thread(
             target=self._run,
             name='caller-watch',
@@ -39,6 +40,7 @@
     def close(self) -> None:
         """Stop watching."""
         self._stopped.set()
+        self._any.set()
 
     @contextmanager
     def over(
@@ -49,6 +51,7 @@
         """Watch over a call within the block."""
         number = next(self._numbers)
         self._watched[number] = _Watched(abandoned, cancellation)
+        self._any.set()
         try:
             yield
         finally:
@@ -56,9 +59,17 @@
 
     def _run(self) -> None:
         while not self._stopped.wait(_INTERVAL_S):
+            if not self._watched:
+                self._wait_for_one()
             for watched in tuple(self._watched.values()):
                 _cancel_abandoned(watched)
 
+    def _wait_for_one(self) -> None:
+        """Wait until a call is watched over, or the watch ends."""
+        self._any.clear()
+        if not self._watched and not self._stopped.is_set():
+            self._any.wait()
+
 
 def _cancel_abandoned(watched: _Watched) -> None:
     if not watched.cancellation.cancelled and watched.abandoned():
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from guavadyke.adapters.budget import BudgetedStore
-from guavadyke.adapters.clock import SystemClock
+from guavadyke.adapters.clock import SuspendAwareClock
 from guavadyke.adapters.peer_port import PeerPort
 from guavadyke.adapters.ports import (
     BackendServers,
@@ -33,6 +33,11 @@
     MirrorSettings,
     MirrorSink,
 )
+from guavadyke.controllers.retirement import (
+    RetirementParts,
+    RetirementRequest,
+    Retirements,
+)
 from guavadyke.controllers.route_view import RouteView
 from guavadyke.controllers.server_pool import ServerDecoder, ServerPool
 from guavadyke.decisions.forwarding import RouteTable
@@ -54,9 +59,10 @@
 class ForwardPorts:
     """How a host meets its platform and backend servers.
 
-    ``table_kind`` and ``server_kind`` name the kinds of objects that hold
-    the routes and the backend servers; the decoders return None for
-    objects that hold neither, after saying so in the log.
+    ``table_kind``, ``server_kind`` and ``retirement_kind`` name the kinds
+    of objects that hold the routes, the backend servers and the requests to
+    empty a host; the decoders return None for objects that hold none,
+    after saying so in the log.
     """
 
     store: PlatformStore
@@ -65,6 +71,9 @@
     server_kind: str
     decode_table: Callable[[StoredObject], RouteTable | None]
     decode_server: ServerDecoder
+    retirement_kind: str
+    decode_retirement: Callable[[StoredObject], RetirementRequest | None]
+    complete_retirement: Callable[[str], None]
 
 
 class ForwardHost:
@@ -86,7 +95,7 @@
         logger: EventLogger,
     ) -> None:
         self.settings = settings
-        self.clock: Clock = SystemClock()
+        self.clock: Clock = SuspendAwareClock()
         self.logger = logger
         self.metrics = OnlineMetrics()
         self.fleet = SnapshotCell(FleetSnapshot())
@@ -128,8 +137,20 @@
                 logger,
             ),
         )
+        self._retirements = Retirements(
+            RetirementParts(
+                settings.host_id,
+                ports.decode_retirement,
+                self.hand_over,
+                ports.complete_retirement,
+                self.fleet,
+                self.clock,
+                logger,
+            ),
+        )
         self._mirrors = self._made_mirrors(ports)
         self._membership = self._made_membership()
+        busy = SnapshotCell(first=False)
         self._runner = JobRunner.start(
             RunnerParts(
                 settings,
@@ -140,11 +161,12 @@
                 self.table,
                 self.fleet,
                 self.connected,
+                busy,
                 self.clock,
                 logger,
             ),
         )
-        self._ticker = RunnerTicker(self._runner.tell)
+        self._ticker = RunnerTicker(self._runner.tell, busy)
 
     @property
     def ready(self) -> bool:
@@ -153,6 +175,11 @@
             mirror.listed for mirror in self._mirrors
         )
 
+    @property
+    def _retires(self) -> bool:
+        """Whether hosts of this kind are emptied on request."""
+        return self.settings.caller is None
+
     def connected(self) -> bool:
         """Return whether the platform answered when it was last asked."""
         return not any(mirror.failing for mirror in self._mirrors)
@@ -165,6 +192,8 @@
             mirror.start()
         self._exchange.start()
         self._ticker.start()
+        if self._retires:
+            self._retirements.start()
         self.logger.info(
             'host_started',
             caller=self.settings.caller is not None,
@@ -185,6 +214,7 @@
     def close(self) -> None:
         """End every part."""
         self._ticker.close()
+        self._retirements.close()
         self._exchange.close()
         for mirror in self._mirrors:
             mirror.close()
@@ -194,7 +224,13 @@
 
     def _made_mirrors(self, ports: ForwardPorts) -> tuple[Mirror, ...]:
         routes = RouteView(ports.decode_table, self.table, self.logger)
+        retirements = self._mirror(
+            ports.retirement_kind,
+            self._budgeted,
+            self._retirements,
+        )
         return (
+            *((retirements,) if self._retires else ()),
             self._mirror(ports.table_kind, self._budgeted, routes),
             self._mirror(ports.server_kind, self._budgeted, self.pool),
             self._mirror(JOB_KIND, self._store, self.board.jobs),
--- a/guavadyke/platform/daemon.py
+++ b/guavadyke/platform/daemon.py
@@ -28,6 +28,11 @@
     EngineDecoder,
     EngineDialect,
 )
+from guavadyke.platform.retirements import (
+    RETIREMENT_KIND,
+    RetirementDecoder,
+    RetirementStatus,
+)
 from guavadyke.platform.settings_file import host_settings, read_settings_file
 from guavadyke.platform.store import ObjectStore
 from guavadyke.settings import ForwardHostSettings
@@ -55,10 +60,11 @@
     def __init__(self, settings: ForwardHostSettings) -> None:
         self._settings = settings
         self._logger = EventLogger(host=settings.host_id, zone=settings.zone)
+        store = ObjectStore(settings.platform, settings.host_id)
         self._host = ForwardHost(
             settings,
             ForwardPorts(
-                store=ObjectStore(settings.platform, settings.host_id),
+                store=store,
                 servers=HttpBackendServers(
                     settings.forward.idle_connection_s,
                     EngineDialect(),
@@ -67,6 +73,9 @@
                 server_kind=ENGINE_KIND,
                 decode_table=ConfigurationDecoder(self._logger),
                 decode_server=EngineDecoder(self._logger),
+                retirement_kind=RETIREMENT_KIND,
+                decode_retirement=RetirementDecoder(self._logger),
+                complete_retirement=RetirementStatus(store),
             ),
             self._logger,
         )
--- a/guavadyke/reference.py
+++ b/guavadyke/reference.py
@@ -23,7 +23,7 @@
     PolicyEntry,
     ServiceEntry,
 )
-from guavadyke.settings import EntrySettings
+from guavadyke.settings import EntrySettings, ForwardHostSettings
 
 _HEAD = """# Settings
 
@@ -35,6 +35,11 @@
 is one. An unknown key is a finding. Durations are in seconds (`_s`), sizes
 in bytes (`_bytes`).
 """
+_FORWARD_HEAD = """# Hosts that forward requests
+
+A host on a platform that has its own settings file gets these from the
+platform's adapter; see [the design note](design/platform.md).
+"""
 _CATALOGUE_HEAD = """# Catalogue objects
 
 These are edited with `guavadyke catalogue put NAME --file FILE` and checked
@@ -58,7 +63,13 @@
     """Return the page in Markdown."""
     return '\n'.join(
         itertools.chain(
-            (_HEAD, _table(EntrySettings), _CATALOGUE_HEAD),
+            (
+                _HEAD,
+                _table(EntrySettings),
+                _FORWARD_HEAD,
+                _table(ForwardHostSettings),
+                _CATALOGUE_HEAD,
+            ),
             itertools.chain.from_iterable(
                 (f'## {kind}\n', f'{_first_line(model)}\n', _table(model))
                 for kind, model in _CATALOGUE_MODELS.items()
