Reach the platform through peers, leave silent servers sooner, end within the grace period

Change: the product's fallback through peers, retried each second; 0.1 s to connect; a request that may be repeated leaves a server without a known queue after half its objective, without ejecting it; the process ends once everything has been said.

--- a/features/builders_forward.py
+++ b/features/builders_forward.py
@@ -42,6 +42,7 @@
 ZONE = 'south-a'
 OTHER_ZONE = 'south-b'
 DEADLINE_S = 5.0
+OBJECTIVE_S = 0.3
 EVENTS = 6
 NOW = 100.0
 
@@ -127,6 +128,7 @@
         kind=kind,
         timeout_s=DEADLINE_S,
         shares=(ServiceShare(SERVICE, 1),),
+        target_latency_s=OBJECTIVE_S,
         max_attempts=max_attempts,
         resumable=resumable,
         waiting_tokens=waiting_tokens,
--- a/features/forward_requests.feature
+++ b/features/forward_requests.feature
@@ -118,6 +118,26 @@
     When a request is forwarded
     Then it ends with no_backend_server after 0 attempts
 
+  Scenario Outline: a <kind> request waits for its first event as long as is useful
+    Given a <kind> route and two servers
+    And the first attempt ends as <fault>
+    When a request is forwarded
+    Then its attempts waited for <waits> seconds
+
+    Examples:
+      | kind             | fault              | waits      |
+      | resumable stream | broken             | 0.15 and 5 |
+      | resumable stream | refused with proof | 0.15 and 0.15 |
+      | streamed         | refused with proof | 5 and 5    |
+      | non_idempotent   | refused with proof | 5 and 5    |
+
+  Scenario: a server that is slow once is not left out
+    Given a resumable stream route and two servers
+    And the first attempt ends as silent
+    When a request is forwarded
+    And 20 requests are forwarded
+    Then both servers got some of them
+
   Scenario: a request is sent to the incarnation that was chosen, with the time left
     Given a streamed route and two servers
     When a request is forwarded
--- a/features/steps/forward_requests_steps.py
+++ b/features/steps/forward_requests_steps.py
@@ -164,6 +164,18 @@
     assert {call.server_id for call in context.servers.calls} == {'s2'}
 
 
+@then('its attempts waited for {waits} seconds')
+def step_waits(context: Context, waits: str) -> None:
+    told = [call.first_byte_timeout_s for call in context.servers.calls]
+    assert told == [float(one) for one in waits.split(' and ')], told
+
+
+@then('both servers got some of them')
+def step_both_servers(context: Context) -> None:
+    later = context.servers.calls[2:]
+    assert {call.server_id for call in later} == {'s1', 's2'}
+
+
 @then('the call names the server, the path as it came and the time left')
 def step_call(context: Context) -> None:
     call = context.servers.calls[0]
--- a/guavadyke/controllers/server_pool.py
+++ b/guavadyke/controllers/server_pool.py
@@ -172,12 +172,12 @@
         self._wanted = items
 
     def queue_ahead(self, lease: ServerLease) -> int:
-        """Return the online requests that wait before one at its server."""
+        """Return the requests that wait before one at its server."""
         with self._lock:
             server = lease.server
             now = self._clock.monotonic()
             load = self._table.load(server.server_id, now)
-            return max(0, load.online - server.slots)
+            return max(0, load.total - server.slots)
 
     def surplus(self) -> dict[str, int]:
         """Return how many items are to give way at each server."""
--- a/guavadyke/decisions/reach.py
+++ b/guavadyke/decisions/reach.py
@@ -6,7 +6,8 @@
 
 _FAILURES_TO_AWAY = 2
 _FIRST_PAUSE_S = 0.5
-_LONGEST_PAUSE_S = 8
+# Short, so that all hosts are back soon after an outage of the platform.
+_LONGEST_PAUSE_S = 1
 
 
 class PlatformReach:
--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -179,6 +179,7 @@
             lease,
             self._cancellation,
             self._tools,
+            hurried=self._record.may_repeat_run and not self._started,
         )
 
     def _after(self, attempt: Attempt, error: BackendServerError) -> None:
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -9,6 +9,7 @@
 from guavadyke.adapters.ports import (
     BackendAnswer,
     BackendCall,
+    BackendFault,
     BackendServerError,
     BackendServers,
     Clock,
@@ -65,6 +66,7 @@
         lease: the place.
         cancellation: ends the call from outside.
         tools: what requests share.
+        hurried: whether another server may be tried after this one.
     """
 
     def __init__(
@@ -74,7 +76,10 @@
         lease: ServerLease,
         cancellation: CallCancellation,
         tools: ForwardTools,
+        *,
+        hurried: bool,
     ) -> None:
+        self._hurried = hurried
         self._request = request
         self._route = route
         self._lease = lease
@@ -95,11 +100,9 @@
             BackendServerError: there is no answer to this request.
         """
         left_s = self._request.deadline - self._tools.clock.monotonic()
-        silence_s = left_s
-        if self._route.repeatable and not self._tools.pool.queue_ahead(
-            self._lease,
-        ):
-            silence_s = min(left_s, self._tools.settings.silence_s)
+        gap_s = left_s
+        if self._route.repeatable:
+            gap_s = min(left_s, self._tools.settings.silence_s)
         self._answer = self._tools.servers.send(
             BackendCall(
                 request_id=self._request.request_id,
@@ -112,8 +115,8 @@
                     left_s,
                     self._tools.settings.connect_timeout_s,
                 ),
-                first_byte_timeout_s=silence_s,
-                gap_timeout_s=silence_s,
+                first_byte_timeout_s=self._patience_s(left_s),
+                gap_timeout_s=gap_s,
                 cancellation=self._cancellation,
                 server_id=self.server_id,
                 deadline_s=left_s,
@@ -137,6 +140,18 @@
             self._answer.cancel()
         self._give_back(None)
 
+    def _patience_s(self, left_s: float) -> float:
+        """Return how long the first byte may take, in seconds.
+
+        It is short where another server may be tried and this one is not
+        known to have a queue.
+        """
+        if not self._hurried or self._tools.pool.queue_ahead(self._lease):
+            return left_s
+        share = self._tools.settings.patience_share
+        objective_s = self._route.target_latency_s
+        return min(left_s, share * objective_s) if objective_s else left_s
+
     def _give_back(self, error: BackendServerError | None) -> None:
         if not self._held:
             return
@@ -144,4 +159,7 @@
         # A call that was ended from outside says nothing of the server.
         blamed = error is not None and not self._cancellation.cancelled
         fault = error.fault if error is not None and blamed else None
+        if fault is BackendFault.silent and self._hurried:
+            # The server was given little time and may just be busy.
+            fault = BackendFault.broken
         self._tools.pool.give_back(self._lease, fault)
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -8,7 +8,6 @@
 
 from guavadyke.adapters.budget import BudgetedStore
 from guavadyke.adapters.clock import SuspendAwareClock
-from guavadyke.adapters.peer_port import PeerPort
 from guavadyke.adapters.ports import (
     BackendServers,
     Clock,
@@ -26,7 +25,6 @@
 )
 from guavadyke.controllers.forward_store import JobStore
 from guavadyke.controllers.load_exchange import LoadExchange
-from guavadyke.controllers.membership import FleetCells, PeerEvents
 from guavadyke.controllers.mirror import (
     ListedStore,
     Mirror,
@@ -45,11 +43,11 @@
 from guavadyke.filters.forward_attempt import ForwardTools
 from guavadyke.filters.watch import CallerWatch
 from guavadyke.forward_objects import JOB_KIND, PROGRESS_KIND
+from guavadyke.forward_peers import ForwardPeers
 from guavadyke.log import EventLogger
-from guavadyke.membership_service import MembershipService
 from guavadyke.metrics import OnlineMetrics
 from guavadyke.settings import ForwardHostSettings
-from guavadyke.snapshots import CatalogueSnapshot, FleetSnapshot, SnapshotCell
+from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
 _ALIVE = 'alive'
 _MOVED_S = 1.0
@@ -107,7 +105,15 @@
             self.clock,
             self._live_hosts,
         )
-        self._store = SettledStore(self._budgeted, self.clock, self._child())
+        self._peers = ForwardPeers(
+            settings,
+            self._budgeted,
+            self.fleet,
+            self.clock,
+            self._child(),
+            logger,
+        )
+        store = SettledStore(self._peers.store, self.clock, self._child())
         self.pool = ServerPool(
             HostPlace(settings.host_id, settings.zone),
             ports.decode_server,
@@ -126,7 +132,7 @@
             logger,
         )
         self.board = JobBoard(self._wake, logger)
-        self._job_store = JobStore(self._store)
+        self._job_store = JobStore(store)
         self.desk = JobDesk(
             DeskParts(
                 settings.host_id,
@@ -149,7 +155,13 @@
             ),
         )
         self._mirrors = self._made_mirrors(ports)
-        self._membership = self._made_membership()
+        self._exchange = LoadExchange(
+            settings.forward,
+            self.fleet,
+            self._peers.messenger,
+            self.pool,
+            self._child(),
+        )
         busy = SnapshotCell(first=False)
         self._runner = JobRunner.start(
             RunnerParts(
@@ -187,7 +199,7 @@
     def start(self) -> None:
         """Join the fleet and begin to follow the platform."""
         self._watch.start()
-        self._membership.start(frozenset(self.settings.peer.seeds))
+        self._peers.start()
         for mirror in self._mirrors:
             mirror.start()
         self._exchange.start()
@@ -209,7 +221,7 @@
             self.clock.sleep(_MOVED_S / 10)
         if self._runner.ask(HandOver(leave=True)):
             self.clock.sleep(_MOVED_S)
-        self._membership.leave()
+        self._peers.leave()
 
     def close(self) -> None:
         """End every part."""
@@ -220,21 +232,24 @@
             mirror.close()
         self._runner.stop()
         self._watch.close()
-        self._membership.close()
+        self._peers.close()
 
     def _made_mirrors(self, ports: ForwardPorts) -> tuple[Mirror, ...]:
+        # Lists of jobs are large, so that they are not asked of peers.
+        jobs = SettledStore(self._budgeted, self.clock, self._child())
+        peers = self._peers.store
         routes = RouteView(ports.decode_table, self.table, self.logger)
         retirements = self._mirror(
             ports.retirement_kind,
-            self._budgeted,
+            peers,
             self._retirements,
         )
         return (
             *((retirements,) if self._retires else ()),
-            self._mirror(ports.table_kind, self._budgeted, routes),
-            self._mirror(ports.server_kind, self._budgeted, self.pool),
-            self._mirror(JOB_KIND, self._store, self.board.jobs),
-            self._mirror(PROGRESS_KIND, self._store, self.board.progress),
+            self._mirror(ports.table_kind, peers, routes),
+            self._mirror(ports.server_kind, peers, self.pool),
+            self._mirror(JOB_KIND, jobs, self.board.jobs),
+            self._mirror(PROGRESS_KIND, jobs, self.board.progress),
         )
 
     def _mirror(
@@ -252,29 +267,6 @@
             self.logger,
         )
 
-    def _made_membership(self) -> MembershipService:
-        port = PeerPort(self.settings, self.fleet, self.clock, self.logger)
-        self._exchange = LoadExchange(
-            self.settings.forward,
-            self.fleet,
-            port.messenger,
-            self.pool,
-            self._child(),
-        )
-        return MembershipService(
-            self.settings.peer,
-            port,
-            FleetCells(
-                SnapshotCell(CatalogueSnapshot()),
-                self.fleet,
-                SnapshotCell({}),
-            ),
-            PeerEvents(_ignore, _ignore),
-            self.clock,
-            self._child(),
-            self.logger,
-        )
-
     def _live_hosts(self) -> int:
         """Return how many hosts share the platform's rates."""
         peers = self.fleet.current.peers
@@ -286,7 +278,3 @@
     def _child(self) -> random.Random:
         """Return a generator for one thread."""
         return random.Random(self._rng.getrandbits(64))
-
-
-def _ignore(_address: str) -> None:
-    """Take nothing from a peer's catalogue: the platform holds it all."""
--- a/guavadyke/platform/daemon.py
+++ b/guavadyke/platform/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import queue
 import signal
@@ -91,6 +92,11 @@
     def stop(self) -> None:
         """Stop as planned: no request is cut off."""
         stop = self._settings.stop
+        until = (
+            self._host.clock.monotonic()
+            + stop.balancer_delay_s
+            + stop.longest_s
+        )
         self._logger.info('host_stopping')
         self._readiness.stopping = True
         handing_over = threading.Thread(
@@ -102,9 +108,10 @@
         for server in self._servers[:1]:
             server.stop_keeping()
             self._host.clock.sleep(stop.balancer_delay_s)
-            whole = server.settle(self._host.clock, stop.longest_s)
+            left_s = until - self._host.clock.monotonic()
+            whole = server.settle(self._host.clock, left_s)
             self._logger.info('callers_settled', whole=whole)
-        handing_over.join(stop.longest_s)
+        handing_over.join(max(0, until - self._host.clock.monotonic()))
         for server in self._servers:
             server.close()
         self._host.close()
@@ -199,3 +206,7 @@
         for finding in error.findings:
             click.echo(f'  {finding.place}: {finding.message}', err=True)
         sys.exit(_EXIT_SETTINGS)
+    # Threads that still wait for the platform must not hold the process
+    # beyond its grace period.
+    logging.shutdown()
+    os._exit(0)
--- a/guavadyke/settings.py
+++ b/guavadyke/settings.py
@@ -322,8 +322,13 @@
         description='Silence after which a resumable stream changes server.',
     )
     connect_timeout_s: Positive = pydantic.Field(
-        default=0.3,
-        description='Seconds to connect to a backend server.',
+        default=0.1,
+        description='Seconds to connect to a backend server of the region.',
+    )
+    patience_share: Positive = pydantic.Field(
+        default=0.5,
+        description='Share of the latency objective after which a request '
+        'without its first event goes to another server.',
     )
     idle_connection_s: Positive = pydantic.Field(
         default=4,
