--- a/features/builders_users_platform.py
+++ b/features/builders_users_platform.py
@@ -103,6 +103,8 @@
         self.statuses: dict[tuple[str, str], object] = {}
         # Statuses to answer before anything is done, the next one first.
         self.refusals: list[int] = []
+        # Hosts that are answered 503, whatever they ask.
+        self.turned_away: frozenset[str] = frozenset()
         # Writes that take effect and whose answers are lost.
         self.lost_answers = 0
         self._server = StandinServer(LOOPBACK, 0, self._answer)
@@ -129,6 +131,8 @@
 
     def _answer(self, request: StandinRequest) -> StandinAnswer:
         self.calls[request.method] += 1
+        if request.headers.get('guavadyke-host') in self.turned_away:
+            return json_answer({}, 503)
         if self.refusals:
             return json_answer({}, self.refusals.pop(0))
         named = _NAME_PATH.fullmatch(request.path)
--- a/features/forward_processes.feature
+++ b/features/forward_processes.feature
@@ -33,6 +33,12 @@
     And the host that works on the job is killed
     Then the other host lists all 4 results once
 
+  Scenario: a host that the platform turns away works through another
+    Given 2 daemons on the users' platform with 2 engines
+    When the platform turns the first host away
+    And a job of 4 items is submitted
+    Then all 4 results can be read and stay where they are
+
   Scenario: an engine that says that it leaves gets nothing more
     Given 1 daemon on the users' platform with 2 engines
     When the first engine says that it is leaving
--- a/features/steps/forward_processes_steps.py
+++ b/features/steps/forward_processes_steps.py
@@ -89,6 +89,14 @@
     )
 
 
+@when('the platform turns the first host away')
+def step_turned_away(context: Context) -> None:
+    first = context.fleet.daemons[0]
+    # Help is asked of peers, so that these have to be known.
+    assert wait_until(lambda: 'event=peer_changed' in first.log, _RESULTS_S)
+    context.fleet.store.turned_away = frozenset((first.name,))
+
+
 @when('the first engine says that it is leaving')
 def step_leaving(context: Context) -> None:
     engine = context.fleet.engines[0]
