Refuse a request at once that would wait too long at every server

The wait is worked out from the online requests ahead and how long requests have lately taken; Retry-After says when there is room. Batch items ahead do not count, since they give way.

--- a/features/forward_requests.feature
+++ b/features/forward_requests.feature
@@ -137,6 +137,27 @@
     When 20 requests are forwarded
     Then both servers got some of them
 
+  Scenario Outline: a request behind <ahead> others at each server
+    Given a streamed route and two servers
+    And requests have taken 1 second each
+    And another host has <ahead> requests at each server
+    When a request is forwarded
+    Then it ends with <end> after <attempts> attempts
+
+    Examples:
+      | ahead | end        | attempts |
+      | 8     | an answer  | 1        |
+      | 18    | an answer  | 1        |
+      | 24    | overloaded | 0        |
+
+  Scenario: a refused caller comes back when there is room
+    Given a streamed route and two servers
+    And requests have taken 1 second each
+    And another host has 24 requests at each server
+    When a request is forwarded
+    Then the error says to come back after 2.12 seconds
+    And nothing is in flight
+
   Scenario: a request is sent to the incarnation that was chosen, with the time left
     Given a streamed route and two servers
     When a request is forwarded
--- a/features/steps/forward_requests_steps.py
+++ b/features/steps/forward_requests_steps.py
@@ -8,7 +8,7 @@
 from behave.runner import Context
 
 from features import builders_forward as build
-from guavadyke.adapters.ports import BackendFault
+from guavadyke.adapters.ports import BackendFault, OnlineCount, PeerNotice
 from guavadyke.decisions.forwarding import RouteKind
 from guavadyke.errors import ErrorCode, GuavadykeError
 from guavadyke.filters.forward import Forwarder
@@ -74,6 +74,29 @@
     context.pool.put(build.server_object(gone, version=2))
 
 
+@given('requests have taken {seconds:g} second each')
+def step_taken(context: Context, seconds: float) -> None:
+    clock = build.StillClock()
+    context.pool = build.pool(context.listed, clock)
+    for _ in range(50):
+        lease = context.pool.take_online(build.SERVICE, frozenset(), 'any')
+        clock.sleep(seconds)
+        context.pool.give_back(lease)
+
+
+@given('another host has {count:d} requests at each server')
+def step_elsewhere(context: Context, count: int) -> None:
+    counts = tuple(
+        OnlineCount(server.server_id, count, 0) for server in context.listed
+    )
+    context.pool.note('host-2', PeerNotice(counts=counts))
+
+
+@then('the error says to come back after {seconds:g} seconds')
+def step_come_back(context: Context, seconds: float) -> None:
+    assert context.error.retry_after_s == seconds, context.error.retry_after_s
+
+
 @when('a request is forwarded')
 def step_forward(context: Context) -> None:
     context.error = None
--- a/guavadyke/controllers/server_pool.py
+++ b/guavadyke/controllers/server_pool.py
@@ -17,6 +17,7 @@
     StoredObject,
 )
 from guavadyke.controllers.mirror import MirrorSink
+from guavadyke.decisions.admission import ServiceTimes
 from guavadyke.decisions.serverlist import ListedServer, ServerList
 from guavadyke.decisions.slot import HostPlace
 from guavadyke.decisions.spreading import (
@@ -70,6 +71,7 @@
         self._lock = threading.Lock()
         self._list = ServerList()
         self._wanted = 0
+        self._times = ServiceTimes()
         self._table = SpreadTable(here, rng)
         self._by_service: Mapping[str, tuple[ListedServer, ...]] = {}
         self._known: frozenset[ListedServer] = frozenset()
@@ -162,6 +164,8 @@
             now = self._clock.monotonic()
             if lease.batch and fault is BackendFault.refused:
                 self._table.refused(server_id, now)
+            if fault is None and not lease.batch:
+                self._times.note(lease.server.service, now - lease.taken_at)
             if fault is None:
                 health.succeeded(now)
             elif fault is not BackendFault.refused:
@@ -179,6 +183,20 @@
             load = self._table.load(server.server_id, now)
             return max(0, load.total - server.slots)
 
+    def wait_s(self, lease: ServerLease) -> float:
+        """Return the seconds that a request will wait at its server.
+
+        Batch items there do not count: they give way.
+        """
+        with self._lock:
+            server = lease.server
+            now = self._clock.monotonic()
+            online = self._table.load(server.server_id, now).online
+            ahead = online - server.slots
+            if ahead <= 0:
+                return 0
+            return self._times.wait_s(server.service, ahead - 1, server.slots)
+
     def surplus(self) -> dict[str, int]:
         """Return how many items are to give way at each server."""
         with self._lock:
--- a/guavadyke/decisions/attempting.py
+++ b/guavadyke/decisions/attempting.py
@@ -81,8 +81,16 @@
         return code
 
 
-def retry_after_s(code: ErrorCode) -> float | None:
-    """Return when a refused caller may come back; None where it ran."""
-    return (
-        _RETRY_AFTER_S if code.status == ErrorCode.overloaded.status else None
-    )
+def retry_after_s(
+    code: ErrorCode,
+    wait_s: float | None = None,
+) -> float | None:
+    """Return when a refused caller may come back; None where it ran.
+
+    Args:
+        code: what the request ends with.
+        wait_s: seconds until there is room, where they are known.
+    """
+    if code.status != ErrorCode.overloaded.status:
+        return None
+    return round(wait_s or _RETRY_AFTER_S, 2)
--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -173,6 +173,14 @@
                 ErrorCode.no_backend_server if untried else None,
                 f'no backend server of {self._service} takes requests',
             )
+        wait_s = self._tools.pool.wait_s(lease)
+        if wait_s > min(left_s, self._tools.settings.longest_wait_s):
+            self._tools.pool.give_back(lease, BackendFault.refused)
+            raise self._given_up(
+                ErrorCode.overloaded,
+                f'every backend server of {self._service} has a queue',
+                wait_s,
+            )
         return Attempt(
             self._request,
             self._route,
@@ -214,6 +222,7 @@
         self,
         wanted: ErrorCode | None,
         message: str,
+        wait_s: float | None = None,
     ) -> GuavadykeError:
         late = self._tools.clock.monotonic() >= self._request.deadline
         if late:
@@ -233,7 +242,7 @@
         return GuavadykeError(
             code,
             message,
-            retry_after_s=retry_after_s(code),
+            retry_after_s=retry_after_s(code, wait_s),
         )
 
     def _watched(self) -> contextlib.AbstractContextManager[None]:
