--- a/features/forward_decisions.feature
+++ b/features/forward_decisions.feature
@@ -54,26 +54,26 @@
     Given a server s1 in the own zone with 0 requests and s2 elsewhere with none
     Then an online request is placed at s1
 
-  Scenario: batch leaves slots for online requests to come
+  Scenario: batch leaves a slot for online requests to come
     Given a server s1 in the own zone with 3 requests and s2 elsewhere with none
     When batch items start until there is no room
-    Then s1 has 3 of them and s2 has 6
+    Then s1 has 4 of them and s2 has 7
 
   Scenario: a burst of online requests takes the place of batch items
     Given a server s1 in the own zone with 0 requests and s2 elsewhere with none
     When batch items start until there is no room
     And another host tells of 5 online requests at s1
-    Then 3 items at s1 and none at s2 are to give way
+    Then 4 items at s1 and none at s2 are to give way
 
   Scenario: hosts with many items share the servers without taking any back
     When 20 hosts with 10 items each start what they may on 5 servers
-    Then each server has 6 of them
+    Then each server has 7 of them
     And no host is to give way
 
   Scenario: what has to give way is divided over the hosts to the item
     When 20 hosts with 10 items each start what they may on 5 servers
     And 5 online requests come to each server
-    Then 3 of the items at each server are to give way, in all
+    Then 4 of the items at each server are to give way, in all
 
   Scenario: a server that refused an item is left alone for a moment
     Given a server s1 in the own zone with 0 requests and s2 elsewhere with none
--- a/guavadyke/adapters/peer_help.py
+++ b/guavadyke/adapters/peer_help.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import itertools
 from collections.abc import Iterable
 
@@ -71,7 +72,11 @@
             limit=min(call.limit, _LONGEST_PAGE),
             bodies=call.bodies,
         )
-        kept = _that_fit(page.objects)
+        listed = page.objects
+        if not call.bodies:
+            # A platform may list bodies all the same; the peer needs none.
+            listed = tuple(dataclasses.replace(one, body=b'') for one in listed)
+        kept = _that_fit(listed)
         return calls.PlatformReply(
             objects=kept,
             revision=page.revision,
--- a/guavadyke/controllers/mirror.py
+++ b/guavadyke/controllers/mirror.py
@@ -40,6 +40,10 @@
         """Return a page of objects by name."""
         ...
 
+    def read(self, kind: str, name: str) -> StoredObject | None:
+        """Return one object, None where it is absent."""
+        ...
+
     def watch(self, kind: str, revision: int, wait_s: float) -> WatchAnswer:
         """Wait for changes after a revision."""
         ...
@@ -68,10 +72,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class MirrorSettings:
-    """The kind that is followed, and how long one watch waits in seconds."""
+    """How a kind is followed; times are in seconds.
+
+    ``pause_s`` lets further changes come before the next watch, where they
+    need not be known at once. ``by_names`` lists names after the first
+    list and reads what has changed, which is less for large objects that
+    seldom change.
+    """
 
     kind: str
     watch_wait_s: float
+    pause_s: float = 0
+    by_names: bool = False
 
 
 class Mirror:
@@ -153,38 +165,74 @@
             self._revision = None
             return
         for event in answer.events:
-            self._take(event)
+            self.take(event)
         self._revision = max(self._revision, answer.revision)
+        if answer.events and self._settings.pause_s:
+            self._stop.wait(self._settings.pause_s)
 
     def _run(self) -> None:
         while not self._stop.is_set():
             try:
                 self.step()
             except GuavadykeError as error:
-                self._failed(error)
+                self.failed(error)
             else:
-                self._reached()
+                self.reached()
 
     def _list(self) -> None:
+        """Take a full list, by names alone where that is enough."""
+        by_names = self._settings.by_names and self.listed
+        found, revision = self._pages(bodies=not by_names)
+        if by_names:
+            self._take_names(found)
+        else:
+            self._versions = {one.name: one.version for one in found}
+            self._sink.replace(
+                tuple(found),
+                after_outage=self._failures > 0,
+            )
+        self._revision = revision
+
+    def _take_names(self, found: list[StoredObject]) -> None:
+        """Read what has changed and drop what is gone."""
+        names = {one.name for one in found}
+        for name in self._versions.keys() - names:
+            self._sink.remove(name)
+        self._versions = {
+            name: version
+            for name, version in self._versions.items()
+            if name in names
+        }
+        for one in found:
+            if self._versions.get(one.name) != one.version:
+                self._take_changed(one.name)
+
+    def _take_changed(self, name: str) -> None:
+        stored = self._store.read(self._settings.kind, name)
+        if stored is not None:
+            self._versions[name] = stored.version
+            self._sink.put(stored)
+
+    def _pages(self, *, bodies: bool) -> tuple[list[StoredObject], int | None]:
+        """Return all objects and the revision as of the first page."""
         found: dict[str, StoredObject] = {}
         first_revision: int | None = None
         after = ''
         more = True
         while more:
-            page = self._store.list_objects(self._settings.kind, after=after)
+            page = self._store.list_objects(
+                self._settings.kind,
+                after=after,
+                bodies=bodies,
+            )
             if first_revision is None:
                 first_revision = page.revision
             found.update({one.name: one for one in page.objects})
             more = page.more and bool(page.objects)
             after = page.objects[-1].name if page.objects else ''
-        self._versions = {name: one.version for name, one in found.items()}
-        self._sink.replace(
-            tuple(found.values()),
-            after_outage=self._failures > 0,
-        )
-        self._revision = first_revision
+        return list(found.values()), first_revision
 
-    def _take(self, event: ObjectEvent) -> None:
+    def take(self, event: ObjectEvent) -> None:
         """Take an event, unless a list has told of a newer state."""
         if event.version <= self._versions.get(event.name, -1):
             return
@@ -194,7 +242,8 @@
         else:
             self._sink.put(event.current)
 
-    def _reached(self) -> None:
+    def reached(self) -> None:
+        """Note that a step went well."""
         if self._failures:
             self._logger.info(
                 'platform_found',
@@ -204,7 +253,8 @@
         self._failures = 0
         self._reached_at = self._clock.monotonic()
 
-    def _failed(self, error: GuavadykeError) -> None:
+    def failed(self, error: GuavadykeError) -> None:
+        """Note that a step failed, and wait before the next one."""
         if not self._failures:
             self._logger.warning(
                 'platform_lost',
--- a/guavadyke/decisions/spreading.py
+++ b/guavadyke/decisions/spreading.py
@@ -20,8 +20,9 @@
 # Load that a server of another availability zone has to be below a near one
 # to be chosen, as a share of its slots: about one request.
 _ZONE_PENALTY = 0.13
-# Slots of each server that batch leaves for online requests to come.
-_ONLINE_RESERVE = 2
+# Slots of each server that batch leaves for online requests to come; the
+# next ones have their place within two notices of load.
+_ONLINE_RESERVE = 1
 # Stands for all servers in counts of the items that wait for any of them.
 ANY_SERVER = '*'
 # Seconds for which a server that refused an item gets no other one.
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -51,6 +51,9 @@
 
 _ALIVE = 'alive'
 _MOVED_S = 1.0
+# Seconds in which further jobs and ends of jobs may come before the next
+# watch; jobs are due many times later.
+_JOB_PAUSE_S = 0.3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -235,8 +238,7 @@
         self._peers.close()
 
     def _made_mirrors(self, ports: ForwardPorts) -> tuple[Mirror, ...]:
-        # Lists of jobs are large, so that they are not asked of peers.
-        jobs = SettledStore(self._budgeted, self.clock, self._child())
+        jobs = SettledStore(self._peers.store, self.clock, self._child())
         peers = self._peers.store
         routes = RouteView(ports.decode_table, self.table, self.logger)
         retirements = self._mirror(
@@ -248,18 +250,37 @@
             *((retirements,) if self._retires else ()),
             self._mirror(ports.table_kind, peers, routes),
             self._mirror(ports.server_kind, peers, self.pool),
-            self._mirror(JOB_KIND, jobs, self.board.jobs),
-            self._mirror(PROGRESS_KIND, jobs, self.board.progress),
+            self._job_mirror(JOB_KIND, jobs, self.board.jobs),
+            self._job_mirror(PROGRESS_KIND, jobs, self.board.progress),
         )
 
+    def _job_mirror(
+        self,
+        kind: str,
+        store: ListedStore,
+        sink: MirrorSink,
+    ) -> Mirror:
+        wait_s = self.settings.platform.watch_wait_s
+        settings = MirrorSettings(kind, wait_s, _JOB_PAUSE_S, by_names=True)
+        return self._followed(settings, store, sink)
+
     def _mirror(
         self,
         kind: str,
         store: ListedStore,
         sink: MirrorSink,
+    ) -> Mirror:
+        wait_s = self.settings.platform.watch_wait_s
+        return self._followed(MirrorSettings(kind, wait_s), store, sink)
+
+    def _followed(
+        self,
+        settings: MirrorSettings,
+        store: ListedStore,
+        sink: MirrorSink,
     ) -> Mirror:
         return Mirror(
-            MirrorSettings(kind, self.settings.platform.watch_wait_s),
+            settings,
             store,
             sink,
             self.clock,
