--- a/features/builders_users_platform.py
+++ b/features/builders_users_platform.py
@@ -339,11 +339,11 @@
     )
     text = EVENT
     if framing == 'with a length':
-        return head + b'Content-Length: %d\r\n\r\n' % len(text), text
+        return b'%bContent-Length: %d\r\n\r\n' % (head, len(text)), text
     if framing == 'in chunks':
         chunk = b'%x\r\n%b\r\n0\r\n\r\n' % (len(text), text)
-        return head + b'Transfer-Encoding: chunked\r\n\r\n', chunk
-    return head + b'\r\n', text
+        return b'%bTransfer-Encoding: chunked\r\n\r\n' % head, chunk
+    return b'%b\r\n' % head, text
 
 
 class CutAnswers:
--- a/guavadyke/adapters/platform.py
+++ b/guavadyke/adapters/platform.py
@@ -4,7 +4,7 @@
 
 import base64
 from collections.abc import Mapping
-from typing import Annotated, TypeVar
+from typing import Annotated
 from urllib.parse import quote, urlencode
 
 import pydantic
@@ -15,6 +15,7 @@
     PlatformCall,
     PlatformCalls,
     PlatformReply,
+    parsed_reply,
 )
 from guavadyke.adapters.ports import (
     ListedHost,
@@ -23,10 +24,8 @@
     StoredObject,
     WatchAnswer,
 )
-from guavadyke.errors import PlatformUnavailableError
 from guavadyke.settings import PlatformSettings
 
-Document = TypeVar('Document', bound=pydantic.BaseModel)
 _Body = Annotated[bytes, pydantic.BeforeValidator(base64.b64decode)]
 
 
@@ -94,7 +93,7 @@
             'bodies': int(bodies),
         })
         reply = self._get(f'/objects/{quote(kind, safe="")}?{query}')
-        document = _parsed(_ListDocument, reply)
+        document = parsed_reply(_ListDocument, reply)
         return ObjectListing(
             document.revision,
             tuple(
@@ -147,7 +146,7 @@
         reply = self._calls.watch(call, wait_s)
         if reply.status == EXPIRED:
             return WatchAnswer(revision, (), expired=True)
-        document = _parsed(_WatchDocument, reply)
+        document = parsed_reply(_WatchDocument, reply)
         return WatchAnswer(
             document.revision,
             tuple(_event(kind, one) for one in document.events),
@@ -155,7 +154,7 @@
 
     def hosts(self) -> tuple[ListedHost, ...]:
         """Return the list of live and leaving hosts; it lags."""
-        document = _parsed(_HostsDocument, self._get('/hosts'))
+        document = parsed_reply(_HostsDocument, self._get('/hosts'))
         return tuple(ListedHost(**host.model_dump()) for host in document.hosts)
 
     def _get(self, path: str) -> PlatformReply:
@@ -190,12 +189,3 @@
         )
     )
     return ObjectEvent(document.name, document.version, current)
-
-
-def _parsed(model: type[Document], reply: PlatformReply) -> Document:
-    try:
-        return model.model_validate_json(reply.body)
-    except pydantic.ValidationError as error:
-        raise PlatformUnavailableError(
-            f'the platform answered something unreadable: {error}',
-        ) from error
--- a/guavadyke/adapters/platform_calls.py
+++ b/guavadyke/adapters/platform_calls.py
@@ -6,7 +6,9 @@
 import dataclasses
 from collections.abc import Mapping
 from http import client
+from typing import TypeVar
 
+import pydantic
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
@@ -29,6 +31,7 @@
 _FIRST_FAULT = 500
 _IDLE_S = 5
 _WATCH_MARGIN_S = 2
+Document = TypeVar('Document', bound=pydantic.BaseModel)
 _FAILURES = (OSError, HTTPError, client.HTTPException)
 _ANSWERS_TO_READS = frozenset((ABSENT, EXPIRED))
 
@@ -247,6 +250,20 @@
         return reply
 
 
+def parsed_reply(model: type[Document], reply: PlatformReply) -> Document:
+    """Return the document that an answer holds.
+
+    Raises:
+        PlatformUnavailableError: it holds something else.
+    """
+    try:
+        return model.model_validate_json(reply.body)
+    except pydantic.ValidationError as error:
+        raise PlatformUnavailableError(
+            f'the platform answered something unreadable: {error}',
+        ) from error
+
+
 def _answer_to_read(call: PlatformCall, reply: PlatformReply) -> PlatformReply:
     if reply.status in _ANSWERS_TO_READS or reply.status < _FIRST_ERROR:
         return reply
--- a/guavadyke/controllers/forward_runner.py
+++ b/guavadyke/controllers/forward_runner.py
@@ -272,7 +272,7 @@
                 service = route.service_of(item.item_id) if route else ''
                 if service not in full and not self._start(work, item, service):
                     full.add(service)
-        waiting = sum(work.counts()['waiting'] for work in self._works.values())
+        waiting = sum(held.counts()['waiting'] for held in self._works.values())
         self._parts.pool.want(waiting)
 
     def _start(self, work: JobWork, item: ForwardItem, service: str) -> bool:
--- a/guavadyke/controllers/mirror.py
+++ b/guavadyke/controllers/mirror.py
@@ -170,6 +170,43 @@
         if answer.events and self._settings.pause_s:
             self._stop.wait(self._settings.pause_s)
 
+    def take(self, event: ObjectEvent) -> None:
+        """Take an event, unless a list has told of a newer state."""
+        if event.version <= self._versions.get(event.name, -1):
+            return
+        self._versions[event.name] = event.version
+        if event.current is None:
+            self._sink.remove(event.name)
+        else:
+            self._sink.put(event.current)
+
+    def reached(self) -> None:
+        """Note that a step went well."""
+        if self._failures:
+            self._logger.info(
+                'platform_found',
+                kind=self._settings.kind,
+                failures=self._failures,
+            )
+        self._failures = 0
+        self._reached_at = self._clock.monotonic()
+
+    def failed(self, error: GuavadykeError) -> None:
+        """Note that a step failed, and wait before the next one."""
+        if not self._failures:
+            self._logger.warning(
+                'platform_lost',
+                kind=self._settings.kind,
+                reason=error.message,
+            )
+        doublings = min(self._failures, _MOST_DOUBLINGS)
+        self._failures += 1
+        # A watch that failed may have missed nothing, but entries may have
+        # lapsed while it was away, so that a list follows.
+        self._revision = None
+        longest_s = min(_LONGEST_RETRY_S, _FIRST_RETRY_S * _FACTOR**doublings)
+        self._stop.wait(self._rng.uniform(longest_s / 2, longest_s))
+
     def _run(self) -> None:
         while not self._stop.is_set():
             try:
@@ -196,8 +233,8 @@
     def _take_names(self, found: list[StoredObject]) -> None:
         """Read what has changed and drop what is gone."""
         names = {one.name for one in found}
-        for name in self._versions.keys() - names:
-            self._sink.remove(name)
+        for gone in self._versions.keys() - names:
+            self._sink.remove(gone)
         self._versions = {
             name: version
             for name, version in self._versions.items()
@@ -231,40 +268,3 @@
             more = page.more and bool(page.objects)
             after = page.objects[-1].name if page.objects else ''
         return list(found.values()), first_revision
-
-    def take(self, event: ObjectEvent) -> None:
-        """Take an event, unless a list has told of a newer state."""
-        if event.version <= self._versions.get(event.name, -1):
-            return
-        self._versions[event.name] = event.version
-        if event.current is None:
-            self._sink.remove(event.name)
-        else:
-            self._sink.put(event.current)
-
-    def reached(self) -> None:
-        """Note that a step went well."""
-        if self._failures:
-            self._logger.info(
-                'platform_found',
-                kind=self._settings.kind,
-                failures=self._failures,
-            )
-        self._failures = 0
-        self._reached_at = self._clock.monotonic()
-
-    def failed(self, error: GuavadykeError) -> None:
-        """Note that a step failed, and wait before the next one."""
-        if not self._failures:
-            self._logger.warning(
-                'platform_lost',
-                kind=self._settings.kind,
-                reason=error.message,
-            )
-        doublings = min(self._failures, _MOST_DOUBLINGS)
-        self._failures += 1
-        # A watch that failed may have missed nothing, but entries may have
-        # lapsed while it was away, so that a list follows.
-        self._revision = None
-        longest_s = min(_LONGEST_RETRY_S, _FIRST_RETRY_S * _FACTOR**doublings)
-        self._stop.wait(self._rng.uniform(longest_s / 2, longest_s))
--- a/guavadyke/controllers/server_pool.py
+++ b/guavadyke/controllers/server_pool.py
@@ -208,13 +208,6 @@
             }
             return {name: count for name, count in owed.items() if count}
 
-    def serves(self, service: str) -> bool:
-        """Return whether any server of the service may get work."""
-        with self._lock:
-            now = self._clock.monotonic()
-            servers = self._servers(service, now)
-            return any(not server.leaving for server in servers)
-
     def counts(self) -> PeerNotice:
         """Return what this host has in flight at each server."""
         with self._lock:
--- a/guavadyke/decisions/attempting.py
+++ b/guavadyke/decisions/attempting.py
@@ -36,6 +36,18 @@
     failed: frozenset[str] = frozenset()
     last_fault: BackendFault | None = None
 
+    @property
+    def may_go_on(self) -> bool:
+        """Whether another attempt is allowed."""
+        if self.refusals > _MOST_REFUSALS:
+            return False
+        return not self.possible_runs or self._allows(self.possible_runs)
+
+    @property
+    def may_repeat_run(self) -> bool:
+        """Whether another server may run what one is running now."""
+        return self._allows(self.possible_runs + 1)
+
     def note(
         self,
         server_id: str,
@@ -51,22 +63,6 @@
         else:
             self.possible_runs += 1
 
-    @property
-    def may_go_on(self) -> bool:
-        """Whether another attempt is allowed."""
-        if self.refusals > _MOST_REFUSALS:
-            return False
-        return not self.possible_runs or self._allows(self.possible_runs)
-
-    @property
-    def may_repeat_run(self) -> bool:
-        """Whether another server may run what one is running now."""
-        return self._allows(self.possible_runs + 1)
-
-    def _allows(self, runs: int) -> bool:
-        """Whether another run is allowed after so many."""
-        return self.route.repeatable and runs < self.route.max_attempts
-
     def final_code(self, wanted: ErrorCode | None = None) -> ErrorCode:
         """Return the code for a request that is given up.
 
@@ -80,6 +76,10 @@
             return ErrorCode.outcome_unknown
         return code
 
+    def _allows(self, runs: int) -> bool:
+        """Whether another run is allowed after so many."""
+        return self.route.repeatable and runs < self.route.max_attempts
+
 
 def retry_after_s(
     code: ErrorCode,
--- a/guavadyke/decisions/spreading.py
+++ b/guavadyke/decisions/spreading.py
@@ -137,16 +137,14 @@
         first for the server. All hosts come to the same shares, so that
         none of them has to take an item back when the others have started.
         """
-        load = self.load(server.server_id, now)
         reserve = min(_ONLINE_RESERVE, server.slots - 1)
-        free = server.slots - reserve - load.total
+        taken = self.load(server.server_id, now).total
+        free = server.slots - reserve - taken
         wanting = self._wanting(now)
         held = self._batch_by_host(server.server_id, now)
         shared = free + sum(held.get(host, 0) for host in wanting)
-        even, rest = divmod(max(0, shared), len(wanting))
-        me = self._here.host_id
-        share = even + (place(server.server_id, me, wanting) < rest)
-        return min(free, share - held.get(me, 0))
+        share = self._share(server.server_id, max(0, shared), wanting)
+        return min(free, share - held.get(self._here.host_id, 0))
 
     def choose_batch(
         self,
@@ -187,6 +185,16 @@
         batch = sum(held.values())
         return over * (before + own) // batch - over * before // batch
 
+    def _share(
+        self,
+        server_id: str,
+        shared: int,
+        wanting: frozenset[str],
+    ) -> int:
+        """Return this host's part of the slots that the hosts share."""
+        even, rest = divmod(shared, len(wanting))
+        return even + (place(server_id, self._here.host_id, wanting) < rest)
+
     def _wanting(self, now: float) -> frozenset[str]:
         """Return the hosts that have items waiting, and this one."""
         others = self.batch_elsewhere.by_host(ANY_SERVER, now)
--- a/guavadyke/platform/store.py
+++ b/guavadyke/platform/store.py
@@ -5,7 +5,7 @@
 import json
 import types
 from collections.abc import Mapping
-from typing import Any, TypeVar
+from typing import Any
 from urllib.parse import quote, urlencode
 
 import pydantic
@@ -16,7 +16,7 @@
     AnswerReader,
     PlatformCall,
     PlatformCalls,
-    PlatformReply,
+    parsed_reply,
 )
 from guavadyke.adapters.ports import (
     ListedHost,
@@ -31,7 +31,6 @@
 _PATH = '/api/objects'
 _CONFLICT = 409
 _JSON = types.MappingProxyType({'Content-Type': 'application/json'})
-Document = TypeVar('Document', bound=pydantic.BaseModel)
 
 
 class _Metadata(pydantic.BaseModel):
@@ -96,7 +95,7 @@
         reply = self._calls.read(PlatformCall('GET', _path(kind, name)))
         if reply.status == ABSENT:
             return None
-        return _stored(kind, _parsed(_Object, reply))
+        return _stored(kind, parsed_reply(_Object, reply))
 
     def list_objects(
         self,
@@ -112,7 +111,7 @@
         reply = self._calls.read(PlatformCall('GET', f'{_path(kind)}{query}'))
         if reply.status == ABSENT:
             raise PlatformUnavailableError(f'{kind} cannot be listed')
-        listing = _parsed(_Listing, reply)
+        listing = parsed_reply(_Listing, reply)
         return ObjectListing(
             listing.revision,
             tuple(
@@ -186,7 +185,7 @@
         reply = self._calls.watch(call, wait_s)
         if reply.status == EXPIRED:
             return WatchAnswer(revision, (), expired=True)
-        changes = _parsed(_Changes, reply)
+        changes = parsed_reply(_Changes, reply)
         return WatchAnswer(
             changes.revision,
             tuple(_event(kind, one) for one in changes.events),
@@ -233,12 +232,3 @@
         stored.version,
         None if event.deleted else stored,
     )
-
-
-def _parsed(model: type[Document], reply: PlatformReply) -> Document:
-    try:
-        return model.model_validate_json(reply.body)
-    except pydantic.ValidationError as error:
-        raise PlatformUnavailableError(
-            f'the platform answered something unreadable: {error}',
-        ) from error
