--- /dev/null
+++ b/features/builders_forward_runner.py
@@ -0,0 +1,117 @@
+"""A runner of forwarded jobs on fake servers and a platform in memory."""
+
+from __future__ import annotations
+
+import time
+
+from features import builders_forward as build
+from features.builders_batch_platform import MemoryPlatform
+from guavadyke.adapters.clock import SystemClock
+from guavadyke.adapters.ports import BackendFault, PeerNotice
+from guavadyke.controllers.forward_runner import (
+    JobRunner,
+    RunnerParts,
+    RunnerTicker,
+)
+from guavadyke.decisions.jobrecords import (
+    AcceptedJob,
+    ItemListing,
+    JobProgress,
+    listings,
+)
+from guavadyke.log import EventLogger
+from guavadyke.settings import ForwardHostSettings
+from guavadyke.snapshots import FleetSnapshot, SnapshotCell
+
+ME = 'host-1'
+_LOOK_S = 0.02
+_BROKEN_AFTER = 'broken after '
+
+
+def script(end: str) -> build.Scripted:
+    """Return how a run ends that a feature names."""
+    if end.startswith(_BROKEN_AFTER):
+        sent = int(end.removeprefix(_BROKEN_AFTER))
+        return build.Scripted(fault=BackendFault.broken, sent=sent)
+    scripts = {
+        'whole': build.Scripted(),
+        '500': build.Scripted(status=500, body=b'failed'),
+        '422': build.Scripted(status=422, body=b'never'),
+        'refused': build.Scripted(fault=BackendFault.refused, not_run=True),
+        'reset': build.Scripted(fault=BackendFault.broken),
+        'twice': build.Scripted(body=build.stream(1, 2) + build.event(2)),
+    }
+    return scripts[end]
+
+
+def host_settings() -> ForwardHostSettings:
+    """Return the settings of this host."""
+    return ForwardHostSettings.model_validate({
+        'host_id': ME,
+        'zone': build.ZONE,
+        'peer': {
+            'listen': {'ip': '127.0.0.1', 'port': 0},
+            'fleet_key': {'environment': 'GUAVADYKE_FLEET_KEY'},
+        },
+        'platform': {'url': 'http://127.0.0.1:1'},
+    })
+
+
+class RunnerBench:
+    """A runner with what it works on; ``close`` ends it."""
+
+    def __init__(self) -> None:
+        self.platform = MemoryPlatform()
+        self.host = build.desk_host(self.platform, ME)
+        self.servers = build.FakeServers()
+        self.route = build.route()
+        self.pool = build.pool(
+            (build.server('s1'), build.server('s2')),
+            SystemClock(),
+        )
+        self.fleet = SnapshotCell(FleetSnapshot())
+        busy = SnapshotCell(first=False)
+        self._runner = JobRunner.start(
+            RunnerParts(
+                host_settings(),
+                self.host.board,
+                self.host.store,
+                self.pool,
+                self.servers,
+                SnapshotCell(build.table(self.route)),
+                self.fleet,
+                lambda: True,
+                busy,
+                SystemClock(),
+                EventLogger(),
+            ),
+        )
+        self._ticker = RunnerTicker(self._runner.tell, busy)
+        self._ticker.start()
+
+    def accept(self, items: int, owner: str = ME) -> AcceptedJob:
+        """Write a job and let this host know of it."""
+        job = build.job(items=items, owner=owner, accepted_at=time.time())
+        self.host.store.create(job)
+        self.host.board.accepted(job)
+        return job
+
+    def note(self, progress: JobProgress) -> None:
+        """Write progress of the job and let this host know of it."""
+        self.host.board.noted(
+            'job-1',
+            self.host.store.note('job-1', progress),
+        )
+
+    def listed(self) -> tuple[ItemListing, ...]:
+        """Return the results as another host reads them."""
+        fresh = build.desk_host(self.platform, 'reader')
+        return tuple(listings(fresh.store.pages('job-1')))
+
+    def in_flight(self) -> PeerNotice:
+        """Return the counts of items at servers."""
+        return self.pool.counts()
+
+    def close(self) -> None:
+        self._ticker.close()
+        self._runner.stop()
