--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -190,11 +190,6 @@
             mirror.listed for mirror in self._mirrors
         )
 
-    @property
-    def _retires(self) -> bool:
-        """Whether hosts of this kind are emptied on request."""
-        return self.settings.caller is None
-
     def connected(self) -> bool:
         """Return whether the platform answered when it was last asked."""
         return not any(mirror.failing for mirror in self._mirrors)
@@ -237,6 +232,11 @@
         self._watch.close()
         self._peers.close()
 
+    @property
+    def _retires(self) -> bool:
+        """Whether hosts of this kind are emptied on request."""
+        return self.settings.caller is None
+
     def _made_mirrors(self, ports: ForwardPorts) -> tuple[Mirror, ...]:
         jobs = SettledStore(self._peers.store, self.clock, self._child())
         peers = self._peers.store
