Fuzz forwarded jobs with writes that take effect after their callers gave up

No fault was found: a late write lands only at the version it was meant for, and its writer or another host has moved on from there or lists the same.

--- a/features/builders_batch_platform.py
+++ b/features/builders_batch_platform.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import threading
 import time
 from collections import Counter
+from collections.abc import Callable
 
 from guavadyke.adapters.ports import (
     ListedHost,
@@ -31,6 +33,8 @@
         self.objects: dict[tuple[str, str], StoredObject] = {}
         self.events: list[tuple[str, ObjectEvent]] = []
         self.revision = 0
+        # Writes that were given up and may still take effect.
+        self.late: list[Callable[[], object]] = []
         self.calls: Counter[str] = Counter()
 
     def put(self, kind: str, name: str, body: bytes) -> StoredObject:
@@ -40,6 +44,13 @@
         self._tell(kind, ObjectEvent(name, self.revision, stored))
         return stored
 
+    def land(self) -> None:
+        """Let late writes take effect where their condition still holds."""
+        with self.changed:
+            while self.late:
+                with contextlib.suppress(ObjectConflictError):
+                    self.late.pop(0)()
+
     def remove(self, kind: str, name: str) -> None:
         self.revision += 1
         self.objects.pop((kind, name))
@@ -63,8 +74,9 @@
     """Faults of one host's link.
 
     ``lose_every`` loses every so many answers to writes of a kind, after
-    their effect; 0 loses none. ``cut_after`` cuts the link after so many
-    more calls, ``cut_behind`` after the next write of that kind.
+    their effect; 0 loses none. ``late_every`` puts off the effect of every
+    so many writes until the platform lands them. ``cut_after`` cuts the link
+    after so many more calls, ``cut_behind`` after the next write of that kind.
     ``stale_watches`` show no event. Watches wait only if ``waits``.
     """
 
@@ -75,6 +87,7 @@
     cut_after: int | None = None
     cut_behind: str = ''
     lose_every: int = 0
+    late_every: int = 0
     waits: bool = True
 
     def mend(self) -> None:
@@ -86,6 +99,7 @@
         self.cut_after = None
         self.cut_behind = ''
         self.lose_every = 0
+        self.late_every = 0
 
     def refuses(self, call: str) -> bool:
         """Return whether a call does not reach the platform."""
@@ -108,6 +122,7 @@
         self.platform = platform
         self.faults = faults or LinkFaults()
         self._writes: Counter[str] = Counter()
+        self._late: Counter[str] = Counter()
 
     def read(self, kind: str, name: str) -> StoredObject | None:
         with self._called('read', kind):
@@ -139,10 +154,8 @@
 
     def create(self, kind: str, name: str, body: bytes) -> StoredObject:
         with self._called('create', kind):
-            present = self.platform.objects.get((kind, name))
-            if present is not None:
-                raise ObjectConflictError('it exists', present.version)
-            stored = self.platform.put(kind, name, body)
+            self._put_off(kind, lambda: self._created(kind, name, body))
+            stored = self._created(kind, name, body)
             self._answered(kind)
             return stored
 
@@ -154,8 +167,11 @@
         version: int,
     ) -> StoredObject:
         with self._called('update', kind):
-            self._check(kind, name, version)
-            stored = self.platform.put(kind, name, body)
+            self._put_off(
+                kind,
+                lambda: self._updated(kind, name, body, version),
+            )
+            stored = self._updated(kind, name, body, version)
             self._answered(kind)
             return stored
 
@@ -193,6 +209,36 @@
         self.platform.calls[f'{call} {kind}'] += 1
         return self.platform.changed
 
+    def _created(self, kind: str, name: str, body: bytes) -> StoredObject:
+        present = self.platform.objects.get((kind, name))
+        if present is not None:
+            raise ObjectConflictError('it exists', present.version)
+        return self.platform.put(kind, name, body)
+
+    def _updated(
+        self,
+        kind: str,
+        name: str,
+        body: bytes,
+        version: int,
+    ) -> StoredObject:
+        self._check(kind, name, version)
+        return self.platform.put(kind, name, body)
+
+    def _put_off(self, kind: str, write: Callable[[], object]) -> None:
+        """Keep a write for later where that is due.
+
+        Raises:
+            PlatformOutcomeUnknownError: it is kept; its caller gets no answer.
+        """
+        every = self.faults.late_every
+        if not every:
+            return
+        self._late[kind] += 1
+        if not self._late[kind] % every:
+            self.platform.late.append(write)
+            raise PlatformOutcomeUnknownError('there was no answer')
+
     def _check(self, kind: str, name: str, version: int) -> None:
         present = self.platform.objects.get((kind, name))
         if present is None or present.version != version:
--- a/features/forward_jobs.feature
+++ b/features/forward_jobs.feature
@@ -65,5 +65,13 @@
     Then the platform holds 2 pages
     And each host reads each item once, in the same order
 
+  Scenario: a result whose write takes effect late is listed once
+    Given two hosts on one platform
+    When a job is submitted at the first host
+    And the first host lists item 1, its write being late
+    And results of items 0 and 1 are listed at the second host
+    And the late write takes effect
+    Then each host reads the same results, item 1 once
+
   Scenario: jobs that lose answers, hosts and races list each item once
     Then the state machine of forwarded jobs finds no fault
--- a/features/machines/forward_jobs.py
+++ b/features/machines/forward_jobs.py
@@ -116,6 +116,16 @@
         """Lose answers to writes that took effect."""
         self._hosts[host].link.faults.lose_every = every
 
+    @rule(host=hosts, every=st.integers(0, 2))
+    def delay_writes(self, host: str, every: int) -> None:
+        """Let writes take effect after their callers gave up."""
+        self._hosts[host].link.faults.late_every = every
+
+    @rule()
+    def land(self) -> None:
+        """Let writes take effect that were given up."""
+        self._platform.land()
+
     @rule(host=hosts, cut=st.booleans())
     def cut(self, host: str, *, cut: bool) -> None:
         """Cut a host off from the platform, or end the cut."""
--- a/features/steps/forward_jobs_steps.py
+++ b/features/steps/forward_jobs_steps.py
@@ -63,6 +63,35 @@
     context.first.store.append('job-1', (_listing(first), _listing(second)))
 
 
+@when('the first host lists item 1, its write being late')
+def step_late(context: Context) -> None:
+    faults = context.first.link.faults
+    faults.late_every = 1
+    code = _code_of(
+        lambda: context.first.store.append('job-1', (_listing(1),)),
+    )
+    assert code is ErrorCode.outcome_unknown
+    faults.late_every = 0
+    assert context.platform.late
+
+
+@when('results of items 0 and 1 are listed at the second host')
+def step_list_second(context: Context) -> None:
+    context.second.store.append('job-1', (_listing(0), _listing(1)))
+
+
+@when('the late write takes effect')
+def step_land(context: Context) -> None:
+    context.platform.land()
+
+
+@then('each host reads the same results, item 1 once')
+def step_same_results(context: Context) -> None:
+    first = context.first.desk.results('job-1', 0).listings
+    assert first == context.second.desk.results('job-1', 0).listings
+    assert sorted(one.item_id for one in first) == ['item-0', 'item-1']
+
+
 @when('both hosts list a result of every item in another order')
 def step_list_both(context: Context) -> None:
     forth = tuple(map(_listing, range(_ITEMS)))
