Let the test of a takeover see the host that takes over

The check and its time are as before; the new owner is now alive to this host. The ticker of the test's bench now ends quietly; the daemon's own may still print a traceback of an ended actor when it stops (open).

--- a/features/builders_forward_runner.py
+++ b/features/builders_forward_runner.py
@@ -8,6 +8,7 @@
 from features.builders_batch_platform import MemoryPlatform
 from guavadyke.adapters.clock import SystemClock
 from guavadyke.adapters.ports import BackendFault, PeerNotice
+from guavadyke.controllers.actors import telling
 from guavadyke.controllers.forward_runner import (
     JobRunner,
     RunnerParts,
@@ -21,7 +22,7 @@
 )
 from guavadyke.log import EventLogger
 from guavadyke.settings import ForwardHostSettings
-from guavadyke.snapshots import FleetSnapshot, SnapshotCell
+from guavadyke.snapshots import FleetSnapshot, PeerView, SnapshotCell
 
 ME = 'host-1'
 _LOOK_S = 0.02
@@ -86,7 +87,7 @@
                 EventLogger(),
             ),
         )
-        self._ticker = RunnerTicker(self._runner.tell, busy)
+        self._ticker = RunnerTicker(telling(self._runner), busy)
         self._ticker.start()
 
     def accept(self, items: int, owner: str = ME) -> AcceptedJob:
@@ -96,6 +97,19 @@
         self.host.board.accepted(job)
         return job
 
+    def see_peer(self, host_id: str) -> None:
+        """Let this host see another one alive."""
+        peer = PeerView(
+            host_id,
+            build.ZONE,
+            'south',
+            '127.0.0.2:1',
+            'alive',
+            1,
+            0,
+        )
+        self.fleet.publish(FleetSnapshot((peer,)))
+
     def note(self, progress: JobProgress) -> None:
         """Write progress of the job and let this host know of it."""
         self.host.board.noted(
--- a/features/steps/forward_runner_steps.py
+++ b/features/steps/forward_runner_steps.py
@@ -63,6 +63,8 @@
 
 @when('another host takes the job over after its first run')
 def step_taken_over(context: Context) -> None:
+    # A host that nobody sees would lose the job again.
+    context.bench.see_peer('host-2')
     _after_first_run(context, JobProgress(owner='host-2'))
 
 
