Remove a check of crowded servers that nothing calls

The wait worked out by the server pool has taken its place; nothing called it, so that no decision changes.

--- a/guavadyke/decisions/spreading.py
+++ b/guavadyke/decisions/spreading.py
@@ -27,9 +27,6 @@
 ANY_SERVER = '*'
 # Seconds for which a server that refused an item gets no other one.
 _REFUSED_PAUSE_S = 0.4
-# Requests that wait at a server beyond its slots before it counts as full,
-# as a share of its slots.
-_QUEUE_SHARE = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -120,11 +117,6 @@
             ),
         )
 
-    def crowded(self, server: ListedServer, now: float) -> bool:
-        """Return whether a request would wait long at a server."""
-        online = self.load(server.server_id, now).online
-        return online >= server.slots * (1 + _QUEUE_SHARE)
-
     def refused(self, server_id: str, now: float) -> None:
         """Leave a server that refused an item alone for a moment."""
         self._paused[server_id] = now + _REFUSED_PAUSE_S
