--- a/features/run.py
+++ b/features/run.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 from behave.configuration import Configuration
+from behave.model import Scenario
 from behave.model_type import Status
 from behave.runner import Runner
 
@@ -44,6 +45,8 @@
     failed = [one for one in scenarios if one.status != Status.passed]
     listed = known_red()
     red = [one for one in failed if one.name in listed]
+    for scenario in failed:
+        _write_reason(scenario)
     for scenario in red:
         sys.stdout.write(f'known red: {scenario.name}\n')
     unexpected = len(failed) - len(red)
@@ -51,5 +54,13 @@
     return 1 if unexpected or not passed else 0
 
 
+def _write_reason(scenario: Scenario) -> None:
+    """Print the steps that failed and why."""
+    for step in scenario.all_steps:
+        if step.status in {Status.failed, Status.error, Status.undefined}:
+            sys.stdout.write(f'failed: {scenario.name}: {step.name}\n')
+            sys.stdout.write(f'{step.error_message}\n')
+
+
 if __name__ == '__main__':
     sys.exit(run([*_OPTIONS, *(sys.argv[1:] or ['features'])]))
