--- a/features/forward_mirrors.feature
+++ b/features/forward_mirrors.feature
@@ -10,6 +10,19 @@
       | of bodies |
       | by names  |
 
+  Scenario: a host that cannot watch lists less and less often
+    Given a mirror of bodies of a, b and c
+    When lists are answered through others and each watch fails
+    Then the pauses between lists grow to their longest
+    And the loss of the platform is told once
+    And the mirror counts as connected
+
+  Scenario: a watch that is answered ends the long pauses
+    Given a mirror of bodies of a, b and c
+    When lists are answered through others and each watch fails
+    And a watch is answered and the next one fails
+    Then the next pause is a short one
+
   Scenario: a mirror by names reads only what has changed
     Given a mirror by names of a, b and c
     When the platform is away while b is replaced, c removed and d written
--- a/features/steps/forward_mirrors_steps.py
+++ b/features/steps/forward_mirrors_steps.py
@@ -10,12 +10,32 @@
 from features import builders_forward as build
 from features.builders_batch_platform import MemoryPlatform, MemoryStore
 from guavadyke.adapters.ports import ObjectEvent, StoredObject
-from guavadyke.controllers.mirror import Mirror, MirrorSettings, MirrorSink
+from guavadyke.controllers.mirror import (
+    FIRST_RETRY_S,
+    LONGEST_RETRY_S,
+    Mirror,
+    MirrorSettings,
+    MirrorSink,
+)
 from guavadyke.errors import GuavadykeError
 from guavadyke.log import EventLogger
 
 _KIND = 'things'
-_FAILED_STEPS = 2
+_ROUNDS = 8
+
+
+class _Told(EventLogger):
+    """Keeps the names of the events."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.events: list[str] = []
+
+    def info(self, event: str, **fields: object) -> None:
+        self.events.append(event)
+
+    def warning(self, event: str, **fields: object) -> None:
+        self.events.append(event)
 
 
 class _Sink(MirrorSink):
@@ -50,13 +70,14 @@
     context.link = MemoryStore(context.platform)
     context.link.faults.waits = False
     context.sink = _Sink()
+    context.logger = _Told()
     context.mirror = Mirror(
         MirrorSettings(_KIND, 1, by_names=how == 'by names'),
         context.link,
         context.sink,
         build.StillClock(),
         random.Random(4),
-        EventLogger(),
+        context.logger,
     )
     _advance(context)
     _advance(context)
@@ -116,11 +137,49 @@
     assert context.sink.lists == [False, True]
 
 
-def _advance(context: Context) -> None:
-    """Let the mirror make one call, as its thread does."""
+@when('lists are answered through others and each watch fails')
+def step_no_watch(context: Context) -> None:
+    context.link.faults.cut_watches = True
+    context.pauses = [_advance(context) for _ in range(2 * _ROUNDS)]
+
+
+@when('a watch is answered and the next one fails')
+def step_watched_again(context: Context) -> None:
+    context.link.faults.cut_watches = False
+    _advance(context)
+    context.link.faults.cut_watches = True
+    context.pauses = [_advance(context)]
+
+
+@then('the pauses between lists grow to their longest')
+def step_pauses(context: Context) -> None:
+    made = [pause for pause in context.pauses if pause]
+    assert len(made) == _ROUNDS, made
+    assert made[0] <= FIRST_RETRY_S, made
+    assert min(made[-2:]) >= LONGEST_RETRY_S / 2, made
+
+
+@then('the loss of the platform is told once')
+def step_told(context: Context) -> None:
+    told = [one for one in context.logger.events if one == 'platform_lost']
+    assert len(told) == 1, context.logger.events
+
+
+@then('the mirror counts as connected')
+def step_connected(context: Context) -> None:
+    assert not context.mirror.failing
+
+
+@then('the next pause is a short one')
+def step_short(context: Context) -> None:
+    assert 0 < context.pauses[0] <= FIRST_RETRY_S, context.pauses
+
+
+def _advance(context: Context) -> float:
+    """Let the mirror make one call; returns its pause in seconds."""
     try:
         context.mirror.step()
     except GuavadykeError as error:
-        context.mirror.failed(error)
-    else:
-        context.mirror.reached()
+        return context.mirror.failed(error)
+    context.mirror.reached()
+    return 0
--- a/guavadyke/controllers/mirror.py
+++ b/guavadyke/controllers/mirror.py
@@ -18,9 +18,10 @@
 from guavadyke.log import EventLogger
 
 # Seconds between attempts while the platform is away; short, since what
-# lapsed and changed meanwhile has to be known soon after its return.
-_FIRST_RETRY_S = 0.1
-_LONGEST_RETRY_S = 0.8
+# lapsed and changed meanwhile has to be known soon after its return, and
+# since a host that is served by peers learns of changes in no other way.
+FIRST_RETRY_S = 0.1
+LONGEST_RETRY_S = 0.8
 _FACTOR = 2
 _MOST_DOUBLINGS = 8
 
@@ -115,7 +116,10 @@
         self._logger = logger
         self._versions: dict[str, int] = {}
         self._revision: int | None = None
+        # Failures since a watch was last answered: lists may be answered
+        # through peers while each watch fails.
         self._failures = 0
+        self._lists_fail = False
         self._reached_at: float | None = None
         self._stop = threading.Event()
         self._thread = threading.Thread(
@@ -131,8 +135,8 @@
 
     @property
     def failing(self) -> bool:
-        """Whether the last call to the platform failed."""
-        return self._failures > 0
+        """Whether not even a list is answered."""
+        return self._lists_fail
 
     def start(self) -> None:
         """Follow in the background."""
@@ -150,12 +154,14 @@
         """
         if self._revision is None:
             self._list()
+            self._lists_fail = False
             return
         answer = self._store.watch(
             self._settings.kind,
             self._revision,
             self._settings.watch_wait_s,
         )
+        self._watched()
         if answer.expired:
             self._logger.info(
                 'history_expired',
@@ -182,17 +188,10 @@
 
     def reached(self) -> None:
         """Note that a step went well."""
-        if self._failures:
-            self._logger.info(
-                'platform_found',
-                kind=self._settings.kind,
-                failures=self._failures,
-            )
-        self._failures = 0
         self._reached_at = self._clock.monotonic()
 
-    def failed(self, error: GuavadykeError) -> None:
-        """Note that a step failed, and wait before the next one."""
+    def failed(self, error: GuavadykeError) -> float:
+        """Note that a step failed; return the seconds before the next."""
         if not self._failures:
             self._logger.warning(
                 'platform_lost',
@@ -201,21 +200,32 @@
             )
         doublings = min(self._failures, _MOST_DOUBLINGS)
         self._failures += 1
+        self._lists_fail = self._revision is None
         # A watch that failed may have missed nothing, but entries may have
         # lapsed while it was away, so that a list follows.
         self._revision = None
-        longest_s = min(_LONGEST_RETRY_S, _FIRST_RETRY_S * _FACTOR**doublings)
-        self._stop.wait(self._rng.uniform(longest_s / 2, longest_s))
+        longest_s = min(LONGEST_RETRY_S, FIRST_RETRY_S * _FACTOR**doublings)
+        return self._rng.uniform(longest_s / 2, longest_s)
 
     def _run(self) -> None:
         while not self._stop.is_set():
             try:
                 self.step()
             except GuavadykeError as error:
-                self.failed(error)
+                self._stop.wait(self.failed(error))
             else:
                 self.reached()
 
+    def _watched(self) -> None:
+        """Note that the platform itself was reached."""
+        if self._failures:
+            self._logger.info(
+                'platform_found',
+                kind=self._settings.kind,
+                failures=self._failures,
+            )
+        self._failures = 0
+
     def _list(self) -> None:
         """Take a full list, by names alone where that is enough."""
         by_names = self._settings.by_names and self.listed
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -15,6 +15,7 @@
     StoredObject,
 )
 from guavadyke.adapters.settled import SettledStore
+from guavadyke.controllers.actors import telling
 from guavadyke.controllers.forward_board import JobBoard
 from guavadyke.controllers.forward_desk import DeskParts, JobDesk
 from guavadyke.controllers.forward_runner import (
@@ -181,7 +182,7 @@
                 logger,
             ),
         )
-        self._ticker = RunnerTicker(self._runner.tell, busy)
+        self._ticker = RunnerTicker(telling(self._runner), busy)
 
     @property
     def ready(self) -> bool:
