--- a/features/forward_requests.feature
+++ b/features/forward_requests.feature
@@ -147,7 +147,7 @@
     Examples:
       | ahead | end        | attempts |
       | 8     | an answer  | 1        |
-      | 18    | an answer  | 1        |
+      | 9     | overloaded | 0        |
       | 24    | overloaded | 0        |
 
   Scenario: a refused caller comes back when there is room
@@ -155,7 +155,7 @@
     And requests have taken 1 second each
     And another host has 24 requests at each server
     When a request is forwarded
-    Then the error says to come back after 2.12 seconds
+    Then the error says to come back after 1.91 to 8.04 seconds
     And nothing is in flight
 
   Scenario: a request is sent to the incarnation that was chosen, with the time left
--- /dev/null
+++ b/features/steps/forward_load_steps.py
@@ -0,0 +1,113 @@
+"""Steps of forward_load.feature."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import types
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features import builders_forward as build
+from features.builders_forward_load import Caller, Load, Play, Step
+from guavadyke.decisions.refusing import longest_wait_s
+
+_SEEDS = (1, 2, 3)
+_WITHOUT_OBJECTIVE_S = 1.5
+_PEAK_S = 2.8
+_TROUGH_S = 3.8
+_TENTHS = 10
+
+
+def _peaks(trough_s: float) -> tuple[Step, ...]:
+    """Return 2.8 s of 1.84 times after each trough of 0.377 times."""
+    period_s = trough_s + _PEAK_S
+    return tuple(
+        step
+        for number in range(4)
+        for step in (
+            (number * period_s, 0.377),
+            (number * period_s + trough_s, 1.84),
+        )
+    )
+
+
+_LOADS = types.MappingProxyType({
+    'half of what they serve': Load(((0, 0.5),), 20),
+    'a tenth less than they serve': Load(((0, 0.9),), 20),
+    'a fifth more than they serve': Load(((0, 1.2),), 20),
+    'twice what they serve': Load(((0, 2),), 20),
+    'peaks of 1.84 times': Load(_peaks(_TROUGH_S), 26),
+    'peaks that lie close together': Load(_peaks(1.5), 17),
+    'a burst of three times': Load(((0, 0.5), (5, 3), (8, 0.5)), 15),
+    'two of five servers lost': Load(((0, 0.8),), 20, lost=2),
+})
+
+
+def _played(load: Load, *, objective: bool) -> list[Caller]:
+    """Return the callers of all seeds."""
+    route = build.route()
+    if not objective:
+        route = dataclasses.replace(route, target_latency_s=0)
+    return [
+        caller
+        for seed in _SEEDS
+        for caller in Play(dataclasses.replace(load, seed=seed), route).run()
+    ]
+
+
+@given('a load of {load} on 5 servers behind 10 hosts')
+def step_load(context: Context, load: str) -> None:
+    context.load = _LOADS[load]
+
+
+@given('a route with an objective of 0.3 seconds')
+def step_objective(context: Context) -> None:
+    context.route = build.route()
+
+
+@when(
+    'it is played with waits of up to 1.5 seconds and with those of the '
+    'objective',
+)
+def step_played(context: Context) -> None:
+    context.before = _played(context.load, objective=False)
+    context.callers = _played(context.load, objective=True)
+
+
+@then('at least {times:g} times as many callers are answered in time')
+def step_in_time(context: Context, times: float) -> None:
+    before = sum(caller.in_time for caller in context.before)
+    now = sum(caller.in_time for caller in context.callers)
+    assert now >= times * before, (now, before, len(context.callers))
+
+
+@then('at least {part:g} of what the servers could serve is served')
+def step_part(context: Context, part: float) -> None:
+    served = sum(one.first_event_s is not None for one in context.callers)
+    could = len(_SEEDS) * context.load.servable
+    assert served >= part * could, (served, could)
+
+
+@then('nobody is refused')
+def step_nobody(context: Context) -> None:
+    refused = [caller for caller in context.callers if caller.refusals]
+    assert not refused, len(refused)
+
+
+@then('no tenth of a second is promised to more than {most:d} callers')
+def step_spread(context: Context, most: int) -> None:
+    first = context.callers[: len(context.callers) // len(_SEEDS)]
+    promised = collections.Counter(
+        int((caller.came_at + caller.waits_promised[0]) * _TENTHS)
+        for caller in first
+        if caller.waits_promised
+    )
+    assert max(promised.values()) <= most, promised.most_common(3)
+
+
+@then('a request with {left:g} seconds left may wait for {wait:g} seconds')
+def step_wait(context: Context, left: float, wait: float) -> None:
+    found = longest_wait_s(context.route, left, _WITHOUT_OBJECTIVE_S)
+    assert round(found, 3) == wait, found
--- a/guavadyke/controllers/item_run.py
+++ b/guavadyke/controllers/item_run.py
@@ -15,9 +15,10 @@
     BackendServerError,
     BackendServers,
 )
-from guavadyke.controllers.server_pool import ServerLease, ServerPool
+from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.decisions.eventstream import EventOrderError, EventSplitter
 from guavadyke.decisions.jobrecords import AcceptedJob, ForwardItem
+from guavadyke.decisions.serverlist import ServerLease
 from guavadyke.settings import ForwardSettings
 
 _OK = 200
--- a/guavadyke/controllers/server_pool.py
+++ b/guavadyke/controllers/server_pool.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 import threading
 from collections.abc import Callable, Mapping
@@ -17,8 +16,8 @@
     StoredObject,
 )
 from guavadyke.controllers.mirror import MirrorSink
-from guavadyke.decisions.admission import ServiceTimes
-from guavadyke.decisions.serverlist import ListedServer, ServerList
+from guavadyke.controllers.server_waits import ServerWaits, WaitSources
+from guavadyke.decisions.serverlist import ListedServer, ServerLease, ServerList
 from guavadyke.decisions.slot import HostPlace
 from guavadyke.decisions.spreading import (
     ANY_SERVER,
@@ -32,18 +31,6 @@
 ServerDecoder = Callable[[StoredObject], ListedServer | None]
 
 
-@dataclasses.dataclass(frozen=True)
-class ServerLease:
-    """A place at a server that a request of this host has taken.
-
-    ``taken_at`` is seconds of the monotonic clock.
-    """
-
-    server: ListedServer
-    batch: bool
-    taken_at: float
-
-
 class ServerPool(MirrorSink):
     """Knows the servers and what is in flight at each.
 
@@ -71,8 +58,11 @@
         self._lock = threading.Lock()
         self._list = ServerList()
         self._wanted = 0
-        self._times = ServiceTimes()
         self._table = SpreadTable(here, rng)
+        self.waits = ServerWaits(
+            WaitSources(self._lock, self._table, self._servers, clock),
+            rng,
+        )
         self._by_service: Mapping[str, tuple[ListedServer, ...]] = {}
         self._known: frozenset[ListedServer] = frozenset()
 
@@ -164,8 +154,6 @@
             now = self._clock.monotonic()
             if lease.batch and fault is BackendFault.refused:
                 self._table.refused(server_id, now)
-            if fault is None and not lease.batch:
-                self._times.note(lease.server.service, now - lease.taken_at)
             if fault is None:
                 health.succeeded(now)
             elif fault is not BackendFault.refused:
@@ -175,28 +163,6 @@
         """Note how many items of this host wait for a place."""
         self._wanted = items
 
-    def queue_ahead(self, lease: ServerLease) -> int:
-        """Return the requests that wait before one at its server."""
-        with self._lock:
-            server = lease.server
-            now = self._clock.monotonic()
-            load = self._table.load(server.server_id, now)
-            return max(0, load.total - server.slots)
-
-    def wait_s(self, lease: ServerLease) -> float:
-        """Return the seconds that a request will wait at its server.
-
-        Batch items there do not count: they give way.
-        """
-        with self._lock:
-            server = lease.server
-            now = self._clock.monotonic()
-            online = self._table.load(server.server_id, now).online
-            ahead = online - server.slots
-            if ahead <= 0:
-                return 0
-            return self._times.wait_s(server.service, ahead - 1, server.slots)
-
     def surplus(self) -> dict[str, int]:
         """Return how many items are to give way at each server."""
         with self._lock:
--- a/guavadyke/decisions/attempting.py
+++ b/guavadyke/decisions/attempting.py
@@ -83,14 +83,14 @@
 
 def retry_after_s(
     code: ErrorCode,
-    wait_s: float | None = None,
+    return_s: float | None = None,
 ) -> float | None:
     """Return when a refused caller may come back; None where it ran.
 
     Args:
         code: what the request ends with.
-        wait_s: seconds until there is room, where they are known.
+        return_s: seconds until there is room, where they are known.
     """
     if code.status != ErrorCode.overloaded.status:
         return None
-    return round(wait_s or _RETRY_AFTER_S, 2)
+    return round(return_s or _RETRY_AFTER_S, 2)
--- a/guavadyke/decisions/serverlist.py
+++ b/guavadyke/decisions/serverlist.py
@@ -23,6 +23,18 @@
     born_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class ServerLease:
+    """A place at a server that a request of this host has taken.
+
+    ``taken_at`` is seconds of the monotonic clock.
+    """
+
+    server: ListedServer
+    batch: bool
+    taken_at: float
+
+
 class ServerList:
     """The servers that may get work.
 
--- a/guavadyke/decisions/spreading.py
+++ b/guavadyke/decisions/spreading.py
@@ -80,6 +80,20 @@
             + self.batch_elsewhere.total(server_id, now),
         )
 
+    def own_share(
+        self,
+        servers: Iterable[ListedServer],
+        now: float,
+    ) -> float:
+        """Return this host's part of the online requests at servers.
+
+        A host that has none counts as if it had one.
+        """
+        ids = [server.server_id for server in servers]
+        own = max(1, sum(self.own_online[name] for name in ids))
+        elsewhere = sum(self.online_elsewhere.total(name, now) for name in ids)
+        return own / (own + elsewhere)
+
     def forget(self, servers: Iterable[ListedServer]) -> None:
         """Keep the health of these servers only."""
         kept = {f'{one.server_id}/{one.born_ms}' for one in servers}
--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -14,6 +14,8 @@
 from guavadyke.decisions.attempting import AttemptRecord, retry_after_s
 from guavadyke.decisions.eventstream import EventOrderError, EventSplitter
 from guavadyke.decisions.forwarding import ForwardRoute, RouteKind
+from guavadyke.decisions.refusing import longest_wait_s
+from guavadyke.decisions.serverlist import ServerLease
 from guavadyke.errors import ErrorCode, GuavadykeError
 from guavadyke.filters.base import Answer
 from guavadyke.filters.forward_attempt import (
@@ -127,6 +129,7 @@
             return
         _check_continued(answer)
         for event in _events_of(answer, self._splitter):
+            attempt.began()
             yield from self._head_once(answer)
             yield event
         _check_any(self._splitter)
@@ -173,14 +176,7 @@
                 ErrorCode.no_backend_server if untried else None,
                 f'no backend server of {self._service} takes requests',
             )
-        wait_s = self._tools.pool.wait_s(lease)
-        if wait_s > min(left_s, self._tools.settings.longest_wait_s):
-            self._tools.pool.give_back(lease, BackendFault.refused)
-            raise self._given_up(
-                ErrorCode.overloaded,
-                f'every backend server of {self._service} has a queue',
-                wait_s,
-            )
+        self._check_wait(lease, left_s)
         return Attempt(
             self._request,
             self._route,
@@ -190,6 +186,28 @@
             hurried=self._record.may_repeat_run and not self._started,
         )
 
+    def _check_wait(self, lease: ServerLease, left_s: float) -> None:
+        """Refuse a request that would wait too long at its server.
+
+        Raises:
+            GuavadykeError: it would.
+        """
+        pool = self._tools.pool
+        wait_s = pool.waits.wait_s(lease)
+        longest_s = longest_wait_s(
+            self._route,
+            left_s,
+            self._tools.settings.longest_wait_s,
+        )
+        if wait_s > longest_s:
+            pool.give_back(lease, BackendFault.refused)
+            raise self._given_up(
+                ErrorCode.overloaded,
+                f'every backend server of {self._service} has a queue: '
+                f'{wait_s:.2f} s, {longest_s:.2f} s would do',
+                pool.waits.return_s(lease, wait_s - longest_s),
+            )
+
     def _after(self, attempt: Attempt, error: BackendServerError) -> None:
         """Return where another attempt follows.
 
@@ -222,7 +240,7 @@
         self,
         wanted: ErrorCode | None,
         message: str,
-        wait_s: float | None = None,
+        return_s: float | None = None,
     ) -> GuavadykeError:
         late = self._tools.clock.monotonic() >= self._request.deadline
         if late:
@@ -242,7 +260,7 @@
         return GuavadykeError(
             code,
             message,
-            retry_after_s=retry_after_s(code, wait_s),
+            retry_after_s=retry_after_s(code, return_s),
         )
 
     def _watched(self) -> contextlib.AbstractContextManager[None]:
--- a/guavadyke/settings.py
+++ b/guavadyke/settings.py
@@ -315,7 +315,8 @@
 
     longest_wait_s: Positive = pydantic.Field(
         default=1.5,
-        description='Wait at backend servers from which requests are refused.',
+        description='Wait at backend servers from which requests of a route '
+        'without a latency objective are refused.',
     )
     silence_s: Positive = pydantic.Field(
         default=1,
