--- a/guavadyke/adapters/fallback.py
+++ b/guavadyke/adapters/fallback.py
@@ -90,7 +90,7 @@
             limit=limit,
             bodies=bodies,
         )
-        return self._either(
+        return self._probing(
             lambda: self._direct.list_objects(
                 kind,
                 prefix=prefix,
@@ -173,7 +173,7 @@
 
     def hosts(self) -> tuple[ListedHost, ...]:
         """Return the list of live and leaving hosts; it lags."""
-        return self._either(
+        return self._probing(
             self._direct.hosts,
             calls.PlatformCall(calls.PlatformMethod.hosts),
             _hosts,
@@ -184,6 +184,26 @@
         direct: Callable[[], _Answer],
         call: calls.PlatformCall,
         read: Callable[[calls.PlatformReply], _Answer],
+    ) -> _Answer:
+        """Make a call that somebody waits for, through peers if in doubt.
+
+        Lists follow one another all the time and find out when the platform
+        is back.
+        """
+        if not self._reach.doubtful:
+            return self._probing(direct, call, read)
+        try:
+            return read(self._through_peers(call))
+        except PlatformUnavailableError:
+            if not self._claim():
+                raise
+            return self._tracked(direct)
+
+    def _probing(
+        self,
+        direct: Callable[[], _Answer],
+        call: calls.PlatformCall,
+        read: Callable[[calls.PlatformReply], _Answer],
     ) -> _Answer:
         if self._claim():
             try:
--- a/guavadyke/adapters/platform_calls.py
+++ b/guavadyke/adapters/platform_calls.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import dataclasses
+import time
 from collections.abc import Mapping
 from http import client
 from typing import TypeVar
@@ -13,6 +14,7 @@
 from urllib3.exceptions import HTTPError
 
 from guavadyke.adapters.connections import ConnectionPool, new_connection
+from guavadyke.decisions.patience import CallPatience
 from guavadyke.errors import (
     ErrorCode,
     GuavadykeError,
@@ -84,6 +86,7 @@
         self._settings = settings
         self._reader = reader or AnswerReader()
         self._pool = ConnectionPool(_IDLE_S)
+        self._patience = CallPatience(settings.call_timeout_s)
         self._headers = {'Guavadyke-Host': host_id}
         if settings.token is not None:
             token = settings.token.reveal().decode()
@@ -166,12 +169,13 @@
         """
         connection = new_connection(
             self._settings.url,
-            self._settings.call_timeout_s,
+            self._patience.timeout_s,
         )
         try:
             connection.connect()
         except _FAILURES as error:
             connection.close()
+            self._note_failure(error)
             raise PlatformUnavailableError(
                 f'the platform is not reached: {error!r}',
             ) from error
@@ -183,20 +187,23 @@
         call: PlatformCall,
     ) -> PlatformReply:
         """Send and receive; keep the connection if all went well."""
+        sent_at = time.monotonic()
         try:
-            reply = self._receive(
-                connection,
-                call,
-                self._settings.call_timeout_s,
-            )
-        except BaseException:
+            reply = self._receive(connection, call, self._patience.timeout_s)
+        except BaseException as error:
             connection.close()
             self._pool.drop(self._settings.url)
+            self._note_failure(error)
             raise
+        self._patience.answered(time.monotonic() - sent_at)
         if connection.is_connected:
             self._pool.give(self._settings.url, connection)
         return reply
 
+    def _note_failure(self, error: BaseException) -> None:
+        if isinstance(error, TimeoutError):
+            self._patience.timed_out()
+
     def _receive(
         self,
         connection: HTTPConnection,
--- a/guavadyke/decisions/reach.py
+++ b/guavadyke/decisions/reach.py
@@ -30,6 +30,11 @@
         """Whether the platform is reached directly."""
         return self._failures < _FAILURES_TO_AWAY
 
+    @property
+    def doubtful(self) -> bool:
+        """Whether the last direct call was not answered."""
+        return self._failures > 0
+
     def claim(self, now: float) -> bool:
         """Return whether to call directly now."""
         if self.reachable:
