--- a/features/forward_load.feature
+++ b/features/forward_load.feature
@@ -36,3 +36,11 @@
       | 4.99 | 0.22 |
       | 3    | 0.24 |
       | 0.1  | 0.1  |
+
+  Scenario: jobs end one after the other, those that are due first before others
+    Given 12 hosts with a job of 10 items of 5 seconds each, one job a second, on 3 servers
+    When the jobs are played with and without knowing which is due first
+    Then the job that takes longest takes at most 0.85 of the time without
+    And the jobs end in the order in which they are due
+    And the last job ends as soon as without
+    And no server holds more items than its slots
--- a/features/steps/forward_decisions_steps.py
+++ b/features/steps/forward_decisions_steps.py
@@ -281,6 +281,7 @@
 
 @when('s1 refuses an item')
 def step_refuses(context: Context) -> None:
+    context.spread.own_waiting = 2
     context.spread.refused('s1', build.NOW)
 
 
--- a/features/steps/forward_load_steps.py
+++ b/features/steps/forward_load_steps.py
@@ -10,6 +10,7 @@
 from behave.runner import Context
 
 from features import builders_forward as build
+from features.builders_forward_batch_load import BatchPlay, PlayedJob
 from features.builders_forward_load import Caller, Load, Play, Step
 from guavadyke.decisions.refusing import longest_wait_s
 
@@ -18,6 +19,7 @@
 _PEAK_S = 2.8
 _TROUGH_S = 3.8
 _TENTHS = 10
+_JOBS_LENGTH_S = 60
 
 
 def _peaks(trough_s: float) -> tuple[Step, ...]:
@@ -111,3 +113,56 @@
 def step_wait(context: Context, left: float, wait: float) -> None:
     found = longest_wait_s(context.route, left, _WITHOUT_OBJECTIVE_S)
     assert round(found, 3) == wait, found
+
+
+@given(
+    '{hosts:d} hosts with a job of {items:d} items of {seconds:g} seconds '
+    'each, one job a second, on 3 servers',
+)
+def step_jobs(
+    context: Context,
+    hosts: int,
+    items: int,
+    seconds: float,
+) -> None:
+    context.plays = [
+        BatchPlay(hosts, items, 1, ordered=ordered) for ordered in (False, True)
+    ]
+    context.item_s = seconds
+
+
+@when('the jobs are played with and without knowing which is due first')
+def step_play_jobs(context: Context) -> None:
+    before, ordered = context.plays
+    context.jobs_before = before.run(_JOBS_LENGTH_S, context.item_s)
+    context.jobs = ordered.run(_JOBS_LENGTH_S, context.item_s)
+
+
+@then('the job that takes longest takes at most {part:g} of the time without')
+def step_longest(context: Context, part: float) -> None:
+    before = max(map(_took_s, context.jobs_before))
+    now = max(map(_took_s, context.jobs))
+    assert now <= part * before, (now, before)
+
+
+@then('the jobs end in the order in which they are due')
+def step_in_order(context: Context) -> None:
+    ends = [job.ended_at for job in context.jobs]
+    assert ends == sorted(ends), ends
+
+
+@then('the last job ends as soon as without')
+def step_last(context: Context) -> None:
+    before = max(job.ended_at for job in context.jobs_before)
+    now = max(job.ended_at for job in context.jobs)
+    assert now <= before, (now, before)
+
+
+@then('no server holds more items than its slots')
+def step_slots(context: Context) -> None:
+    assert context.plays[-1].over_full <= 0, context.plays[-1].over_full
+
+
+def _took_s(job: PlayedJob) -> float:
+    assert job.ended_at is not None, job
+    return job.ended_at - job.came_at
--- a/guavadyke/controllers/forward_runner.py
+++ b/guavadyke/controllers/forward_runner.py
@@ -5,7 +5,7 @@
 import dataclasses
 import functools
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
@@ -26,6 +26,7 @@
 from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.decisions.forwarding import RouteTable
 from guavadyke.decisions.jobrecords import ForwardItem, JobView, ResultPage
+from guavadyke.decisions.jobshare import due_at, due_order
 from guavadyke.decisions.jobwork import JobWork
 from guavadyke.log import EventLogger
 from guavadyke.settings import ForwardHostSettings
@@ -137,7 +138,7 @@
         self._give_way()
         self._judge_overdue(now)
         if not self._stopping:
-            self._start_items(now)
+            self._start_items(now, views.values())
             if self._parts.connected():
                 self._care.look(views, now, self._parts.clock.wall())
         for job_id, work in self._works.items():
@@ -261,19 +262,24 @@
                 route = table.named(work.job.route)
                 work.give_up_overdue(route, now, wall)
 
-    def _start_items(self, now: float) -> None:
-        """Start what there is room for, items of older jobs first."""
+    def _start_items(self, now: float, views: Iterable[JobView]) -> None:
+        """Start what there is room for, items of jobs due first first."""
         table = self._parts.table.current
+        order = due_order(views, table)
+        self._parts.pool.want(self._waiting(), order)
         full: set[str] = set()
-        for work in sorted(self._works.values(), key=_accepted_at):
+        for work in _by_due(self._works.values(), table):
             route = table.named(work.job.route)
             items = () if route is None else work.startable(now)
             for item in items:
                 service = route.service_of(item.item_id) if route else ''
                 if service not in full and not self._start(work, item, service):
                     full.add(service)
-        waiting = sum(held.counts()['waiting'] for held in self._works.values())
-        self._parts.pool.want(waiting)
+        self._parts.pool.want(self._waiting(), order)
+
+    def _waiting(self) -> int:
+        """Return the items that wait for a place."""
+        return sum(held.counts()['waiting'] for held in self._works.values())
 
     def _start(self, work: JobWork, item: ForwardItem, service: str) -> bool:
         most = self._parts.settings.forward.item_workers
@@ -380,9 +386,9 @@
     return runner.hand_over(leave=message.leave)
 
 
-def _taken_at(run: ItemRun) -> float:
-    return run.lease.taken_at
+def _by_due(works: Iterable[JobWork], table: RouteTable) -> list[JobWork]:
+    return sorted(works, key=lambda work: due_at(work.job, table))
 
 
-def _accepted_at(work: JobWork) -> float:
-    return work.job.accepted_at
+def _taken_at(run: ItemRun) -> float:
+    return run.lease.taken_at
--- a/guavadyke/controllers/server_pool.py
+++ b/guavadyke/controllers/server_pool.py
@@ -57,7 +57,6 @@
         self._logger = logger
         self._lock = threading.Lock()
         self._list = ServerList()
-        self._wanted = 0
         self._table = SpreadTable(here, rng)
         self.waits = ServerWaits(
             WaitSources(self._lock, self._table, self._servers, clock),
@@ -134,6 +133,7 @@
             if chosen is None:
                 return None
             self._table.own_batch[chosen.server_id] += 1
+            self._table.own_waiting -= 1
             return ServerLease(chosen, batch=True, taken_at=now)
 
     def give_back(
@@ -159,9 +159,16 @@
             elif fault is not BackendFault.refused:
                 health.failed(now, unreachable=fault in _UNREACHABLE)
 
-    def want(self, items: int) -> None:
-        """Note how many items of this host wait for a place."""
-        self._wanted = items
+    def want(self, items: int, due_order: tuple[str, ...]) -> None:
+        """Note what waits for a place.
+
+        Args:
+            items: how many items of this host do.
+            due_order: the hosts that have jobs, the first due first.
+        """
+        with self._lock:
+            self._table.own_waiting = items
+            self._table.due_order = due_order
 
     def surplus(self) -> dict[str, int]:
         """Return how many items are to give way at each server."""
@@ -208,7 +215,8 @@
 
     def _batch_counts(self) -> dict[str, int]:
         held = dict(self._table.own_batch)
-        return {**held, ANY_SERVER: self._wanted} if self._wanted else held
+        waiting = self._table.own_waiting
+        return {**held, ANY_SERVER: waiting} if waiting > 0 else held
 
     def _servers(self, service: str, now: float) -> tuple[ListedServer, ...]:
         due = self._list.due()
--- a/guavadyke/decisions/jobshare.py
+++ b/guavadyke/decisions/jobshare.py
@@ -6,7 +6,8 @@
 import dataclasses
 from collections.abc import Collection, Iterable, Mapping
 
-from guavadyke.decisions.jobrecords import JobView
+from guavadyke.decisions.forwarding import RouteTable
+from guavadyke.decisions.jobrecords import AcceptedJob, JobView
 from guavadyke.decisions.ranking import rank_names, rendezvous
 
 # Seconds for which the owner of a job has to be unknown or dead before
@@ -26,6 +27,26 @@
     return min(hosts, key=lambda host: held[host])
 
 
+def due_at(job: AcceptedJob, table: RouteTable) -> float:
+    """Return when a job's results are due, in seconds since the epoch."""
+    route = table.named(job.route)
+    if route is None:
+        return job.accepted_at
+    return job.accepted_at + route.target_complete_s
+
+
+def due_order(
+    jobs: Iterable[JobView],
+    table: RouteTable,
+) -> tuple[str, ...]:
+    """Return the hosts that have open jobs, the first due first."""
+    opened = sorted(
+        (view for view in jobs if view.open),
+        key=lambda view: (due_at(view.job, table), view.job.job_id),
+    )
+    return tuple(dict.fromkeys(view.owner for view in opened))
+
+
 class Absences:
     """Since when the owners of open jobs are absent from the fleet."""
 
--- a/guavadyke/decisions/spreading.py
+++ b/guavadyke/decisions/spreading.py
@@ -9,11 +9,12 @@
 import collections
 import dataclasses
 import random
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 
+from guavadyke.decisions.batchroom import BatchDemand, batch_rooms
 from guavadyke.decisions.counts import CountsByHost
 from guavadyke.decisions.health import ServerHealth
-from guavadyke.decisions.ranking import place, rank_names
+from guavadyke.decisions.ranking import rank_names
 from guavadyke.decisions.serverlist import ListedServer
 from guavadyke.decisions.slot import HostPlace
 
@@ -58,6 +59,9 @@
         self._paused: dict[str, float] = {}
         self.own_online: collections.Counter[str] = collections.Counter()
         self.own_batch: collections.Counter[str] = collections.Counter()
+        self.own_waiting = 0
+        # Hosts with open jobs, the one whose job is due first coming first.
+        self.due_order: tuple[str, ...] = ()
         self.online_elsewhere = CountsByHost()
         self.batch_elsewhere = CountsByHost()
         self._health: dict[str, ServerHealth] = {}
@@ -135,23 +139,6 @@
         """Leave a server that refused an item alone for a moment."""
         self._paused[server_id] = now + _REFUSED_PAUSE_S
 
-    def batch_room(self, server: ListedServer, now: float) -> int:
-        """Return how many more items this host may start at a server.
-
-        What online requests and a reserve leave is shared evenly by the
-        hosts that have items waiting; the rest goes to those that rank
-        first for the server. All hosts come to the same shares, so that
-        none of them has to take an item back when the others have started.
-        """
-        reserve = min(_ONLINE_RESERVE, server.slots - 1)
-        taken = self.load(server.server_id, now).total
-        free = server.slots - reserve - taken
-        wanting = self._wanting(now)
-        held = self._batch_by_host(server.server_id, now)
-        shared = free + sum(held.get(host, 0) for host in wanting)
-        share = self._share(server.server_id, max(0, shared), wanting)
-        return min(free, share - held.get(self._here.host_id, 0))
-
     def choose_batch(
         self,
         servers: Sequence[ListedServer],
@@ -159,18 +146,25 @@
         now: float,
     ) -> ListedServer | None:
         """Return the server with most room for an item, None without."""
-        rooms = {
-            server: self.batch_room(server, now)
+        usable = {
+            server.server_id: server
             for server in self._in_service(servers, now)
             if server.server_id not in excluded
             and self._paused.get(server.server_id, 0) <= now
         }
+        rooms = batch_rooms(
+            {name: self._free(one, now) for name, one in usable.items()},
+            self._demands(usable, now),
+            self._here.host_id,
+        )
         best = max(rooms.values(), default=0)
         if best <= 0:
             return None
-        return self._rng.choice([
-            server for server, room in rooms.items() if room == best
-        ])
+        return usable[
+            self._rng.choice([
+                name for name, room in rooms.items() if room == best
+            ])
+        ]
 
     def surplus(self, server: ListedServer, now: float) -> int:
         """Return how many items of this host are to give way at a server.
@@ -191,20 +185,34 @@
         batch = sum(held.values())
         return over * (before + own) // batch - over * before // batch
 
-    def _share(
+    def _free(self, server: ListedServer, now: float) -> int:
+        """Return the slots that online requests and a reserve leave."""
+        reserve = min(_ONLINE_RESERVE, server.slots - 1)
+        return server.slots - reserve - self.load(server.server_id, now).total
+
+    def _demands(
         self,
-        server_id: str,
-        shared: int,
-        wanting: frozenset[str],
-    ) -> int:
-        """Return this host's part of the slots that the hosts share."""
-        even, rest = divmod(shared, len(wanting))
-        return even + (place(server_id, self._here.host_id, wanting) < rest)
-
-    def _wanting(self, now: float) -> frozenset[str]:
-        """Return the hosts that have items waiting, and this one."""
-        others = self.batch_elsewhere.by_host(ANY_SERVER, now)
-        return frozenset((self._here.host_id, *others))
+        server_ids: Collection[str],
+        now: float,
+    ) -> dict[str, BatchDemand]:
+        """Return the hosts that have items waiting, the first due first."""
+        me = self._here.host_id
+        elsewhere = self.batch_elsewhere.by_host(ANY_SERVER, now)
+        waiting = {**elsewhere, me: max(1, self.own_waiting)}
+        held = {name: self._batch_by_host(name, now) for name in server_ids}
+        return {
+            host: BatchDemand(
+                waiting[host],
+                {name: hosts.get(host, 0) for name, hosts in held.items()},
+            )
+            for host in self._by_due(waiting)
+        }
+
+    def _by_due(self, hosts: Iterable[str]) -> list[str]:
+        """Return hosts in the order of their jobs, others after them."""
+        places = {host: number for number, host in enumerate(self.due_order)}
+        ranked = rank_names(ANY_SERVER, hosts)
+        return sorted(ranked, key=lambda host: places.get(host, len(places)))
 
     def _batch_by_host(self, server_id: str, now: float) -> dict[str, int]:
         held = self.batch_elsewhere.by_host(server_id, now)
