--- a/guavadyke/decisions/batchroom.py
+++ b/guavadyke/decisions/batchroom.py
@@ -43,11 +43,11 @@
     """Return how many items a host may start at each server.
 
     Args:
-        free: slots by server that batch may take now.
+        free: slots by server that batch may take now, 1 or more.
         demands: by host, the one whose items are due first coming first.
         me: the host.
     """
-    left = {name: slots for name, slots in sorted(free.items()) if slots > 0}
+    left = dict(sorted(free.items()))
     for host_id, demand in demands.items():
         if not left:
             break
--- a/guavadyke/decisions/spreading.py
+++ b/guavadyke/decisions/spreading.py
@@ -9,7 +9,7 @@
 import collections
 import dataclasses
 import random
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from guavadyke.decisions.batchroom import BatchDemand, batch_rooms
 from guavadyke.decisions.counts import CountsByHost
@@ -152,11 +152,14 @@
             if server.server_id not in excluded
             and self._paused.get(server.server_id, 0) <= now
         }
-        rooms = batch_rooms(
-            {name: self._free(one, now) for name, one in usable.items()},
-            self._demands(usable, now),
-            self._here.host_id,
-        )
+        free = {
+            name: slots
+            for name, one in usable.items()
+            if (slots := self._free(one, now)) > 0
+        }
+        # Most often nothing is free, which is found out for little.
+        demands = self._demands(free, now) if free else {}
+        rooms = batch_rooms(free, demands, self._here.host_id)
         best = max(rooms.values(), default=0)
         if best <= 0:
             return None
@@ -192,20 +195,24 @@
 
     def _demands(
         self,
-        server_ids: Collection[str],
+        server_ids: Iterable[str],
         now: float,
     ) -> dict[str, BatchDemand]:
-        """Return the hosts that have items waiting, the first due first."""
+        """Return the hosts with items waiting, the first due first.
+
+        Those after this host are left out: they leave its room as it is.
+        """
         me = self._here.host_id
         elsewhere = self.batch_elsewhere.by_host(ANY_SERVER, now)
         waiting = {**elsewhere, me: max(1, self.own_waiting)}
-        held = {name: self._batch_by_host(name, now) for name in server_ids}
+        held: dict[str, dict[str, int]] = collections.defaultdict(dict)
+        for name in server_ids:
+            for holder, count in self._batch_by_host(name, now).items():
+                held[holder][name] = count
+        ordered = self._by_due(waiting)
         return {
-            host: BatchDemand(
-                waiting[host],
-                {name: hosts.get(host, 0) for name, hosts in held.items()},
-            )
-            for host in self._by_due(waiting)
+            host: BatchDemand(waiting[host], held[host])
+            for host in ordered[: ordered.index(me) + 1]
         }
 
     def _by_due(self, hosts: Iterable[str]) -> list[str]:
