Share watches of the platform between the hosts of a zone

Two hosts of a zone watch a kind; the others ask them over a connection that stays open and fall back to the platform. A source that is frozen or cut off is given up after 2.2 s. A host that cannot reach the platform learns of changes by its zone instead of listing.

Ruled out: pushing changes by datagram, which bodies of jobs do not fit; polling for revisions, which costs a connection per host and change.

--- a/guavadyke/adapters/peer_call_codec.py
+++ b/guavadyke/adapters/peer_call_codec.py
@@ -21,7 +21,7 @@
     record_to_struct,
     unpack_struct,
 )
-from guavadyke.adapters.ports import ListedHost, StoredObject
+from guavadyke.adapters.ports import ListedHost, ObjectEvent, StoredObject
 from guavadyke.decisions.object_versions import ObjectVersion
 from guavadyke.errors import ErrorCode
 from guavadyke.peer.generated.messages import ttypes
@@ -115,6 +115,8 @@
                 ttypes.ListedHost(**dataclasses.asdict(listed_host))
                 for listed_host in platform.hosts
             ],
+            events=[_event_to_struct(event) for event in platform.events],
+            expired=platform.expired,
         ),
     )
     return pack_struct(struct)
@@ -171,6 +173,15 @@
     )
 
 
+@_set_request.register
+def _set_watch_query(request: calls.WatchQuery, struct: Any) -> None:
+    struct.watch_query = ttypes.WatchQuery(
+        kind=request.kind,
+        revision=request.revision,
+        wait_ms=int(request.wait_s * 1000),
+    )
+
+
 def _request_from_struct(struct: Any) -> calls.PeerRequest:
     if struct.catalogue_query is not None:
         return calls.CatalogueQuery(tuple(struct.catalogue_query.digests))
@@ -178,7 +189,16 @@
         return calls.CatalogueFetch(tuple(struct.catalogue_fetch.names))
     if struct.fleet_query is not None:
         return calls.FleetQuery()
-    call = struct.platform_call
+    if struct.watch_query is not None:
+        return calls.WatchQuery(
+            struct.watch_query.kind,
+            struct.watch_query.revision,
+            struct.watch_query.wait_ms / 1000,
+        )
+    return _platform_call_from_struct(struct.platform_call)
+
+
+def _platform_call_from_struct(call: Any) -> calls.PlatformCall:
     return calls.PlatformCall(
         method=calls.PlatformMethod(call.method),
         kind=call.kind,
@@ -216,13 +236,10 @@
 
 def _platform_reply_from_struct(struct: Any) -> calls.PlatformReply:
     return calls.PlatformReply(
+        events=tuple(map(_event_from_struct, struct.events or ())),
+        expired=bool(struct.expired),
         objects=tuple(
-            StoredObject(
-                stored_object.kind,
-                stored_object.name,
-                stored_object.version,
-                stored_object.body,
-            )
+            _stored_object_from_struct(stored_object)
             for stored_object in struct.objects or ()
         ),
         revision=struct.revision or 0,
@@ -256,6 +273,10 @@
     )
 
 
+def _stored_object_from_struct(struct: Any) -> StoredObject:
+    return StoredObject(struct.kind, struct.name, struct.version, struct.body)
+
+
 def _stored_object_to_struct(stored: StoredObject) -> Any:
     return ttypes.StoredObject(
         kind=stored.kind,
@@ -263,3 +284,23 @@
         version=stored.version,
         body=stored.body,
     )
+
+
+def _event_to_struct(event: ObjectEvent) -> Any:
+    return ttypes.ObjectEvent(
+        name=event.name,
+        version=event.version,
+        current=None
+        if event.current is None
+        else _stored_object_to_struct(event.current),
+    )
+
+
+def _event_from_struct(struct: Any) -> ObjectEvent:
+    return ObjectEvent(
+        struct.name,
+        struct.version,
+        None
+        if struct.current is None
+        else _stored_object_from_struct(struct.current),
+    )
--- a/guavadyke/adapters/peer_calls.py
+++ b/guavadyke/adapters/peer_calls.py
@@ -6,7 +6,7 @@
 import enum
 from typing import TypeAlias
 
-from guavadyke.adapters.ports import ListedHost, StoredObject
+from guavadyke.adapters.ports import ListedHost, ObjectEvent, StoredObject
 from guavadyke.decisions.leaving_servers import LeavingMark
 from guavadyke.decisions.membership_protocol import PeerRecord
 from guavadyke.decisions.object_versions import ObjectVersion
@@ -72,8 +72,24 @@
     bodies: bool = True
 
 
+@dataclasses.dataclass(frozen=True)
+class WatchQuery:
+    """Requests the changes of a kind after a revision of the platform.
+
+    The receiver waits up to ``wait_s`` seconds for a change.
+    """
+
+    kind: str
+    revision: int
+    wait_s: float
+
+    def with_wait(self, longest_s: float) -> WatchQuery:
+        """Return the query with a wait of at most ``longest_s`` seconds."""
+        return dataclasses.replace(self, wait_s=min(self.wait_s, longest_s))
+
+
 PeerRequest: TypeAlias = (
-    CatalogueQuery | CatalogueFetch | FleetQuery | PlatformCall
+    CatalogueQuery | CatalogueFetch | FleetQuery | PlatformCall | WatchQuery
 )
 
 
@@ -87,12 +103,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class PlatformReply:
-    """The platform's answer to a ``PlatformCall``."""
+    """The platform's answer to a ``PlatformCall`` or a ``WatchQuery``.
+
+    ``events`` and ``expired`` answer a ``WatchQuery``; the latter says that
+    the receiver does not know all changes since the revision.
+    """
 
     objects: tuple[StoredObject, ...] = ()
     revision: int = 0
     more: bool = False
     hosts: tuple[ListedHost, ...] = ()
+    events: tuple[ObjectEvent, ...] = ()
+    expired: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/guavadyke/adapters/peer_datagram_codec.py
+++ b/guavadyke/adapters/peer_datagram_codec.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from typing import Any, TypeVar
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
@@ -15,16 +15,21 @@
     PeerMessageError,
     RejectionReason,
 )
+from guavadyke.adapters.peer_notice_codec import (
+    checked_text,
+    list_or_none,
+    notice_fields,
+    notice_from_struct,
+    parse_all,
+)
 from guavadyke.decisions import leaving_servers, membership_protocol
 from guavadyke.decisions.object_versions import CatalogueMark
 from guavadyke.peer.generated.messages import ttypes
 
 STRUCT_ERRORS = (TypeError, ValueError, AttributeError, KeyError)
 _PROTOCOL_FACTORY = TCompactProtocolAcceleratedFactory()
-_MAX_TEXT_LENGTH = 8192
 _MAX_LIST_LENGTH = 1024
 _Struct = TypeVar('_Struct')
-_Parsed = TypeVar('_Parsed')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -85,14 +90,9 @@
         platform_reachable=datagram.platform_reachable,
         boot=datagram.boot,
         sent_ms=datagram.sent_ms,
-        peers=_list_or_none(map(record_to_struct, datagram.records)),
-        leaving=_list_or_none(map(leaving_mark_to_struct, datagram.leaving)),
-        demands=_list_or_none(map(_demand_to_struct, notice.demands)),
-        grants=_list_or_none(map(_grant_to_struct, notice.grants)),
-        counts=_list_or_none(map(_online_count_to_struct, notice.counts)),
-        batch_counts=_list_or_none(
-            map(_batch_count_to_struct, notice.batch_counts)
-        ),
+        peers=list_or_none(map(record_to_struct, datagram.records)),
+        leaving=list_or_none(map(leaving_mark_to_struct, datagram.leaving)),
+        **notice_fields(notice),
     )
     _set_signal(struct, datagram.signal)
     return pack_struct(struct)
@@ -131,10 +131,10 @@
 def record_from_struct(struct: Any) -> membership_protocol.PeerRecord:
     """Return the record that a Thrift struct holds."""
     return membership_protocol.PeerRecord(
-        host_id=_checked_text(struct.host_id),
-        zone=_checked_text(struct.zone),
-        region=_checked_text(struct.region),
-        address=_checked_text(struct.address),
+        host_id=checked_text(struct.host_id),
+        zone=checked_text(struct.zone),
+        region=checked_text(struct.region),
+        address=checked_text(struct.address),
         incarnation=int(struct.incarnation),
         state=membership_protocol.PeerState[
             ttypes.PeerState(struct.state).name
@@ -162,7 +162,7 @@
     known = frozenset(leaving_servers.LeavingSource)
     return tuple(
         leaving_servers.LeavingMark(
-            backend_id=_checked_text(struct.backend_id),
+            backend_id=checked_text(struct.backend_id),
             source=leaving_servers.LeavingSource(struct.source),
             version=int(struct.version),
             leaving=bool(struct.leaving),
@@ -174,9 +174,9 @@
 
 def _datagram_from_struct(struct: Any) -> PeerDatagram:
     return PeerDatagram(
-        sender=_checked_text(struct.sender),
+        sender=checked_text(struct.sender),
         incarnation=int(struct.incarnation),
-        boot=_checked_text(struct.boot),
+        boot=checked_text(struct.boot),
         number=int(struct.sequence),
         sent_ms=int(struct.sent_ms),
         catalogue_mark=CatalogueMark(
@@ -185,9 +185,9 @@
         ),
         platform_reachable=bool(struct.platform_reachable),
         signal=_signal_from_struct(struct),
-        records=_parse_all(record_from_struct, struct.peers),
+        records=parse_all(record_from_struct, struct.peers),
         leaving=leaving_marks_from_structs(struct.leaving),
-        notice=_notice_from_struct(struct),
+        notice=notice_from_struct(struct),
     )
 
 
@@ -211,103 +211,11 @@
         return membership_protocol.Ping(int(struct.ping.sequence))
     if struct.ack is not None:
         return membership_protocol.Ack(
-            int(struct.ack.sequence), _checked_text(struct.ack.target)
+            int(struct.ack.sequence), checked_text(struct.ack.target)
         )
     if struct.ping_request is not None:
         return membership_protocol.PingRequest(
             int(struct.ping_request.sequence),
-            _checked_text(struct.ping_request.target),
+            checked_text(struct.ping_request.target),
         )
     return None
-
-
-def _notice_from_struct(struct: Any) -> ports.PeerNotice | None:
-    notice = ports.PeerNotice(
-        demands=_parse_all(_demand_from_struct, struct.demands),
-        grants=_parse_all(_grant_from_struct, struct.grants),
-        counts=_parse_all(_online_count_from_struct, struct.counts),
-        batch_counts=_parse_all(_batch_count_from_struct, struct.batch_counts),
-    )
-    return None if notice == ports.PeerNotice() else notice
-
-
-def _demand_to_struct(demand: ports.LimitDemand) -> Any:
-    return ttypes.LimitDemand(
-        limit_name=demand.limit_name,
-        demand=float(demand.demand),
-        sequence=demand.sequence,
-        in_use=float(demand.in_use),
-    )
-
-
-def _demand_from_struct(struct: Any) -> ports.LimitDemand:
-    return ports.LimitDemand(
-        _checked_text(struct.limit_name),
-        float(struct.demand),
-        int(struct.sequence or 0),
-        float(struct.in_use or 0),
-    )
-
-
-def _grant_to_struct(grant: ports.LimitGrant) -> Any:
-    return ttypes.LimitGrant(
-        limit_name=grant.limit_name,
-        share=float(grant.share),
-        valid_s=float(grant.valid_s),
-        sequence=grant.sequence,
-    )
-
-
-def _grant_from_struct(struct: Any) -> ports.LimitGrant:
-    return ports.LimitGrant(
-        _checked_text(struct.limit_name),
-        float(struct.share),
-        float(struct.valid_s),
-        int(struct.sequence or 0),
-    )
-
-
-def _online_count_to_struct(count: ports.OnlineCount) -> Any:
-    return ttypes.OnlineCount(
-        backend_id=count.backend_id,
-        in_flight=count.in_flight,
-        queued=count.queued,
-    )
-
-
-def _online_count_from_struct(struct: Any) -> ports.OnlineCount:
-    return ports.OnlineCount(
-        _checked_text(struct.backend_id),
-        int(struct.in_flight),
-        int(struct.queued),
-    )
-
-
-def _batch_count_to_struct(count: ports.BatchCount) -> Any:
-    return ttypes.BatchCount(
-        backend_id=count.backend_id,
-        in_flight=count.in_flight,
-    )
-
-
-def _batch_count_from_struct(struct: Any) -> ports.BatchCount:
-    return ports.BatchCount(
-        _checked_text(struct.backend_id), int(struct.in_flight)
-    )
-
-
-def _parse_all(
-    read: Callable[[Any], _Parsed],
-    structs: Iterable[Any] | None,
-) -> tuple[_Parsed, ...]:
-    return tuple(read(struct) for struct in structs or ())
-
-
-def _list_or_none(structs: Iterable[Any]) -> list[Any] | None:
-    return list(structs) or None
-
-
-def _checked_text(text: object) -> str:
-    if isinstance(text, str) and len(text) <= _MAX_TEXT_LENGTH:
-        return text
-    raise ValueError('a text field is missing or too long')
--- a/guavadyke/adapters/peer_datagrams.py
+++ b/guavadyke/adapters/peer_datagrams.py
@@ -6,7 +6,7 @@
 import itertools
 import threading
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from guavadyke.adapters.message_authentication import (
     AUTHENTICATION_BYTES,
@@ -196,10 +196,18 @@
 
     def send(self, host_id: str, notice: PeerNotice) -> None:
         """Send a notice, in several datagrams if it does not fit into one."""
-        address = self._address(host_id)
-        if address is None:
-            return
-        for packed_part in self._split_to_fit(notice):
+        self.send_all((host_id,), notice)
+
+    def send_all(self, host_ids: Collection[str], notice: PeerNotice) -> None:
+        """Send a notice to several hosts; it is encoded only once."""
+        wanted = frozenset(host_ids)
+        addresses = [
+            peer.address
+            for peer in self._fleet.current.peers
+            if peer.host_id in wanted
+        ]
+        packed_parts = self._split_to_fit(notice) if addresses else ()
+        for packed_part, address in itertools.product(packed_parts, addresses):
             self._port.send(address, packed_part)
 
     def subscribe(self, receive: Callable[[str, PeerNotice], None]) -> None:
@@ -212,13 +220,6 @@
         for receive in self._receivers:
             receive(sender, notice)
 
-    def _address(self, host_id: str) -> str | None:
-        peers = self._fleet.current.peers
-        return next(
-            (peer.address for peer in peers if peer.host_id == host_id),
-            None,
-        )
-
     def _split_to_fit(self, notice: PeerNotice) -> list[bytes]:
         packed = self._datagrams.pack(DatagramContent(notice=notice))
         if len(packed) <= MAX_DATAGRAM_BYTES:
@@ -241,6 +242,7 @@
         PeerNotice(grants=notice.grants),
         PeerNotice(counts=notice.counts),
         PeerNotice(batch_counts=notice.batch_counts),
+        PeerNotice(faults=notice.faults),
     )
     non_empty = tuple(kind for kind in by_kind if kind != PeerNotice())
     if len(non_empty) > 1:
@@ -256,6 +258,7 @@
         notice.grants[first::2],
         notice.counts[first::2],
         notice.batch_counts[first::2],
+        notice.faults[first::2],
     )
 
 
@@ -265,5 +268,6 @@
         notice.grants,
         notice.counts,
         notice.batch_counts,
+        notice.faults,
     )
     return sum(map(len, all_lists))
--- /dev/null
+++ b/guavadyke/adapters/peer_notice_codec.py
@@ -0,0 +1,147 @@
+"""Encodes and decodes the notices in datagrams as Thrift structs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any, TypeVar
+
+from guavadyke.adapters import ports
+from guavadyke.decisions.fault_reports import ServerFault
+from guavadyke.peer.generated.messages import ttypes
+
+_Parsed = TypeVar('_Parsed')
+_MAX_TEXT_LENGTH = 8192
+
+
+def notice_fields(notice: ports.PeerNotice) -> dict[str, Any]:
+    """Return the fields of a datagram that hold a notice."""
+    return {
+        'demands': list_or_none(map(_demand_to_struct, notice.demands)),
+        'grants': list_or_none(map(_grant_to_struct, notice.grants)),
+        'counts': list_or_none(map(_online_count_to_struct, notice.counts)),
+        'batch_counts': list_or_none(
+            map(_batch_count_to_struct, notice.batch_counts)
+        ),
+        'faults': list_or_none(map(_fault_to_struct, notice.faults)),
+    }
+
+
+def notice_from_struct(struct: Any) -> ports.PeerNotice | None:
+    """Return the notice in a datagram, None if there is none.
+
+    Raises:
+        ValueError: a text is missing or too long.
+    """
+    notice = ports.PeerNotice(
+        demands=parse_all(_demand_from_struct, struct.demands),
+        grants=parse_all(_grant_from_struct, struct.grants),
+        counts=parse_all(_online_count_from_struct, struct.counts),
+        batch_counts=parse_all(_batch_count_from_struct, struct.batch_counts),
+        faults=parse_all(_fault_from_struct, struct.faults),
+    )
+    return None if notice == ports.PeerNotice() else notice
+
+
+def _demand_to_struct(demand: ports.LimitDemand) -> Any:
+    return ttypes.LimitDemand(
+        limit_name=demand.limit_name,
+        demand=float(demand.demand),
+        sequence=demand.sequence,
+        in_use=float(demand.in_use),
+    )
+
+
+def _demand_from_struct(struct: Any) -> ports.LimitDemand:
+    return ports.LimitDemand(
+        checked_text(struct.limit_name),
+        float(struct.demand),
+        int(struct.sequence or 0),
+        float(struct.in_use or 0),
+    )
+
+
+def _grant_to_struct(grant: ports.LimitGrant) -> Any:
+    return ttypes.LimitGrant(
+        limit_name=grant.limit_name,
+        share=float(grant.share),
+        valid_s=float(grant.valid_s),
+        sequence=grant.sequence,
+    )
+
+
+def _grant_from_struct(struct: Any) -> ports.LimitGrant:
+    return ports.LimitGrant(
+        checked_text(struct.limit_name),
+        float(struct.share),
+        float(struct.valid_s),
+        int(struct.sequence or 0),
+    )
+
+
+def _online_count_to_struct(count: ports.OnlineCount) -> Any:
+    return ttypes.OnlineCount(
+        backend_id=count.backend_id,
+        in_flight=count.in_flight,
+        queued=count.queued,
+    )
+
+
+def _online_count_from_struct(struct: Any) -> ports.OnlineCount:
+    return ports.OnlineCount(
+        checked_text(struct.backend_id),
+        int(struct.in_flight),
+        int(struct.queued),
+    )
+
+
+def _batch_count_to_struct(count: ports.BatchCount) -> Any:
+    return ttypes.BatchCount(
+        backend_id=count.backend_id,
+        in_flight=count.in_flight,
+    )
+
+
+def _batch_count_from_struct(struct: Any) -> ports.BatchCount:
+    return ports.BatchCount(
+        checked_text(struct.backend_id), int(struct.in_flight)
+    )
+
+
+def _fault_to_struct(fault: ServerFault) -> Any:
+    return ttypes.ServerFault(
+        backend_id=fault.backend_id,
+        zone=fault.zone,
+        failing=fault.failing,
+    )
+
+
+def _fault_from_struct(struct: Any) -> ServerFault:
+    return ServerFault(
+        checked_text(struct.backend_id),
+        checked_text(struct.zone),
+        bool(struct.failing),
+    )
+
+
+def parse_all(
+    read: Callable[[Any], _Parsed],
+    structs: Iterable[Any] | None,
+) -> tuple[_Parsed, ...]:
+    """Parse all entries of a list field, which may be left out."""
+    return tuple(read(struct) for struct in structs or ())
+
+
+def list_or_none(structs: Iterable[Any]) -> list[Any] | None:
+    """Return a list field, which is left out if it is empty."""
+    return list(structs) or None
+
+
+def checked_text(text: object) -> str:
+    """Return a text field.
+
+    Raises:
+        ValueError: the text is missing or too long.
+    """
+    if isinstance(text, str) and len(text) <= _MAX_TEXT_LENGTH:
+        return text
+    raise ValueError('a text field is missing or too long')
--- a/guavadyke/adapters/peer_rpc.py
+++ b/guavadyke/adapters/peer_rpc.py
@@ -1,6 +1,7 @@
 """Calls between entry hosts over TCP.
 
-A connection carries one call: one authenticated frame each way.
+A connection carries one call: one authenticated frame each way. Only that of
+a watch stays open for further queries.
 """
 
 from __future__ import annotations
@@ -9,7 +10,7 @@
 import socket
 import threading
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Generator
 from concurrent.futures import ThreadPoolExecutor
 
 from guavadyke.adapters import peer_call_codec as codec
@@ -39,6 +40,12 @@
 _MAX_READ_BYTES = 65_536
 _WORKER_THREADS = 8
 _MAX_QUEUED_CALLS = 32
+# Connections of hosts that ask for changes; each has a thread that waits.
+_MAX_WATCHES = 128
+# A connection without a query for this time is closed.
+_WATCH_IDLE_S = 15.0
+# Added to the time that a peer may wait for changes.
+_WATCH_MARGIN_S = 0.7
 _ACCEPT_TIMEOUT_S = 0.2
 
 RequestHandler = Callable[[str, calls.PeerRequest], calls.PeerReply]
@@ -77,6 +84,18 @@
             PeerNotReachedError: the call had no effect.
             PeerAnswerLostError: the call may have taken effect.
         """
+        with contextlib.closing(self.connect(address)) as connection:
+            return self.exchange(connection, request)
+
+    def exchange(
+        self, connection: socket.socket, request: calls.PeerRequest
+    ) -> calls.PeerReply:
+        """Make a call over an open connection.
+
+        Raises:
+            PeerAnswerLostError: the call may have taken effect; the
+                connection has to be closed.
+        """
         nonce = uuid.uuid4().hex
         payload = codec.encode_call(
             codec.CallEnvelope(
@@ -86,21 +105,24 @@
                 request,
             ),
         )
-        connection = self._connect(address)
-        with contextlib.closing(connection):
-            try:
-                send_frame(connection, self._authenticator.sign(payload))
-                answer = self._authenticator.verify(receive_frame(connection))
-                envelope = codec.decode_reply(answer)
-            except (OSError, PeerMessageError) as error:
-                raise calls.PeerAnswerLostError(str(error)) from error
+        try:
+            send_frame(connection, self._authenticator.sign(payload))
+            answer = self._authenticator.verify(receive_frame(connection))
+            envelope = codec.decode_reply(answer)
+        except (OSError, PeerMessageError) as error:
+            raise calls.PeerAnswerLostError(str(error)) from error
         if envelope.nonce != nonce:
             raise calls.PeerAnswerLostError(
                 'the answer belongs to another call'
             )
         return envelope.reply
 
-    def _connect(self, address: str) -> socket.socket:
+    def connect(self, address: str) -> socket.socket:
+        """Open a connection to a peer.
+
+        Raises:
+            PeerNotReachedError: the peer cannot be reached.
+        """
         if address in self._faults.blocked_to | self._faults.blocked_from:
             raise calls.PeerNotReachedError(f'{address} is cut off')
         try:
@@ -114,8 +136,58 @@
         return connection
 
 
+class PeerChannels:
+    """Connections to peers that stay open for queries that wait.
+
+    Each key has one connection at a time. Queries with the same key have
+    to come from one thread.
+
+    Args:
+        client: opens the connections.
+    """
+
+    def __init__(self, client: PeerClient) -> None:
+        self._client = client
+        self._open: dict[str, tuple[str, socket.socket]] = {}
+
+    def call(
+        self,
+        address: str,
+        key: str,
+        request: calls.PeerRequest,
+        wait_s: float,
+    ) -> calls.PeerReply:
+        """Call a peer that may wait for ``wait_s`` seconds with its answer.
+
+        Raises:
+            PeerNotReachedError: the peer cannot be reached.
+            PeerAnswerLostError: the peer did not answer.
+        """
+        connection = self._connection(address, key)
+        connection.settimeout(wait_s + _WATCH_MARGIN_S)
+        try:
+            return self._client.exchange(connection, request)
+        except calls.PeerAnswerLostError:
+            self._close(key)
+            raise
+
+    def _connection(self, address: str, key: str) -> socket.socket:
+        known_address, connection = self._open.get(key, ('', None))
+        if connection is not None and known_address == address:
+            return connection
+        self._close(key)
+        connection = self._client.connect(address)
+        self._open[key] = (address, connection)
+        return connection
+
+    def _close(self, key: str) -> None:
+        _address, connection = self._open.pop(key, ('', None))
+        if connection is not None:
+            connection.close()
+
+
 class PeerServer:
-    """Answers calls of peers on a bounded thread pool.
+    """Answers calls of peers on bounded thread pools.
 
     A connection that arrives while all threads are busy and the queue is
     full is closed at once.
@@ -146,6 +218,8 @@
             _WORKER_THREADS + _MAX_QUEUED_CALLS
         )
         self._pool = ThreadPoolExecutor(_WORKER_THREADS, 'peer-call')
+        self._free_watches = threading.Semaphore(_MAX_WATCHES)
+        self._watch_pool = ThreadPoolExecutor(_MAX_WATCHES, 'peer-watch')
         self._closed = threading.Event()
         self._thread = threading.Thread(
             target=self._run,
@@ -164,6 +238,7 @@
         if self._thread.is_alive():
             self._thread.join(1)
         self._pool.shutdown(wait=False, cancel_futures=True)
+        self._watch_pool.shutdown(wait=False, cancel_futures=True)
 
     def _run(self) -> None:
         while not self._closed.is_set():
@@ -178,22 +253,75 @@
                 connection.close()
 
     def _serve(self, connection: socket.socket, address: str) -> None:
+        connection.settimeout(CALL_TIMEOUT_S)
+        watches = False
+        try:
+            with self._handled(connection, address) as open_connection:
+                envelope = self._receive_call(open_connection)
+                watches = isinstance(envelope.request, calls.WatchQuery)
+                if watches:
+                    watches = self._start_watch(connection, address, envelope)
+                else:
+                    self._send_reply(open_connection, envelope)
+        finally:
+            self._free_capacity.release()
+            if not watches:
+                connection.close()
+
+    def _start_watch(
+        self,
+        connection: socket.socket,
+        address: str,
+        envelope: codec.CallEnvelope,
+    ) -> bool:
+        """Answer queries on a thread of its own, unless there are too many."""
+        if not self._free_watches.acquire(blocking=False):
+            return False
+        self._watch_pool.submit(
+            self._serve_watch, connection, address, envelope
+        )
+        return True
+
+    def _serve_watch(
+        self,
+        connection: socket.socket,
+        address: str,
+        envelope: codec.CallEnvelope,
+    ) -> None:
+        connection.settimeout(_WATCH_IDLE_S)
+        try:
+            with (
+                contextlib.closing(connection),
+                self._handled(connection, address),
+            ):
+                while not self._closed.is_set():
+                    self._send_reply(connection, envelope)
+                    envelope = self._receive_call(connection)
+        finally:
+            self._free_watches.release()
+
+    @contextlib.contextmanager
+    def _handled(
+        self, connection: socket.socket, address: str
+    ) -> Generator[socket.socket]:
+        """Record messages that are rejected, and end with the caller."""
         try:
-            with contextlib.closing(connection):
-                connection.settimeout(CALL_TIMEOUT_S)
-                self._exchange(connection)
+            yield connection
         except PeerMessageError as error:
             self._rejection_log.record(error, address)
         except OSError:
             # The caller is gone; it resolves the outcome of the call itself.
             return
-        finally:
-            self._free_capacity.release()
 
-    def _exchange(self, connection: socket.socket) -> None:
+    def _receive_call(self, connection: socket.socket) -> codec.CallEnvelope:
         message = receive_frame(connection)
         envelope = codec.decode_call(self._authenticator.verify(message))
         self._check_fresh(envelope)
+        return envelope
+
+    def _send_reply(
+        self, connection: socket.socket, envelope: codec.CallEnvelope
+    ) -> None:
         reply = self._handle_request(envelope.sender, envelope.request)
         payload = codec.encode_reply(
             codec.ReplyEnvelope(envelope.nonce, reply),
--- a/guavadyke/adapters/platform_fallback.py
+++ b/guavadyke/adapters/platform_fallback.py
@@ -17,6 +17,7 @@
     StoredObject,
     WatchAnswer,
 )
+from guavadyke.adapters.shared_watches import SharedWatches
 from guavadyke.decisions.platform_breaker import PlatformBreaker
 from guavadyke.errors import (
     ErrorCode,
@@ -40,6 +41,7 @@
             that they reach the platform, the nearest first.
         clock: delays direct attempts while the platform is unreachable.
         rng: adds jitter to these delays.
+        shared_watches: watches through other hosts of the zone.
     """
 
     def __init__(
@@ -49,12 +51,14 @@
         relay_addresses: Callable[[], list[str]],
         clock: Clock,
         rng: random.Random,
+        shared_watches: SharedWatches | None = None,
     ) -> None:
         self._direct = direct
         self._client = client
         self._relay_addresses = relay_addresses
         self._clock = clock
         self._rng = rng
+        self._shared_watches = shared_watches
         self._breaker = PlatformBreaker(rng)
         self._lock = threading.Lock()
         self.calls_through_peers = 0
@@ -166,15 +170,17 @@
     def watch(self, kind: str, revision: int, wait_s: float) -> WatchAnswer:
         """Wait up to ``wait_s`` seconds for changes after ``revision``.
 
-        A watch is never relayed, since it would block a thread of the peer.
-
         Raises:
-            PlatformUnavailableError: no direct call is possible now.
+            PlatformUnavailableError: no direct call is possible now, and no
+                other host watches the kind for this one.
         """
-        if not self._claim_direct_call():
-            raise PlatformUnavailableError('the platform is away')
-        return self._call_direct(
-            lambda: self._direct.watch(kind, revision, wait_s),
+        query = calls.WatchQuery(kind, revision, wait_s)
+        if self._shared_watches is None:
+            return self._watch_directly(query)
+        return self._shared_watches.watch(
+            query,
+            self._watch_directly,
+            probe=self._breaker.last_call_failed,
         )
 
     def hosts(self) -> tuple[ListedHost, ...]:
@@ -185,6 +191,15 @@
             _hosts,
         )
 
+    def _watch_directly(self, query: calls.WatchQuery) -> WatchAnswer:
+        if not self._claim_direct_call():
+            raise PlatformUnavailableError('the platform is away')
+        return self._call_direct(
+            lambda: self._direct.watch(
+                query.kind, query.revision, query.wait_s
+            ),
+        )
+
     def _call_by_any_path(
         self,
         direct: Callable[[], _Result],
@@ -225,21 +240,18 @@
 
     def _call_direct(self, direct: Callable[[], _Result]) -> _Result:
         """Call the platform directly and record whether it was reached."""
+        failed = False
         try:
-            answer = direct()
+            return direct()
         except (PlatformUnavailableError, PlatformOutcomeUnknownError):
-            with self._lock:
-                self._breaker.failed(self._clock.monotonic())
-            raise
-        except GuavadykeError:
-            self._record_success()
+            failed = True
             raise
-        self._record_success()
-        return answer
-
-    def _record_success(self) -> None:
-        with self._lock:
-            self._breaker.succeeded()
+        finally:
+            with self._lock:
+                if failed:
+                    self._breaker.failed(self._clock.monotonic())
+                else:
+                    self._breaker.succeeded()
 
     def _through_peers(self, call: calls.PlatformCall) -> calls.PlatformReply:
         """Make the call through the first of the nearest peers that can."""
--- a/guavadyke/adapters/ports.py
+++ b/guavadyke/adapters/ports.py
@@ -4,10 +4,11 @@
 
 import dataclasses
 import enum
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 from typing import Protocol
 
 from guavadyke.adapters.cancellation import CallCancellation
+from guavadyke.decisions.fault_reports import ServerFault
 
 
 class Clock(Protocol):
@@ -342,6 +343,7 @@
     grants: tuple[LimitGrant, ...] = ()
     counts: tuple[OnlineCount, ...] = ()
     batch_counts: tuple[BatchCount, ...] = ()
+    faults: tuple[ServerFault, ...] = ()
 
 
 class PeerMessenger(Protocol):
@@ -354,6 +356,10 @@
         """Send a notice without waiting; an unknown host is ignored."""
         ...
 
+    def send_all(self, host_ids: Collection[str], notice: PeerNotice) -> None:
+        """Send a notice to several hosts; it is encoded only once."""
+        ...
+
     def subscribe(self, receive: Callable[[str, PeerNotice], None]) -> None:
         """Call ``receive`` with the sender's host id for each notice."""
         ...
--- /dev/null
+++ b/guavadyke/adapters/shared_watches.py
@@ -0,0 +1,198 @@
+"""Watches of the platform that a few hosts make for all of a zone."""
+
+from __future__ import annotations
+
+import collections
+import threading
+import time
+from collections.abc import Callable, Iterable
+
+from guavadyke.adapters import peer_calls as calls
+from guavadyke.adapters.peer_rpc import PeerChannels
+from guavadyke.adapters.ports import WatchAnswer
+from guavadyke.decisions.change_log import ChangeLog
+from guavadyke.errors import (
+    ErrorCode,
+    GuavadykeError,
+    PlatformUnavailableError,
+)
+
+# A host that asks notices within about two seconds that its source is frozen
+# or cut off.
+_MAX_PEER_WAIT_S = 1.5
+# Length of a direct watch of a host that finds no source; then it asks the
+# sources again.
+_SUBSTITUTE_WAIT_S = 2.0
+
+
+class WatchHub:
+    """Passes the answers of this host's watches on to hosts that ask.
+
+    Thread-safe.
+    """
+
+    def __init__(self) -> None:
+        self._changed = threading.Condition()
+        self._logs: dict[str, ChangeLog] = collections.defaultdict(ChangeLog)
+
+    def record(self, kind: str, revision: int, answer: WatchAnswer) -> None:
+        """Add the answer to a direct watch for changes after a revision."""
+        with self._changed:
+            self._logs[kind].record(revision, answer)
+            self._changed.notify_all()
+
+    def suspend(self, kind: str) -> None:
+        """Answer no more queries on a kind until the next direct watch."""
+        with self._changed:
+            if self._logs[kind].current:
+                self._logs[kind].suspend()
+                self._changed.notify_all()
+
+    def answer(self, query: calls.WatchQuery) -> calls.PeerReply:
+        """Wait for changes of a kind; the answer may be empty or an error."""
+        until = time.monotonic() + min(query.wait_s, _MAX_PEER_WAIT_S)
+        with self._changed:
+            log = self._logs[query.kind]
+            found = log.changes_after(query.revision)
+            while found is None and log.current:
+                left_s = until - time.monotonic()
+                if left_s <= 0 or not self._changed.wait(left_s):
+                    break
+                found = log.changes_after(query.revision)
+            if found is None and log.current:
+                found = WatchAnswer(query.revision, ())
+        if found is None:
+            return calls.PeerReply(
+                error=calls.RemoteError(
+                    ErrorCode.platform_unavailable,
+                    f'{query.kind} is not watched here',
+                ),
+            )
+        return calls.PeerReply(
+            platform=calls.PlatformReply(
+                revision=found.revision,
+                events=found.events,
+                expired=found.expired,
+            ),
+        )
+
+
+class PeerWatches:
+    """Asks other hosts for changes, over a connection per kind.
+
+    Args:
+        channels: connections to peers.
+    """
+
+    def __init__(self, channels: PeerChannels) -> None:
+        self._channels = channels
+
+    def watch(
+        self, query: calls.WatchQuery, addresses: Iterable[str]
+    ) -> WatchAnswer | None:
+        """Ask hosts one after the other; return None if none can tell.
+
+        An expired answer says that the platform has to be asked.
+        """
+        answers = (self._ask(address, query) for address in addresses)
+        return next((one for one in answers if one is not None), None)
+
+    def _ask(self, address: str, query: calls.WatchQuery) -> WatchAnswer | None:
+        wait_s = min(query.wait_s, _MAX_PEER_WAIT_S)
+        try:
+            reply = self._channels.call(address, query.kind, query, wait_s)
+        except (calls.PeerNotReachedError, calls.PeerAnswerLostError):
+            return None
+        if reply.error is not None:
+            return None
+        platform = reply.platform
+        return WatchAnswer(
+            max(query.revision, platform.revision),
+            platform.events,
+            expired=platform.expired,
+        )
+
+
+class SharedWatches:
+    """Watches a kind directly or through hosts of the same zone.
+
+    Args:
+        hub: gets the answers of direct watches.
+        peers: asks other hosts.
+        plan: returns for a kind whether this host watches it directly, and
+            the addresses of the hosts to ask.
+    """
+
+    def __init__(
+        self,
+        hub: WatchHub,
+        peers: PeerWatches,
+        plan: Callable[[str], tuple[bool, tuple[str, ...]]],
+    ) -> None:
+        self._hub = hub
+        self._peers = peers
+        self._plan = plan
+
+    def watch(
+        self,
+        query: calls.WatchQuery,
+        direct: Callable[[calls.WatchQuery], WatchAnswer],
+        *,
+        probe: bool,
+    ) -> WatchAnswer:
+        """Wait for changes after a revision.
+
+        Args:
+            query: what is watched, and for how long.
+            direct: watches the platform directly.
+            probe: whether the last direct call failed, so that a short
+                direct watch has to find out if the platform is back.
+
+        Raises:
+            PlatformUnavailableError: neither the platform nor a host that
+                watches it can be reached.
+        """
+        watches, addresses = self._plan(query.kind)
+        if watches:
+            return self._watch_directly(query, direct, addresses)
+        self._hub.suspend(query.kind)
+        if probe:
+            return self._probe(query, direct, addresses)
+        answer = self._peers.watch(query, addresses)
+        if answer is None:
+            return direct(query.with_wait(_SUBSTITUTE_WAIT_S))
+        if answer.expired:
+            # The platform may still know what the source has dropped.
+            return direct(query.with_wait(0))
+        return answer
+
+    def _watch_directly(
+        self,
+        query: calls.WatchQuery,
+        direct: Callable[[calls.WatchQuery], WatchAnswer],
+        addresses: tuple[str, ...],
+    ) -> WatchAnswer:
+        try:
+            answer = direct(query)
+        except GuavadykeError:
+            self._hub.suspend(query.kind)
+            through_peer = self._peers.watch(query, addresses)
+            if through_peer is None or through_peer.expired:
+                raise
+            return through_peer
+        self._hub.record(query.kind, query.revision, answer)
+        return answer
+
+    def _probe(
+        self,
+        query: calls.WatchQuery,
+        direct: Callable[[calls.WatchQuery], WatchAnswer],
+        addresses: tuple[str, ...],
+    ) -> WatchAnswer:
+        try:
+            return direct(query.with_wait(0))
+        except PlatformUnavailableError:
+            answer = self._peers.watch(query, addresses)
+            if answer is None or answer.expired:
+                raise
+            return answer
--- a/guavadyke/forward_peers.py
+++ b/guavadyke/forward_peers.py
@@ -6,22 +6,35 @@
 
 from guavadyke.adapters import peer_calls as calls
 from guavadyke.adapters.peer_port import PeerPort
-from guavadyke.adapters.peer_rpc import PeerClient, PeerServer
+from guavadyke.adapters.peer_rpc import (
+    PeerChannels,
+    PeerClient,
+    PeerServer,
+)
 from guavadyke.adapters.platform_fallback import FallbackStore
 from guavadyke.adapters.platform_relay import PlatformRelay
 from guavadyke.adapters.ports import Clock, PeerMessenger, PlatformStore
+from guavadyke.adapters.shared_watches import (
+    PeerWatches,
+    SharedWatches,
+    WatchHub,
+)
 from guavadyke.controllers.membership import FleetCells, PeerEvents
+from guavadyke.decisions.watch_sharing import plan_watch
 from guavadyke.log import EventLogger
 from guavadyke.membership_service import MembershipService
 from guavadyke.settings import HostSettings
 from guavadyke.snapshots import CatalogueSnapshot, FleetSnapshot, SnapshotCell
 
+_ALIVE = 'alive'
+
 
 class ForwardPeers:
     """Tracks the other hosts and relays platform calls for them.
 
     If this host cannot reach the platform, a peer makes its calls; in turn
-    it makes the calls of such peers.
+    it makes the calls of such peers. In a large availability zone a few
+    hosts watch the platform for all others.
 
     Args:
         settings: settings of the host and its peer port.
@@ -48,14 +61,24 @@
         self._platform_relay = PlatformRelay(platform)
         port = PeerPort(settings, fleet, clock, logger)
         self._messenger = port.messenger
+        self._host_id = settings.host_id
+        self._zone = settings.zone
+        self._fleet = fleet
+        self._watch_hub = WatchHub()
+        client = PeerClient(
+            port.authenticator, settings.host_id, clock, port.faults
+        )
         self._store = FallbackStore(
             platform,
-            PeerClient(
-                port.authenticator, settings.host_id, clock, port.faults
-            ),
+            client,
             self._relay_addresses,
             clock,
             random.Random(rng.getrandbits(64)),
+            SharedWatches(
+                self._watch_hub,
+                PeerWatches(PeerChannels(client)),
+                self._plan_watch,
+            ),
         )
         port.local_status.reached_directly = self._store.reaches_platform
         self._membership = MembershipService(
@@ -113,11 +136,25 @@
         _sender: str,
         request: calls.PeerRequest,
     ) -> calls.PeerReply:
-        """Make a platform call for a peer, the only request between hosts."""
+        """Make a platform call for a peer, or tell it what has changed."""
+        if isinstance(request, calls.WatchQuery):
+            return self._watch_hub.answer(request)
         if not isinstance(request, calls.PlatformCall):
             raise TypeError(f'unknown call {request!r}')
         return self._platform_relay.answer(request)
 
+    def _plan_watch(self, kind: str) -> tuple[bool, tuple[str, ...]]:
+        """Return whether to watch a kind, and the addresses to ask."""
+        addresses = {
+            peer.host_id: peer.address
+            for peer in self._fleet.current.peers
+            if peer.state == _ALIVE and peer.zone == self._zone
+        }
+        plan = plan_watch(kind, self._host_id, addresses)
+        return plan.watches, tuple(
+            addresses[host_id] for host_id in plan.sources
+        )
+
 
 def _ignore_peer_event(_address: str) -> None:
     """Ignore a membership event, because there is no catalogue to sync."""
--- a/guavadyke/peer/messages.thrift
+++ b/guavadyke/peer/messages.thrift
@@ -69,6 +69,14 @@
   2: i32 in_flight,
 }
 
+/** Whether the sender's requests to one backend server fail; without
+ * failing, the server answers again. */
+struct ServerFault {
+  1: string backend_id,
+  2: string zone,
+  3: bool failing,
+}
+
 /** The one datagram; what is absent is not said. */
 struct Datagram {
   1: i32 format,
@@ -89,6 +97,7 @@
   16: optional i64 catalogue_digest,
   17: optional string boot,
   18: optional i64 sent_ms,
+  19: optional list<ServerFault> faults,
 }
 
 struct ObjectVersion {
@@ -142,11 +151,28 @@
   5: bool leaving,
 }
 
+/** Asks for the changes of a kind after a revision of the platform; the
+ * receiver waits for one. The connection stays open for the next query. */
+struct WatchQuery {
+  1: string kind,
+  2: i64 revision,
+  3: i32 wait_ms,
+}
+
+/** A change of an object; without its state it was deleted. */
+struct ObjectEvent {
+  1: string name,
+  2: i64 version,
+  3: optional StoredObject current,
+}
+
 struct PlatformReply {
   1: optional list<StoredObject> objects,
   2: optional i64 revision,
   3: optional bool more,
   4: optional list<ListedHost> hosts,
+  5: optional list<ObjectEvent> events,
+  6: optional bool expired,
 }
 
 /** The receiver's refusal, with the stable code of the error. */
@@ -165,6 +191,7 @@
   6: optional CatalogueFetch catalogue_fetch,
   7: optional FleetQuery fleet_query,
   8: optional PlatformCall platform_call,
+  9: optional WatchQuery watch_query,
 }
 
 struct Reply {
--- a/guavadyke/platform/settings_file.py
+++ b/guavadyke/platform/settings_file.py
@@ -24,7 +24,7 @@
 # Memory in MB that one request thread of a small host needs.
 _MEMORY_PER_THREAD_MB = 1.0
 _MIN_THREADS = 16
-_MAX_THREADS = 96
+_MAX_THREADS = 48
 # Part of the grace period that is left for ending the process.
 _PROCESS_EXIT_S = 1.2
 # Time from the end of readiness until the load balancer sends no more
