Bound what a server or the platform may send without end

The client library bounds the lines of a head; nothing bounded interim responses, an event without an end, a buffered body, the body of an error or a reply of the platform, and an item had no time limit while bytes kept coming.

Each has a bound now; beyond it the connection is closed and the request goes on as after any broken answer. A run of an item without an event for 12 s is given up and counts against its server.

Not bounded in time: a platform reply that drips.

--- /dev/null
+++ b/features/builders_endless.py
@@ -0,0 +1,87 @@
+"""A server that sends bytes without end to whoever connects."""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import socket
+import threading
+import types
+
+from features import builders_forward as build
+from guavadyke.decisions.server_registry import ListedServer
+
+_HEAD = b'HTTP/1.1 200 OK\r\n\r\n'
+_CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+_CHUNK = b'%x\r\n%s\r\n' % (8192, b'x' * 8192)
+# What is sent once, and what is sent again and again.
+_SHAPES = types.MappingProxyType({
+    'header lines': (b'HTTP/1.1 200 OK\r\n', b'X-Filler: 1\r\n' * 64),
+    'interim responses': (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+    'a status line': (b'HTTP/1.1 200 ', b'x' * 8192),
+    'a body without length': (_HEAD, b'x' * 8192),
+    'a chunked body': (_CHUNKED_HEAD, _CHUNK),
+    'an error without an end': (
+        b'HTTP/1.1 500 Internal Server Error\r\n\r\n',
+        b'x' * 8192,
+    ),
+    'events without ids': (_HEAD, b'data: filler\n\n'),
+})
+# More than any caller takes; a test fails that reaches it.
+_MOST_BYTES = 67_108_864
+_CLOSE_TIMEOUT_S = 20
+
+
+class EndlessServer:
+    """Answers each connection with one of the shapes.
+
+    Args:
+        shape: name of the shape.
+    """
+
+    def __init__(self, shape: str) -> None:
+        self._shape = _SHAPES[shape]
+        self._socket = socket.create_server((build.LOOPBACK, 0))
+        self._closed_by_caller = threading.Event()
+        threading.Thread(target=self._run, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        """IP:PORT of the server."""
+        ip, port = self._socket.getsockname()
+        return f'{ip}:{port}'
+
+    @property
+    def listed(self) -> ListedServer:
+        """The server as it is listed."""
+        return ListedServer('s1', build.SERVICE, self.address, build.ZONE, 8)
+
+    def close(self) -> None:
+        """Accept no more connections."""
+        self._socket.close()
+
+    def wait_until_closed(self) -> bool:
+        """Return whether a caller has closed its connection."""
+        return self._closed_by_caller.wait(_CLOSE_TIMEOUT_S)
+
+    def _run(self) -> None:
+        with contextlib.suppress(OSError):
+            for connection, _address in iter(self._socket.accept, None):
+                threading.Thread(
+                    target=self._send, args=(connection,), daemon=True
+                ).start()
+
+    def _send(self, connection: socket.socket) -> None:
+        pieces = itertools.chain(
+            self._shape[:1], itertools.repeat(self._shape[1])
+        )
+        sent = 0
+        with connection:
+            connection.recv(65_536)
+            try:
+                while sent < _MOST_BYTES:
+                    piece = next(pieces)
+                    connection.sendall(piece)
+                    sent += len(piece)
+            except OSError:
+                self._closed_by_caller.set()
--- a/features/builders_forward.py
+++ b/features/builders_forward.py
@@ -40,6 +40,7 @@
 
 SERVICE = 'puddles'
 ZONE = 'south-a'
+LOOPBACK = '127.0.0.1'
 OTHER_ZONE = 'south-b'
 DEADLINE_S = 5.0
 OBJECTIVE_S = 0.3
--- a/features/steps/forward_decisions_steps.py
+++ b/features/steps/forward_decisions_steps.py
@@ -600,6 +600,7 @@
             ServerLease(one, batch=True, taken_at=number),
             PartialText(),
             build.pool((one,)),
+            build.ManualClock(),
         )
         for number in range(count)
     ]
@@ -611,7 +612,8 @@
 def step_cancelled(context: Context, count: int, slots: int) -> None:
     chosen = newest_to_cancel(context.runs, slots)
     running = [run for run in context.runs if not run.cancellation.cancelled]
-    assert chosen == list(reversed(running[-count:] if count else ())), chosen
+    expected = running[len(running) - count :]
+    assert chosen == list(reversed(expected)), chosen
 
 
 @given('a host with a server that another host has filled with items')
--- a/guavadyke/adapters/connection_pool.py
+++ b/guavadyke/adapters/connection_pool.py
@@ -6,11 +6,14 @@
 import socket
 import threading
 import time
+from http import client
 
 from urllib3.connection import HTTPConnection, HTTPSConnection
 from urllib3.util import parse_url
 
 _MAX_IDLE_CONNECTIONS = 64
+# A server may send interim responses, such as 100, before its answer.
+_MAX_HEADS = 8
 # A peer can vanish without closing its connections. TCP keepalive detects
 # this within about two seconds, the time in which a leaving server has to be
 # noticed.
@@ -28,6 +31,21 @@
 )
 
 
+class BoundedHeadResponse(client.HTTPResponse):
+    """A response that has only a few interim heads before its own.
+
+    The base class bounds the lines of a head, but not the heads.
+    """
+
+    _heads = 0
+
+    def _read_status(self) -> tuple[str, int, str]:
+        self._heads += 1
+        if self._heads > _MAX_HEADS:
+            raise client.HTTPException('too many interim responses')
+        return super()._read_status()  # type: ignore[misc, no-any-return]
+
+
 class ConnectionPool:
     """Idle connections by origin; the most recently used is reused first.
 
@@ -110,10 +128,12 @@
     """
     url = parse_url(origin)
     factory = HTTPSConnection if url.scheme == 'https' else HTTPConnection
-    return factory(
+    connection = factory(
         url.hostname or '',
         url.port,
         timeout=connect_timeout_s,
         blocksize=65_536,
         socket_options=list(_SOCKET_OPTIONS),
     )
+    connection.response_class = BoundedHeadResponse
+    return connection
--- a/guavadyke/adapters/platform_calls.py
+++ b/guavadyke/adapters/platform_calls.py
@@ -35,6 +35,8 @@
 _FIRST_ERROR_STATUS = 400
 _FIRST_SERVER_ERROR_STATUS = 500
 _MAX_IDLE_S = 5
+# A page of objects has about 1 MB, an object as much at most.
+_MAX_REPLY_BYTES = 16_777_216
 _WATCH_TIMEOUT_MARGIN_S = 2
 Document = TypeVar('Document', bound=pydantic.BaseModel)
 _TRANSPORT_ERRORS = (OSError, HTTPError, client.HTTPException)
@@ -234,7 +236,9 @@
             preload_content=False,
         )
         response = connection.getresponse()
-        body = response.read()
+        body = response.read(_MAX_REPLY_BYTES)
+        if len(body) == _MAX_REPLY_BYTES:
+            raise HTTPError(f'{call.path}: the reply does not end')
         return PlatformReply(
             response.status,
             self._reply_parser.version(response.headers, body),
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -151,6 +151,8 @@
         self._sync_works(views)
         self._parts.busy.publish(bool(self._works))
         self._preempt_surplus()
+        for run in tuple(self._runs.values()):
+            run.stop_if_stalled(now)
         self._give_up_overdue(now)
         if not self._stopping:
             self._start_items(now, views.values())
@@ -328,6 +330,7 @@
             lease,
             self._partials.get(item.item_id, PartialText()),
             self._parts.pool,
+            self._parts.clock,
         )
         self._runs[item.item_id] = run
         work.started(item.item_id)
--- a/guavadyke/controllers/item_run.py
+++ b/guavadyke/controllers/item_run.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import enum
 import itertools
@@ -12,8 +11,10 @@
 from guavadyke.adapters.ports import (
     BackendAnswer,
     BackendCall,
+    BackendFault,
     BackendServerError,
     BackendServers,
+    Clock,
 )
 from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.decisions.forward_job_records import AcceptedJob, ForwardItem
@@ -21,6 +22,11 @@
 from guavadyke.decisions.server_sent_events import EventOrderError, EventParser
 from guavadyke.settings import ForwardSettings
 
+# A run without an event for this time is given up. It is longer than the time
+# an item may wait for a slot at a server that has just been filled.
+_STALLED_S = 12.0
+# The body of an error that is longer is not read to its end.
+_MAX_ERROR_BYTES = 1_048_576
 _STATUS_OK = 200
 _STATUS_REJECTED = 422
 _STATUS_FAILED = 500
@@ -75,6 +81,7 @@
         lease: the slot at a server; released when the run ends.
         partial: the events received in earlier runs.
         pool: the pool that the slot is released to.
+        clock: dates the last event.
     """
 
     def __init__(
@@ -84,6 +91,7 @@
         lease: ServerLease,
         partial: PartialText,
         pool: ServerPool,
+        clock: Clock,
     ) -> None:
         self.cancellation = CallCancellation()
         self.lease = lease
@@ -94,6 +102,18 @@
         self._pieces = list(partial.pieces)
         self._event_parser = EventParser(partial.last_id)
         self._pool = pool
+        self._clock = clock
+        self._progress_at = lease.taken_at
+        self._stalled = False
+
+    def stop_if_stalled(self, now: float) -> None:
+        """Cancel the run if its server has sent no event for too long.
+
+        Bytes that are no event do not count, however many arrive.
+        """
+        if now - self._progress_at > _STALLED_S:
+            self._stalled = True
+            self.cancellation.cancel()
 
     def perform(
         self,
@@ -106,12 +126,9 @@
             return self._send_and_read(servers, settings)
         except BackendServerError as error:
             fault = error.fault
-            return self._outcome(
-                _end_of_error(error, self.cancellation), str(error)
-            )
+            return self._outcome(self._end_of_error(error), str(error))
         finally:
-            blamed = None if self.cancellation.cancelled else fault
-            self._pool.release(self.lease, blamed)
+            self._pool.release(self.lease, self._blamed(fault))
 
     def _send_and_read(
         self,
@@ -120,8 +137,7 @@
     ) -> RunOutcome:
         answer = servers.send(self._backend_call(settings))
         if answer.status != _STATUS_OK:
-            # Read the body to its end so that the connection can be reused.
-            collections.deque(answer.chunks(), maxlen=0)
+            _drain(answer)
             return self._outcome(
                 _END_OF_STATUS.get(answer.status, RunEnd.broken),
                 f'status {answer.status}',
@@ -139,9 +155,23 @@
         events = itertools.chain.from_iterable(
             map(self._event_parser.feed, answer.chunks()),
         )
-        self._pieces.extend(
-            event.data for event in events if event.event_id is not None
-        )
+        for event in events:
+            if event.event_id is not None:
+                self._pieces.append(event.data)
+                self._progress_at = self._clock.monotonic()
+
+    def _blamed(self, fault: BackendFault | None) -> BackendFault | None:
+        """Return the server's fault, None if this host ended the run."""
+        if self.cancellation.cancelled and not self._stalled:
+            return None
+        return fault
+
+    def _end_of_error(self, error: BackendServerError) -> RunEnd:
+        if self._stalled:
+            return RunEnd.broken
+        if self.cancellation.cancelled:
+            return RunEnd.preempted
+        return RunEnd.not_run if error.not_run else RunEnd.broken
 
     def _outcome(self, end: RunEnd, reason: str = '') -> RunOutcome:
         partial = PartialText(self._event_parser.last_id, tuple(self._pieces))
@@ -164,16 +194,17 @@
         )
 
 
+def _drain(answer: BackendAnswer) -> None:
+    """Read the body to its end so that the connection can be reused.
+
+    A body that does not end is cut off.
+    """
+    sizes = itertools.accumulate(map(len, answer.chunks()))
+    if any(size > _MAX_ERROR_BYTES for size in sizes):
+        answer.cancel()
+
+
 _END_OF_STATUS = types.MappingProxyType({
     _STATUS_FAILED: RunEnd.failed,
     _STATUS_REJECTED: RunEnd.rejected,
 })
-
-
-def _end_of_error(
-    error: BackendServerError,
-    cancellation: CallCancellation,
-) -> RunEnd:
-    if cancellation.cancelled:
-        return RunEnd.preempted
-    return RunEnd.not_run if error.not_run else RunEnd.broken
--- a/guavadyke/decisions/server_sent_events.py
+++ b/guavadyke/decisions/server_sent_events.py
@@ -7,11 +7,13 @@
 
 _FIELD_ID = b'id'
 _FIELD_DATA = b'data'
+# Bytes without the end of an event beyond this are no event.
+_MAX_EVENT_BYTES = 1_048_576
 _SEPARATORS = (b'\n\n', b'\r\n\r\n')
 
 
 class EventOrderError(Exception):
-    """The id of an event is not the previous id plus 1."""
+    """An event does not follow the previous one, or does not end."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,17 +57,21 @@
             piece: the next bytes of the stream.
 
         Raises:
-            EventOrderError: an event is missing or repeated.
+            EventOrderError: an event is missing, repeated or too large.
         """
         self._buffer += piece
         while True:
             end = _end_of_event(self._buffer)
             if end < 0:
-                return
+                break
             event = parse_event(self._buffer[:end])
             self._buffer = self._buffer[end:]
             self._check(event)
             yield event
+        if len(self._buffer) > _MAX_EVENT_BYTES:
+            raise EventOrderError(
+                f'no event ends within {len(self._buffer)} bytes'
+            )
 
     def _check(self, event: StreamEvent) -> None:
         if event.event_id is None:
--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -26,6 +26,8 @@
 
 # An attempt needs time for several round trips within a zone.
 _MIN_ATTEMPT_S = 0.02
+# A body that is longer is taken for bytes without end.
+_MAX_BODY_BYTES = 8_388_608
 _OK = 200
 _FIRST_SERVER_ERROR = 500
 _FRAMING_HEADERS = frozenset((
@@ -299,7 +301,24 @@
 
 
 def _buffered_answer(answer: BackendAnswer, attempt: ForwardAttempt) -> Answer:
-    body = b''.join(answer.chunks())
+    """Return an answer with its whole body.
+
+    Raises:
+        BackendServerError: the body is broken or does not end.
+    """
+    pieces: list[bytes] = []
+    size_bytes = 0
+    for piece in answer.chunks():
+        pieces.append(piece)
+        size_bytes += len(piece)
+        if size_bytes > _MAX_BODY_BYTES:
+            answer.cancel()
+            raise BackendServerError(
+                BackendFault.broken,
+                f'the body does not end within {size_bytes} bytes',
+                not_run=False,
+            )
+    body = b''.join(pieces)
     attempt.done()
     whole = _response_head(answer)
     whole.body = body
