Claim only the free slots that a host can use for batch items

A host runs at most 32 items, but reported all that wait.

A host reports at most the items that it can still start. More waiting items than it runs at once count as pressing, so that room for peaks is not kept then. Two scenarios that failed before: 3 and 26 reported, now 0 and 6.

--- a/features/builders_forward_runner.py
+++ b/features/builders_forward_runner.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import threading
 import time
 
 from features import builders_forward as build
 from features.builders_batch_platform import MemoryPlatform
 from guavadyke.adapters.clock import SystemClock
-from guavadyke.adapters.ports import BackendFault, PeerNotice
+from guavadyke.adapters.ports import (
+    BackendAnswer,
+    BackendCall,
+    BackendFault,
+    PeerNotice,
+)
 from guavadyke.controllers.actors import tell_function
 from guavadyke.controllers.forward_job_runner import (
     JobRunner,
@@ -26,6 +32,7 @@
 
 ME = 'host-1'
 _LOOK_S = 0.02
+_HELD_S = 20
 _BROKEN_AFTER = 'broken after '
 
 
@@ -45,7 +52,21 @@
     return scripts[end]
 
 
-def host_settings() -> ForwardHostSettings:
+class HeldServers(build.FakeServers):
+    """Servers that answer only once they are released."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.released = threading.Event()
+        self.released.set()
+
+    def send(self, call: BackendCall) -> BackendAnswer:
+        answer = super().send(call)
+        self.released.wait(_HELD_S)
+        return answer
+
+
+def host_settings(item_workers: int) -> ForwardHostSettings:
     """Return the settings of this host."""
     return ForwardHostSettings.model_validate({
         'host_id': ME,
@@ -55,16 +76,17 @@
             'fleet_key': {'environment': 'GUAVADYKE_FLEET_KEY'},
         },
         'platform': {'url': 'http://127.0.0.1:1'},
+        'forward': {'item_workers': item_workers},
     })
 
 
 class RunnerBench:
     """A running job runner with its dependencies; stopped by ``close``."""
 
-    def __init__(self) -> None:
+    def __init__(self, item_workers: int = 32) -> None:
         self.platform = MemoryPlatform()
         self.host = build.job_host(self.platform, ME)
-        self.servers = build.FakeServers()
+        self.servers = HeldServers()
         self.route = build.route()
         self.pool = build.pool(
             (build.server('s1'), build.server('s2')),
@@ -74,7 +96,7 @@
         busy = SnapshotCell(initial=False)
         self._runner = JobRunner.start(
             RunnerParts(
-                host_settings(),
+                host_settings(item_workers),
                 self.host.registry,
                 self.host.store,
                 self.pool,
--- a/features/forward_runner.feature
+++ b/features/forward_runner.feature
@@ -31,6 +31,20 @@
     Then the one result is completed after 3 runs
     And the runs resumed after events 0, 2 and 4
 
+  Scenario: a host at its own limit of runs claims no more free slots
+    Given a host that runs 2 items at a time, with two servers
+    And the servers do not answer yet
+    When a job of 5 items is accepted for it
+    Then 2 items run and the host tells others that 0 wait for a slot
+    When the servers answer
+    Then all 5 items are listed as completed with their whole text
+
+  Scenario: a host below its limit of runs claims slots for the rest of it
+    Given a host that runs 20 items at a time, with two servers
+    And the servers do not answer yet
+    When a job of 40 items is accepted for it
+    Then 14 items run and the host tells others that 6 wait for a slot
+
   Scenario: no item of a cancelled job is started
     Given a host that works on jobs, with two servers
     And runs end as refused, refused, refused, refused, refused, refused
--- a/features/steps/forward_runner_steps.py
+++ b/features/steps/forward_runner_steps.py
@@ -14,6 +14,7 @@
     ForwardItemResult,
     JobProgress,
 )
+from guavadyke.decisions.load_balancing import ANY_SERVER
 
 _WAIT_S = 15.0
 # Longer than the maximum retry delay of an item.
@@ -27,6 +28,41 @@
     context.add_cleanup(context.bench.close)
 
 
+@given('a host that runs {count:d} items at a time, with two servers')
+def step_limited_host(context: Context, count: int) -> None:
+    context.bench = RunnerBench(item_workers=count)
+    context.add_cleanup(context.bench.close)
+
+
+@given('the servers do not answer yet')
+def step_held(context: Context) -> None:
+    context.bench.servers.released.clear()
+    context.add_cleanup(context.bench.servers.released.set)
+
+
+@when('the servers answer')
+def step_released(context: Context) -> None:
+    context.bench.servers.released.set()
+
+
+@then(
+    '{running:d} items run and the host tells others that {waiting:d} wait '
+    'for a slot'
+)
+def step_tells_waiting(context: Context, running: int, waiting: int) -> None:
+    bench = context.bench
+
+    def told() -> tuple[int, int]:
+        counts = {
+            count.backend_id: count.in_flight
+            for count in bench.in_flight().batch_counts
+        }
+        any_server = counts.pop(ANY_SERVER, 0)
+        return sum(counts.values()), any_server
+
+    assert wait_until(lambda: told() == (running, waiting), _WAIT_S), told()
+
+
 @given('runs end as {ends}')
 def step_ends(context: Context, ends: str) -> None:
     context.bench.servers.scripts.extend(map(script, ends.split(', ')))
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -5,7 +5,7 @@
 import dataclasses
 import functools
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
@@ -294,7 +294,10 @@
             self._parts.pool.set_batch_backlog,
             due_order=due_order(views, table),
             pressing=_any_pressing(
-                self._works.values(), table, self._parts.clock.wall()
+                self._works.values(),
+                table,
+                self._parts.clock.wall(),
+                self._parts.settings.forward.item_workers,
             ),
         )
         publish_backlog(self._waiting_count())
@@ -312,8 +315,15 @@
         publish_backlog(self._waiting_count())
 
     def _waiting_count(self) -> int:
-        """Return how many items wait for a slot."""
-        return sum(work.counts()['waiting'] for work in self._works.values())
+        """Return how many items wait for a slot that this host can use.
+
+        Items beyond its own limit of runs do not count, because other hosts
+        leave slots free for those that do.
+        """
+        max_runs = self._parts.settings.forward.item_workers
+        return min(
+            _waiting_items(self._works.values()), max_runs - len(self._runs)
+        )
 
     def _start_item(
         self, work: JobItemTracker, item: ForwardItem, service: str
@@ -441,14 +451,24 @@
 
 
 def _any_pressing(
-    works: Iterable[JobItemTracker], table: RouteTable, wall: float
+    works: Collection[JobItemTracker],
+    table: RouteTable,
+    wall: float,
+    max_runs: int,
 ) -> bool:
-    """Return whether items that wait would be late without all slots."""
-    return any(
+    """Return whether items that wait would be late without all slots.
+
+    That is so where more of them wait than this host runs at once.
+    """
+    return _waiting_items(works) > max_runs or any(
         work.counts()['waiting'] and is_pressing(work.job, table, wall)
         for work in works
     )
 
 
+def _waiting_items(works: Iterable[JobItemTracker]) -> int:
+    return sum(work.counts()['waiting'] for work in works)
+
+
 def _taken_at(run: ItemRun) -> float:
     return run.lease.taken_at
