--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -172,6 +172,7 @@
             job_id=run.job_id,
             item_id=item_id,
             backend_server=run.lease.server.server_id,
+            prompt_parts=','.join(run.item.prompt_parts),
             end=outcome.end.value,
             events=outcome.partial.last_id,
             reason=outcome.reason,
--- a/guavadyke/decisions/forward_job_records.py
+++ b/guavadyke/decisions/forward_job_records.py
@@ -14,13 +14,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class ForwardItem:
-    """One item as submitted; ``path`` may include a query string."""
+    """One item as submitted; ``path`` may include a query string.
+
+    ``prompt_parts`` are the ids of the parts of its prompt that other requests
+    may share, in order.
+    """
 
     item_id: str
     path: str
     headers: Mapping[str, str]
     body: bytes
     tokens: int
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -31,8 +31,8 @@
     ``target`` is the path with its query as received; ``received_at`` and
     ``deadline`` are seconds of the monotonic clock; ``abandoned`` returns
     whether the caller has left; ``last_event_id`` is the event after which
-    the caller resumes a stream, 0 for its start; ``prompt_key`` is equal
-    for requests whose prompts have parts in common.
+    the caller resumes a stream, 0 for its start; ``prompt_parts`` are the ids
+    of the parts of its prompt that other requests may share, in order.
     """
 
     request_id: str
@@ -44,7 +44,12 @@
     deadline: float
     abandoned: Callable[[], bool]
     last_event_id: int = 0
-    prompt_key: str = ''
+    prompt_parts: tuple[str, ...] = ()
+
+    @property
+    def prompt_key(self) -> str:
+        """Equal for requests whose prompts have all these parts in common."""
+        return ','.join(self.prompt_parts)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -150,6 +155,7 @@
             request_id=self._request.request_id,
             route=self._route.name,
             backend_server=self.server_id,
+            prompt_parts=self._request.prompt_key,
             online_before=self._lease.online_before,
             batch_before=self._lease.batch_before,
             first_event_s=round(first_event_s, 3),
--- a/guavadyke/forward_job_documents.py
+++ b/guavadyke/forward_job_documents.py
@@ -35,6 +35,7 @@
     headers: Mapping[str, str]
     body: _Base64Bytes
     tokens: int
+    prompt_parts: tuple[str, ...] = ()
 
 
 class _JobDocument(pydantic.BaseModel):
@@ -76,6 +77,7 @@
                 headers=item.headers,
                 body=item.body,
                 tokens=item.tokens,
+                prompt_parts=item.prompt_parts,
             )
             for item in job.items
         ),
@@ -103,6 +105,7 @@
                 item.headers,
                 item.body,
                 item.tokens,
+                item.prompt_parts,
             )
             for item in document.items
         ),
--- a/guavadyke/platform/caller_port.py
+++ b/guavadyke/platform/caller_port.py
@@ -214,19 +214,21 @@
         deadline=exchange.received_at + timeout_s,
         abandoned=exchange.disconnected,
         last_event_id=int(last_event) if last_event.isdecimal() else 0,
-        prompt_key=_shared_prompt_prefix(
+        prompt_parts=_shared_prompt_parts(
             exchange.headers.get(_PROMPT_PREFIX_HEADER, '')
         ),
     )
 
 
-def _shared_prompt_prefix(text: str) -> str:
-    """Return the prefix that a prompt shares with others.
+def _shared_prompt_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of the parts that a prompt may share with others.
 
-    The header lists the parts of the prompt; the last part belongs to this
-    prompt alone.
+    The header lists the parts of the prompt as ID:TOKENS; the last part
+    belongs to this prompt alone.
     """
-    return ','.join(text.split(',')[:-1])
+    *shared, _own = text.split(',')
+    names = (entry.partition(':')[0].strip() for entry in shared)
+    return tuple(filter(None, names))
 
 
 def _request_id(exchange: Exchange) -> str:
@@ -251,6 +253,7 @@
                 dict(item.headers),
                 base64.b64decode(item.body, validate=True),
                 item.tokens,
+                _shared_prompt_parts(_header(item, _PROMPT_PREFIX_HEADER)),
             )
             for item in document.items
         )
@@ -267,6 +270,13 @@
         ) from error
 
 
+def _header(item: _ItemBody, name: str) -> str:
+    """Return a header of an item, empty if it has none."""
+    return next(
+        (text for key, text in item.headers.items() if key.lower() == name), ''
+    )
+
+
 def _result_document(listing: ForwardItemResult) -> dict[str, object]:
     return {
         'Id': listing.item_id,
