--- /dev/null
+++ b/features/builders_prompt_crashes.py
@@ -0,0 +1,110 @@
+"""Engines that crash on a part of a prompt, with daemons as processes."""
+
+from __future__ import annotations
+
+import itertools
+import threading
+
+import urllib3
+
+from features import builders_users_platform as users
+from features.builders_forward_processes import DaemonProcess, UsersFleet
+from guavadyke.standins.http import StandinAnswer, StandinRequest
+
+SHARED_PART = 'aa01'
+CRASHING_PART = 'bad0'
+
+
+class CrashingEngine(users.UsersEngine):
+    """An engine that ends when it begins to answer on one prompt part.
+
+    It is back at once under another id.
+
+    Args:
+        number: number of the engine in its fleet.
+        store: the store that lists the engine.
+    """
+
+    def __init__(self, number: int, store: users.UsersStore) -> None:
+        self.crashes = 0
+        self._number = number
+        self._store = store
+        self._ended = threading.Event()
+        self._crash_lock = threading.Lock()
+        super().__init__(f'i-{number}.0')
+        self._register()
+
+    def _register(self) -> None:
+        entry = users.engine_entry(self.address)
+        self._store.put('servers', self.name, entry)
+
+    def _answer(self, request: StandinRequest) -> StandinAnswer | None:
+        served = request.headers.get('expect-instance') == self.name
+        if served and CRASHING_PART in request.headers.get('prompt-prefix', ''):
+            self.requests.append(request)
+            self._crash(request)
+        return super()._answer(request)
+
+    def _crash(self, request: StandinRequest) -> None:
+        write = request.connection.start_answer(
+            200,
+            {
+                'Content-Type': 'text/event-stream',
+                'Request-Id': request.headers['request-id'],
+                'Response-Signature': f'signed by {self.name}',
+            },
+        )
+        write(users.EVENT[:4])
+        with self._crash_lock:
+            self._store.remove('servers', self.name)
+            self.crashes += 1
+            self.name = f'i-{self._number}.{self.crashes}'
+            self._register()
+        request.connection.reset()
+
+
+class CrashingFleet(UsersFleet):
+    """Daemons in front of engines that crash on a prompt part."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._numbers = itertools.count()
+
+    @property
+    def crashing_requests(self) -> int:
+        """Requests with the crashing part that have reached engines."""
+        return sum(
+            CRASHING_PART in request.headers.get('prompt-prefix', '')
+            for engine in self.engines
+            for request in engine.requests
+        )
+
+    def add_engine(self) -> CrashingEngine:
+        """Start an engine, which registers itself."""
+        engine = CrashingEngine(len(self.engines) + 1, self.store)
+        self.engines.append(engine)
+        return engine
+
+    def send(
+        self, daemon: DaemonProcess, *parts: str
+    ) -> urllib3.BaseHTTPResponse:
+        """Send a request whose prompt has these parts and one of its own."""
+        number = next(self._numbers)
+        own = f'{number:x}0f'
+        return daemon.call(
+            'POST',
+            f'{users.STREAM_PREFIX}1',
+            body=b'text',
+            headers={
+                'Request-Id': f'request-{number}',
+                'Model': 'm',
+                'Prompt-Prefix': ','.join(
+                    f'{part}:100' for part in (*parts, own)
+                ),
+            },
+        )
+
+    def send_to_each(self, count: int, *parts: str) -> list[int]:
+        """Send requests to the daemons in turn; return the statuses."""
+        turns = itertools.islice(itertools.cycle(self.daemons), count)
+        return [self.send(daemon, *parts).status for daemon in turns]
--- /dev/null
+++ b/features/steps/forward_prompt_crashes_steps.py
@@ -0,0 +1,75 @@
+"""Steps of forward_prompt_crashes.feature."""
+
+from __future__ import annotations
+
+import signal
+import time
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features import builders_forward_processes as processes
+from features import builders_prompt_crashes as build
+
+_HTTP_OK = 200
+
+
+@given(
+    '{daemons:d} daemons with {engines:d} engines that crash on a prompt part'
+)
+def step_fleet(context: Context, daemons: int, engines: int) -> None:
+    context.fleet = build.CrashingFleet()
+    context.add_cleanup(context.fleet.close)
+    context.fleet.configure()
+    for _ in range(engines):
+        context.fleet.add_engine()
+    for _ in range(daemons):
+        context.fleet.start_daemon()
+    context.fleet.wait_ready()
+
+
+@when('{count:d} sound requests are sent to the daemons in turn')
+def step_sound(context: Context, count: int) -> None:
+    statuses = context.fleet.send_to_each(count, build.SHARED_PART)
+    assert set(statuses) == {_HTTP_OK}, statuses
+
+
+@when(
+    '{count:d} requests with the crashing part are sent to the daemons in turn'
+)
+def step_crashing(context: Context, count: int) -> None:
+    context.reached_before = context.fleet.crashing_requests
+    context.fleet.send_to_each(count, build.SHARED_PART, build.CRASHING_PART)
+
+
+@when('{seconds:g} seconds have passed')
+def step_wait(_context: Context, seconds: float) -> None:
+    time.sleep(seconds)
+
+
+@when('the first daemon is killed and started again')
+def step_restart(context: Context) -> None:
+    daemon = context.fleet.daemons[0]
+    daemon.process.send_signal(signal.SIGKILL)
+    daemon.process.wait(processes.STOP_S)
+    daemon.start()
+    context.fleet.wait_ready()
+
+
+@when('another daemon starts')
+def step_start(context: Context) -> None:
+    context.fleet.start_daemon()
+    context.fleet.wait_ready()
+
+
+@then('at most {count:d} of the last requests have reached engines')
+def step_reached(context: Context, count: int) -> None:
+    reached = context.fleet.crashing_requests - context.reached_before
+    assert reached <= count, reached
+
+
+@then('sound requests with the same first part are served by every daemon')
+def step_served(context: Context) -> None:
+    daemons = len(context.fleet.daemons)
+    statuses = context.fleet.send_to_each(2 * daemons, build.SHARED_PART)
+    assert set(statuses) == {_HTTP_OK}, statuses
