Keep prompts that crash backend servers from being sent on

Cause: a crash under a request was taken for the engine's fault alone. The request was retried on the next engine, as its route allows, other hosts sent the next request of that kind, and no host knew what the others had lost. The class is that of requests which are harmful by their content: attempts were limited for each request, never for what requests have in common. Batch items had it too, without any limit: an item that broke its engine ran again.

Change: a part of a prompt is quarantined once three incarnations of engines have ended under requests with it while none with it completed; of several parts that explain the crashes the deepest, so that parts which sound requests share go on being served. Requests are refused at once with prompt_quarantined (503, not run) and the time of the next trial; items wait and hold up no others. One host lets one request through after 30 s, then after twice as long each time.

Why it works: a part that always crashes engines never completes, and its crashes are counted over the fleet, so that the third one ends the series; a part that is shared completes elsewhere and is never counted.

--- a/features/builders_forward.py
+++ b/features/builders_forward.py
@@ -20,6 +20,7 @@
 from guavadyke.controllers.forward_job_api import JobApi, JobApiParts
 from guavadyke.controllers.forward_job_registry import JobRegistry
 from guavadyke.controllers.forward_job_store import JobStore
+from guavadyke.controllers.prompt_guard import PromptGuard
 from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.decisions.forward_job_records import AcceptedJob, ForwardItem
 from guavadyke.decisions.forward_routes import (
@@ -163,6 +164,7 @@
     status: int = 200
     fault: BackendFault | None = None
     not_run: bool = False
+    disconnected: bool = False
     sent: int | None = None
     body: bytes = b''
     headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
@@ -190,6 +192,7 @@
                 self._script.fault,
                 'the stream broke',
                 not_run=False,
+                disconnected=self._script.disconnected,
             )
 
     def cancel(self) -> None:
@@ -212,6 +215,7 @@
                 script.fault,
                 'scripted',
                 not_run=script.not_run,
+                disconnected=script.disconnected,
             )
         answer = FakeAnswer(script, call)
         self.answers.append(answer)
@@ -221,6 +225,18 @@
         raise NotImplementedError(address)
 
 
+def prompt_guard(
+    host_id: str = 'host-1', clock: ManualClock | None = None
+) -> PromptGuard:
+    """Return the prompt guard of a host that knows no other host."""
+    return PromptGuard(
+        host_id,
+        SnapshotCell(FleetSnapshot()),
+        clock or ManualClock(),
+        EventLogger(),
+    )
+
+
 def tools(servers: FakeServers, server_pool: ServerPool) -> ForwardTools:
     """Return the dependencies of forwarded requests."""
     return ForwardTools(
@@ -228,13 +244,16 @@
         ManualClock(),
         servers,
         server_pool,
+        prompt_guard(),
         CallerWatch(),
         HostMetrics(),
         EventLogger(),
     )
 
 
-def request(request_id: str = 'request-1') -> ForwardRequest:
+def request(
+    request_id: str = 'request-1', prompt_parts: tuple[str, ...] = ()
+) -> ForwardRequest:
     """Return a request whose deadline is ``DEADLINE_S`` away."""
     return ForwardRequest(
         request_id=request_id,
@@ -245,6 +264,7 @@
         received_at=NOW,
         deadline=NOW + DEADLINE_S,
         abandoned=bool,
+        prompt_parts=prompt_parts,
     )
 
 
--- a/features/builders_forward_runner.py
+++ b/features/builders_forward_runner.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import dataclasses
 import threading
 import time
+from collections.abc import Mapping
 
 from features import builders_forward as build
 from features.builders_batch_platform import MemoryPlatform
@@ -20,6 +22,7 @@
     RunnerParts,
     RunnerTicker,
 )
+from guavadyke.controllers.prompt_guard import PromptGuard
 from guavadyke.decisions.forward_job_records import (
     AcceptedJob,
     ForwardItemResult,
@@ -83,7 +86,9 @@
 class RunnerBench:
     """A running job runner with its dependencies; stopped by ``close``."""
 
-    def __init__(self, item_workers: int = 32) -> None:
+    def __init__(
+        self, item_workers: int = 32, prompts: PromptGuard | None = None
+    ) -> None:
         self.platform = MemoryPlatform()
         self.host = build.job_host(self.platform, ME)
         self.servers = HeldServers()
@@ -100,6 +105,7 @@
                 self.host.registry,
                 self.host.store,
                 self.pool,
+                prompts or build.prompt_guard(),
                 self.servers,
                 SnapshotCell(build.table(self.route)),
                 self.fleet,
@@ -112,9 +118,28 @@
         self._ticker = RunnerTicker(tell_function(self._runner), busy)
         self._ticker.start()
 
-    def accept(self, items: int, owner: str = ME) -> AcceptedJob:
-        """Store a job and add it to this host's registry."""
+    def accept(
+        self,
+        items: int,
+        owner: str = ME,
+        parts_by_number: Mapping[int, tuple[str, ...]] | None = None,
+    ) -> AcceptedJob:
+        """Store a job and add it to this host's registry.
+
+        Args:
+            items: number of its items.
+            owner: the host that runs it.
+            parts_by_number: shared prompt parts of some items.
+        """
+        parts = parts_by_number or {}
         job = build.job(items=items, owner=owner, accepted_at=time.time())
+        job = dataclasses.replace(
+            job,
+            items=tuple(
+                dataclasses.replace(item, prompt_parts=parts.get(number, ()))
+                for number, item in enumerate(job.items)
+            ),
+        )
         self.host.store.create(job)
         self.host.registry.accepted(job)
         return job
--- /dev/null
+++ b/features/builders_prompt_guards.py
@@ -0,0 +1,110 @@
+"""Hosts with prompt guards that share a platform, without a network."""
+
+from __future__ import annotations
+
+import random
+
+from features import builders_forward as build
+from features.builders_batch_platform import MemoryPlatform, MemoryStore
+from guavadyke.controllers.mirror import Mirror, MirrorSettings
+from guavadyke.controllers.prompt_guard import PromptGuard
+from guavadyke.forward_prompts import ForwardPrompts
+from guavadyke.log import EventLogger
+from guavadyke.prompt_report_documents import REPORT_KIND
+from guavadyke.settings import HostSettings
+from guavadyke.snapshots import FleetSnapshot, PeerView, SnapshotCell
+
+
+def host_settings(host_id: str) -> HostSettings:
+    """Return the settings of a host."""
+    return HostSettings.model_validate({
+        'host_id': host_id,
+        'zone': build.ZONE,
+        'peer': {
+            'listen': {'ip': build.LOOPBACK, 'port': 0},
+            'fleet_key': {'environment': 'GUAVADYKE_FLEET_KEY'},
+        },
+        'platform': {'url': 'http://127.0.0.1:1'},
+    })
+
+
+def peer(host_id: str) -> PeerView:
+    """Return a live peer."""
+    return PeerView(host_id, build.ZONE, 'south', '127.0.0.2:1', 'alive', 1, 0)
+
+
+class GuardedFleet:
+    """Hosts with a prompt guard each; reports pass when ``exchange`` is called.
+
+    Args:
+        size: number of hosts.
+    """
+
+    def __init__(self, size: int) -> None:
+        self.clock = build.ManualClock()
+        self.platform = MemoryPlatform()
+        self.hosts: dict[str, ForwardPrompts] = {}
+        self.links: dict[str, MemoryStore] = {}
+        self._mirrors: dict[str, Mirror] = {}
+        self._names = [f'host-{number}' for number in range(size)]
+        for name in self._names:
+            self.start(name)
+
+    @property
+    def reports(self) -> int:
+        """Number of reports on the platform."""
+        return len(self.platform.of_kind(REPORT_KIND))
+
+    @property
+    def guards(self) -> list[PromptGuard]:
+        """The guards of all hosts."""
+        return [host.guard for host in self.hosts.values()]
+
+    def start(self, name: str) -> None:
+        """Start a host, which forgets what it knew."""
+        link = MemoryStore(self.platform)
+        link.faults.waits = False
+        self.links[name] = link
+        store = build.settled(link)
+        peers = tuple(peer(one) for one in self._names if one != name)
+        host = ForwardPrompts(
+            host_settings(name),
+            store,
+            SnapshotCell(FleetSnapshot(peers)),
+            self.clock,
+            EventLogger(),
+        )
+        self.hosts[name] = host
+        self._mirrors[name] = Mirror(
+            MirrorSettings(REPORT_KIND, 0),
+            store,
+            host.sink,
+            self.clock,
+            random.Random(5),
+            EventLogger(),
+        )
+        self._mirrors[name].step()
+
+    def exchange(self) -> None:
+        """Send the reports that are due and let every host read them."""
+        self.send()
+        for mirror in self._mirrors.values():
+            mirror.step()
+
+    def send(self) -> None:
+        """Send the reports that are due, which no host reads yet."""
+        for host in self.hosts.values():
+            host.sender.send_due()
+
+    def crash(self, number: int, *prompts: tuple[str, ...]) -> None:
+        """Let a server end under prompts, each at another host."""
+        guards = self.guards
+        for place, parts in enumerate(prompts):
+            guards[(number + place) % len(guards)].crashed(
+                parts, f's{number}/1'
+            )
+        self.exchange()
+
+    def refusing(self, *parts: str) -> int:
+        """Return how many hosts refuse requests with these parts."""
+        return sum(guard.check(parts) is not None for guard in self.guards)
--- /dev/null
+++ b/features/forward_prompts.feature
@@ -0,0 +1,117 @@
+Feature: Which parts of prompts are quarantined, and what hosts tell each other
+
+  Scenario: a part under which servers end is blamed, not the part that all requests share
+    Given 20 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    Then all hosts refuse a prompt of "shared,bad"
+    And no host refuses a prompt of "shared"
+    And no host refuses a prompt of "shared,other"
+
+  Scenario: hosts that have just started blame the deeper part too
+    Given 20 hosts that have served nothing yet
+    When 3 servers end under a prompt of "shared,bad"
+    Then all hosts refuse a prompt of "shared,bad"
+    And no host refuses a prompt of "shared"
+
+  Scenario: a first part that crashes servers is blamed when the deeper ones differ
+    Given 20 hosts that have served nothing yet
+    When 3 servers end under prompts of "bad" and a deeper part that differs
+    Then all hosts refuse a prompt of "bad"
+
+  Scenario: servers that end by chance quarantine nothing that is served elsewhere
+    Given 20 hosts where requests with the part "shared" have completed
+    When 9 servers end under a prompt of "shared"
+    Then no host refuses a prompt of "shared"
+    And there are 0 reports on the platform
+
+  Scenario: a rare part beside the one that crashes servers is not blamed
+    Given 20 hosts where requests with the part "shared" have completed
+    When 3 servers end under prompts of "shared,bad" and "shared,rare"
+    And 1 server ends under a prompt of "shared,bad"
+    Then all hosts refuse a prompt of "shared,bad"
+    And no host refuses a prompt of "shared,rare"
+
+  Scenario: a host that starts anew knows the quarantined parts
+    Given 20 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    And all hosts start anew
+    Then all hosts refuse a prompt of "shared,bad"
+    And no host refuses a prompt of "shared"
+
+  Scenario: hosts that trust a part tell those that do not
+    Given 20 hosts where requests with the part "shared" have completed
+    When the first host starts anew
+    And 3 servers end under a prompt of "shared" at the first host
+    And 2 seconds pass with an exchange each 0.1 seconds
+    Then no host refuses a prompt of "shared"
+    And there are at most 8 reports on the platform
+
+  Scenario: one request of the whole fleet tries a quarantined part after a while
+    Given 20 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    And 29 seconds pass
+    Then all hosts refuse a prompt of "shared,bad"
+    When 2 seconds pass
+    Then all hosts but one refuse a prompt of "shared,bad"
+    And all hosts refuse a prompt of "shared,bad"
+
+  Scenario: a part whose trial completes is released at all hosts
+    Given 20 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    And 31 seconds pass
+    And a request with "shared,bad" completes at the host that tries it
+    Then no host refuses a prompt of "shared,bad"
+
+  Scenario: the time between trials doubles
+    Given 20 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    And 31 seconds pass
+    And 1 server ends under a prompt of "shared,bad"
+    And 58 seconds pass
+    Then all hosts refuse a prompt of "shared,bad"
+    When 4 seconds pass
+    Then all hosts but one refuse a prompt of "shared,bad"
+
+  Scenario: the reports of a large fleet are few, whatever happens to its servers
+    Given 390 hosts that have served nothing yet
+    When every host sees 40 servers end under prompts of their own in 2 seconds
+    Then there are at most 1210 reports on the platform
+
+  Scenario: reports that the platform does not take are sent later
+    Given 20 hosts where requests with the part "shared" have completed
+    When the platform is away while 3 servers end under a prompt of "shared,bad"
+    Then all hosts refuse a prompt of "shared,bad"
+
+  Scenario: reports are removed when they are old
+    Given 20 hosts that have served nothing yet
+    When 3 servers end under a prompt of "shared,bad"
+    And 3700 seconds pass
+    And every host removes old reports
+    Then there are 0 reports on the platform
+
+  Scenario Outline: an answer that ends as <end> <counts> as a crash
+    Given a server whose answer ends as <end>
+    When 3 incarnations of it have answered a request
+    Then a further request is <outcome>
+
+    Examples:
+      | end                        | counts | outcome |
+      | a closed connection        | counts | refused |
+      | a reset connection         | counts | refused |
+      | half of an event           | counts | refused |
+      | a connection not made      | does not count | answered |
+      | silence                    | does not count | answered |
+      | a 500                      | does not count | answered |
+      | an event out of order      | does not count | answered |
+
+  Scenario: the caller learns when a quarantined part is tried again
+    Given a part of a prompt that is quarantined
+    When a request with the part is forwarded
+    Then it ends with prompt_quarantined after 0 attempts
+    And the error has a retry time of about 30 seconds
+
+  Scenario: items with a quarantined part wait and hold up no others
+    Given a job of 4 items of which 2 have a quarantined part
+    When the job is run
+    Then the 2 other items complete and none of the held ones is sent
+    And the host reports no items that wait for a slot
--- a/features/steps/forward_decisions_steps.py
+++ b/features/steps/forward_decisions_steps.py
@@ -600,6 +600,7 @@
             ServerLease(one, batch=True, taken_at=number),
             PartialText(),
             build.pool((one,)),
+            build.prompt_guard(),
             build.ManualClock(),
         )
         for number in range(count)
--- a/features/steps/forward_endless_steps.py
+++ b/features/steps/forward_endless_steps.py
@@ -57,6 +57,7 @@
         ServerLease(context.server.listed, batch=True, taken_at=build.NOW),
         PartialText(),
         build.pool((context.server.listed,)),
+        build.prompt_guard(),
         clock,
     )
     outcomes = []
--- /dev/null
+++ b/features/steps/forward_prompts_steps.py
@@ -0,0 +1,283 @@
+"""Steps of forward_prompts.feature."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import time
+import types
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features import builders_forward as build
+from features import builders_forward_runner as runner
+from features import builders_prompt_guards as guards
+from features.builders_processes import wait_until
+from guavadyke.adapters.ports import BackendFault
+from guavadyke.controllers.prompt_guard import PromptGuard
+from guavadyke.decisions.forward_routes import RouteKind
+from guavadyke.errors import GuavadykeError
+from guavadyke.filters.forward import Forwarder
+
+_PARTS = ('shared', 'bad')
+_RESULTS_S = 10.0
+_HELD_S = 0.3
+_SCRIPTS = types.MappingProxyType({
+    'a closed connection': build.Scripted(
+        fault=BackendFault.broken, disconnected=True, sent=1
+    ),
+    'a reset connection': build.Scripted(
+        fault=BackendFault.broken, disconnected=True
+    ),
+    'half of an event': build.Scripted(body=build.event(1)[:9]),
+    'a connection not made': build.Scripted(
+        fault=BackendFault.not_reached, not_run=True
+    ),
+    'silence': build.Scripted(fault=BackendFault.silent),
+    'a 500': build.Scripted(status=500, body=b'out of memory'),
+    'an event out of order': build.Scripted(body=build.event(3)),
+})
+
+
+def _split(prompt: str) -> tuple[str, ...]:
+    return tuple(prompt.split(','))
+
+
+@given('{size:d} hosts where requests with the part "{prompt}" have completed')
+def step_served(context: Context, size: int, prompt: str) -> None:
+    step_fresh(context, size)
+    for guard in context.guarded.guards:
+        guard.completed(_split(prompt))
+
+
+@given('{size:d} hosts that have served nothing yet')
+def step_fresh(context: Context, size: int) -> None:
+    context.guarded = guards.GuardedFleet(size)
+    context.ended = 0
+
+
+@when('{count:d} servers end under a prompt of "{prompt}"')
+@when('{count:d} server ends under a prompt of "{prompt}"')
+def step_crash(context: Context, count: int, prompt: str) -> None:
+    _end_servers(context, count, prompt)
+
+
+@when('{count:d} servers end under prompts of "{one}" and "{other}"')
+def step_crash_both(context: Context, count: int, one: str, other: str) -> None:
+    _end_servers(context, count, one, other)
+
+
+def _end_servers(context: Context, count: int, *prompts: str) -> None:
+    for _ in range(count):
+        context.guarded.crash(context.ended, *map(_split, prompts))
+        context.ended += 1
+
+
+@when(
+    '{count:d} servers end under prompts of "{part}" and a deeper part that '
+    'differs'
+)
+def step_crash_first(context: Context, count: int, part: str) -> None:
+    for number in range(count):
+        context.guarded.crash(number, (part, f'deeper-{number}'))
+
+
+@when('{count:d} servers end under a prompt of "{prompt}" at the first host')
+def step_crash_at_first(context: Context, count: int, prompt: str) -> None:
+    first = context.guarded.hosts['host-0'].guard
+    for number in range(count):
+        first.crashed(_split(prompt), f's{number}/1')
+
+
+@when(
+    'the platform is away while {count:d} servers end under a prompt of '
+    '"{prompt}"'
+)
+def step_crash_away(context: Context, count: int, prompt: str) -> None:
+    for link in context.guarded.links.values():
+        link.faults.cut_writes = True
+    for number in range(count):
+        context.guarded.guards[number].crashed(_split(prompt), f's{number}/1')
+    context.guarded.send()
+    assert not context.guarded.reports
+    for link in context.guarded.links.values():
+        link.faults.clear_faults()
+    context.guarded.exchange()
+
+
+@when(
+    'every host sees {count:d} servers end under prompts of their own in '
+    '{seconds:d} seconds'
+)
+def step_crash_everywhere(context: Context, count: int, seconds: int) -> None:
+    fleet = context.guarded
+    for number in range(count):
+        for place, guard in enumerate(fleet.guards):
+            guard.crashed((f'own-{place}-{number}',), f's{number}/1')
+        fleet.clock.sleep(seconds / count)
+        fleet.send()
+
+
+@when('the first host starts anew')
+def step_first_anew(context: Context) -> None:
+    context.guarded.start('host-0')
+
+
+@when('all hosts start anew')
+def step_all_anew(context: Context) -> None:
+    for name in tuple(context.guarded.hosts):
+        context.guarded.start(name)
+
+
+@when('{seconds:d} seconds pass')
+def step_pass(context: Context, seconds: int) -> None:
+    context.guarded.clock.sleep(seconds)
+
+
+@when('{seconds:d} seconds pass with an exchange each 0.1 seconds')
+def step_exchange(context: Context, seconds: int) -> None:
+    for _ in range(10 * seconds):
+        context.guarded.clock.sleep(0.1)
+        context.guarded.exchange()
+
+
+@when('a request with "{prompt}" completes at the host that tries it')
+def step_trial(context: Context, prompt: str) -> None:
+    parts = _split(prompt)
+    trying = [one for one in context.guarded.guards if one.check(parts) is None]
+    assert len(trying) == 1, len(trying)
+    trying[0].completed(parts)
+    context.guarded.exchange()
+
+
+@when('every host removes old reports')
+def step_remove_old(context: Context) -> None:
+    for host in context.guarded.hosts.values():
+        host.sender.remove_old(context.guarded.clock.wall())
+
+
+@then('all hosts refuse a prompt of "{prompt}"')
+def step_all_refuse(context: Context, prompt: str) -> None:
+    refusing = context.guarded.refusing(*_split(prompt))
+    assert refusing == len(context.guarded.hosts), refusing
+
+
+@then('all hosts but one refuse a prompt of "{prompt}"')
+def step_all_but_one_refuse(context: Context, prompt: str) -> None:
+    refusing = context.guarded.refusing(*_split(prompt))
+    assert refusing == len(context.guarded.hosts) - 1, refusing
+
+
+@then('no host refuses a prompt of "{prompt}"')
+def step_none_refuses(context: Context, prompt: str) -> None:
+    refusing = context.guarded.refusing(*_split(prompt))
+    assert not refusing, refusing
+
+
+@then('there are {count:d} reports on the platform')
+def step_reports(context: Context, count: int) -> None:
+    assert context.guarded.reports == count, context.guarded.reports
+
+
+@then('there are at most {count:d} reports on the platform')
+def step_reports_at_most(context: Context, count: int) -> None:
+    assert context.guarded.reports <= count, context.guarded.reports
+
+
+@given('a server whose answer ends as {end}')
+def step_server(context: Context, end: str) -> None:
+    context.route = build.route(RouteKind.streamed)
+    context.script = _SCRIPTS[end]
+    context.guard = build.prompt_guard()
+
+
+@when('{count:d} incarnations of it have answered a request')
+def step_incarnations(context: Context, count: int) -> None:
+    for number in range(count):
+        servers = build.FakeServers(context.script)
+        with contextlib.suppress(GuavadykeError):
+            _forward(context, f's{number}', servers)
+
+
+def _forward(
+    context: Context, name: str, servers: build.FakeServers
+) -> build.FakeServers:
+    """Forward a request with both parts to a server of this name."""
+    tools = build.tools(servers, build.pool((build.server(f'{name}1'),)))
+    answer = Forwarder(
+        build.request(prompt_parts=_PARTS),
+        context.route,
+        dataclasses.replace(tools, prompts=context.guard),
+    ).answer()
+    if not isinstance(answer.body, bytes):
+        b''.join(answer.body)
+    return servers
+
+
+@then('a further request is {outcome}')
+def step_further(context: Context, outcome: str) -> None:
+    servers = build.FakeServers()
+    with contextlib.suppress(GuavadykeError):
+        _forward(context, 's9', servers)
+    assert len(servers.calls) == (outcome == 'answered'), servers.calls
+
+
+@given('a part of a prompt that is quarantined')
+def step_quarantined(context: Context) -> None:
+    context.route = build.route(RouteKind.streamed)
+    context.servers = build.FakeServers()
+    context.pool = build.pool((build.server('s1'),))
+    context.guard = _quarantining_guard()
+
+
+def _quarantining_guard() -> PromptGuard:
+    guard = build.prompt_guard()
+    guard.completed(_PARTS[:1])
+    for number in range(3):
+        guard.crashed(_PARTS, f's{number}/1')
+    return guard
+
+
+@when('a request with the part is forwarded')
+def step_forward(context: Context) -> None:
+    context.answer = None
+    try:
+        _forward(context, 's1', context.servers)
+    except GuavadykeError as error:
+        context.error = error
+
+
+@then('the error has a retry time of about {seconds:d} seconds')
+def step_retry_time(context: Context, seconds: int) -> None:
+    assert abs(context.error.retry_after_s - seconds) < 1, context.error
+
+
+@given('a job of {items:d} items of which {held:d} have a quarantined part')
+def step_job(context: Context, items: int, held: int) -> None:
+    context.bench = runner.RunnerBench(prompts=_quarantining_guard())
+    context.add_cleanup(context.bench.close)
+    context.held = held
+    context.items = items
+
+
+@when('the job is run')
+def step_run(context: Context) -> None:
+    parts_by_number = {
+        number: _PARTS[: 2 if number < context.held else 1]
+        for number in range(context.items)
+    }
+    context.bench.accept(context.items, parts_by_number=parts_by_number)
+
+
+@then('the {count:d} other items complete and none of the held ones is sent')
+def step_others(context: Context, count: int) -> None:
+    assert wait_until(lambda: len(context.bench.listed()) == count, _RESULTS_S)
+    time.sleep(_HELD_S)
+    sent = {call.request_id for call in context.bench.servers.calls}
+    assert sent == {f'item-{number}' for number in range(2, 4)}, sent
+
+
+@then('the host reports no items that wait for a slot')
+def step_no_backlog(context: Context) -> None:
+    assert not context.bench.in_flight().batch_counts
--- a/guavadyke/adapters/backend.py
+++ b/guavadyke/adapters/backend.py
@@ -350,4 +350,5 @@
         fault,
         f'{address} failed: {error!r}',
         not_run=False,
+        disconnected=not silent,
     )
--- a/guavadyke/adapters/ports.py
+++ b/guavadyke/adapters/ports.py
@@ -183,6 +183,8 @@
         fault: why it failed.
         message: human-readable description.
         not_run: True only if it is certain that the request did not run.
+        disconnected: whether the connection ended before the answer did, as
+            it does when the server ends.
     """
 
     def __init__(
@@ -191,11 +193,13 @@
         message: str,
         *,
         not_run: bool,
+        disconnected: bool = False,
     ) -> None:
         super().__init__(message)
         self.fault = fault
         self.message = message
         self.not_run = not_run
+        self.disconnected = disconnected
 
 
 @dataclasses.dataclass(frozen=True)
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -23,6 +23,7 @@
     RunEnd,
     RunOutcome,
 )
+from guavadyke.controllers.prompt_guard import PromptGuard
 from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.decisions.forward_job_items import JobItemTracker
 from guavadyke.decisions.forward_job_ownership import (
@@ -59,6 +60,7 @@
     registry: JobRegistry
     store: JobStore
     pool: ServerPool
+    prompts: PromptGuard
     servers: BackendServers
     table: SnapshotCell[RouteTable]
     fleet: SnapshotCell[FleetSnapshot]
@@ -155,6 +157,7 @@
             run.stop_if_stalled(now)
         self._give_up_overdue(now)
         if not self._stopping:
+            _hold_items(self._works.values(), self._parts.prompts)
             self._start_items(now, views.values())
             if self._parts.connected():
                 self._maintenance.run_if_due(
@@ -341,6 +344,7 @@
             lease,
             self._partials.get(item.item_id, PartialText()),
             self._parts.pool,
+            self._parts.prompts,
             self._parts.clock,
         )
         self._runs[item.item_id] = run
@@ -440,6 +444,16 @@
     return sorted(works, key=lambda work: due_at(work.job, table))
 
 
+def _hold_items(works: Iterable[JobItemTracker], prompts: PromptGuard) -> None:
+    """Hold the items that would crash the servers that run them."""
+
+    def is_held(item: ForwardItem) -> bool:
+        return prompts.check(item.prompt_parts) is not None
+
+    for work in works:
+        work.hold(is_held)
+
+
 def newest_to_cancel(runs: list[ItemRun], count: int) -> list[ItemRun]:
     """Return the newest runs to cancel so that ``count`` slots become free.
 
--- a/guavadyke/controllers/item_run.py
+++ b/guavadyke/controllers/item_run.py
@@ -16,6 +16,7 @@
     BackendServers,
     Clock,
 )
+from guavadyke.controllers.prompt_guard import PromptGuard
 from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.decisions.forward_job_records import AcceptedJob, ForwardItem
 from guavadyke.decisions.server_registry import ServerLease
@@ -81,6 +82,7 @@
         lease: the slot at a server; released when the run ends.
         partial: the events received in earlier runs.
         pool: the pool that the slot is released to.
+        prompts: learns whether the server ended under the item.
         clock: dates the last event.
     """
 
@@ -91,6 +93,7 @@
         lease: ServerLease,
         partial: PartialText,
         pool: ServerPool,
+        prompts: PromptGuard,
         clock: Clock,
     ) -> None:
         self.cancellation = CallCancellation()
@@ -102,6 +105,7 @@
         self._pieces = list(partial.pieces)
         self._event_parser = EventParser(partial.last_id)
         self._pool = pool
+        self._prompts = prompts
         self._clock = clock
         self._progress_at = lease.taken_at
         self._stalled = False
@@ -121,14 +125,14 @@
         settings: ForwardSettings,
     ) -> RunOutcome:
         """Run the item; blocks until it ends or is preempted."""
-        fault = None
+        failure = None
         try:
             return self._send_and_read(servers, settings)
         except BackendServerError as error:
-            fault = error.fault
+            failure = error
             return self._outcome(self._end_of_error(error), str(error))
         finally:
-            self._pool.release(self.lease, self._blamed(fault))
+            self._end(failure)
 
     def _send_and_read(
         self,
@@ -148,7 +152,13 @@
             answer.cancel()
             return self._outcome(RunEnd.broken, str(error))
         if self._event_parser.partial:
-            return self._outcome(RunEnd.broken, 'ended within an event')
+            raise BackendServerError(
+                BackendFault.broken,
+                'the stream ended within an event',
+                not_run=False,
+                disconnected=True,
+            )
+        self._prompts.completed(self.item.prompt_parts)
         return self._outcome(RunEnd.completed)
 
     def _read_events(self, answer: BackendAnswer) -> None:
@@ -160,11 +170,21 @@
                 self._pieces.append(event.data)
                 self._progress_at = self._clock.monotonic()
 
-    def _blamed(self, fault: BackendFault | None) -> BackendFault | None:
-        """Return the server's fault, None if this host ended the run."""
-        if self.cancellation.cancelled and not self._stalled:
-            return None
-        return fault
+    def _end(self, failure: BackendServerError | None) -> None:
+        """Release the slot and record what the run says of its prompt.
+
+        A run that this host has cancelled says nothing of its server, unless
+        the server had stalled.
+        """
+        cancelled = self.cancellation.cancelled
+        if failure is None or (cancelled and not self._stalled):
+            self._pool.release(self.lease)
+            return
+        self._pool.release(self.lease, failure.fault)
+        if failure.disconnected and not cancelled:
+            self._prompts.crashed(
+                self.item.prompt_parts, self.lease.server.incarnation
+            )
 
     def _end_of_error(self, error: BackendServerError) -> RunEnd:
         if self._stalled:
--- /dev/null
+++ b/guavadyke/controllers/prompt_guard.py
@@ -0,0 +1,196 @@
+"""Keeps requests that would crash backend servers from being sent."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Sequence
+
+from guavadyke.adapters.ports import Clock
+from guavadyke.decisions import rendezvous_hashing
+from guavadyke.decisions.prompt_quarantine import PromptQuarantine, Quarantine
+from guavadyke.decisions.prompt_reports import PromptReport, ReportQueue
+from guavadyke.log import EventLogger
+from guavadyke.snapshots import FleetSnapshot, SnapshotCell
+
+# Time in which a request that tries a quarantined part has to begin or fail.
+_TRIAL_S = 5.0
+# A host that trusts a part which another one suspects says so after its rank
+# among the hosts times this, unless one before it has.
+_ANSWER_SPACING_S = 0.05
+_LONGEST_ANSWER_S = 2.0
+
+
+class PromptGuard:
+    """Knows the quarantined parts of prompts, from all hosts. Thread-safe.
+
+    What this host sees of crashes goes to the other hosts as objects of the
+    platform, which a host also reads when it starts.
+
+    Args:
+        host_id: the id of this host.
+        fleet: the other hosts.
+        clock: dates crashes and completed requests.
+        logger: logs parts that are suspected, quarantined and released.
+    """
+
+    def __init__(
+        self,
+        host_id: str,
+        fleet: SnapshotCell[FleetSnapshot],
+        clock: Clock,
+        logger: EventLogger,
+    ) -> None:
+        self._host_id = host_id
+        self._fleet = fleet
+        self._clock = clock
+        self._logger = logger
+        self._lock = threading.Lock()
+        self._quarantine = PromptQuarantine()
+        self._queue = ReportQueue()
+        self._found = threading.Event()
+        self._trial_until: dict[str, float] = {}
+        self._answer_due: dict[str, float] = {}
+
+    @property
+    def quarantined(self) -> frozenset[str]:
+        """The quarantined parts."""
+        return self._quarantine.quarantined
+
+    @property
+    def pending(self) -> bool:
+        """Whether there are reports to send, now or later."""
+        return bool(self._answer_due) or not self._queue.empty
+
+    def check(self, parts: Sequence[str]) -> Quarantine | None:
+        """Return why a request must not be sent, None if it may be.
+
+        From time to time one host of the fleet lets one request through, to
+        find out whether the part still crashes servers.
+
+        Args:
+            parts: the parts of its prompt.
+        """
+        if self.quarantined.isdisjoint(parts):
+            return None
+        with self._lock:
+            now = self._clock.monotonic()
+            found = self._quarantine.find(parts, now)
+            if found is None or not self._starts_trial(found, now):
+                return found
+        self._logger.info('prompt_part_tried', part=found.part)
+        return None
+
+    def crashed(self, parts: Sequence[str], incarnation: str) -> None:
+        """Record that a server has ended under a request.
+
+        Args:
+            parts: the parts of the request's prompt.
+            incarnation: the server's id and start.
+        """
+        with self._lock:
+            now = self._clock.monotonic()
+            suspects = self._quarantine.suspects(parts, now)
+            if not suspects:
+                return
+            before = self.quarantined
+            self._quarantine.crashed(incarnation, suspects, now)
+            self._queue.add(
+                PromptReport(self._clock.wall(), incarnation, suspects)
+            )
+            self._found.set()
+        self._logger.info(
+            'prompt_parts_suspected',
+            backend_server=incarnation,
+            parts=','.join(suspect.part for suspect in suspects),
+        )
+        self._log_changes(before)
+
+    def completed(self, parts: Sequence[str]) -> None:
+        """Record that a request with these parts has completed."""
+        with self._lock:
+            before = self.quarantined
+            cleared = self._quarantine.completed(parts, self._clock.monotonic())
+            if cleared:
+                self._queue.add(
+                    PromptReport(self._clock.wall(), completed=cleared)
+                )
+                self._found.set()
+        self._log_changes(before)
+
+    def wait(self, timeout_s: float) -> None:
+        """Wait for a report to send; there may be none after the timeout."""
+        self._found.wait(timeout_s)
+        self._found.clear()
+
+    def next_report(self) -> PromptReport | None:
+        """Return the next report to send now, None if there is none."""
+        with self._lock:
+            now = self._clock.monotonic()
+            self._answer_suspicions(now)
+            live_hosts = 1 + len(self._fleet.current.alive)
+            return self._queue.take(live_hosts, now)
+
+    def send_again(self, report: PromptReport) -> None:
+        """Take a report back that could not be sent."""
+        with self._lock:
+            self._queue.add(report)
+
+    def apply(self, report: PromptReport) -> None:
+        """Apply a report of any host."""
+        with self._lock:
+            before = self.quarantined
+            now = self._clock.monotonic()
+            at = now - max(0, self._clock.wall() - report.at)
+            for suspect in report.suspects:
+                self._plan_answer(suspect.part, now)
+            self._quarantine.crashed(report.incarnation, report.suspects, at)
+            self._quarantine.completed(report.completed, at)
+            for completed_part in report.completed:
+                self._answer_due.pop(completed_part, None)
+        self._log_changes(before)
+
+    def _plan_answer(self, part: str, now: float) -> None:
+        """Plan to report a part as completed that another host suspects."""
+        if not self._quarantine.trusts(part, now):
+            return
+        peers = (peer.host_id for peer in self._fleet.current.alive)
+        rank = rendezvous_hashing.place(part, self._host_id, peers)
+        delay_s = min(_LONGEST_ANSWER_S, rank * _ANSWER_SPACING_S)
+        self._answer_due.setdefault(part, now + delay_s)
+        self._found.set()
+
+    def _answer_suspicions(self, now: float) -> None:
+        """Report parts as completed that others suspect and none has yet."""
+        due = [name for name, at in self._answer_due.items() if at <= now]
+        for part in due:
+            self._answer_due.pop(part)
+        trusted = tuple(
+            name for name in due if self._quarantine.trusts(name, now)
+        )
+        if trusted:
+            self._queue.add(PromptReport(self._clock.wall(), completed=trusted))
+
+    def _starts_trial(self, found: Quarantine, now: float) -> bool:
+        """Return whether a request starts a trial of its part here and now."""
+        if found.trial_in_s or self._trial_until.get(found.part, 0) > now:
+            return False
+        hosts = {peer.host_id for peer in self._fleet.current.alive}
+        hosts.add(self._host_id)
+        if rendezvous_hashing.rendezvous(found.part, hosts) != self._host_id:
+            return False
+        running = {
+            part: until
+            for part, until in self._trial_until.items()
+            if until > now
+        }
+        self._trial_until = {**running, found.part: now + _TRIAL_S}
+        return True
+
+    def _log_changes(self, before: frozenset[str]) -> None:
+        after = self.quarantined
+        if after == before:
+            return
+        for part in after - before:
+            self._logger.warning('prompt_part_quarantined', part=part)
+        for part in before - after:
+            self._logger.info('prompt_part_released', part=part)
--- a/guavadyke/decisions/forward_job_items.py
+++ b/guavadyke/decisions/forward_job_items.py
@@ -4,7 +4,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from guavadyke.decisions.forward_job_records import (
     AcceptedJob,
@@ -33,7 +33,8 @@
 
     ``failures`` counts the failures that backend servers reported;
     ``delays`` counts the delayed retries and sets the next delay.
-    ``not_before`` is in monotonic seconds.
+    ``not_before`` is in monotonic seconds. An item that is ``held`` may not
+    start, because of its prompt.
     """
 
     item: ForwardItem
@@ -41,6 +42,16 @@
     delays: int = 0
     not_before: float = 0
     running: bool = False
+    held: bool = False
+
+    def delay_retry(self, now: float) -> None:
+        """End the run; the item may run again after a delay."""
+        doublings = min(self.delays, _MAX_DOUBLINGS)
+        self.delays += 1
+        self.running = False
+        self.not_before = now + min(
+            _MAX_RETRY_DELAY_S, _MIN_RETRY_DELAY_S * 2**doublings
+        )
 
 
 class JobItemTracker:
@@ -83,9 +94,14 @@
         yield from (
             state.item
             for state in tuple(self._states.values())
-            if not state.running and state.not_before <= now
+            if not (state.running or state.held) and state.not_before <= now
         )
 
+    def hold(self, is_held: Callable[[ForwardItem], bool]) -> None:
+        """Hold the waiting items for which this is so, and no others."""
+        for state in self._states.values():
+            state.held = not state.running and is_held(state.item)
+
     def started(self, item_id: str) -> None:
         """Record the start of a run."""
         self._states[item_id].running = True
@@ -114,13 +130,13 @@
         if state.failures >= attempts:
             self.rejected(item_id)
         else:
-            self._delay_retry(state, now)
+            state.delay_retry(now)
 
     def broken(self, item_id: str, now: float) -> None:
         """Record an interrupted run; the item runs again after a delay."""
         state = self._states.get(item_id)
         if state is not None:
-            self._delay_retry(state, now)
+            state.delay_retry(now)
 
     def preempted(self, item_id: str) -> None:
         """Record a preempted run; the item may run again at once."""
@@ -154,14 +170,16 @@
             self._give_up_all()
 
     def counts(self) -> collections.Counter[str]:
-        """Return the counts of running, waiting and unlisted items.
+        """Return the counts of running, waiting, held and unlisted items.
 
         Unlisted items have a result that is not stored yet.
         """
         running = sum(state.running for state in self._states.values())
+        held = sum(state.held for state in self._states.values())
         return collections.Counter(
             running=running,
-            waiting=len(self._states) - running,
+            waiting=len(self._states) - running - held,
+            held=held,
             unlisted=len(self._unstored),
         )
 
@@ -173,13 +191,3 @@
     def _add_result(self, listing: ForwardItemResult) -> None:
         if self._states.pop(listing.item_id, None) is not None:
             self._unstored[listing.item_id] = listing
-
-    def _delay_retry(self, state: ItemRunState, now: float) -> None:
-        doublings = min(state.delays, _MAX_DOUBLINGS)
-        state.delays += 1
-        state.running = False
-        retry_delay_s = min(
-            _MAX_RETRY_DELAY_S,
-            _MIN_RETRY_DELAY_S * 2**doublings,
-        )
-        state.not_before = now + retry_delay_s
--- a/guavadyke/decisions/load_balancing.py
+++ b/guavadyke/decisions/load_balancing.py
@@ -81,11 +81,10 @@
 
     def health(self, server: ListedServer) -> ServerHealth:
         """Return the health record of a server's incarnation."""
-        key = f'{server.server_id}/{server.born_ms}'
-        found = self._health.get(key)
+        found = self._health.get(server.incarnation)
         if found is None:
             found = ServerHealth(self._rng)
-            self._health[key] = found
+            self._health[server.incarnation] = found
         return found
 
     def load(self, server_id: str, now: float) -> ServerLoad:
@@ -113,7 +112,7 @@
 
     def keep_health_of(self, servers: Iterable[ListedServer]) -> None:
         """Drop the health records of all servers but these."""
-        kept = {f'{one.server_id}/{one.born_ms}' for one in servers}
+        kept = {one.incarnation for one in servers}
         self._health = {
             key: health for key, health in self._health.items() if key in kept
         }
--- a/guavadyke/decisions/server_registry.py
+++ b/guavadyke/decisions/server_registry.py
@@ -27,6 +27,11 @@
     leaving: bool = False
     born_ms: int = 0
 
+    @property
+    def incarnation(self) -> str:
+        """Id and start of the server; new whenever it starts again."""
+        return f'{self.server_id}/{self.born_ms}'
+
 
 @dataclasses.dataclass(frozen=True)
 class ServerLease:
--- a/guavadyke/errors.py
+++ b/guavadyke/errors.py
@@ -46,6 +46,7 @@
     limit_exceeded = 'limit_exceeded'
     overloaded = 'overloaded'
     no_backend_server = 'no_backend_server'
+    prompt_quarantined = 'prompt_quarantined'
     platform_unavailable = 'platform_unavailable'
     stopping = 'stopping'
     not_ready = 'not_ready'
@@ -89,6 +90,7 @@
         ErrorCode.limit_exceeded: _CodeProperties(429, RunStatus.not_run),
         ErrorCode.overloaded: _CodeProperties(503, RunStatus.not_run),
         ErrorCode.no_backend_server: _CodeProperties(503, RunStatus.not_run),
+        ErrorCode.prompt_quarantined: _CodeProperties(503, RunStatus.not_run),
         ErrorCode.platform_unavailable: _CodeProperties(503, RunStatus.not_run),
         ErrorCode.stopping: _CodeProperties(503, RunStatus.not_run),
         ErrorCode.not_ready: _CodeProperties(503, RunStatus.not_run),
--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -179,6 +179,7 @@
                 ErrorCode.deadline_exceeded,
                 'too little time is left for an attempt',
             )
+        self._check_prompt()
         lease = self._tools.pool.acquire_online(
             self._service,
             self._request_attempts.failed,
@@ -202,6 +203,22 @@
             and not self._started,
         )
 
+    def _check_prompt(self) -> None:
+        """Give the request up if its prompt has crashed servers.
+
+        Raises:
+            GuavadykeError: ``prompt_quarantined``; the error carries the
+                time after which a part of the prompt is tried again.
+        """
+        found = self._tools.prompts.check(self._request.prompt_parts)
+        if found is not None:
+            raise self._give_up(
+                ErrorCode.prompt_quarantined,
+                f'{found.crashes} backend servers have ended under requests '
+                f'with the prompt part {found.part}',
+                found.trial_in_s,
+            )
+
     def _check_wait(self, lease: ServerLease, remaining_s: float) -> None:
         """Give the request up if it would wait too long at the server.
 
@@ -364,6 +381,7 @@
             BackendFault.broken,
             'the stream ended before its first event',
             not_run=False,
+            disconnected=True,
         )
 
 
@@ -393,6 +411,7 @@
             BackendFault.broken,
             'the stream ended within an event',
             not_run=False,
+            disconnected=True,
         )
 
 
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -14,6 +14,7 @@
     BackendServers,
     Clock,
 )
+from guavadyke.controllers.prompt_guard import PromptGuard
 from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.decisions.first_event_times import FirstEventTimes
 from guavadyke.decisions.forward_routes import ForwardRoute
@@ -23,6 +24,8 @@
 from guavadyke.metrics import HostMetrics
 from guavadyke.settings import ForwardSettings
 
+_OK = 200
+
 
 @dataclasses.dataclass(frozen=True)
 class ForwardRequest:
@@ -60,6 +63,7 @@
     clock: Clock
     servers: BackendServers
     pool: ServerPool
+    prompts: PromptGuard
     watch: CallerWatch
     metrics: HostMetrics
     logger: EventLogger
@@ -167,6 +171,8 @@
 
         The service time goes into the wait estimates.
         """
+        if self._answer is not None and self._answer.status == _OK:
+            self._tools.prompts.completed(self._request.prompt_parts)
         self._answer = None
         if self._service_began_at is not None:
             service_s = self._tools.clock.monotonic() - self._service_began_at
@@ -216,4 +222,8 @@
         if fault is BackendFault.silent and self._may_fail_over:
             # The timeout was short, so the server may only be busy.
             fault = BackendFault.broken
+        if is_server_fault and error is not None and error.disconnected:
+            self._tools.prompts.crashed(
+                self._request.prompt_parts, self._lease.server.incarnation
+            )
         self._tools.pool.release(self._lease, fault)
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -46,6 +46,7 @@
 from guavadyke.filters.forward_attempt import ForwardTools
 from guavadyke.forward_job_documents import JOB_KIND, PROGRESS_KIND
 from guavadyke.forward_peers import ForwardPeers
+from guavadyke.forward_prompts import ForwardPrompts
 from guavadyke.http_server import HttpServer
 from guavadyke.log import EventLogger
 from guavadyke.metrics import HostMetrics
@@ -129,12 +130,16 @@
             logger,
             self._live_hosts,
         )
+        self._prompts = ForwardPrompts(
+            settings, store, self.fleet, self.clock, logger
+        )
         self._watch = CallerWatch()
         self.tools = ForwardTools(
             settings.forward,
             self.clock,
             ports.servers,
             self.pool,
+            self._prompts.guard,
             self._watch,
             self.metrics,
             logger,
@@ -177,6 +182,7 @@
                 self.registry,
                 self._job_store,
                 self.pool,
+                self._prompts.guard,
                 ports.servers,
                 self.table,
                 self.fleet,
@@ -207,6 +213,7 @@
         for mirror in self._mirrors:
             mirror.start()
         self._load_notices.start()
+        self._prompts.start()
         self._ticker.start()
         if self._is_drainable:
             self._retirements.start()
@@ -260,6 +267,7 @@
         self._ticker.close()
         self._retirements.close()
         self._load_notices.close()
+        self._prompts.close()
         for mirror in self._mirrors:
             mirror.close()
         self._runner.stop()
@@ -293,13 +301,17 @@
             peers,
             self._retirements,
         )
-        return (
-            *((retirements,) if self._is_drainable else ()),
+        prompts = self._create_mirror(
+            self._prompts.mirror_settings, jobs, self._prompts.sink
+        )
+        mirrors = (
             self._state_mirror(ports.table_kind, peers, routes),
             self._state_mirror(ports.server_kind, peers, self.pool),
+            prompts,
             self._job_mirror(JOB_KIND, jobs, self.registry.jobs),
             self._job_mirror(PROGRESS_KIND, jobs, self.registry.progress),
         )
+        return (retirements, *mirrors) if self._is_drainable else mirrors
 
     def _job_mirror(
         self,
--- a/guavadyke/snapshots.py
+++ b/guavadyke/snapshots.py
@@ -15,6 +15,7 @@
 )
 
 Value = TypeVar('Value')
+_ALIVE = 'alive'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,6 +70,11 @@
     leaving: frozenset[str] = frozenset()
     platform_reachable: bool = True
 
+    @property
+    def alive(self) -> tuple[PeerView, ...]:
+        """The other hosts that are alive, neither suspect nor left."""
+        return tuple(peer for peer in self.peers if peer.state == _ALIVE)
+
 
 class SnapshotCell(Generic[Value]):
     """Holds the latest snapshot, for one writer and many readers.
