--- a/features/builders_users_platform.py
+++ b/features/builders_users_platform.py
@@ -234,25 +234,31 @@
 
 @dataclasses.dataclass
 class EngineScript:
-    """Behaviour of an engine; ``pause_s`` is the delay between events."""
+    """Behaviour of an engine; ``pause_s`` is the delay between events.
+
+    ``limit`` is the limit of requests a second that it names, if any.
+    """
 
     events: int = 5
     pause_s: float = 0.01
     refuse: bool = False
     status: int = 200
+    limit: float | None = None
 
 
 class UsersEngine:
     """An HTTP server like the users' engines, which streams events.
 
-    ``requests`` has the requests received; ``caller_disconnected`` is set
-    when a caller has disconnected during a stream.
+    ``requests`` has the requests received and ``arrivals`` their times;
+    ``caller_disconnected`` is set when a caller has disconnected during a
+    stream.
     """
 
     def __init__(self, name: str, script: EngineScript | None = None) -> None:
         self.name = name
         self.script = script or EngineScript()
         self.requests: list[StandinRequest] = []
+        self.arrivals: list[float] = []
         self.caller_disconnected = threading.Event()
         self._server = StandinServer(LOOPBACK, 0, self._answer)
         self._server.start()
@@ -264,12 +270,20 @@
     def close(self) -> None:
         self._server.close()
 
+    @property
+    def _limit_headers(self) -> dict[str, str]:
+        limit = self.script.limit
+        return {} if limit is None else {'Server-Limit': str(limit)}
+
     def _answer(self, request: StandinRequest) -> StandinAnswer | None:
         self.requests.append(request)
+        self.arrivals.append(time.monotonic())
         if request.headers.get('expect-instance') != self.name:
             return json_answer({}, 421, {'Instance-Id': self.name})
         if self.script.refuse:
-            return json_answer({}, 503, {'Not-Executed': '1'})
+            return json_answer(
+                {}, 503, {'Not-Executed': '1', **self._limit_headers}
+            )
         if self.script.status != 200:
             return json_answer({}, self.script.status)
         self._stream(request)
@@ -282,6 +296,7 @@
                 'Content-Type': 'text/event-stream',
                 'Request-Id': request.headers['request-id'],
                 'Response-Signature': f'signed by {self.name}',
+                **self._limit_headers,
             },
         )
         first = int(request.headers.get('last-event-id', '0')) + 1
