Keep the limit that a backend server names over all hosts

Cause: no host read what a server says of itself in its answers; the header was passed on to the caller like any other. The class is that of a bound for the whole fleet which each host would have to keep on its own: knowing it at one host, or dividing it by the number of hosts, is not enough.

Change: the adapter tells the host the limit in each answer. The host that learns of one writes it to the platform, where all hosts mirror it, also those that are new or restarted. One host, selected by rendezvous hashing, issues a permit for each request to such a server, from a token bucket of 1.5 s of which items get the first half only; a host without a permit uses other servers, and refuses the request at once with the time of the next permit if there are none. Two fields are added to the datagrams, which older hosts ignore.

Why it works: permits are counted in one place, so that requests which cross each other cannot exceed the limit.

--- a/features/builders_forward.py
+++ b/features/builders_forward.py
@@ -5,7 +5,7 @@
 import dataclasses
 import json
 import random
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 
 from features.builders_batch_platform import MemoryPlatform, MemoryStore
 from guavadyke.adapters.ports import (
@@ -13,6 +13,7 @@
     BackendCall,
     BackendFault,
     BackendServerError,
+    PeerNotice,
     ReportedLoad,
     StoredObject,
 )
@@ -20,7 +21,9 @@
 from guavadyke.controllers.forward_job_api import JobApi, JobApiParts
 from guavadyke.controllers.forward_job_registry import JobRegistry
 from guavadyke.controllers.forward_job_store import JobStore
+from guavadyke.controllers.item_run import ItemRunTools
 from guavadyke.controllers.prompt_guard import PromptGuard
+from guavadyke.controllers.server_limits import ServerLimits
 from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.decisions.forward_job_records import AcceptedJob, ForwardItem
 from guavadyke.decisions.forward_routes import (
@@ -237,6 +240,39 @@
     )
 
 
+class SilentMessenger:
+    """A messenger whose notices reach nobody."""
+
+    def send(self, host_id: str, notice: PeerNotice) -> None:
+        """Lose the notice."""
+
+    def send_all(self, host_ids: Collection[str], notice: PeerNotice) -> None:
+        """Lose the notice."""
+
+    def subscribe(self, receive: Callable[[str, PeerNotice], None]) -> None:
+        """Receive nothing."""
+
+
+def server_limits() -> ServerLimits:
+    """Return the limits of servers on a host that knows no other host."""
+    return ServerLimits(
+        'host-1',
+        SnapshotCell(FleetSnapshot()),
+        SilentMessenger(),
+        ManualClock(),
+        EventLogger(),
+    )
+
+
+def item_run_tools(
+    server_pool: ServerPool, clock: ManualClock | None = None
+) -> ItemRunTools:
+    """Return the dependencies of runs of items."""
+    return ItemRunTools(
+        server_pool, prompt_guard(), server_limits(), clock or ManualClock()
+    )
+
+
 def tools(servers: FakeServers, server_pool: ServerPool) -> ForwardTools:
     """Return the dependencies of forwarded requests."""
     return ForwardTools(
@@ -245,6 +281,7 @@
         servers,
         server_pool,
         prompt_guard(),
+        server_limits(),
         CallerWatch(),
         HostMetrics(),
         EventLogger(),
--- a/features/builders_forward_runner.py
+++ b/features/builders_forward_runner.py
@@ -106,6 +106,7 @@
                 self.host.store,
                 self.pool,
                 prompts or build.prompt_guard(),
+                build.server_limits(),
                 self.servers,
                 SnapshotCell(build.table(self.route)),
                 self.fleet,
--- a/features/steps/forward_decisions_steps.py
+++ b/features/steps/forward_decisions_steps.py
@@ -599,9 +599,7 @@
             build.item(number),
             ServerLease(one, batch=True, taken_at=number),
             PartialText(),
-            build.pool((one,)),
-            build.prompt_guard(),
-            build.ManualClock(),
+            build.item_run_tools(build.pool((one,))),
         )
         for number in range(count)
     ]
--- a/features/steps/forward_endless_steps.py
+++ b/features/steps/forward_endless_steps.py
@@ -56,9 +56,7 @@
         build.item(0),
         ServerLease(context.server.listed, batch=True, taken_at=build.NOW),
         PartialText(),
-        build.pool((context.server.listed,)),
-        build.prompt_guard(),
-        clock,
+        build.item_run_tools(build.pool((context.server.listed,)), clock),
     )
     outcomes = []
     thread = threading.Thread(
--- a/features/steps/forward_requests_steps.py
+++ b/features/steps/forward_requests_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import types
 
 from behave import given, then, when
@@ -214,8 +215,11 @@
 
 
 def _forward(context: Context, request_id: str) -> object:
+    tools = build.tools(context.servers, context.pool)
+    if 'limits' in context:
+        tools = dataclasses.replace(tools, limits=context.limits)
     return Forwarder(
         build.request(request_id),
         context.route,
-        build.tools(context.servers, context.pool),
+        tools,
     ).answer()
--- a/guavadyke/adapters/backend.py
+++ b/guavadyke/adapters/backend.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import socket
 import threading
 from collections.abc import Iterator, Mapping
@@ -65,6 +66,10 @@
             and NOT_RUN_HEADER.lower() in headers
         )
 
+    def request_limit(self, _headers: Mapping[str, str]) -> float:
+        """Return the requests a second that the server takes."""
+        return math.inf
+
     def answer_defect(self, _status: int, _headers: Mapping[str, str]) -> str:
         """Return why the answer must not be relayed, empty if it may be."""
         return ''
@@ -326,6 +331,8 @@
             f'{call.address} returned the answer to another request',
             not_run=False,
         )
+    if call.observe_limit is not None:
+        call.observe_limit(dialect.request_limit(answer.headers))
     if dialect.not_run(answer.status, answer.headers):
         answer.discard()
         raise BackendServerError(
--- a/guavadyke/adapters/peer_datagrams.py
+++ b/guavadyke/adapters/peer_datagrams.py
@@ -7,6 +7,7 @@
 import threading
 import uuid
 from collections.abc import Callable, Collection
+from typing import Any
 
 from guavadyke.adapters.message_authentication import (
     AUTHENTICATION_BYTES,
@@ -237,37 +238,27 @@
 
     Returns nothing for a notice with a single entry, which cannot be sent.
     """
-    by_kind = (
-        PeerNotice(demands=notice.demands),
-        PeerNotice(grants=notice.grants),
-        PeerNotice(counts=notice.counts),
-        PeerNotice(batch_counts=notice.batch_counts),
-        PeerNotice(faults=notice.faults),
-    )
-    non_empty = tuple(kind for kind in by_kind if kind != PeerNotice())
-    if len(non_empty) > 1:
-        return non_empty
+    by_kind = [{name: entries} for name, entries in _entries(notice) if entries]
+    if len(by_kind) > 1:
+        return tuple(PeerNotice(**kind) for kind in by_kind)
     if _entry_count(notice) <= 1:
         return ()
     return (_every_second_entry(notice, 0), _every_second_entry(notice, 1))
 
 
 def _every_second_entry(notice: PeerNotice, first: int) -> PeerNotice:
-    return PeerNotice(
-        notice.demands[first::2],
-        notice.grants[first::2],
-        notice.counts[first::2],
-        notice.batch_counts[first::2],
-        notice.faults[first::2],
-    )
+    return PeerNotice(**{
+        name: entries[first::2] for name, entries in _entries(notice)
+    })
 
 
 def _entry_count(notice: PeerNotice) -> int:
-    all_lists = (
-        notice.demands,
-        notice.grants,
-        notice.counts,
-        notice.batch_counts,
-        notice.faults,
-    )
-    return sum(map(len, all_lists))
+    return sum(len(entries) for _name, entries in _entries(notice))
+
+
+def _entries(notice: PeerNotice) -> list[tuple[str, tuple[Any, ...]]]:
+    """Return the lists of a notice by the names of its fields."""
+    return [
+        (field.name, getattr(notice, field.name))
+        for field in dataclasses.fields(notice)
+    ]
--- a/guavadyke/adapters/peer_notice_codec.py
+++ b/guavadyke/adapters/peer_notice_codec.py
@@ -7,6 +7,7 @@
 
 from guavadyke.adapters import ports
 from guavadyke.decisions.fault_reports import ServerFault
+from guavadyke.decisions.request_permits import Permit, PermitRequest
 from guavadyke.peer.generated.messages import ttypes
 
 _Parsed = TypeVar('_Parsed')
@@ -23,6 +24,10 @@
             map(_batch_count_to_struct, notice.batch_counts)
         ),
         'faults': list_or_none(map(_fault_to_struct, notice.faults)),
+        'permit_requests': list_or_none(
+            map(_permit_request_to_struct, notice.permit_requests)
+        ),
+        'permits': list_or_none(map(_permit_to_struct, notice.permits)),
     }
 
 
@@ -38,6 +43,10 @@
         counts=parse_all(_online_count_from_struct, struct.counts),
         batch_counts=parse_all(_batch_count_from_struct, struct.batch_counts),
         faults=parse_all(_fault_from_struct, struct.faults),
+        permit_requests=parse_all(
+            _permit_request_from_struct, struct.permit_requests
+        ),
+        permits=parse_all(_permit_from_struct, struct.permits),
     )
     return None if notice == ports.PeerNotice() else notice
 
@@ -123,6 +132,40 @@
     )
 
 
+def _permit_request_to_struct(request: PermitRequest) -> Any:
+    return ttypes.PermitRequest(
+        server_id=request.server_id,
+        limit_per_s=float(request.limit_per_s),
+        batch=request.batch,
+    )
+
+
+def _permit_request_from_struct(struct: Any) -> PermitRequest:
+    return PermitRequest(
+        checked_text(struct.server_id),
+        float(struct.limit_per_s),
+        bool(struct.batch),
+    )
+
+
+def _permit_to_struct(permit: Permit) -> Any:
+    return ttypes.Permit(
+        server_id=permit.server_id,
+        batch=permit.batch,
+        valid_s=float(permit.valid_s),
+        wait_s=float(permit.wait_s),
+    )
+
+
+def _permit_from_struct(struct: Any) -> Permit:
+    return Permit(
+        checked_text(struct.server_id),
+        bool(struct.batch),
+        float(struct.valid_s),
+        float(struct.wait_s),
+    )
+
+
 def parse_all(
     read: Callable[[Any], _Parsed],
     structs: Iterable[Any] | None,
--- a/guavadyke/adapters/ports.py
+++ b/guavadyke/adapters/ports.py
@@ -9,6 +9,7 @@
 
 from guavadyke.adapters.cancellation import CallCancellation
 from guavadyke.decisions.fault_reports import ServerFault
+from guavadyke.decisions.request_permits import Permit, PermitRequest
 
 
 class Clock(Protocol):
@@ -211,7 +212,9 @@
     adapter binds ``cancellation`` to the connection before it sends.
     ``server_id`` names the only server that may run the request;
     ``deadline_s`` is what is left of its deadline, 0 without one;
-    ``last_event_id`` is the event after which a stream goes on.
+    ``last_event_id`` is the event after which a stream goes on. The adapter
+    calls ``observe_limit`` with the requests a second that the server takes
+    from all hosts, as its answer says; infinity if it names no limit.
     """
 
     request_id: str
@@ -228,6 +231,7 @@
     server_id: str = ''
     deadline_s: float = 0
     last_event_id: int = 0
+    observe_limit: Callable[[float], object] | None = None
 
 
 class BackendAnswer(Protocol):
@@ -338,7 +342,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class PeerNotice:
-    """Message between entry hosts with limit demands, grants and counts.
+    """Message between entry hosts with limits, counts, faults and permits.
 
     It is independent of the membership protocol.
     """
@@ -348,6 +352,8 @@
     counts: tuple[OnlineCount, ...] = ()
     batch_counts: tuple[BatchCount, ...] = ()
     faults: tuple[ServerFault, ...] = ()
+    permit_requests: tuple[PermitRequest, ...] = ()
+    permits: tuple[Permit, ...] = ()
 
 
 class PeerMessenger(Protocol):
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -19,11 +19,13 @@
 from guavadyke.controllers.forward_job_writer import JobWriter
 from guavadyke.controllers.item_run import (
     ItemRun,
+    ItemRunTools,
     PartialText,
     RunEnd,
     RunOutcome,
 )
 from guavadyke.controllers.prompt_guard import PromptGuard
+from guavadyke.controllers.server_limits import ServerLimits
 from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.decisions.forward_job_items import JobItemTracker
 from guavadyke.decisions.forward_job_ownership import (
@@ -61,6 +63,7 @@
     store: JobStore
     pool: ServerPool
     prompts: PromptGuard
+    limits: ServerLimits
     servers: BackendServers
     table: SnapshotCell[RouteTable]
     fleet: SnapshotCell[FleetSnapshot]
@@ -129,6 +132,9 @@
         self._maintenance = JobMaintenance(
             parts.settings, parts.fleet, self._writer
         )
+        self._run_tools = ItemRunTools(
+            parts.pool, parts.prompts, parts.limits, parts.clock
+        )
         self._stopping = False
         self._workers = ThreadPoolExecutor(
             parts.settings.forward.item_workers,
@@ -335,7 +341,9 @@
         max_runs = self._parts.settings.forward.item_workers
         if len(self._runs) >= max_runs or item.item_id in self._runs:
             return False
-        lease = self._parts.pool.acquire_batch(service, frozenset())
+        lease = self._parts.pool.acquire_batch(
+            service, frozenset(self._parts.limits.exhausted(batch=True))
+        )
         if lease is None:
             return False
         run = ItemRun(
@@ -343,9 +351,7 @@
             item,
             lease,
             self._partials.get(item.item_id, PartialText()),
-            self._parts.pool,
-            self._parts.prompts,
-            self._parts.clock,
+            self._run_tools,
         )
         self._runs[item.item_id] = run
         work.started(item.item_id)
--- a/guavadyke/controllers/item_run.py
+++ b/guavadyke/controllers/item_run.py
@@ -17,6 +17,7 @@
     Clock,
 )
 from guavadyke.controllers.prompt_guard import PromptGuard
+from guavadyke.controllers.server_limits import ServerLimits
 from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.decisions.forward_job_records import AcceptedJob, ForwardItem
 from guavadyke.decisions.server_registry import ServerLease
@@ -73,6 +74,21 @@
     reason: str = ''
 
 
+@dataclasses.dataclass(frozen=True)
+class ItemRunTools:
+    """What all runs of a host share.
+
+    A run releases its slot to ``pool``, tells ``prompts`` whether its server
+    has ended, and asks ``limits`` whether its server takes it; ``clock``
+    dates its last event.
+    """
+
+    pool: ServerPool
+    prompts: PromptGuard
+    limits: ServerLimits
+    clock: Clock
+
+
 class ItemRun:
     """Runs an item, resuming after the last event of earlier runs.
 
@@ -81,9 +97,7 @@
         item: the item.
         lease: the slot at a server; released when the run ends.
         partial: the events received in earlier runs.
-        pool: the pool that the slot is released to.
-        prompts: learns whether the server ended under the item.
-        clock: dates the last event.
+        tools: what all runs share.
     """
 
     def __init__(
@@ -92,9 +106,7 @@
         item: ForwardItem,
         lease: ServerLease,
         partial: PartialText,
-        pool: ServerPool,
-        prompts: PromptGuard,
-        clock: Clock,
+        tools: ItemRunTools,
     ) -> None:
         self.cancellation = CallCancellation()
         self.lease = lease
@@ -104,9 +116,7 @@
         self._partial = partial
         self._pieces = list(partial.pieces)
         self._event_parser = EventParser(partial.last_id)
-        self._pool = pool
-        self._prompts = prompts
-        self._clock = clock
+        self._tools = tools
         self._progress_at = lease.taken_at
         self._stalled = False
 
@@ -124,7 +134,13 @@
         servers: BackendServers,
         settings: ForwardSettings,
     ) -> RunOutcome:
-        """Run the item; blocks until it ends or is preempted."""
+        """Run the item; blocks until it ends or is preempted.
+
+        A server that takes no more requests now preempts it.
+        """
+        if not self._tools.limits.admit(self.lease.server, batch=True):
+            self._tools.pool.release(self.lease)
+            return self._outcome(RunEnd.preempted, 'limit of the server')
         failure = None
         try:
             return self._send_and_read(servers, settings)
@@ -158,7 +174,7 @@
                 not_run=False,
                 disconnected=True,
             )
-        self._prompts.completed(self.item.prompt_parts)
+        self._tools.prompts.completed(self.item.prompt_parts)
         return self._outcome(RunEnd.completed)
 
     def _read_events(self, answer: BackendAnswer) -> None:
@@ -168,7 +184,7 @@
         for event in events:
             if event.event_id is not None:
                 self._pieces.append(event.data)
-                self._progress_at = self._clock.monotonic()
+                self._progress_at = self._tools.clock.monotonic()
 
     def _end(self, failure: BackendServerError | None) -> None:
         """Release the slot and record what the run says of its prompt.
@@ -178,11 +194,11 @@
         """
         cancelled = self.cancellation.cancelled
         if failure is None or (cancelled and not self._stalled):
-            self._pool.release(self.lease)
+            self._tools.pool.release(self.lease)
             return
-        self._pool.release(self.lease, failure.fault)
+        self._tools.pool.release(self.lease, failure.fault)
         if failure.disconnected and not cancelled:
-            self._prompts.crashed(
+            self._tools.prompts.crashed(
                 self.item.prompt_parts, self.lease.server.incarnation
             )
 
@@ -211,6 +227,7 @@
             cancellation=self.cancellation,
             server_id=self.lease.server.server_id,
             last_event_id=self._partial.last_id,
+            observe_limit=self._tools.limits.observer(self.lease.server),
         )
 
 
--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -12,12 +12,14 @@
     BackendServerError,
 )
 from guavadyke.decisions.forward_routes import ForwardRoute, RouteKind
-from guavadyke.decisions.load_shedding import longest_wait_s
 from guavadyke.decisions.request_attempts import RequestAttempts, retry_after_s
-from guavadyke.decisions.server_registry import ServerLease
 from guavadyke.decisions.server_sent_events import EventOrderError, EventParser
 from guavadyke.errors import ErrorCode, GuavadykeError
 from guavadyke.filters.base import Answer
+from guavadyke.filters.forward_admission import (
+    AdmissionRefusedError,
+    ServerAdmission,
+)
 from guavadyke.filters.forward_attempt import (
     ForwardAttempt,
     ForwardRequest,
@@ -62,7 +64,7 @@
         self._request = request
         self._route = route
         self._tools = tools
-        self._service = route.service_of(request.request_id)
+        self._admission = ServerAdmission(request, route, tools)
         self._request_attempts = RequestAttempts(route)
         self._cancellation = CallCancellation()
         self._event_parser = EventParser(request.last_event_id)
@@ -179,20 +181,14 @@
                 ErrorCode.deadline_exceeded,
                 'too little time is left for an attempt',
             )
-        self._check_prompt()
-        lease = self._tools.pool.acquire_online(
-            self._service,
-            self._request_attempts.failed,
-            self._request.prompt_key or self._request.request_id,
-        )
-        if lease is None:
-            # After failed attempts the error code follows from them.
-            is_first_attempt = self._request_attempts.last_fault is None
-            raise self._give_up(
-                ErrorCode.no_backend_server if is_first_attempt else None,
-                f'no backend server of {self._service} accepts requests',
+        try:
+            lease = self._admission.acquire(
+                self._request_attempts.failed, remaining_s
             )
-        self._check_wait(lease, remaining_s)
+        except AdmissionRefusedError as refusal:
+            raise self._give_up(
+                refusal.code, refusal.message, refusal.retry_in_s
+            ) from refusal
         return ForwardAttempt(
             self._request,
             self._route,
@@ -203,47 +199,6 @@
             and not self._started,
         )
 
-    def _check_prompt(self) -> None:
-        """Give the request up if its prompt has crashed servers.
-
-        Raises:
-            GuavadykeError: ``prompt_quarantined``; the error carries the
-                time after which a part of the prompt is tried again.
-        """
-        found = self._tools.prompts.check(self._request.prompt_parts)
-        if found is not None:
-            raise self._give_up(
-                ErrorCode.prompt_quarantined,
-                f'{found.crashes} backend servers have ended under requests '
-                f'with the prompt part {found.part}',
-                found.trial_in_s,
-            )
-
-    def _check_wait(self, lease: ServerLease, remaining_s: float) -> None:
-        """Give the request up if it would wait too long at the server.
-
-        Raises:
-            GuavadykeError: ``overloaded``; the error carries the time
-                after which the caller should retry.
-        """
-        pool = self._tools.pool
-        wait_s = pool.wait_estimator.estimate_wait_s(lease)
-        longest_s = longest_wait_s(
-            self._route,
-            remaining_s,
-            self._tools.settings.longest_wait_s,
-        )
-        if wait_s > longest_s:
-            pool.release(lease, BackendFault.refused)
-            raise self._give_up(
-                ErrorCode.overloaded,
-                f'every backend server of {self._service} has too long a '
-                f'queue: {wait_s:.2f} s, the maximum is {longest_s:.2f} s',
-                pool.wait_estimator.estimate_retry_after_s(
-                    lease, wait_s - longest_s
-                ),
-            )
-
     def _handle_failure(
         self,
         attempt: ForwardAttempt,
--- /dev/null
+++ b/guavadyke/filters/forward_admission.py
@@ -0,0 +1,136 @@
+"""Finds the backend server to which a request may be sent now."""
+
+from __future__ import annotations
+
+from guavadyke.adapters.ports import BackendFault
+from guavadyke.decisions.forward_routes import ForwardRoute
+from guavadyke.decisions.load_shedding import longest_wait_s
+from guavadyke.decisions.server_registry import ServerLease
+from guavadyke.errors import ErrorCode
+from guavadyke.filters.forward_attempt import ForwardRequest, ForwardTools
+
+
+class AdmissionRefusedError(Exception):
+    """A request must not be sent to any server now.
+
+    Args:
+        code: the error code; None if it follows from failed attempts.
+        message: human-readable description.
+        retry_in_s: seconds after which the caller should retry, if known.
+    """
+
+    def __init__(
+        self,
+        code: ErrorCode | None,
+        message: str,
+        retry_in_s: float | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.code = code
+        self.message = message
+        self.retry_in_s = retry_in_s
+
+
+class ServerAdmission:
+    """Reserves servers for the attempts of one request.
+
+    Args:
+        request: the request.
+        route: the route that the request matched.
+        tools: settings, clock and services that all requests share.
+    """
+
+    def __init__(
+        self,
+        request: ForwardRequest,
+        route: ForwardRoute,
+        tools: ForwardTools,
+    ) -> None:
+        self._request = request
+        self._route = route
+        self._tools = tools
+        self._service = route.service_of(request.request_id)
+
+    def acquire(
+        self, failed: frozenset[str], remaining_s: float
+    ) -> ServerLease:
+        """Reserve the best server that takes the request now.
+
+        Args:
+            failed: ids of servers that are not tried again.
+            remaining_s: seconds until the request's deadline.
+
+        Raises:
+            AdmissionRefusedError: there is none.
+        """
+        self._check_prompt()
+        excluded = failed | self._tools.limits.exhausted().keys()
+        while True:
+            lease = self._tools.pool.acquire_online(
+                self._service,
+                excluded,
+                self._request.prompt_key or self._request.request_id,
+            )
+            if lease is None:
+                raise self._no_server_error(failed)
+            self._check_wait(lease, remaining_s)
+            if self._tools.limits.admit(lease.server):
+                return lease
+            self._tools.pool.release(lease, BackendFault.refused)
+            excluded |= {lease.server.server_id}
+
+    def _check_prompt(self) -> None:
+        """Refuse a prompt that has crashed servers.
+
+        Raises:
+            AdmissionRefusedError: ``prompt_quarantined``, with the time after
+                which a part of the prompt is tried again.
+        """
+        found = self._tools.prompts.check(self._request.prompt_parts)
+        if found is not None:
+            raise AdmissionRefusedError(
+                ErrorCode.prompt_quarantined,
+                f'{found.crashes} backend servers have ended under requests '
+                f'with the prompt part {found.part}',
+                found.trial_in_s,
+            )
+
+    def _check_wait(self, lease: ServerLease, remaining_s: float) -> None:
+        """Refuse a request that would wait too long at the server.
+
+        Raises:
+            AdmissionRefusedError: ``overloaded``, with the time after which
+                the caller should retry.
+        """
+        pool = self._tools.pool
+        wait_s = pool.wait_estimator.estimate_wait_s(lease)
+        longest_s = longest_wait_s(
+            self._route,
+            remaining_s,
+            self._tools.settings.longest_wait_s,
+        )
+        if wait_s > longest_s:
+            pool.release(lease, BackendFault.refused)
+            raise AdmissionRefusedError(
+                ErrorCode.overloaded,
+                f'every backend server of {self._service} has too long a '
+                f'queue: {wait_s:.2f} s, the maximum is {longest_s:.2f} s',
+                pool.wait_estimator.estimate_retry_after_s(
+                    lease, wait_s - longest_s
+                ),
+            )
+
+    def _no_server_error(self, failed: frozenset[str]) -> AdmissionRefusedError:
+        """Return the error of a request for which there is no server."""
+        waits = self._tools.limits.exhausted().values()
+        if waits:
+            return AdmissionRefusedError(
+                ErrorCode.overloaded,
+                f'the backend servers of {self._service} take no more '
+                'requests now',
+                min(waits),
+            )
+        return AdmissionRefusedError(
+            None if failed else ErrorCode.no_backend_server,
+            f'no backend server of {self._service} accepts requests',
+        )
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -15,6 +15,7 @@
     Clock,
 )
 from guavadyke.controllers.prompt_guard import PromptGuard
+from guavadyke.controllers.server_limits import ServerLimits
 from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.decisions.first_event_times import FirstEventTimes
 from guavadyke.decisions.forward_routes import ForwardRoute
@@ -64,6 +65,7 @@
     servers: BackendServers
     pool: ServerPool
     prompts: PromptGuard
+    limits: ServerLimits
     watch: CallerWatch
     metrics: HostMetrics
     logger: EventLogger
@@ -140,6 +142,7 @@
                 server_id=self.server_id,
                 deadline_s=remaining_s,
                 last_event_id=last_event_id,
+                observe_limit=self._tools.limits.observer(self._lease.server),
             ),
         )
         return self._answer
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -45,6 +45,7 @@
 from guavadyke.filters.caller_watch import CallerWatch
 from guavadyke.filters.forward_attempt import ForwardTools
 from guavadyke.forward_job_documents import JOB_KIND, PROGRESS_KIND
+from guavadyke.forward_limits import ForwardLimits
 from guavadyke.forward_peers import ForwardPeers
 from guavadyke.forward_prompts import ForwardPrompts
 from guavadyke.http_server import HttpServer
@@ -133,6 +134,14 @@
         self._prompts = ForwardPrompts(
             settings, store, self.fleet, self.clock, logger
         )
+        self._limits = ForwardLimits(
+            settings,
+            store,
+            self.fleet,
+            self._peers.messenger,
+            self.clock,
+            logger,
+        )
         self._watch = CallerWatch()
         self.tools = ForwardTools(
             settings.forward,
@@ -140,6 +149,7 @@
             ports.servers,
             self.pool,
             self._prompts.guard,
+            self._limits.limits,
             self._watch,
             self.metrics,
             logger,
@@ -183,6 +193,7 @@
                 self._job_store,
                 self.pool,
                 self._prompts.guard,
+                self._limits.limits,
                 ports.servers,
                 self.table,
                 self.fleet,
@@ -214,6 +225,7 @@
             mirror.start()
         self._load_notices.start()
         self._prompts.start()
+        self._limits.start()
         self._ticker.start()
         if self._is_drainable:
             self._retirements.start()
@@ -268,6 +280,7 @@
         self._retirements.close()
         self._load_notices.close()
         self._prompts.close()
+        self._limits.close()
         for mirror in self._mirrors:
             mirror.close()
         self._runner.stop()
@@ -301,15 +314,16 @@
             peers,
             self._retirements,
         )
-        prompts = self._create_mirror(
-            self._prompts.mirror_settings, jobs, self._prompts.sink
-        )
+        learned = [
+            self._create_mirror(part.mirror_settings, jobs, part.sink)
+            for part in (self._prompts, self._limits)
+        ]
         mirrors = (
             self._state_mirror(ports.table_kind, peers, routes),
             self._state_mirror(ports.server_kind, peers, self.pool),
-            prompts,
             self._job_mirror(JOB_KIND, jobs, self.registry.jobs),
             self._job_mirror(PROGRESS_KIND, jobs, self.registry.progress),
+            *learned,
         )
         return (retirements, *mirrors) if self._is_drainable else mirrors
 
--- a/guavadyke/peer/messages.thrift
+++ b/guavadyke/peer/messages.thrift
@@ -77,6 +77,22 @@
   3: bool failing,
 }
 
+/** Asks for one request to a backend server that limits the requests of all
+ * hosts; limit_per_s is the limit as the sender knows it. */
+struct PermitRequest {
+  1: string server_id,
+  2: double limit_per_s,
+  3: bool batch,
+}
+
+/** Allows the receiver one request within valid_s, or none for wait_s. */
+struct Permit {
+  1: string server_id,
+  2: bool batch,
+  3: double valid_s,
+  4: double wait_s,
+}
+
 /** The one datagram; what is absent is not said. */
 struct Datagram {
   1: i32 format,
@@ -98,6 +114,8 @@
   17: optional string boot,
   18: optional i64 sent_ms,
   19: optional list<ServerFault> faults,
+  20: optional list<PermitRequest> permit_requests,
+  21: optional list<Permit> permits,
 }
 
 struct ObjectVersion {
--- a/guavadyke/platform/engine_adapter.py
+++ b/guavadyke/platform/engine_adapter.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import re
 import types
 from collections.abc import Mapping
 from typing import Literal
@@ -18,6 +20,8 @@
 _REQUEST_ID_HEADER = 'request-id'
 _NOT_EXECUTED_HEADER = 'not-executed'
 _SIGNATURE_HEADER = 'response-signature'
+_LIMIT_HEADER = 'server-limit'
+_LIMIT_PATTERN = re.compile(r'\d{1,9}(\.\d{1,9})?')
 _HTTP_MISDIRECTED = 421
 _SUCCESS_STATUSES = range(200, 300)
 # Statuses that tell a caller that the request did not run.
@@ -108,6 +112,11 @@
         """Return whether a response proves that the request did not run."""
         return _NOT_EXECUTED_HEADER in headers or status == _HTTP_MISDIRECTED
 
+    def request_limit(self, headers: Mapping[str, str]) -> float:
+        """Return the requests a second that the engine takes."""
+        stated = headers.get(_LIMIT_HEADER, '').strip()
+        return float(stated) if _LIMIT_PATTERN.fullmatch(stated) else math.inf
+
     def answer_defect(self, status: int, headers: Mapping[str, str]) -> str:
         """Return why a response cannot be forwarded, empty if it can."""
         if status in _NOT_RUN_STATUSES:
