Test answers that end with their connection and streams that end inside an event

An answer or a stream may come with neither a length nor chunks and end with its connection; one that is reset on the way is not whole.

--- /dev/null
+++ b/features/builders_framed_server.py
@@ -0,0 +1,92 @@
+"""A server whose answers end in a given way."""
+
+from __future__ import annotations
+
+import collections
+import contextlib
+import socket
+import struct
+import threading
+import time
+from collections.abc import Iterable
+
+from features import builders_forward as build
+from guavadyke.decisions.server_registry import ListedServer
+
+_MAX_REQUEST_BYTES = 65_536
+_TAKEN_S = 0.2
+_NO_LINGER = struct.pack('ii', 1, 0)
+_HEAD = (
+    b'HTTP/1.1 200 OK\r\n'
+    b'Content-Type: text/event-stream\r\n'
+    b'Response-Signature: 3e1b\r\n'
+)
+
+
+def answer_bytes(framing: str, body: bytes) -> bytes:
+    """Return an answer whose framing is complete, whatever its body.
+
+    Args:
+        framing: ``with a length``, ``in chunks``, or without either.
+        body: the body.
+    """
+    if framing == 'with a length':
+        return b'%bContent-Length: %d\r\n\r\n%b' % (_HEAD, len(body), body)
+    if framing == 'in chunks':
+        chunk = b'%x\r\n%b\r\n0\r\n\r\n' % (len(body), body)
+        return b'%bTransfer-Encoding: chunked\r\n\r\n%b' % (_HEAD, chunk)
+    return b'%bConnection: close\r\n\r\n%b' % (_HEAD, body)
+
+
+class FramedServer:
+    """Sends one given answer on each connection, then ends it.
+
+    Args:
+        name: id of the server.
+        answers: the answers, one for each connection in turn.
+        reset: whether connections end with a reset.
+    """
+
+    def __init__(
+        self, name: str, answers: Iterable[bytes], *, reset: bool = False
+    ) -> None:
+        self.name = name
+        self.requests: list[bytes] = []
+        self._answers = iter(answers)
+        self._reset = reset
+        self._socket = socket.create_server((build.LOOPBACK, 0))
+        threading.Thread(target=self._run, daemon=True).start()
+
+    @property
+    def listed(self) -> ListedServer:
+        """The server as hosts list it."""
+        ip, port = self._socket.getsockname()
+        return ListedServer(
+            self.name, build.SERVICE, f'{ip}:{port}', build.ZONE, 8
+        )
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._socket.close()
+
+    def _run(self) -> None:
+        with contextlib.suppress(OSError):
+            for answer in self._answers:
+                connection, _address = self._socket.accept()
+                self._serve(connection, answer)
+
+    def _serve(self, connection: socket.socket, answer: bytes) -> None:
+        with connection:
+            self.requests.append(connection.recv(_MAX_REQUEST_BYTES))
+            connection.sendall(answer)
+            if self._reset:
+                # A reset discards what the caller has not taken yet.
+                time.sleep(_TAKEN_S)
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER
+                )
+                return
+            # Unread bytes of the request would turn the end into a reset.
+            connection.shutdown(socket.SHUT_WR)
+            rest = iter(lambda: connection.recv(_MAX_REQUEST_BYTES), b'')
+            collections.deque(rest, maxlen=0)
--- /dev/null
+++ b/features/forward_answer_ends.feature
@@ -0,0 +1,60 @@
+Feature: How answers of backend servers end
+
+  Scenario Outline: a <kind> answer with neither a length nor chunks that ends with its connection is whole
+    Given a <kind> route and a server that answers with neither a length nor chunks
+    When a request is sent to it
+    Then the caller gets the whole answer
+
+    Examples:
+      | kind       |
+      | streamed   |
+      | idempotent |
+
+  Scenario Outline: a <kind> answer with neither a length nor chunks that is reset is not whole
+    Given a <kind> route and a server that answers with neither a length nor chunks and resets
+    When a request is sent to it
+    Then the answer breaks off
+
+    Examples:
+      | kind       |
+      | streamed   |
+      | idempotent |
+
+  Scenario Outline: a stream <framing> that ends inside an event has been broken off
+    Given a streamed route and a server whose stream <framing> ends inside its last event
+    When a request is sent to it
+    Then the answer breaks off
+
+    Examples:
+      | framing       |
+      | with a length |
+      | in chunks     |
+      | to the end    |
+
+  Scenario Outline: a stream <framing> that ends inside an event goes on at another server
+    Given a resumable stream route and a server whose stream <framing> ends inside its last event
+    And another server that answers with neither a length nor chunks from there on
+    When a request is sent to it
+    Then the caller gets the whole answer
+
+    Examples:
+      | framing       |
+      | with a length |
+      | in chunks     |
+      | to the end    |
+
+  Scenario Outline: an item whose stream <framing> ends inside an event is not completed
+    Given a streamed route and a server whose stream <framing> ends inside its last event
+    When an item is run at it
+    Then the run is broken and has all events but the last
+
+    Examples:
+      | framing       |
+      | with a length |
+      | in chunks     |
+      | to the end    |
+
+  Scenario: an item whose stream has neither a length nor chunks and ends with its connection is completed
+    Given a streamed route and a server that answers with neither a length nor chunks
+    When an item is run at it
+    Then the run is completed
