Blame no prompt when a host loses its connections

What callers would have seen: a host whose connections are all reset reports that each of its engines has ended. With three engines or more every prompt part that was under way there and had not completed for 30 s, such as the one that all items of a route share, would have been refused by all hosts until its trial.

Cause: a broken connection was taken for the end of the server, whatever else broke at the same host in the same moment; and only a whole answer proved a prompt, for which items take many seconds.

Change: breaks wait 25 ms; those of three or more servers within that time, under requests that were sent before the first of them, are dropped. A run that has got events for a second proves its prompt.

--- a/features/builders_prompt_guards.py
+++ b/features/builders_prompt_guards.py
@@ -7,13 +7,16 @@
 from features import builders_forward as build
 from features.builders_batch_platform import MemoryPlatform, MemoryStore
 from guavadyke.controllers.mirror import Mirror, MirrorSettings
-from guavadyke.controllers.prompt_guard import PromptGuard
+from guavadyke.controllers.prompt_guard import GuardedRun, PromptGuard
 from guavadyke.forward_prompts import ForwardPrompts
 from guavadyke.log import EventLogger
 from guavadyke.prompt_report_documents import REPORT_KIND
 from guavadyke.settings import HostSettings
 from guavadyke.snapshots import FleetSnapshot, PeerView, SnapshotCell
 
+# Longer than a guard waits to see whether further servers seem to end.
+SETTLED_S = 0.05
+
 
 def host_settings(host_id: str) -> HostSettings:
     """Return the settings of a host."""
@@ -98,13 +101,23 @@
 
     def crash(self, number: int, *prompts: tuple[str, ...]) -> None:
         """Let a server end under prompts, each at another host."""
-        guards = self.guards
         for place, parts in enumerate(prompts):
-            guards[(number + place) % len(guards)].crashed(
-                parts, f's{number}/1'
-            )
+            host_id = self._names[(number + place) % len(self._names)]
+            self.end_server(host_id, number, parts)
+        self.settle()
         self.exchange()
 
+    def end_server(
+        self, host_id: str, number: int, parts: tuple[str, ...]
+    ) -> None:
+        """Let a server end under a request that a host has just sent to it."""
+        run = GuardedRun(self.hosts[host_id].guard, parts, self.clock)
+        run.disconnected(f's{number}/1')
+
+    def settle(self) -> None:
+        """Let the time pass in which hosts wait for further breaks."""
+        self.clock.sleep(SETTLED_S)
+
     def refusing(self, *parts: str) -> int:
         """Return how many hosts refuse requests with these parts."""
         return sum(guard.check(parts) is not None for guard in self.guards)
--- a/features/forward_prompts.feature
+++ b/features/forward_prompts.feature
@@ -31,6 +31,24 @@
     Then all hosts refuse a prompt of "shared,bad"
     And no host refuses a prompt of "shared,rare"
 
+  Scenario: a host that loses all its connections suspects no prompt
+    Given 20 hosts that have served nothing yet
+    When a host loses its connections to 5 servers at once under a prompt of "shared"
+    Then no host refuses a prompt of "shared"
+    And there are 0 reports on the platform
+
+  Scenario Outline: a run that has got events for <seconds> seconds when servers end <proves> its prompt
+    Given 20 hosts that have served nothing yet
+    When a run with "shared" gets events for <seconds> seconds
+    And 3 servers end under a prompt of "shared" at the first host
+    And 2 seconds pass with an exchange each 0.1 seconds
+    Then <refusing> refuse a prompt of "shared"
+
+    Examples:
+      | seconds | proves         | refusing  |
+      | 1.5     | proves         | 0 hosts   |
+      | 0.5     | does not prove | 20 hosts  |
+
   Scenario: a host that starts anew knows the quarantined parts
     Given 20 hosts where requests with the part "shared" have completed
     When 3 servers end under a prompt of "shared,bad"
--- a/features/steps/forward_prompts_steps.py
+++ b/features/steps/forward_prompts_steps.py
@@ -15,7 +15,7 @@
 from features import builders_prompt_guards as guards
 from features.builders_processes import wait_until
 from guavadyke.adapters.ports import BackendFault
-from guavadyke.controllers.prompt_guard import PromptGuard
+from guavadyke.controllers.prompt_guard import GuardedRun, PromptGuard
 from guavadyke.decisions.forward_routes import RouteKind
 from guavadyke.errors import GuavadykeError
 from guavadyke.filters.forward import Forwarder
@@ -23,6 +23,7 @@
 _PARTS = ('shared', 'bad')
 _RESULTS_S = 10.0
 _HELD_S = 0.3
+_AT_ONCE_S = 0.01
 _SCRIPTS = types.MappingProxyType({
     'a closed connection': build.Scripted(
         fault=BackendFault.broken, disconnected=True, sent=1
@@ -87,7 +88,9 @@
 def step_crash_at_first(context: Context, count: int, prompt: str) -> None:
     first = context.guarded.hosts['host-0'].guard
     for number in range(count):
-        first.crashed(_split(prompt), f's{number}/1')
+        context.guarded.end_server('host-0', number, _split(prompt))
+        context.guarded.settle()
+        first.check(())
 
 
 @when(
@@ -98,7 +101,8 @@
     for link in context.guarded.links.values():
         link.faults.cut_writes = True
     for number in range(count):
-        context.guarded.guards[number].crashed(_split(prompt), f's{number}/1')
+        context.guarded.end_server(f'host-{number}', number, _split(prompt))
+    context.guarded.settle()
     context.guarded.send()
     assert not context.guarded.reports
     for link in context.guarded.links.values():
@@ -113,12 +117,40 @@
 def step_crash_everywhere(context: Context, count: int, seconds: int) -> None:
     fleet = context.guarded
     for number in range(count):
-        for place, guard in enumerate(fleet.guards):
-            guard.crashed((f'own-{place}-{number}',), f's{number}/1')
+        for host_id in fleet.hosts:
+            fleet.end_server(host_id, number, (f'{host_id}-{number}',))
         fleet.clock.sleep(seconds / count)
         fleet.send()
 
 
+@when(
+    'a host loses its connections to {count:d} servers at once under a prompt '
+    'of "{prompt}"'
+)
+def step_connections_lost(context: Context, count: int, prompt: str) -> None:
+    fleet = context.guarded
+    runs = [
+        GuardedRun(fleet.guards[0], _split(prompt), fleet.clock)
+        for _ in range(count)
+    ]
+    fleet.clock.sleep(1)
+    for number, run in enumerate(runs):
+        run.disconnected(f's{number}/1')
+        fleet.clock.sleep(_AT_ONCE_S / count)
+    fleet.settle()
+    context.guarded.exchange()
+
+
+@when('a run with "{prompt}" gets events for {seconds:g} seconds')
+def step_run_goes_on(context: Context, prompt: str, seconds: float) -> None:
+    guard = context.guarded.guards[0]
+    run = GuardedRun(guard, _split(prompt), context.guarded.clock)
+    for _ in range(round(10 * seconds)):
+        run.progressed()
+        context.guarded.clock.sleep(0.1)
+    context.guarded.exchange()
+
+
 @when('the first host starts anew')
 def step_first_anew(context: Context) -> None:
     context.guarded.start('host-0')
@@ -169,6 +201,12 @@
     assert refusing == len(context.guarded.hosts) - 1, refusing
 
 
+@then('{count:d} hosts refuse a prompt of "{prompt}"')
+def step_some_refuse(context: Context, count: int, prompt: str) -> None:
+    refusing = context.guarded.refusing(*_split(prompt))
+    assert refusing == count, refusing
+
+
 @then('no host refuses a prompt of "{prompt}"')
 def step_none_refuses(context: Context, prompt: str) -> None:
     refusing = context.guarded.refusing(*_split(prompt))
@@ -189,7 +227,8 @@
 def step_server(context: Context, end: str) -> None:
     context.route = build.route(RouteKind.streamed)
     context.script = _SCRIPTS[end]
-    context.guard = build.prompt_guard()
+    context.clock = build.ManualClock()
+    context.guard = build.prompt_guard(clock=context.clock)
 
 
 @when('{count:d} incarnations of it have answered a request')
@@ -198,6 +237,8 @@
         servers = build.FakeServers(context.script)
         with contextlib.suppress(GuavadykeError):
             _forward(context, f's{number}', servers)
+        context.clock.sleep(guards.SETTLED_S)
+        context.guard.check(_PARTS)
 
 
 def _forward(
@@ -232,10 +273,13 @@
 
 
 def _quarantining_guard() -> PromptGuard:
-    guard = build.prompt_guard()
+    clock = build.ManualClock()
+    guard = build.prompt_guard(clock=clock)
     guard.completed(_PARTS[:1])
     for number in range(3):
-        guard.crashed(_PARTS, f's{number}/1')
+        GuardedRun(guard, _PARTS, clock).disconnected(f's{number}/1')
+        clock.sleep(guards.SETTLED_S)
+        guard.check(_PARTS)
     return guard
 
 
--- a/guavadyke/controllers/item_run.py
+++ b/guavadyke/controllers/item_run.py
@@ -16,7 +16,7 @@
     BackendServers,
     Clock,
 )
-from guavadyke.controllers.prompt_guard import PromptGuard
+from guavadyke.controllers.prompt_guard import GuardedRun, PromptGuard
 from guavadyke.controllers.server_limits import ServerLimits
 from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.decisions.forward_job_records import AcceptedJob, ForwardItem
@@ -117,6 +117,9 @@
         self._pieces = list(partial.pieces)
         self._event_parser = EventParser(partial.last_id)
         self._tools = tools
+        self._guarded = GuardedRun(
+            tools.prompts, item.prompt_parts, tools.clock
+        )
         self._progress_at = lease.taken_at
         self._stalled = False
 
@@ -174,7 +177,7 @@
                 not_run=False,
                 disconnected=True,
             )
-        self._tools.prompts.completed(self.item.prompt_parts)
+        self._guarded.completed()
         return self._outcome(RunEnd.completed)
 
     def _read_events(self, answer: BackendAnswer) -> None:
@@ -185,6 +188,7 @@
             if event.event_id is not None:
                 self._pieces.append(event.data)
                 self._progress_at = self._tools.clock.monotonic()
+                self._guarded.progressed()
 
     def _end(self, failure: BackendServerError | None) -> None:
         """Release the slot and record what the run says of its prompt.
@@ -198,9 +202,7 @@
             return
         self._tools.pool.release(self.lease, failure.fault)
         if failure.disconnected and not cancelled:
-            self._tools.prompts.crashed(
-                self.item.prompt_parts, self.lease.server.incarnation
-            )
+            self._guarded.disconnected(self.lease.server.incarnation)
 
     def _end_of_error(self, error: BackendServerError) -> RunEnd:
         if self._stalled:
--- a/guavadyke/controllers/prompt_guard.py
+++ b/guavadyke/controllers/prompt_guard.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import dataclasses
 import threading
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from guavadyke.adapters.ports import Clock
 from guavadyke.decisions import rendezvous_hashing
-from guavadyke.decisions.prompt_quarantine import PromptQuarantine, Quarantine
+from guavadyke.decisions.prompt_quarantine import (
+    MIN_CRASHES,
+    PromptQuarantine,
+    Quarantine,
+)
 from guavadyke.decisions.prompt_reports import PromptReport, ReportQueue
 from guavadyke.log import EventLogger
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
@@ -18,6 +23,23 @@
 # among the hosts times this, unless one before it has.
 _ANSWER_SPACING_S = 0.05
 _LONGEST_ANSWER_S = 2.0
+# Servers that seem to end within this time at one host, under requests that it
+# had sent before, have not ended: the host has lost its connections.
+_SETTLE_S = 0.025
+# A server that has written an answer for this time does not end because of its
+# prompt.
+_PROOF_S = 1.0
+_PROOF_INTERVAL_S = 10.0
+
+
+@dataclasses.dataclass(frozen=True)
+class _Break:
+    """An answer to a request of ``began_at`` that broke off."""
+
+    at: float
+    began_at: float
+    incarnation: str
+    parts: tuple[str, ...]
 
 
 class PromptGuard:
@@ -50,6 +72,7 @@
         self._found = threading.Event()
         self._trial_until: dict[str, float] = {}
         self._answer_due: dict[str, float] = {}
+        self._breaks: list[_Break] = []
 
     @property
     def quarantined(self) -> frozenset[str]:
@@ -59,7 +82,7 @@
     @property
     def pending(self) -> bool:
         """Whether there are reports to send, now or later."""
-        return bool(self._answer_due) or not self._queue.empty
+        return bool(self._answer_due or self._breaks) or not self._queue.empty
 
     def check(self, parts: Sequence[str]) -> Quarantine | None:
         """Return why a request must not be sent, None if it may be.
@@ -70,40 +93,34 @@
         Args:
             parts: the parts of its prompt.
         """
-        if self.quarantined.isdisjoint(parts):
+        if not self._breaks and self.quarantined.isdisjoint(parts):
             return None
         with self._lock:
             now = self._clock.monotonic()
+            self._settle(now)
             found = self._quarantine.find(parts, now)
             if found is None or not self._starts_trial(found, now):
                 return found
         self._logger.info('prompt_part_tried', part=found.part)
         return None
 
-    def crashed(self, parts: Sequence[str], incarnation: str) -> None:
-        """Record that a server has ended under a request.
+    def crashed(
+        self, parts: Sequence[str], incarnation: str, began_at: float
+    ) -> None:
+        """Record that a server has ended under a request, or seems to have.
 
         Args:
             parts: the parts of the request's prompt.
             incarnation: the server's id and start.
+            began_at: when the request was sent, in monotonic seconds.
         """
         with self._lock:
             now = self._clock.monotonic()
-            suspects = self._quarantine.suspects(parts, now)
-            if not suspects:
-                return
-            before = self.quarantined
-            self._quarantine.crashed(incarnation, suspects, now)
-            self._queue.add(
-                PromptReport(self._clock.wall(), incarnation, suspects)
-            )
-            self._found.set()
-        self._logger.info(
-            'prompt_parts_suspected',
-            backend_server=incarnation,
-            parts=','.join(suspect.part for suspect in suspects),
-        )
-        self._log_changes(before)
+            if self._quarantine.suspects(parts, now):
+                self._breaks.append(
+                    _Break(now, began_at, incarnation, tuple(parts))
+                )
+                self._found.set()
 
     def completed(self, parts: Sequence[str]) -> None:
         """Record that a request with these parts has completed."""
@@ -126,6 +143,7 @@
         """Return the next report to send now, None if there is none."""
         with self._lock:
             now = self._clock.monotonic()
+            self._settle(now)
             self._answer_suspicions(now)
             live_hosts = 1 + len(self._fleet.current.alive)
             return self._queue.take(live_hosts, now)
@@ -149,6 +167,40 @@
                 self._answer_due.pop(completed_part, None)
         self._log_changes(before)
 
+    def _settle(self, now: float) -> None:
+        """Take breaks for ends of servers, unless too many come at once."""
+        while self._breaks and self._breaks[0].at <= now - _SETTLE_S:
+            first_at = self._breaks[0].at
+            together = [
+                one
+                for one in self._breaks
+                if one.at <= first_at + _SETTLE_S and one.began_at <= first_at
+            ]
+            self._breaks = [one for one in self._breaks if one not in together]
+            servers = {one.incarnation for one in together}
+            if len(servers) < MIN_CRASHES:
+                self._suspect(together)
+            else:
+                self._logger.info(
+                    'prompt_parts_not_suspected', backend_servers=len(servers)
+                )
+
+    def _suspect(self, breaks: Iterable[_Break]) -> None:
+        before = self.quarantined
+        wall = self._clock.wall()
+        for one in breaks:
+            suspects = self._quarantine.suspects(one.parts, one.at)
+            if not suspects:
+                continue
+            self._quarantine.crashed(one.incarnation, suspects, one.at)
+            self._queue.add(PromptReport(wall, one.incarnation, suspects))
+            self._logger.info(
+                'prompt_parts_suspected',
+                backend_server=one.incarnation,
+                parts=','.join(suspect.part for suspect in suspects),
+            )
+        self._log_changes(before)
+
     def _plan_answer(self, part: str, now: float) -> None:
         """Plan to report a part as completed that another host suspects."""
         if not self._quarantine.trusts(part, now):
@@ -194,3 +246,43 @@
             self._logger.warning('prompt_part_quarantined', part=part)
         for part in before - after:
             self._logger.info('prompt_part_released', part=part)
+
+
+class GuardedRun:
+    """Tells a guard what one run of a request says of its prompt.
+
+    Args:
+        guard: the guard.
+        parts: the parts of the prompt.
+        clock: a monotonic clock.
+    """
+
+    def __init__(
+        self, guard: PromptGuard, parts: Sequence[str], clock: Clock
+    ) -> None:
+        self._guard = guard
+        self._parts = parts
+        self._clock = clock
+        self._began_at = clock.monotonic()
+        self._proof_due: float | None = None
+
+    def progressed(self) -> None:
+        """Record an event of the answer."""
+        now = self._clock.monotonic()
+        if self._proof_due is None:
+            self._proof_due = now + _PROOF_S
+        elif now >= self._proof_due:
+            self._proof_due = now + _PROOF_INTERVAL_S
+            self._guard.completed(self._parts)
+
+    def completed(self) -> None:
+        """Record that the answer is whole."""
+        self._guard.completed(self._parts)
+
+    def disconnected(self, incarnation: str) -> None:
+        """Record that the connection ended before the answer.
+
+        Args:
+            incarnation: the server's id and start.
+        """
+        self._guard.crashed(self._parts, incarnation, self._began_at)
--- a/guavadyke/controllers/prompt_report_sender.py
+++ b/guavadyke/controllers/prompt_report_sender.py
@@ -22,8 +22,9 @@
 _IDLE_S = 1.0
 # Interval at which reports are looked for that must wait for their time.
 _PENDING_S = 0.05
-# All requests at a server that ends break at almost the same time.
-_COLLECT_S = 0.01
+# All requests at a server that ends break at almost the same time, and a guard
+# waits to see whether others do.
+_COLLECT_S = 0.03
 _RETRY_DELAY_S = 0.2
 # Reports are read when a host starts, and a part may be quarantined for long.
 _RETENTION_S = 3600.0
--- a/guavadyke/decisions/prompt_quarantine.py
+++ b/guavadyke/decisions/prompt_quarantine.py
@@ -14,7 +14,7 @@
 
 # Servers that have to end under requests with a part before it is blamed.
 # Fewer may end by chance under the same rare part.
-_MIN_CRASHES = 3
+MIN_CRASHES = 3
 # A part is not suspected for this time after a request with it has completed.
 # It is longer than all servers of a service take to start again.
 _TRUSTED_S = 30.0
@@ -153,6 +153,11 @@
         for crash in self._crashes.values():
             for part in cleared & crash.depths.keys():
                 crash.depths.pop(part)
+        self._crashes = {
+            incarnation: left
+            for incarnation, left in self._crashes.items()
+            if left.depths
+        }
         self._blame_parts()
 
     def _blame_parts(self) -> None:
@@ -197,7 +202,7 @@
         part: (depth, counts[part])
         for depths in crashes
         for part, depth in depths.items()
-        if counts[part] >= _MIN_CRASHES
+        if counts[part] >= MIN_CRASHES
     }
     first = max(ranks.values(), default=None)
     return frozenset(part for part, rank in ranks.items() if rank == first)
--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -139,7 +139,7 @@
             return
         _check_stream_resumed(answer)
         for event in _parse_events(answer, self._event_parser):
-            attempt.mark_started()
+            attempt.record_event()
             yield from self._yield_head_once(answer)
             yield event
         _check_has_event(self._event_parser)
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -14,7 +14,7 @@
     BackendServers,
     Clock,
 )
-from guavadyke.controllers.prompt_guard import PromptGuard
+from guavadyke.controllers.prompt_guard import GuardedRun, PromptGuard
 from guavadyke.controllers.server_limits import ServerLimits
 from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.decisions.first_event_times import FirstEventTimes
@@ -104,6 +104,9 @@
         self._tools = tools
         self._holds_lease = True
         self._started = False
+        self._guarded = GuardedRun(
+            tools.prompts, request.prompt_parts, tools.clock
+        )
         # Without queued requests ahead the server starts at once.
         queued = tools.pool.wait_estimator.queued_requests(lease) > 0
         self._service_began_at = None if queued else lease.taken_at
@@ -147,8 +150,9 @@
         )
         return self._answer
 
-    def mark_started(self) -> None:
-        """Record that the server has started to process the request."""
+    def record_event(self) -> None:
+        """Record an event of the answer; the first one shows the start."""
+        self._guarded.progressed()
         if self._started:
             return
         self._started = True
@@ -175,7 +179,7 @@
         The service time goes into the wait estimates.
         """
         if self._answer is not None and self._answer.status == _OK:
-            self._tools.prompts.completed(self._request.prompt_parts)
+            self._guarded.completed()
         self._answer = None
         if self._service_began_at is not None:
             service_s = self._tools.clock.monotonic() - self._service_began_at
@@ -226,7 +230,5 @@
             # The timeout was short, so the server may only be busy.
             fault = BackendFault.broken
         if is_server_fault and error is not None and error.disconnected:
-            self._tools.prompts.crashed(
-                self._request.prompt_parts, self._lease.server.incarnation
-            )
+            self._guarded.disconnected(self._lease.server.incarnation)
         self._tools.pool.release(self._lease, fault)
