Date what hosts say of completed prompts

An older word could end a newer trust early or release a part whose crashes came after it, and hosts that trusted a part by hearsay could pass it on as news for as long as others asked. Reports now carry the time of the last completed request, trust only grows, and only crashes that it covers are forgotten. A prompt with very many parts is reported with its last 64.

Two scenarios, "an old word that a part has completed does not undo a newer one" and "... does not release it"; both features of prompts pass.

--- a/features/forward_prompts.feature
+++ b/features/forward_prompts.feature
@@ -49,6 +49,19 @@
       | 1.5     | proves         | 0 hosts   |
       | 0.5     | does not prove | 20 hosts  |
 
+  Scenario: an old word that a part has completed does not undo a newer one
+    Given 20 hosts where requests with the part "shared" have completed
+    When 20 seconds pass
+    And all hosts learn that "shared" completed 25 seconds ago
+    And 3 servers end under a prompt of "shared"
+    Then no host refuses a prompt of "shared"
+
+  Scenario: an old word that a part has completed does not release it
+    Given 20 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    And all hosts learn that "bad" completed 60 seconds ago
+    Then all hosts refuse a prompt of "shared,bad"
+
   Scenario: a host that starts anew knows the quarantined parts
     Given 20 hosts where requests with the part "shared" have completed
     When 3 servers end under a prompt of "shared,bad"
--- a/features/steps/forward_prompts_steps.py
+++ b/features/steps/forward_prompts_steps.py
@@ -17,6 +17,7 @@
 from guavadyke.adapters.ports import BackendFault
 from guavadyke.controllers.prompt_guard import GuardedRun, PromptGuard
 from guavadyke.decisions.forward_routes import RouteKind
+from guavadyke.decisions.prompt_reports import PromptReport
 from guavadyke.errors import GuavadykeError
 from guavadyke.filters.forward import Forwarder
 
@@ -183,6 +184,13 @@
     context.guarded.exchange()
 
 
+@when('all hosts learn that "{prompt}" completed {seconds:d} seconds ago')
+def step_old_word(context: Context, prompt: str, seconds: int) -> None:
+    at = context.guarded.clock.wall() - seconds
+    for guard in context.guarded.guards:
+        guard.apply(PromptReport(at, completed=_split(prompt)))
+
+
 @when('every host removes old reports')
 def step_remove_old(context: Context) -> None:
     for host in context.guarded.hosts.values():
--- a/guavadyke/controllers/prompt_guard.py
+++ b/guavadyke/controllers/prompt_guard.py
@@ -220,7 +220,10 @@
             name for name in due if self._quarantine.trusts(name, now)
         )
         if trusted:
-            self._queue.add(PromptReport(self._clock.wall(), completed=trusted))
+            # The word of another host must not be passed on as a newer one.
+            completed_at = min(map(self._quarantine.completed_at, trusted))
+            wall = self._clock.wall() - (now - completed_at)
+            self._queue.add(PromptReport(wall, completed=trusted))
 
     def _starts_trial(self, found: Quarantine, now: float) -> bool:
         """Return whether a request starts a trial of its part here and now."""
--- a/guavadyke/decisions/prompt_quarantine.py
+++ b/guavadyke/decisions/prompt_quarantine.py
@@ -24,6 +24,7 @@
 _LONGEST_TRIAL_S = 1800.0
 _MAX_CRASHES = 256
 _MAX_TRUSTED = 8192
+_MAX_SUSPECTS = 64
 
 
 @dataclasses.dataclass(frozen=True)
@@ -87,13 +88,21 @@
         """Return whether a request with a part has completed lately."""
         return self._trusted_until.get(part, 0) > at
 
+    def completed_at(self, part: str) -> float:
+        """Return when a request with a trusted part completed last."""
+        return self._trusted_until[part] - _TRUSTED_S
+
     def suspects(self, parts: Sequence[str], at: float) -> tuple[Suspect, ...]:
-        """Return those of a prompt's parts that may crash a server."""
-        return tuple(
+        """Return those of a prompt's parts that may crash a server.
+
+        Of a prompt with very many parts these are the last ones.
+        """
+        found = tuple(
             Suspect(part, depth)
             for depth, part in enumerate(parts)
             if not self.trusts(part, at)
         )
+        return found[-_MAX_SUSPECTS:]
 
     def crashed(
         self, incarnation: str, suspects: Iterable[Suspect], at: float
@@ -117,15 +126,21 @@
         self._drop_surplus()
         self._blame_parts()
 
-    def completed(self, parts: Iterable[str], now: float) -> tuple[str, ...]:
+    def completed(self, parts: Iterable[str], at: float) -> tuple[str, ...]:
         """Record that a request with these parts has completed.
 
+        Args:
+            parts: the parts.
+            at: when it completed. Crashes before are forgotten, and those
+                that come soon after do not count.
+
         Returns:
             Those of the parts that were suspected.
         """
         cleared = []
         for part in parts:
-            self._trusted_until[part] = now + _TRUSTED_S
+            known = self._trusted_until.get(part, 0)
+            self._trusted_until[part] = max(known, at + _TRUSTED_S)
             self._trusted_until.move_to_end(part)
             if part in self._suspected:
                 cleared.append(part)
@@ -148,11 +163,12 @@
         return Quarantine(found, len(times), max(0, _trial_due(times) - now))
 
     def _clear(self, parts: Iterable[str]) -> None:
-        """Take parts off all crashes, which other parts have to explain."""
+        """Take trusted parts off crashes, which others have to explain."""
         cleared = frozenset(parts)
         for crash in self._crashes.values():
             for part in cleared & crash.depths.keys():
-                crash.depths.pop(part)
+                if self.trusts(part, crash.at):
+                    crash.depths.pop(part)
         self._crashes = {
             incarnation: left
             for incarnation, left in self._crashes.items()
