Tell limits of servers only when they change much

Reading the change on limits again: a limit that moves with each answer by more than a twentieth was written to the platform by each host that saw it, and each write made all hosts ask for permits anew. Limits within a fifth of the known one are not told now.

--- a/guavadyke/controllers/server_limits.py
+++ b/guavadyke/controllers/server_limits.py
@@ -66,11 +66,11 @@
         """Start to answer the requests of other hosts."""
         self._messenger.subscribe(self.receive)
 
-    def observer(self, server: ListedServer) -> Callable[[float | None], None]:
+    def observer(self, server: ListedServer) -> Callable[[float], None]:
         """Return what to call with the limit in a server's answer.
 
         Call this before the request is sent. The limit is in requests a
-        second, None if the answer names none.
+        second, infinity if the answer names none.
         """
         return functools.partial(self._observe, server, self._clock.monotonic())
 
--- a/guavadyke/decisions/request_permits.py
+++ b/guavadyke/decisions/request_permits.py
@@ -131,8 +131,13 @@
         if permit.valid_s:
             self._valid_until[key].append(now + permit.valid_s)
             self._closed_until.pop(key, None)
-        else:
-            self._closed_until[key] = now + permit.wait_s
+            return
+        closed = {
+            other: until
+            for other, until in self._closed_until.items()
+            if until > now
+        }
+        self._closed_until = {**closed, key: now + permit.wait_s}
 
     def take(self, server_id: str, now: float, *, batch: bool) -> bool:
         """Use a valid permit of a server; return whether there was one."""
--- a/guavadyke/decisions/server_limits.py
+++ b/guavadyke/decisions/server_limits.py
@@ -6,8 +6,9 @@
 
 from guavadyke.decisions.server_registry import ListedServer
 
-# A limit that changes by less is not told to other hosts.
-_SAME_SHARE = 0.05
+# A limit that changes by less is not told to other hosts, as it may change
+# with each answer.
+_SAME_SHARE = 0.2
 
 
 @dataclasses.dataclass(frozen=True)
