Take a denied permit for no sign that a server is well

What callers would have seen: a server that names a limit and then goes dark or fails is used again at once, by all hosts, each time an item asks for a permit.

Cause: an item without a permit gave its slot back as after a whole run, which ends an ejection and withdraws all hosts' reports of the server.

Change: it gives the slot back as after a refusal, which says nothing of the server's health.

--- a/features/forward_permits.feature
+++ b/features/forward_permits.feature
@@ -104,6 +104,15 @@
     When 5 requests are forwarded
     Then all of them went to the second server
 
+  Scenario: an item that gets no permit says nothing of the health of its server
+    Given a streamed route and two servers
+    And the first server takes no more requests now
+    And the first server is not reached
+    When an item is denied a permit for the first server
+    And 20 requests are forwarded
+    Then all of them went to the second server
+    And no host is told that the first server has recovered
+
   Scenario: a request that no server takes is refused with the time to come back
     Given a streamed route and two servers
     And no server takes more requests now
--- a/features/steps/forward_permits_steps.py
+++ b/features/steps/forward_permits_steps.py
@@ -17,12 +17,14 @@
     decode_datagram,
     encode_datagram,
 )
-from guavadyke.adapters.ports import PeerNotice
+from guavadyke.adapters.ports import BackendFault, PeerNotice
+from guavadyke.controllers.item_run import ItemRun, PartialText, RunEnd
 from guavadyke.decisions.object_versions import CatalogueMark
 from guavadyke.decisions.request_permits import Permit, PermitRequest
-from guavadyke.decisions.server_registry import ListedServer
+from guavadyke.decisions.server_registry import ListedServer, ServerLease
 from guavadyke.platform.engine_adapter import EngineDialect
 from guavadyke.server_limit_documents import LIMIT_KIND
+from guavadyke.settings import ForwardSettings
 
 _RUN_S = 20
 
@@ -254,6 +256,37 @@
     _exhaust(context, context.listed)
 
 
+@given('the first server is not reached')
+def step_not_reached(context: Context) -> None:
+    lease = ServerLease(context.listed[0], batch=False, taken_at=build.NOW)
+    context.pool.release(lease, BackendFault.not_reached)
+    context.pool.urgent.wait(0)
+
+
+@when('an item is denied a permit for the first server')
+def step_item_denied(context: Context) -> None:
+    tools = dataclasses.replace(
+        build.item_run_tools(context.pool), limits=context.limits
+    )
+    run = ItemRun(
+        build.job(),
+        build.item(0),
+        ServerLease(context.listed[0], batch=True, taken_at=build.NOW),
+        PartialText(),
+        tools,
+    )
+    outcome = run.perform(context.servers, ForwardSettings())
+    assert outcome.end is RunEnd.preempted, outcome
+    # Only what is known of its health keeps requests from the server now.
+    context.limits = build.server_limits()
+
+
+@then('no host is told that the first server has recovered')
+def step_not_recovered(context: Context) -> None:
+    faults = context.pool.urgent.wait(0).faults
+    assert all(fault.failing for fault in faults), faults
+
+
 def _exhaust(context: Context, servers: tuple[ListedServer, ...]) -> None:
     context.limits = build.server_limits()
     for server in servers:
--- a/guavadyke/controllers/item_run.py
+++ b/guavadyke/controllers/item_run.py
@@ -142,7 +142,7 @@
         A server that takes no more requests now preempts it.
         """
         if not self._tools.limits.admit(self.lease.server, batch=True):
-            self._tools.pool.release(self.lease)
+            self._tools.pool.release(self.lease, BackendFault.refused)
             return self._outcome(RunEnd.preempted, 'limit of the server')
         failure = None
         try:
