--- a/features/run.py
+++ b/features/run.py
@@ -49,7 +49,7 @@
         scenario for scenario in scenarios if scenario.status != Status.passed
     ]
     known_names = known_red()
-    known = [scenario for scenario in failed if scenario.name in known_names]
+    known = [one for one in failed if one.name.strip() in known_names]
     for scenario in failed:
         _print_failed_steps(scenario)
     for scenario in known:
