Log a fingerprint of each request that is the same when it comes again

Change: request_started and attempt_failed have a digest of host, method, path, credentials and body. No decision uses it yet.

--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -224,6 +224,7 @@
             request_id=self._request.request_id,
             route=self._route.name,
             backend_server=attempt.server_id,
+            fingerprint=self._request.fingerprint,
             prompt_parts=self._request.prompt_key,
             fault=error.fault.value,
             not_run=error.not_run,
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -36,7 +36,8 @@
     ``deadline`` are seconds of the monotonic clock; ``abandoned`` returns
     whether the caller has left; ``last_event_id`` is the event after which
     the caller resumes a stream, 0 for its start; ``prompt_parts`` are the ids
-    of the parts of its prompt that other requests may share, in order.
+    of the parts of its prompt that other requests may share, in order;
+    ``fingerprint`` is the same for all repetitions of the request.
     """
 
     request_id: str
@@ -49,6 +50,7 @@
     abandoned: Callable[[], bool]
     last_event_id: int = 0
     prompt_parts: tuple[str, ...] = ()
+    fingerprint: str = ''
 
     @property
     def prompt_key(self) -> str:
@@ -166,6 +168,7 @@
             request_id=self._request.request_id,
             route=self._route.name,
             backend_server=self.server_id,
+            fingerprint=self._request.fingerprint,
             prompt_parts=self._request.prompt_key,
             online_before=self._lease.online_before,
             batch_before=self._lease.batch_before,
--- a/guavadyke/platform/caller_port.py
+++ b/guavadyke/platform/caller_port.py
@@ -19,6 +19,10 @@
     RouteTable,
     split_host,
 )
+from guavadyke.decisions.request_fingerprint import (
+    RequestIdentity,
+    fingerprint,
+)
 from guavadyke.errors import ErrorCode, Finding, GuavadykeError
 from guavadyke.filters.base import Answer, Exchange
 from guavadyke.filters.forward import Forwarder
@@ -38,6 +42,7 @@
 _DEADLINE_HEADER = 'deadline-ms'
 _LAST_EVENT_HEADER = 'last-event-id'
 _PROMPT_PREFIX_HEADER = 'prompt-prefix'
+_CREDENTIALS_HEADER = 'authorization'
 # Headers of one connection, and headers that are set again per attempt.
 _UNFORWARDED_HEADERS = frozenset((
     'accept-encoding',
@@ -217,6 +222,17 @@
         prompt_parts=_shared_prompt_parts(
             exchange.headers.get(_PROMPT_PREFIX_HEADER, '')
         ),
+        fingerprint=fingerprint(_identity(exchange)),
+    )
+
+
+def _identity(exchange: Exchange) -> RequestIdentity:
+    return RequestIdentity(
+        host=split_host(exchange.headers.get('host', '')),
+        method=exchange.method,
+        target=exchange.target,
+        caller=exchange.headers.get(_CREDENTIALS_HEADER, ''),
+        body=exchange.body,
     )
 
 
