Reproduce a request that crashes engines each time that it comes again (known red)

Change: three scenarios with daemons and engines as processes: the request between sound ones of its session, without a shared part, and with hosts that are new or were all killed at once.

--- a/features/builders_prompt_crashes.py
+++ b/features/builders_prompt_crashes.py
@@ -1,4 +1,4 @@
-"""Engines that crash on a part of a prompt, with daemons as processes."""
+"""Engines that crash on some requests, with daemons as processes."""
 
 from __future__ import annotations
 
@@ -12,11 +12,14 @@
 from guavadyke.standins.http import StandinAnswer, StandinRequest
 
 SHARED_PART = 'aa01'
+SESSION_PART = 'cc02'
 CRASHING_PART = 'bad0'
+SOUND_BODY = b'text'
+CRASHING_BODY = b'text that crashes engines'
 
 
 class CrashingEngine(users.UsersEngine):
-    """An engine that ends when it begins to answer on one prompt part.
+    """An engine that ends when it begins to answer on one prompt part or body.
 
     It is back at once under another id.
 
@@ -40,7 +43,7 @@
 
     def _answer(self, request: StandinRequest) -> StandinAnswer | None:
         served = request.headers.get('expect-instance') == self.name
-        if served and CRASHING_PART in request.headers.get('prompt-prefix', ''):
+        if served and _crashes(request):
             self.requests.append(request)
             self._crash(request)
         return super()._answer(request)
@@ -63,8 +66,13 @@
         request.connection.reset()
 
 
+def _crashes(request: StandinRequest) -> bool:
+    parts = request.headers.get('prompt-prefix', '')
+    return CRASHING_PART in parts or request.body == CRASHING_BODY
+
+
 class CrashingFleet(UsersFleet):
-    """Daemons in front of engines that crash on a prompt part."""
+    """Daemons in front of engines that crash on a prompt part or a body."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -72,9 +80,9 @@
 
     @property
     def crashing_requests(self) -> int:
-        """Requests with the crashing part that have reached engines."""
+        """Requests with the crashing part or body that have reached engines."""
         return sum(
-            CRASHING_PART in request.headers.get('prompt-prefix', '')
+            _crashes(request)
             for engine in self.engines
             for request in engine.requests
         )
@@ -86,7 +94,7 @@
         return engine
 
     def send(
-        self, daemon: DaemonProcess, *parts: str
+        self, daemon: DaemonProcess, *parts: str, body: bytes = SOUND_BODY
     ) -> urllib3.BaseHTTPResponse:
         """Send a request whose prompt has these parts and one of its own."""
         number = next(self._numbers)
@@ -94,7 +102,7 @@
         return daemon.call(
             'POST',
             f'{users.STREAM_PREFIX}1',
-            body=b'text',
+            body=body,
             headers={
                 'Request-Id': f'request-{number}',
                 'Model': 'm',
@@ -104,7 +112,9 @@
             },
         )
 
-    def send_to_each(self, count: int, *parts: str) -> list[int]:
+    def send_to_each(
+        self, count: int, *parts: str, body: bytes = SOUND_BODY
+    ) -> list[int]:
         """Send requests to the daemons in turn; return the statuses."""
         turns = itertools.islice(itertools.cycle(self.daemons), count)
-        return [self.send(daemon, *parts).status for daemon in turns]
+        return [self.send(daemon, *parts, body=body).status for daemon in turns]
--- a/features/forward_prompt_crashes.feature
+++ b/features/forward_prompt_crashes.feature
@@ -18,3 +18,31 @@
     And 12 requests with the crashing part are sent to the daemons in turn
     Then at most 3 of the last requests have reached engines
     And sound requests with the same first part are served by every daemon
+
+  Scenario: a request that crashes engines is not sent on when it comes again under other ids
+    Given 3 daemons with 5 engines that crash on one body
+    When 9 sound requests are sent to the daemons in turn
+    And a request with the crashing body comes 12 times, each time with sound ones of its session
+    And 3 seconds have passed
+    And a request with the crashing body comes 12 times, each time with sound ones of its session
+    Then at most 3 of these requests have reached engines
+    And the sound requests of the session were served
+    And sound requests with the same first part are served by every daemon
+
+  Scenario: a request that crashes engines and shares no part with others is not sent on
+    Given 3 daemons with 5 engines that crash on one body
+    When a request with the crashing body and no shared part comes 6 times
+    And 3 seconds have passed
+    And a request with the crashing body and no shared part comes 12 times
+    Then at most 3 of these requests have reached engines
+
+  Scenario: hosts that are new or were all killed at once send no request on that crashes engines
+    Given 3 daemons with 5 engines that crash on one body
+    When 9 sound requests are sent to the daemons in turn
+    And a request with the crashing body comes 12 times, each time with sound ones of its session
+    And all daemons are killed and started again
+    And another daemon starts
+    And a request with the crashing body comes 12 times, each time with sound ones of its session
+    Then at most 3 of these requests have reached engines
+    And the sound requests of the session were served
+    And sound requests with the same first part are served by every daemon
--- a/features/steps/forward_prompt_crashes_steps.py
+++ b/features/steps/forward_prompt_crashes_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import signal
 import time
 
@@ -17,6 +18,7 @@
 @given(
     '{daemons:d} daemons with {engines:d} engines that crash on a prompt part'
 )
+@given('{daemons:d} daemons with {engines:d} engines that crash on one body')
 def step_fleet(context: Context, daemons: int, engines: int) -> None:
     context.fleet = build.CrashingFleet()
     context.add_cleanup(context.fleet.close)
@@ -42,6 +44,42 @@
     context.fleet.send_to_each(count, build.SHARED_PART, build.CRASHING_PART)
 
 
+@when(
+    'a request with the crashing body comes {count:d} times, each time with '
+    'sound ones of its session'
+)
+def step_repeated(context: Context, count: int) -> None:
+    _repeat(context, count, build.SHARED_PART, build.SESSION_PART)
+
+
+@when(
+    'a request with the crashing body and no shared part comes {count:d} times'
+)
+def step_repeated_alone(context: Context, count: int) -> None:
+    _repeat(context, count)
+
+
+def _repeat(context: Context, count: int, *parts: str) -> None:
+    context.reached_before = context.fleet.crashing_requests
+    context.sound_statuses = []
+    turns = itertools.cycle(context.fleet.daemons)
+    for daemon in itertools.islice(turns, count):
+        context.fleet.send(daemon, *parts, body=build.CRASHING_BODY)
+        answer = context.fleet.send(daemon, *parts)
+        context.sound_statuses.append(answer.status)
+
+
+@when('all daemons are killed and started again')
+def step_restart_all(context: Context) -> None:
+    for daemon in context.fleet.daemons:
+        daemon.process.send_signal(signal.SIGKILL)
+    for killed in context.fleet.daemons:
+        killed.process.wait(processes.STOP_S)
+    for started in context.fleet.daemons:
+        started.start()
+    context.fleet.wait_ready()
+
+
 @when('{seconds:g} seconds have passed')
 def step_wait(_context: Context, seconds: float) -> None:
     time.sleep(seconds)
@@ -68,6 +106,17 @@
     assert reached <= count, reached
 
 
+@then('at most {count:d} of these requests have reached engines')
+def step_reached_in_all(context: Context, count: int) -> None:
+    step_reached(context, count)
+
+
+@then('the sound requests of the session were served')
+def step_session_served(context: Context) -> None:
+    statuses = context.sound_statuses
+    assert set(statuses) == {_HTTP_OK}, statuses
+
+
 @then('sound requests with the same first part are served by every daemon')
 def step_served(context: Context) -> None:
     daemons = len(context.fleet.daemons)
