Refuse a request that crashes engines each time that it comes again

Cause: a request was known by its id, which is new with each try, and by parts of its prompt that sound requests of its session share and clear. Change: the request's fingerprint is the deepest suspect of its crashes; a part that requests share needs two cases before it is blamed; breaks that are not judged yet count for a retry of the same request. A whole request is tried again after 10 minutes. Why it works: every try at any host counts for the same name, which a host that starts knows before it is ready, and only a completion of the request itself clears it.

--- a/features/forward_prompts.feature
+++ b/features/forward_prompts.feature
@@ -77,6 +77,56 @@
     Then no host refuses a prompt of "shared"
     And there are at most 8 reports on the platform
 
+  Scenario: a request that crashes servers is blamed while its session is served
+    Given 20 hosts where requests with the part "shared,session" have completed
+    When 2 servers end under a prompt of "shared,session,request/1"
+    And requests with "shared,session,request/2" complete at all hosts
+    And 1 server ends under a prompt of "shared,session,request/1"
+    And requests with "shared,session,request/2" complete at all hosts
+    Then all hosts refuse a prompt of "shared,session,request/1"
+    And no host refuses a prompt of "shared,session,request/3"
+
+  Scenario: hosts that have just started blame a request, not the session that it is in
+    Given 20 hosts that have served nothing yet
+    When 4 servers end under a prompt of "shared,session,request/1"
+    Then all hosts refuse a prompt of "shared,session,request/1"
+    And no host refuses a prompt of "shared,session,request/2"
+
+  Scenario: a part is blamed when requests with it crash servers beside a blamed one
+    Given 20 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad,request/1"
+    And 1 server ends under a prompt of "shared,bad,request/2"
+    Then all hosts refuse a prompt of "shared,bad,request/3"
+    And no host refuses a prompt of "shared,request/4"
+
+  Scenario: requests at the same servers as the one that crashes them are not blamed
+    Given 20 hosts where requests with the part "shared" have completed
+    When 2 servers end under prompts of "shared,request/1" and "shared,request/2"
+    And 1 server ends under a prompt of "shared,request/1"
+    Then all hosts refuse a prompt of "shared,request/1"
+    And no host refuses a prompt of "shared,request/2"
+
+  Scenario: a host does not send a request on while it waits to see what else ended
+    Given 20 hosts where requests with the part "shared" have completed
+    When 2 servers end under a prompt of "shared,request/1"
+    And a server ends under "shared,request/1" at the first host this moment
+    Then the first host refuses a prompt of "shared,request/1"
+
+  Scenario: servers that end by chance under requests that complete then cost few reports
+    Given 20 hosts where requests with the part "shared" have completed
+    When 1 server ends under prompts of "shared,request/1" and "shared,request/2"
+    And requests with "shared,request/1" complete at all hosts
+    And requests with "shared,request/2" complete at all hosts
+    Then there are at most 2 reports on the platform
+
+  Scenario: a whole request is tried again only after a long while
+    Given 20 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,request/1"
+    And 590 seconds pass
+    Then all hosts refuse a prompt of "shared,request/1"
+    When 12 seconds pass
+    Then all hosts but one refuse a prompt of "shared,request/1"
+
   Scenario: one request of the whole fleet tries a quarantined part after a while
     Given 20 hosts where requests with the part "shared" have completed
     When 3 servers end under a prompt of "shared,bad"
--- a/features/steps/forward_prompts_steps.py
+++ b/features/steps/forward_prompts_steps.py
@@ -65,7 +65,25 @@
     _end_servers(context, count, prompt)
 
 
+@when('requests with "{prompt}" complete at all hosts')
+def step_complete_everywhere(context: Context, prompt: str) -> None:
+    for guard in context.guarded.guards:
+        guard.completed(_split(prompt))
+    context.guarded.exchange()
+
+
+@when('a server ends under "{prompt}" at the first host this moment')
+def step_ends_now(context: Context, prompt: str) -> None:
+    context.guarded.end_server('host-0', context.ended, _split(prompt))
+
+
+@then('the first host refuses a prompt of "{prompt}"')
+def step_first_refuses(context: Context, prompt: str) -> None:
+    assert context.guarded.hosts['host-0'].guard.check(_split(prompt))
+
+
 @when('{count:d} servers end under prompts of "{one}" and "{other}"')
+@when('{count:d} server ends under prompts of "{one}" and "{other}"')
 def step_crash_both(context: Context, count: int, one: str, other: str) -> None:
     _end_servers(context, count, one, other)
 
--- a/guavadyke/controllers/prompt_guard.py
+++ b/guavadyke/controllers/prompt_guard.py
@@ -43,7 +43,7 @@
 
 
 class PromptGuard:
-    """Knows the quarantined parts of prompts, from all hosts. Thread-safe.
+    """Knows the quarantined requests, from all hosts. Thread-safe.
 
     What this host sees of crashes goes to the other hosts as objects of the
     platform, which a host also reads when it starts.
@@ -91,7 +91,7 @@
         find out whether the part still crashes servers.
 
         Args:
-            parts: the parts of its prompt.
+            parts: the parts of its prompt, and the request as a whole.
         """
         if not self._breaks and self.quarantined.isdisjoint(parts):
             return None
@@ -99,7 +99,10 @@
             now = self._clock.monotonic()
             self._settle(now)
             found = self._quarantine.find(parts, now)
-            if found is None or not self._starts_trial(found, now):
+            if found is None:
+                ended = _ended_under(parts, self._breaks)
+                return self._quarantine.expect(parts, ended)
+            if not self._starts_trial(found, now):
                 return found
         self._logger.info('prompt_part_tried', part=found.part)
         return None
@@ -251,6 +254,15 @@
             self._logger.info('prompt_part_released', part=part)
 
 
+def _ended_under(
+    parts: Sequence[str], breaks: Iterable[_Break]
+) -> frozenset[str]:
+    """Return the servers that seem to have ended under the same parts."""
+    return frozenset(
+        one.incarnation for one in breaks if one.parts == tuple(parts)
+    )
+
+
 class GuardedRun:
     """Tells a guard what one run of a request says of its prompt.
 
--- a/guavadyke/decisions/prompt_quarantine.py
+++ b/guavadyke/decisions/prompt_quarantine.py
@@ -1,8 +1,9 @@
-"""Finds the parts of prompts that crash the backend servers that answer them.
+"""Finds requests that crash the backend servers that answer them.
 
 A retry of such a request, and each further one, would take another server and
-all other requests on it. Requests that only share other parts of their
-prompts are not affected.
+all other requests on it. What crashes servers is either a part of prompts that
+several requests share, or one request as a whole, which may come again under
+another id. Requests that only share other parts are not affected.
 """
 
 from __future__ import annotations
@@ -10,7 +11,7 @@
 import collections
 import dataclasses
 import itertools
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence, Set
 
 # Servers that have to end under requests with a part before it is blamed.
 # Fewer may end by chance under the same rare part.
@@ -21,10 +22,32 @@
 # Time after which one request with a quarantined part is let through. It
 # doubles with each server that ends under such a request.
 _FIRST_TRIAL_S = 30.0
+# A whole request waits longer: only its own caller is refused meanwhile, and a
+# trial may cost a server.
+_FIRST_WHOLE_TRIAL_S = 600.0
 _LONGEST_TRIAL_S = 1800.0
 _MAX_CRASHES = 256
 _MAX_TRUSTED = 8192
 _MAX_SUSPECTS = 64
+# A part that is shared by requests is not blamed for one request alone.
+_MIN_CASES = 2
+_WHOLE_PREFIX = 'request/'
+# No request shares more of its prompt than itself.
+_WHOLE_DEPTH = 1_000_000
+
+
+def whole_request(request_fingerprint: str) -> str:
+    """Return the name of the part that stands for a whole request.
+
+    Args:
+        request_fingerprint: the same whenever the request comes again.
+    """
+    return f'{_WHOLE_PREFIX}{request_fingerprint}'
+
+
+def is_whole_request(part: str) -> bool:
+    """Return whether a part stands for a whole request."""
+    return part.startswith(_WHOLE_PREFIX)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -60,14 +83,23 @@
     depths: dict[str, int]
 
 
+@dataclasses.dataclass(frozen=True)
+class _Case:
+    """Crashes that have one cause; ``depths`` are the parts they share."""
+
+    depths: Mapping[str, int]
+    crashes: int = 1
+
+
 class PromptQuarantine:
     """Which parts of prompts not to send to servers.
 
     A part is quarantined once several incarnations of servers have ended
     under requests with it while no request with it completed, unless
     another quarantined part explains these crashes. Of several parts that do,
-    the deepest is chosen, since the fewest requests share it. Hosts with the
-    same knowledge quarantine the same parts, in whatever order they got it.
+    the deepest is chosen, since the fewest requests share it; a whole request
+    goes before the parts of its prompt. Hosts with the same knowledge
+    quarantine the same parts, in whatever order they got it.
     All times are in seconds of the monotonic clock. Not safe for threads.
     """
 
@@ -76,7 +108,7 @@
         self._trusted_until: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
-        self._suspected: frozenset[str] = frozenset()
+        self._counts: collections.Counter[str] = collections.Counter()
         self._quarantined: frozenset[str] = frozenset()
 
     @property
@@ -84,6 +116,10 @@
         """The quarantined parts."""
         return self._quarantined
 
+    def crash_count(self, part: str) -> int:
+        """Return how many servers have ended under requests with a part."""
+        return self._counts[part]
+
     def trusts(self, part: str, at: float) -> bool:
         """Return whether a request with a part has completed lately."""
         return self._trusted_until.get(part, 0) > at
@@ -98,7 +134,7 @@
         Of a prompt with very many parts these are the last ones.
         """
         found = tuple(
-            Suspect(part, depth)
+            Suspect(part, _WHOLE_DEPTH if is_whole_request(part) else depth)
             for depth, part in enumerate(parts)
             if not self.trusts(part, at)
         )
@@ -122,9 +158,12 @@
         if not depths:
             return
         crash = self._crashes.setdefault(incarnation, _Crash(at, {}))
+        added = depths.keys() - crash.depths.keys()
         crash.depths.update(depths)
+        self._counts.update(added)
         self._drop_surplus()
-        self._blame_parts()
+        if any(self._counts[part] >= MIN_CRASHES for part in added):
+            self._blame_parts()
 
     def completed(self, parts: Iterable[str], at: float) -> tuple[str, ...]:
         """Record that a request with these parts has completed.
@@ -135,20 +174,22 @@
                 that come soon after do not count.
 
         Returns:
-            Those of the parts that were suspected.
+            Those of the parts that other hosts may suspect enough to blame
+            them soon.
         """
         cleared = []
         for part in parts:
             known = self._trusted_until.get(part, 0)
             self._trusted_until[part] = max(known, at + _TRUSTED_S)
             self._trusted_until.move_to_end(part)
-            if part in self._suspected:
+            if part in self._counts:
                 cleared.append(part)
         while len(self._trusted_until) > _MAX_TRUSTED:
             self._trusted_until.popitem(last=False)
+        doubtful = tuple(filter(self._is_doubtful, cleared))
         if cleared:
             self._clear(cleared)
-        return tuple(cleared)
+        return doubtful
 
     def find(self, parts: Iterable[str], now: float) -> Quarantine | None:
         """Return the quarantine of the first of some parts that is in one."""
@@ -160,34 +201,64 @@
             for crash in self._crashes.values()
             if found in crash.depths
         )
-        return Quarantine(found, len(times), max(0, _trial_due(times) - now))
+        first_wait_s = (
+            _FIRST_WHOLE_TRIAL_S if is_whole_request(found) else _FIRST_TRIAL_S
+        )
+        due = _trial_due(times, first_wait_s)
+        return Quarantine(found, len(times), max(0, due - now))
+
+    def expect(
+        self, parts: Iterable[str], ended: Set[str]
+    ) -> Quarantine | None:
+        """Return the quarantine that a whole request will soon be in.
+
+        Args:
+            parts: the parts of the request.
+            ended: incarnations of servers that have just ended under it.
+        """
+        for part in filter(is_whole_request, parts):
+            crashes = self._counts[part] + len(ended - self._crashes.keys())
+            if ended and crashes >= MIN_CRASHES:
+                return Quarantine(part, crashes, _FIRST_WHOLE_TRIAL_S)
+        return None
+
+    def _is_doubtful(self, part: str) -> bool:
+        """Return whether one more crash or none may make hosts blame a part."""
+        return not is_whole_request(part) or self._counts[part] > 1
 
     def _clear(self, parts: Iterable[str]) -> None:
         """Take trusted parts off crashes, which others have to explain."""
         cleared = frozenset(parts)
+        blamable = any(self._counts[part] >= MIN_CRASHES for part in cleared)
         for crash in self._crashes.values():
             for part in cleared & crash.depths.keys():
                 if self.trusts(part, crash.at):
                     crash.depths.pop(part)
+                    self._counts[part] -= 1
+        self._counts = +self._counts
         self._crashes = {
             incarnation: left
             for incarnation, left in self._crashes.items()
             if left.depths
         }
-        self._blame_parts()
+        if blamable:
+            self._blame_parts()
 
     def _blame_parts(self) -> None:
-        """Quarantine the parts that explain all repeated crashes."""
-        unexplained = [crash.depths for crash in self._crashes.values()]
-        self._suspected = frozenset().union(*unexplained)
+        """Quarantine the parts that explain all repeated crashes.
+
+        The crashes under a request that is blamed as a whole are one case
+        beside the others: a part of its prompt is blamed only if it explains
+        another case too.
+        """
+        cases = [_Case(crash.depths) for crash in self._crashes.values()]
         blamed: frozenset[str] = frozenset()
-        found = _most_suspicious(unexplained)
-        while found:
-            blamed |= found
-            unexplained = [
-                depths for depths in unexplained if blamed.isdisjoint(depths)
-            ]
-            found = _most_suspicious(unexplained)
+        while requests := _most_crashing_requests(cases):
+            blamed |= requests
+            cases = _merged_case(cases, requests)
+        while parts := _most_suspicious(cases):
+            blamed |= parts
+            cases = [case for case in cases if parts.isdisjoint(case.depths)]
         self._quarantined = blamed
 
     def _drop_surplus(self) -> None:
@@ -201,36 +272,75 @@
                 ),
                 next(iter(self._crashes)),
             )
-            self._crashes.pop(surplus)
+            forgotten = self._crashes.pop(surplus).depths.keys()
+            self._counts.subtract(forgotten)
+            self._counts = +self._counts
+            if not self._quarantined.isdisjoint(forgotten):
+                self._blame_parts()
+
+
+def _most_crashing_requests(cases: Sequence[_Case]) -> frozenset[str]:
+    """Return the whole requests with the most crashes, none if these are few.
+
+    Args:
+        cases: the crashes that no request explains yet.
+    """
+    names = itertools.chain.from_iterable(case.depths for case in cases)
+    counts = collections.Counter(filter(is_whole_request, names))
+    most = max(counts.values(), default=0)
+    if most < MIN_CRASHES:
+        return frozenset()
+    return frozenset(name for name, count in counts.items() if count == most)
+
+
+def _merged_case(
+    cases: Sequence[_Case], requests: frozenset[str]
+) -> list[_Case]:
+    """Return the cases with those of some whole requests made one."""
+    own = [case for case in cases if not requests.isdisjoint(case.depths)]
+    common = frozenset.intersection(*(frozenset(case.depths) for case in own))
+    depths = {
+        part: depth
+        for part, depth in own[0].depths.items()
+        if part in common and not is_whole_request(part)
+    }
+    others = [case for case in cases if requests.isdisjoint(case.depths)]
+    return [*others, _Case(depths, len(own))]
 
 
-def _most_suspicious(crashes: Sequence[Mapping[str, int]]) -> frozenset[str]:
-    """Return the parts to blame first for crashes, none if these are few.
+def _most_suspicious(cases: Sequence[_Case]) -> frozenset[str]:
+    """Return the parts to blame first for cases, none if these are few.
 
     Of the parts under which enough servers have ended these are the deepest,
     and of the deepest those with the most crashes.
-
-    Args:
-        crashes: for each crash the depths of its parts.
     """
-    counts = collections.Counter(itertools.chain.from_iterable(crashes))
+    names = itertools.chain.from_iterable(case.depths for case in cases)
+    in_cases = collections.Counter(names)
     ranks = {
-        part: (depth, counts[part])
-        for depths in crashes
-        for part, depth in depths.items()
-        if counts[part] >= MIN_CRASHES
+        part: (depth, _crashes_under(part, cases))
+        for part, depth in itertools.chain.from_iterable(
+            case.depths.items() for case in cases
+        )
+        if in_cases[part] >= _MIN_CASES
+    }
+    enough = {
+        part: rank for part, rank in ranks.items() if rank[1] >= MIN_CRASHES
     }
-    first = max(ranks.values(), default=None)
-    return frozenset(part for part, rank in ranks.items() if rank == first)
+    first = max(enough.values(), default=None)
+    return frozenset(part for part, rank in enough.items() if rank == first)
+
+
+def _crashes_under(part: str, cases: Iterable[_Case]) -> int:
+    return sum(case.crashes for case in cases if part in case.depths)
 
 
-def _trial_due(crash_times: Iterable[float]) -> float:
+def _trial_due(crash_times: Iterable[float], first_wait_s: float) -> float:
     """Return when to let a request through, from ascending crash times.
 
     The time from the last crash doubles with each crash that came after an
     earlier trial was due.
     """
-    wait_s = _FIRST_TRIAL_S
+    wait_s = first_wait_s
     due: float = 0
     for at in crash_times:
         if 0 < due <= at:
--- a/guavadyke/filters/forward_admission.py
+++ b/guavadyke/filters/forward_admission.py
@@ -5,6 +5,7 @@
 from guavadyke.adapters.ports import BackendFault
 from guavadyke.decisions.forward_routes import ForwardRoute
 from guavadyke.decisions.load_shedding import longest_wait_s
+from guavadyke.decisions.prompt_quarantine import is_whole_request
 from guavadyke.decisions.server_registry import ServerLease
 from guavadyke.errors import ErrorCode
 from guavadyke.filters.forward_attempt import ForwardRequest, ForwardTools
@@ -86,12 +87,12 @@
             AdmissionRefusedError: ``prompt_quarantined``, with the time after
                 which a part of the prompt is tried again.
         """
-        found = self._tools.prompts.check(self._request.prompt_parts)
+        found = self._tools.prompts.check(self._request.suspect_parts)
         if found is not None:
             raise AdmissionRefusedError(
                 ErrorCode.prompt_quarantined,
-                f'{found.crashes} backend servers have ended under requests '
-                f'with the prompt part {found.part}',
+                f'{found.crashes} backend servers have ended under '
+                f'{_describe(found.part)}',
                 found.trial_in_s,
             )
 
@@ -134,3 +135,9 @@
             None if failed else ErrorCode.no_backend_server,
             f'no backend server of {self._service} accepts requests',
         )
+
+
+def _describe(part: str) -> str:
+    if is_whole_request(part):
+        return f'this request, {part}'
+    return f'requests with the prompt part {part}'
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -19,6 +19,7 @@
 from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.decisions.first_event_times import FirstEventTimes
 from guavadyke.decisions.forward_routes import ForwardRoute
+from guavadyke.decisions.prompt_quarantine import whole_request
 from guavadyke.decisions.server_registry import ServerLease
 from guavadyke.filters.caller_watch import CallerWatch
 from guavadyke.log import EventLogger
@@ -52,6 +53,13 @@
     prompt_parts: tuple[str, ...] = ()
     fingerprint: str = ''
 
+    @property
+    def suspect_parts(self) -> tuple[str, ...]:
+        """What may crash a server: shared parts and the request itself."""
+        if not self.fingerprint:
+            return self.prompt_parts
+        return (*self.prompt_parts, whole_request(self.fingerprint))
+
     @property
     def prompt_key(self) -> str:
         """Equal for requests whose prompts have all these parts in common."""
@@ -107,7 +115,7 @@
         self._holds_lease = True
         self._started = False
         self._guarded = GuardedRun(
-            tools.prompts, request.prompt_parts, tools.clock
+            tools.prompts, request.suspect_parts, tools.clock
         )
         # Without queued requests ahead the server starts at once.
         queued = tools.pool.wait_estimator.queued_requests(lease) > 0
