Log the software version of servers and under which id a resumed stream began

Cause: the logs could not tell streams that one host resumes in its own answer from streams that callers take up at another host, nor which versions met. Change: the version of a server's software is decoded (an entry without one names no server, as the users' page says) and logged with the event after which a stream is resumed and the id under which it began. No decision uses them yet.

--- a/guavadyke/controllers/server_pool.py
+++ b/guavadyke/controllers/server_pool.py
@@ -324,6 +324,7 @@
                 backend_server=appeared.server_id,
                 service=appeared.service,
                 address=appeared.address,
+                software=appeared.software,
                 leaving=appeared.leaving,
             )
         ids = {server.server_id for server in servers}
--- a/guavadyke/decisions/server_registry.py
+++ b/guavadyke/decisions/server_registry.py
@@ -16,7 +16,9 @@
 
     ``slots`` is the number of requests it runs at once. A server that is
     ``leaving`` gets no new work. ``born_ms`` is the incarnation: the
-    server's start in milliseconds since the epoch, 0 if unknown.
+    server's start in milliseconds since the epoch, 0 if unknown. ``software``
+    is the version of its software; what two versions write does not fit
+    together.
     """
 
     server_id: str
@@ -26,6 +28,7 @@
     slots: int
     leaving: bool = False
     born_ms: int = 0
+    software: str = ''
 
     @property
     def incarnation(self) -> str:
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -38,7 +38,9 @@
     whether the caller has left; ``last_event_id`` is the event after which
     the caller resumes a stream, 0 for its start; ``prompt_parts`` are the ids
     of the parts of its prompt that other requests may share, in order;
-    ``fingerprint`` is the same for all repetitions of the request.
+    ``fingerprint`` is the same for all repetitions of the request;
+    ``began_as`` is the id of the request that brought the first event of a
+    stream that the caller resumes, empty if the caller names none.
     """
 
     request_id: str
@@ -52,6 +54,7 @@
     last_event_id: int = 0
     prompt_parts: tuple[str, ...] = ()
     fingerprint: str = ''
+    began_as: str = ''
 
     @property
     def suspect_parts(self) -> tuple[str, ...]:
@@ -121,6 +124,7 @@
         queued = tools.pool.wait_estimator.queued_requests(lease) > 0
         self._service_began_at = None if queued else lease.taken_at
         self._answer: BackendAnswer | None = None
+        self._resumed_after = 0
 
     @property
     def server_id(self) -> str:
@@ -133,6 +137,7 @@
         Raises:
             BackendServerError: the server sent no response.
         """
+        self._resumed_after = last_event_id
         remaining_s = self._request.deadline - self._tools.clock.monotonic()
         gap_s = remaining_s
         if self._route.repeatable:
@@ -176,6 +181,9 @@
             request_id=self._request.request_id,
             route=self._route.name,
             backend_server=self.server_id,
+            software=self._lease.server.software,
+            resumed_after=self._resumed_after,
+            began_as=self._request.began_as,
             fingerprint=self._request.fingerprint,
             prompt_parts=self._request.prompt_key,
             online_before=self._lease.online_before,
--- a/guavadyke/platform/caller_port.py
+++ b/guavadyke/platform/caller_port.py
@@ -41,6 +41,7 @@
 _REQUEST_ID_HEADER = 'request-id'
 _DEADLINE_HEADER = 'deadline-ms'
 _LAST_EVENT_HEADER = 'last-event-id'
+_BEGAN_AS_HEADER = 'resumes'
 _PROMPT_PREFIX_HEADER = 'prompt-prefix'
 _CREDENTIALS_HEADER = 'authorization'
 # Headers of one connection, and headers that are set again per attempt.
@@ -223,6 +224,7 @@
             exchange.headers.get(_PROMPT_PREFIX_HEADER, '')
         ),
         fingerprint=fingerprint(_identity(exchange)),
+        began_as=exchange.headers.get(_BEGAN_AS_HEADER, ''),
     )
 
 
--- a/guavadyke/platform/engine_adapter.py
+++ b/guavadyke/platform/engine_adapter.py
@@ -42,6 +42,8 @@
         pattern=r'^\d+\.\d+\.\d+\.\d+:\d+$',
     )
     zone: str = pydantic.Field(alias='Zone')
+    # Version of the engine's software, not of the model's weights.
+    software: str = pydantic.Field(alias='Version')
     slots: int = pydantic.Field(alias='Slots', ge=1)
     state: Literal['ready', 'draining'] = pydantic.Field(alias='State')
     # Start of the engine in Unix milliseconds; identifies the incarnation.
@@ -78,6 +80,7 @@
             slots=entry.slots,
             leaving=entry.state == 'draining',
             born_ms=entry.born_ms,
+            software=entry.software,
         )
 
 
