Resume a broken stream only at servers of the software version that began it

What callers saw: one answer, 200 and whole, with a first part from one software version of the back end and the rest from another. Cause: a host resumed a stream that broke off at any server of the service; nothing in the choice of a server knew its software. Why it works: the version is fixed by the server of the first event that is passed on, and all further choices of the answer are among its servers.

--- a/guavadyke/controllers/server_pool.py
+++ b/guavadyke/controllers/server_pool.py
@@ -31,6 +31,7 @@
     ListedServer,
     ServerLease,
     ServerRegistry,
+    that_may_resume,
 )
 from guavadyke.decisions.slot import HostLocation
 from guavadyke.log import EventLogger
@@ -129,6 +130,7 @@
         service: str,
         excluded: frozenset[str],
         key: str,
+        software: str | None = None,
     ) -> ServerLease | None:
         """Lease a server for an online request.
 
@@ -138,6 +140,7 @@
             service: the service that has to serve the request.
             excluded: ids of servers not to use.
             key: requests with the same key prefer the same server.
+            software: the only software version to use, None for any.
 
         Returns:
             The lease, None if there is no usable server.
@@ -145,7 +148,9 @@
         with self._lock:
             now = self._clock.monotonic()
             chosen = self._load_balancer.choose_online(
-                self._servers(service, now),
+                that_may_resume(
+                    self._servers(service, now), software, excluded
+                ),
                 excluded,
                 key,
                 now,
--- a/guavadyke/decisions/server_registry.py
+++ b/guavadyke/decisions/server_registry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 
 # Time in which servers whose entries expired during an outage of the platform
 # register again; stated in the users' operations pages.
@@ -113,3 +113,26 @@
         return [
             name for name, until in self._keep_until.items() if until <= now
         ]
+
+
+def that_may_resume(
+    servers: Sequence[ListedServer],
+    software: str | None,
+    excluded: frozenset[str],
+) -> Sequence[ListedServer]:
+    """Return the servers at which a stream may go on.
+
+    Args:
+        servers: the servers of its service.
+        software: the version that has begun it, None for a new stream, which
+            may begin at all servers.
+        excluded: ids of servers that are not to be tried. They are left out
+            here, so that a failing server is tried before a stream is cut.
+    """
+    if software is None:
+        return servers
+    return [
+        server
+        for server in servers
+        if server.software == software and server.server_id not in excluded
+    ]
--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -70,6 +70,8 @@
         self._event_parser = EventParser(request.last_event_id)
         self._started = False
         self._ended = False
+        # The software version that has begun the stream.
+        self._software: str | None = None
 
     def answer(self) -> Answer:
         """Return the answer of a backend server.
@@ -140,7 +142,7 @@
         _check_stream_resumed(answer)
         for event in _parse_events(answer, self._event_parser):
             attempt.record_event()
-            yield from self._yield_head_once(answer)
+            yield from self._yield_head_once(answer, attempt)
             yield event
         _check_has_event(self._event_parser)
         attempt.done()
@@ -162,10 +164,13 @@
                 not_run=False,
             )
 
-    def _yield_head_once(self, answer: BackendAnswer) -> Generator[Answer]:
+    def _yield_head_once(
+        self, answer: BackendAnswer, attempt: ForwardAttempt
+    ) -> Generator[Answer]:
         """Yield the head of the answer before its first event."""
         if not self._started:
             self._started = True
+            self._software = attempt.software
             yield _response_head(answer)
 
     def _start_attempt(self) -> ForwardAttempt:
@@ -183,7 +188,7 @@
             )
         try:
             lease = self._admission.acquire(
-                self._request_attempts.failed, remaining_s
+                self._request_attempts.failed, remaining_s, self._software
             )
         except AdmissionRefusedError as refusal:
             raise self._give_up(
--- a/guavadyke/filters/forward_admission.py
+++ b/guavadyke/filters/forward_admission.py
@@ -53,13 +53,18 @@
         self._service = route.service_of(request.request_id)
 
     def acquire(
-        self, failed: frozenset[str], remaining_s: float
+        self,
+        failed: frozenset[str],
+        remaining_s: float,
+        software: str | None = None,
     ) -> ServerLease:
         """Reserve the best server that takes the request now.
 
         Args:
             failed: ids of servers that are not tried again.
             remaining_s: seconds until the request's deadline.
+            software: the software version that has begun the request's
+                stream, None for any.
 
         Raises:
             AdmissionRefusedError: there is none.
@@ -71,9 +76,10 @@
                 self._service,
                 excluded,
                 self._request.prompt_key or self._request.request_id,
+                software,
             )
             if lease is None:
-                raise self._no_server_error(failed)
+                raise self._no_server_error(failed, software)
             self._check_wait(lease, remaining_s)
             if self._tools.limits.admit(lease.server):
                 return lease
@@ -121,7 +127,9 @@
                 ),
             )
 
-    def _no_server_error(self, failed: frozenset[str]) -> AdmissionRefusedError:
+    def _no_server_error(
+        self, failed: frozenset[str], software: str | None
+    ) -> AdmissionRefusedError:
         """Return the error of a request for which there is no server."""
         waits = self._tools.limits.exhausted().values()
         if waits:
@@ -133,10 +141,15 @@
             )
         return AdmissionRefusedError(
             None if failed else ErrorCode.no_backend_server,
-            f'no backend server of {self._service} accepts requests',
+            f'no backend server of {self._service} '
+            f'{_describe_version(software)}accepts requests',
         )
 
 
+def _describe_version(software: str | None) -> str:
+    return '' if software is None else f'with version {software} '
+
+
 def _describe(part: str) -> str:
     if is_whole_request(part):
         return f'this request, {part}'
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -131,6 +131,11 @@
         """Id of the server."""
         return self._lease.server.server_id
 
+    @property
+    def software(self) -> str:
+        """Version of the server's software."""
+        return self._lease.server.software
+
     def send(self, last_event_id: int = 0) -> BackendAnswer:
         """Send the request and wait for the response head.
 
@@ -181,7 +186,7 @@
             request_id=self._request.request_id,
             route=self._route.name,
             backend_server=self.server_id,
-            software=self._lease.server.software,
+            software=self.software,
             resumed_after=self._resumed_after,
             began_as=self._request.began_as,
             fingerprint=self._request.fingerprint,
