Begin an item anew at servers of another software version

What callers saw: results whose text begins in the words of one software version and goes on in those of another. Cause: the same as for streams that are resumed in one answer: the events that an item has by now are kept without the version that wrote them. Change: a run's partial text has its version. An item goes on at a server of the same version where one has a free slot, and begins anew elsewhere. Why it works: partial text is kept only by the host that runs the item, and each run compares versions before it uses it.

--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -39,6 +39,7 @@
     ResultPage,
 )
 from guavadyke.decisions.forward_routes import RouteTable
+from guavadyke.decisions.server_registry import ServerLease
 from guavadyke.log import EventLogger
 from guavadyke.settings import ForwardHostSettings
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
@@ -341,18 +342,11 @@
         max_runs = self._parts.settings.forward.item_workers
         if len(self._runs) >= max_runs or item.item_id in self._runs:
             return False
-        lease = self._parts.pool.acquire_batch(
-            service, frozenset(self._parts.limits.exhausted(batch=True))
-        )
+        partial = self._partials.get(item.item_id, PartialText())
+        lease = _lease_slot(self._parts, service, partial)
         if lease is None:
             return False
-        run = ItemRun(
-            work.job,
-            item,
-            lease,
-            self._partials.get(item.item_id, PartialText()),
-            self._run_tools,
-        )
+        run = ItemRun(work.job, item, lease, partial, self._run_tools)
         self._runs[item.item_id] = run
         work.started(item.item_id)
         self._workers.submit(self._run_item, run)
@@ -375,6 +369,19 @@
         self._tell(RunEnded(run, outcome))
 
 
+def _lease_slot(
+    parts: RunnerParts, service: str, partial: PartialText
+) -> ServerLease | None:
+    """Lease a slot, if possible where an item need not begin anew."""
+    acquire = functools.partial(
+        parts.pool.acquire_batch,
+        service,
+        frozenset(parts.limits.exhausted(batch=True)),
+    )
+    resuming = acquire(partial.software) if partial.last_id else None
+    return resuming or acquire()
+
+
 class RunnerTicker:
     """Sends ticks to a runner, periodically and after each change.
 
--- a/guavadyke/controllers/item_run.py
+++ b/guavadyke/controllers/item_run.py
@@ -54,10 +54,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class PartialText:
-    """Events of an item received so far: their data and the last event id."""
+    """Events of an item received so far: their data and the last event id.
+
+    ``software`` is the version that wrote them; others can't continue them.
+    """
 
     last_id: int = 0
     pieces: tuple[bytes, ...] = ()
+    software: str = ''
 
     @property
     def text(self) -> str:
@@ -92,6 +96,8 @@
 class ItemRun:
     """Runs an item, resuming after the last event of earlier runs.
 
+    At a server of another software version it begins anew.
+
     Args:
         job: the item's job.
         item: the item.
@@ -113,6 +119,9 @@
         self.item = item
         self.job_id = job.job_id
         self._host = job.host
+        self._software = lease.server.software
+        if partial.software != self._software:
+            partial = PartialText()
         self._partial = partial
         self._pieces = list(partial.pieces)
         self._event_parser = EventParser(partial.last_id)
@@ -212,7 +221,9 @@
         return RunEnd.not_run if error.not_run else RunEnd.broken
 
     def _outcome(self, end: RunEnd, reason: str = '') -> RunOutcome:
-        partial = PartialText(self._event_parser.last_id, tuple(self._pieces))
+        partial = PartialText(
+            self._event_parser.last_id, tuple(self._pieces), self._software
+        )
         return RunOutcome(end, partial, reason)
 
     def _backend_call(self, settings: ForwardSettings) -> BackendCall:
--- a/guavadyke/controllers/server_pool.py
+++ b/guavadyke/controllers/server_pool.py
@@ -174,12 +174,21 @@
         self,
         service: str,
         excluded: frozenset[str],
+        software: str | None = None,
     ) -> ServerLease | None:
-        """Lease a slot for a batch item, None if no server has one free."""
+        """Lease a slot for a batch item, None if no server has one free.
+
+        Args:
+            service: the service that has to run the item.
+            excluded: ids of servers not to use.
+            software: the only software version to use, None for any.
+        """
         with self._lock:
             now = self._clock.monotonic()
             chosen = self._load_balancer.choose_batch(
-                self._servers(service, now),
+                that_may_resume(
+                    self._servers(service, now), software, excluded
+                ),
                 excluded,
                 now,
             )
