Take a stream up only at the software version that began it

Cause: the host at which a stream is taken up knows only the id under which it began; no host kept where that was, or told it to others. While there are several, the version of each begun stream is told to three hosts by rendezvous hashing before its caller gets the first event, and is written to the platform in batches. A host asks the same three, reads the platform before it is ready, and refuses at once what it cannot learn. Streams of the only version go on without a question of which. The service of a split route follows from the id under which the stream began. Why it works: a stream goes on only where its version is known from a host that passed on its first event, or where no other version can have begun it.

--- a/features/builders_forward.py
+++ b/features/builders_forward.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import json
+import math
 import random
 from collections.abc import Callable, Collection, Iterator, Mapping
 
@@ -25,6 +26,7 @@
 from guavadyke.controllers.prompt_guard import PromptGuard
 from guavadyke.controllers.server_limits import ServerLimits
 from guavadyke.controllers.server_pool import ServerPool
+from guavadyke.controllers.stream_origins import StreamOrigins
 from guavadyke.decisions.forward_job_records import AcceptedJob, ForwardItem
 from guavadyke.decisions.forward_routes import (
     ForwardRoute,
@@ -264,6 +266,24 @@
     )
 
 
+def stream_origins(server_pool: ServerPool) -> StreamOrigins:
+    """Return the origins of streams on a host that knows no other host.
+
+    It has known for long which software versions the servers have.
+    """
+    origins = StreamOrigins(
+        HostLocation('host-1', ZONE),
+        SnapshotCell(FleetSnapshot()),
+        SilentMessenger(),
+        lambda: True,
+        ManualClock(),
+        EventLogger(),
+    )
+    origins.servers_listed(server_pool._listed_servers)
+    origins.recall({}, -math.inf)
+    return origins
+
+
 def item_run_tools(
     server_pool: ServerPool, clock: ManualClock | None = None
 ) -> ItemRunTools:
@@ -281,6 +301,7 @@
         servers,
         server_pool,
         prompt_guard(),
+        stream_origins(server_pool),
         server_limits(),
         CallerWatch(),
         HostMetrics(),
--- a/guavadyke/adapters/peer_notice_codec.py
+++ b/guavadyke/adapters/peer_notice_codec.py
@@ -8,6 +8,7 @@
 from guavadyke.adapters import ports
 from guavadyke.decisions.fault_reports import ServerFault
 from guavadyke.decisions.request_permits import Permit, PermitRequest
+from guavadyke.decisions.stream_origins import StreamOrigin
 from guavadyke.peer.generated.messages import ttypes
 
 _Parsed = TypeVar('_Parsed')
@@ -28,6 +29,12 @@
             map(_permit_request_to_struct, notice.permit_requests)
         ),
         'permits': list_or_none(map(_permit_to_struct, notice.permits)),
+        'stream_origins': list_or_none(
+            map(_stream_origin_to_struct, notice.stream_origins)
+        ),
+        'stream_queries': list_or_none(
+            map(_stream_origin_to_struct, notice.stream_queries)
+        ),
     }
 
 
@@ -47,6 +54,12 @@
             _permit_request_from_struct, struct.permit_requests
         ),
         permits=parse_all(_permit_from_struct, struct.permits),
+        stream_origins=parse_all(
+            _stream_origin_from_struct, struct.stream_origins
+        ),
+        stream_queries=parse_all(
+            _stream_origin_from_struct, struct.stream_queries
+        ),
     )
     return None if notice == ports.PeerNotice() else notice
 
@@ -166,6 +179,22 @@
     )
 
 
+def _stream_origin_to_struct(origin: StreamOrigin) -> Any:
+    return ttypes.StreamOrigin(
+        stream_id=origin.stream_id,
+        service_name=origin.service or None,
+        software=origin.software or None,
+    )
+
+
+def _stream_origin_from_struct(struct: Any) -> StreamOrigin:
+    return StreamOrigin(
+        checked_text(struct.stream_id),
+        checked_text(struct.service_name or ''),
+        checked_text(struct.software or ''),
+    )
+
+
 def parse_all(
     read: Callable[[Any], _Parsed],
     structs: Iterable[Any] | None,
--- a/guavadyke/adapters/ports.py
+++ b/guavadyke/adapters/ports.py
@@ -10,6 +10,7 @@
 from guavadyke.adapters.cancellation import CallCancellation
 from guavadyke.decisions.fault_reports import ServerFault
 from guavadyke.decisions.request_permits import Permit, PermitRequest
+from guavadyke.decisions.stream_origins import StreamOrigin
 
 
 class Clock(Protocol):
@@ -342,9 +343,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class PeerNotice:
-    """Message between entry hosts with limits, counts, faults and permits.
+    """Message between entry hosts with what they tell and ask each other.
 
-    It is independent of the membership protocol.
+    It is independent of the membership protocol. ``stream_queries`` hold the
+    ids of streams whose origins the sender asks for.
     """
 
     demands: tuple[LimitDemand, ...] = ()
@@ -354,6 +356,8 @@
     faults: tuple[ServerFault, ...] = ()
     permit_requests: tuple[PermitRequest, ...] = ()
     permits: tuple[Permit, ...] = ()
+    stream_origins: tuple[StreamOrigin, ...] = ()
+    stream_queries: tuple[StreamOrigin, ...] = ()
 
 
 class PeerMessenger(Protocol):
--- a/guavadyke/controllers/server_pool.py
+++ b/guavadyke/controllers/server_pool.py
@@ -4,7 +4,7 @@
 
 import random
 import threading
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from itertools import starmap
 
 from guavadyke.adapters.ports import (
@@ -43,6 +43,10 @@
     return 1
 
 
+def _ignore(_servers: Iterable[ListedServer]) -> None:
+    """Do nothing where no one wants to know of the servers."""
+
+
 ServerDecoder = Callable[[StoredObject], ListedServer | None]
 
 
@@ -59,6 +63,7 @@
         rng: breaks ties between servers.
         logger: logs servers that appear, disappear and fail.
         live_hosts: returns the number of live hosts of the fleet.
+        on_listed: called with all servers whenever one has changed.
     """
 
     def __init__(
@@ -69,7 +74,9 @@
         rng: random.Random,
         logger: EventLogger,
         live_hosts: Callable[[], int] = _alone,
+        on_listed: Callable[[Iterable[ListedServer]], object] = _ignore,
     ) -> None:
+        self._on_listed = on_listed
         self._decode = decode
         self._clock = clock
         self._logger = logger
@@ -349,5 +356,6 @@
                     backend_server=known.server_id,
                 )
         self._listed_servers = servers
+        self._on_listed(servers)
         self._by_service = group_by_service(servers)
         self._load_balancer.keep_health_of(servers)
--- a/guavadyke/decisions/request_attempts.py
+++ b/guavadyke/decisions/request_attempts.py
@@ -105,8 +105,11 @@
         retry_in_s: seconds until a slot is expected to be free, if known.
 
     Returns:
-        None unless the code has the HTTP status of an overload.
+        None unless the code has the HTTP status of an overload and the same
+        request may be served later.
     """
     if code.status != ErrorCode.overloaded.status:
         return None
+    if code is ErrorCode.stream_not_resumable:
+        return None
     return round(retry_in_s or _DEFAULT_RETRY_AFTER_S, 2)
--- a/guavadyke/errors.py
+++ b/guavadyke/errors.py
@@ -47,6 +47,7 @@
     overloaded = 'overloaded'
     no_backend_server = 'no_backend_server'
     prompt_quarantined = 'prompt_quarantined'
+    stream_not_resumable = 'stream_not_resumable'
     platform_unavailable = 'platform_unavailable'
     stopping = 'stopping'
     not_ready = 'not_ready'
@@ -91,6 +92,7 @@
         ErrorCode.overloaded: _CodeProperties(503, RunStatus.not_run),
         ErrorCode.no_backend_server: _CodeProperties(503, RunStatus.not_run),
         ErrorCode.prompt_quarantined: _CodeProperties(503, RunStatus.not_run),
+        ErrorCode.stream_not_resumable: _CodeProperties(503, RunStatus.not_run),
         ErrorCode.platform_unavailable: _CodeProperties(503, RunStatus.not_run),
         ErrorCode.stopping: _CodeProperties(503, RunStatus.not_run),
         ErrorCode.not_ready: _CodeProperties(503, RunStatus.not_run),
--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -14,6 +14,7 @@
 from guavadyke.decisions.forward_routes import ForwardRoute, RouteKind
 from guavadyke.decisions.request_attempts import RequestAttempts, retry_after_s
 from guavadyke.decisions.server_sent_events import EventOrderError, EventParser
+from guavadyke.decisions.stream_origins import StreamOrigin
 from guavadyke.errors import ErrorCode, GuavadykeError
 from guavadyke.filters.base import Answer
 from guavadyke.filters.forward_admission import (
@@ -99,6 +100,8 @@
 
     def _start_stream(self) -> Answer:
         """Return a streamed answer, after its first event has arrived."""
+        if self._request.last_event_id:
+            self._software = self._find_software()
         pieces = self._events()
         head = next(pieces)
         if isinstance(head, Answer):
@@ -108,6 +111,23 @@
             return head
         raise TypeError('the first piece of a stream must be its head')
 
+    def _find_software(self) -> str:
+        """Return the version that has begun the stream of the request.
+
+        Raises:
+            GuavadykeError: ``stream_not_resumable``; it is not known, or the
+                stream has begun at another service.
+        """
+        service = self._admission.service
+        origin = self._tools.origins.find(service, self._request.began_as)
+        if origin.service != service:
+            raise self._give_up(
+                ErrorCode.stream_not_resumable,
+                f'stream {origin.stream_id} began at '
+                f'{origin.service or "a service that is not known"}',
+            )
+        return origin.software
+
     def _events(self) -> Generator[Answer | bytes]:
         """Yield the head of the answer, then complete events.
 
@@ -171,6 +191,13 @@
         if not self._started:
             self._started = True
             self._software = attempt.software
+            self._tools.origins.began(
+                StreamOrigin(
+                    self._request.stream_id,
+                    self._admission.service,
+                    attempt.software,
+                )
+            )
             yield _response_head(answer)
 
     def _start_attempt(self) -> ForwardAttempt:
--- a/guavadyke/filters/forward_admission.py
+++ b/guavadyke/filters/forward_admission.py
@@ -50,7 +50,12 @@
         self._request = request
         self._route = route
         self._tools = tools
-        self._service = route.service_of(request.request_id)
+        self._service = route.service_of(request.stream_id)
+
+    @property
+    def service(self) -> str:
+        """The service that has to serve the request."""
+        return self._service
 
     def acquire(
         self,
@@ -139,8 +144,13 @@
                 'requests now',
                 min(waits),
             )
+        code = (
+            ErrorCode.no_backend_server
+            if software is None
+            else ErrorCode.stream_not_resumable
+        )
         return AdmissionRefusedError(
-            None if failed else ErrorCode.no_backend_server,
+            None if failed else code,
             f'no backend server of {self._service} '
             f'{_describe_version(software)}accepts requests',
         )
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -17,6 +17,7 @@
 from guavadyke.controllers.prompt_guard import GuardedRun, PromptGuard
 from guavadyke.controllers.server_limits import ServerLimits
 from guavadyke.controllers.server_pool import ServerPool
+from guavadyke.controllers.stream_origins import StreamOrigins
 from guavadyke.decisions.first_event_times import FirstEventTimes
 from guavadyke.decisions.forward_routes import ForwardRoute
 from guavadyke.decisions.prompt_quarantine import whole_request
@@ -56,6 +57,13 @@
     fingerprint: str = ''
     began_as: str = ''
 
+    @property
+    def stream_id(self) -> str:
+        """Id of the request that brings, or has brought, the first event."""
+        if self.last_event_id and self.began_as:
+            return self.began_as
+        return self.request_id
+
     @property
     def suspect_parts(self) -> tuple[str, ...]:
         """What may crash a server: shared parts and the request itself."""
@@ -78,6 +86,7 @@
     servers: BackendServers
     pool: ServerPool
     prompts: PromptGuard
+    origins: StreamOrigins
     limits: ServerLimits
     watch: CallerWatch
     metrics: HostMetrics
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -45,9 +45,8 @@
 from guavadyke.filters.caller_watch import CallerWatch
 from guavadyke.filters.forward_attempt import ForwardTools
 from guavadyke.forward_job_documents import JOB_KIND, PROGRESS_KIND
-from guavadyke.forward_limits import ForwardLimits
+from guavadyke.forward_learning import ForwardLearning
 from guavadyke.forward_peers import ForwardPeers
-from guavadyke.forward_prompts import ForwardPrompts
 from guavadyke.http_server import HttpServer
 from guavadyke.log import EventLogger
 from guavadyke.metrics import HostMetrics
@@ -123,6 +122,15 @@
         store = WriteConfirmingStore(
             self._peers.store, self.clock, self._child_rng()
         )
+        self._learning = ForwardLearning(
+            settings,
+            store,
+            self.fleet,
+            self._peers.messenger,
+            self.connected,
+            self.clock,
+            logger,
+        )
         self.pool = ServerPool(
             HostLocation(settings.host_id, settings.zone),
             ports.decode_server,
@@ -130,17 +138,7 @@
             self._child_rng(),
             logger,
             self._live_hosts,
-        )
-        self._prompts = ForwardPrompts(
-            settings, store, self.fleet, self.clock, logger
-        )
-        self._limits = ForwardLimits(
-            settings,
-            store,
-            self.fleet,
-            self._peers.messenger,
-            self.clock,
-            logger,
+            self._learning.streams.origins.servers_listed,
         )
         self._watch = CallerWatch()
         self.tools = ForwardTools(
@@ -148,8 +146,9 @@
             self.clock,
             ports.servers,
             self.pool,
-            self._prompts.guard,
-            self._limits.limits,
+            self._learning.prompts.guard,
+            self._learning.streams.origins,
+            self._learning.limits.limits,
             self._watch,
             self.metrics,
             logger,
@@ -192,8 +191,8 @@
                 self.registry,
                 self._job_store,
                 self.pool,
-                self._prompts.guard,
-                self._limits.limits,
+                self._learning.prompts.guard,
+                self._learning.limits.limits,
                 ports.servers,
                 self.table,
                 self.fleet,
@@ -209,8 +208,11 @@
     @property
     def ready(self) -> bool:
         """Whether the host has routes and all state that it mirrors."""
-        return self.table.current.configured and all(
-            mirror.listed for mirror in self._mirrors
+        listed = all(mirror.listed for mirror in self._mirrors)
+        return (
+            self.table.current.configured
+            and listed
+            and self._learning.streams.ready
         )
 
     def connected(self) -> bool:
@@ -224,8 +226,7 @@
         for mirror in self._mirrors:
             mirror.start()
         self._load_notices.start()
-        self._prompts.start()
-        self._limits.start()
+        self._learning.start()
         self._ticker.start()
         if self._is_drainable:
             self._retirements.start()
@@ -279,8 +280,7 @@
         self._ticker.close()
         self._retirements.close()
         self._load_notices.close()
-        self._prompts.close()
-        self._limits.close()
+        self._learning.close()
         for mirror in self._mirrors:
             mirror.close()
         self._runner.stop()
@@ -316,7 +316,7 @@
         )
         learned = [
             self._create_mirror(part.mirror_settings, jobs, part.sink)
-            for part in (self._prompts, self._limits)
+            for part in self._learning.mirrored
         ]
         mirrors = (
             self._state_mirror(ports.table_kind, peers, routes),
--- /dev/null
+++ b/guavadyke/forward_learning.py
@@ -0,0 +1,63 @@
+"""What the hosts of a fleet learn from each other about requests."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from guavadyke.adapters.ports import Clock, PeerMessenger
+from guavadyke.adapters.write_confirmation import WriteConfirmingStore
+from guavadyke.forward_limits import ForwardLimits
+from guavadyke.forward_prompts import ForwardPrompts
+from guavadyke.forward_streams import ForwardStreams
+from guavadyke.log import EventLogger
+from guavadyke.settings import HostSettings
+from guavadyke.snapshots import FleetSnapshot, SnapshotCell
+
+
+class ForwardLearning:
+    """Requests that crash servers, limits of servers and begun streams.
+
+    Args:
+        settings: the id of the host and the waits of its watches.
+        store: the platform.
+        fleet: the other hosts.
+        messenger: carries notices to them.
+        connected: whether this host knows which servers are listed.
+        clock: the host's clock.
+        logger: logs what is learned.
+    """
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        store: WriteConfirmingStore,
+        fleet: SnapshotCell[FleetSnapshot],
+        messenger: PeerMessenger,
+        connected: Callable[[], bool],
+        clock: Clock,
+        logger: EventLogger,
+    ) -> None:
+        self.prompts = ForwardPrompts(settings, store, fleet, clock, logger)
+        self.limits = ForwardLimits(
+            settings, store, fleet, messenger, clock, logger
+        )
+        self.streams = ForwardStreams(
+            settings, store, fleet, messenger, connected, clock, logger
+        )
+
+    @property
+    def mirrored(self) -> tuple[ForwardPrompts, ForwardLimits]:
+        """The parts that mirror a kind of the platform."""
+        return self.prompts, self.limits
+
+    def start(self) -> None:
+        """Start to tell other hosts."""
+        self.prompts.start()
+        self.limits.start()
+        self.streams.start()
+
+    def close(self) -> None:
+        """Stop telling other hosts."""
+        self.prompts.close()
+        self.limits.close()
+        self.streams.close()
--- a/guavadyke/peer/messages.thrift
+++ b/guavadyke/peer/messages.thrift
@@ -93,6 +93,14 @@
   4: double wait_s,
 }
 
+/** At which service and software version a stream began; a stream that the
+ * sender doesn't know has no service. */
+struct StreamOrigin {
+  1: string stream_id,
+  2: optional string service_name,
+  3: optional string software,
+}
+
 /** The one datagram; what is absent is not said. */
 struct Datagram {
   1: i32 format,
@@ -116,6 +124,8 @@
   19: optional list<ServerFault> faults,
   20: optional list<PermitRequest> permit_requests,
   21: optional list<Permit> permits,
+  22: optional list<StreamOrigin> stream_origins,
+  23: optional list<StreamOrigin> stream_queries,
 }
 
 struct ObjectVersion {
