Take no refusal without an id for proof on a kept connection

Cause: an answer that names no request counted as one to the request just sent, also on a connection that had carried others. Change: on a kept connection such a refusal is an answer to another request. This holds where servers name the request in every answer. Evidence: forward_repeated_refusals, the copy without an id, failed before; the copy that names an earlier request and the refusal on a new connection passed. Why it works: only the id tells an answer from a copy where more than one request may be meant; on a new connection there is one.

--- a/guavadyke/adapters/backend.py
+++ b/guavadyke/adapters/backend.py
@@ -49,8 +49,12 @@
     """Request and response headers that backend servers use.
 
     Subclasses override methods for servers with other conventions.
+    ``names_requests`` is whether servers name the request in every answer, so
+    that a refusal which names none on a kept connection proves nothing.
     """
 
+    names_requests = False
+
     def request_headers(self, call: BackendCall) -> Mapping[str, str]:
         """Return the headers to send, including the request id."""
         return {**call.headers, 'X-Request-Id': call.request_id}
@@ -100,7 +104,7 @@
         Raises:
             BackendServerError: the request failed, or the answer was rejected.
         """
-        connection = self._get_connection(call)
+        connection, is_reused = self._get_connection(call)
         try:
             answer = HttpBackendAnswer(
                 call,
@@ -112,7 +116,7 @@
             connection.close()
             self._pool.close_idle(_origin(call))
             raise _backend_error(error, call.address) from error
-        _check_headers(call, answer, self._dialect)
+        _check_headers(call, answer, self._dialect, is_reused=is_reused)
         return answer
 
     def load(self, address: str, timeout_s: float) -> ReportedLoad:
@@ -145,8 +149,8 @@
             ) from error
         return ReportedLoad(**document.model_dump())
 
-    def _get_connection(self, call: BackendCall) -> HTTPConnection:
-        """Return an idle or new connection for the call.
+    def _get_connection(self, call: BackendCall) -> tuple[HTTPConnection, bool]:
+        """Return an idle or new connection for the call, and if it was idle.
 
         Raises:
             BackendServerError: connecting failed; nothing was sent.
@@ -154,7 +158,7 @@
         origin = _origin(call)
         reused = None if call.fresh else self._pool.acquire(origin)
         if reused is not None:
-            return reused
+            return reused, True
         connection = new_connection(origin, call.connect_timeout_s)
         try:
             connection.connect()
@@ -165,7 +169,7 @@
                 f'{call.address} is not reached: {error}',
                 not_run=True,
             ) from error
-        return connection
+        return connection, False
 
 
 class HttpBackendAnswer:
@@ -316,9 +320,14 @@
     call: BackendCall,
     answer: HttpBackendAnswer,
     dialect: BackendDialect,
+    *,
+    is_reused: bool,
 ) -> None:
     """Check the answer's headers before its body is used.
 
+    A refusal that names no request may be a copy of an earlier one where the
+    connection has carried other requests.
+
     Raises:
         BackendServerError: the answer is to another request, proves that the
             request did not run, or must not be relayed.
@@ -335,6 +344,12 @@
         call.observe_limit(dialect.request_limit(answer.headers))
     if dialect.not_run(answer.status, answer.headers):
         answer.discard()
+        if dialect.names_requests and answered_id is None and is_reused:
+            raise BackendServerError(
+                BackendFault.crossed,
+                f'{call.address} refuses a request that it does not name',
+                not_run=False,
+            )
         raise BackendServerError(
             BackendFault.refused,
             f'{call.address} refuses new requests',
--- a/guavadyke/platform/engine_adapter.py
+++ b/guavadyke/platform/engine_adapter.py
@@ -87,6 +87,8 @@
 class EngineDialect(BackendDialect):
     """Headers of requests to engines and of their responses."""
 
+    names_requests = True
+
     def request_headers(self, call: BackendCall) -> Mapping[str, str]:
         """Return the headers of a request."""
         headers = {
