Let a stream that is taken up go on at the service where it began

Cause: the service of a stream that is taken up was chosen from its id and the weights of today, and a known origin at another service refused. Change: where it is known, the service of the origin is used, if the route still has it. Result: forward_versions and forward_requests pass.

--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -114,18 +114,22 @@
     def _find_software(self) -> str:
         """Return the version that has begun the stream of the request.
 
+        The stream goes on at the service where it began.
+
         Raises:
             GuavadykeError: ``stream_not_resumable``; it is not known, or the
-                stream has begun at another service.
+                route does not use that service any more.
         """
-        service = self._admission.service
-        origin = self._tools.origins.find(service, self._request.began_as)
-        if origin.service != service:
+        origin = self._tools.origins.find(
+            self._admission.service, self._request.began_as
+        )
+        if origin.service not in self._route.services:
             raise self._give_up(
                 ErrorCode.stream_not_resumable,
                 f'stream {origin.stream_id} began at '
                 f'{origin.service or "a service that is not known"}',
             )
+        self._admission.service = origin.service
         return origin.software
 
     def _events(self) -> Generator[Answer | bytes]:
--- a/guavadyke/filters/forward_admission.py
+++ b/guavadyke/filters/forward_admission.py
@@ -35,6 +35,8 @@
 class ServerAdmission:
     """Reserves servers for the attempts of one request.
 
+    ``service`` is the service that has to serve it.
+
     Args:
         request: the request.
         route: the route that the request matched.
@@ -50,12 +52,7 @@
         self._request = request
         self._route = route
         self._tools = tools
-        self._service = route.service_of(request.stream_id)
-
-    @property
-    def service(self) -> str:
-        """The service that has to serve the request."""
-        return self._service
+        self.service = route.service_of(request.stream_id)
 
     def acquire(
         self,
@@ -78,7 +75,7 @@
         excluded = failed | self._tools.limits.exhausted().keys()
         while True:
             lease = self._tools.pool.acquire_online(
-                self._service,
+                self.service,
                 excluded,
                 self._request.prompt_key or self._request.request_id,
                 software,
@@ -125,7 +122,7 @@
             pool.release(lease, BackendFault.refused)
             raise AdmissionRefusedError(
                 ErrorCode.overloaded,
-                f'every backend server of {self._service} has too long a '
+                f'every backend server of {self.service} has too long a '
                 f'queue: {wait_s:.2f} s, the maximum is {longest_s:.2f} s',
                 pool.wait_estimator.estimate_retry_after_s(
                     lease, wait_s - longest_s
@@ -140,7 +137,7 @@
         if waits:
             return AdmissionRefusedError(
                 ErrorCode.overloaded,
-                f'the backend servers of {self._service} take no more '
+                f'the backend servers of {self.service} take no more '
                 'requests now',
                 min(waits),
             )
@@ -151,7 +148,7 @@
         )
         return AdmissionRefusedError(
             None if failed else code,
-            f'no backend server of {self._service} '
+            f'no backend server of {self.service} '
             f'{_describe_version(software)}accepts requests',
         )
 
