--- a/features/builders_users_platform.py
+++ b/features/builders_users_platform.py
@@ -236,7 +236,8 @@
 class EngineScript:
     """Behaviour of an engine; ``pause_s`` is the delay between events.
 
-    ``limit`` is the limit of requests a second that it names, if any.
+    ``limit`` is the limit of requests a second that it names, if any;
+    ``leaving`` is whether its answers say that it leaves.
     """
 
     events: int = 5
@@ -244,6 +245,7 @@
     refuse: bool = False
     status: int = 200
     limit: float | None = None
+    leaving: bool = False
 
 
 class UsersEngine:
@@ -271,9 +273,11 @@
         self._server.close()
 
     @property
-    def _limit_headers(self) -> dict[str, str]:
+    def _own_headers(self) -> dict[str, str]:
         limit = self.script.limit
-        return {} if limit is None else {'Server-Limit': str(limit)}
+        limits = {} if limit is None else {'Server-Limit': str(limit)}
+        leaving = {'Server-Leaving': '1'} if self.script.leaving else {}
+        return {**limits, **leaving}
 
     def _answer(self, request: StandinRequest) -> StandinAnswer | None:
         self.requests.append(request)
@@ -282,7 +286,7 @@
             return json_answer({}, 421, {'Instance-Id': self.name})
         if self.script.refuse:
             return json_answer(
-                {}, 503, {'Not-Executed': '1', **self._limit_headers}
+                {}, 503, {'Not-Executed': '1', **self._own_headers}
             )
         if self.script.status != 200:
             return json_answer({}, self.script.status)
@@ -296,7 +300,7 @@
                 'Content-Type': 'text/event-stream',
                 'Request-Id': request.headers['request-id'],
                 'Response-Signature': f'signed by {self.name}',
-                **self._limit_headers,
+                **self._own_headers,
             },
         )
         first = int(request.headers.get('last-event-id', '0')) + 1
--- /dev/null
+++ b/features/forward_leaving_answers.feature
@@ -0,0 +1,21 @@
+Feature: Engines that say in their answers that they leave
+
+  Scenario: an engine that says that it leaves gets no further requests
+    Given 1 daemon with 2 engines whose entries stay ready
+    When 6 requests are sent to each daemon
+    And the first engine says in its answers that it leaves
+    And 6 requests are sent to each daemon
+    And 3 seconds have passed
+    And 12 requests are sent to each daemon
+    Then the first engine has got none of the last requests
+    And all of them were served
+
+  Scenario: hosts that got no such answer themselves learn it from the others
+    Given 3 daemons with 2 engines whose entries stay ready
+    When 6 requests are sent to each daemon
+    And the first engine says in its answers that it leaves
+    And 6 requests are sent to the first daemon
+    And 3 seconds have passed
+    And 12 requests are sent to each daemon
+    Then the first engine has got none of the last requests
+    And all of them were served
--- /dev/null
+++ b/features/steps/forward_leaving_answers_steps.py
@@ -0,0 +1,76 @@
+"""Steps of forward_leaving_answers.feature."""
+
+from __future__ import annotations
+
+import itertools
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features import builders_forward_processes as processes
+from features import builders_users_platform as users
+
+_HTTP_OK = 200
+
+
+@given('{daemons:d} daemon with {engines:d} engines whose entries stay ready')
+@given('{daemons:d} daemons with {engines:d} engines whose entries stay ready')
+def step_fleet(context: Context, daemons: int, engines: int) -> None:
+    context.fleet = processes.UsersFleet()
+    context.add_cleanup(context.fleet.close)
+    context.fleet.configure()
+    for _ in range(engines):
+        context.fleet.add_engine()
+    for _ in range(daemons):
+        context.fleet.start_daemon()
+    context.fleet.wait_ready()
+    context.numbers = itertools.count()
+
+
+@when('the first engine says in its answers that it leaves')
+def step_leaving(context: Context) -> None:
+    context.fleet.engines[0].script.leaving = True
+
+
+@when('{count:d} requests are sent to each daemon')
+def step_send_to_each(context: Context, count: int) -> None:
+    _send(context, context.fleet.daemons, count)
+
+
+@when('{count:d} requests are sent to the first daemon')
+def step_send_to_first(context: Context, count: int) -> None:
+    _send(context, context.fleet.daemons[:1], count)
+    # Only an answer of the engine itself can tell that it leaves.
+    assert context.got_before < len(context.fleet.engines[0].requests)
+
+
+@then('the first engine has got none of the last requests')
+def step_none(context: Context) -> None:
+    got = len(context.fleet.engines[0].requests) - context.got_before
+    assert not got, got
+
+
+@then('all of them were served')
+def step_served(context: Context) -> None:
+    assert set(context.statuses) == {_HTTP_OK}, context.statuses
+
+
+def _send(
+    context: Context, daemons: list[processes.DaemonProcess], count: int
+) -> None:
+    context.got_before = len(context.fleet.engines[0].requests)
+    context.statuses = []
+    for _, daemon in itertools.product(range(count), daemons):
+        number = next(context.numbers)
+        answer = daemon.call(
+            'POST',
+            f'{users.STREAM_PREFIX}1',
+            body=f'text {number}'.encode(),
+            headers={
+                'Request-Id': f'request-{number}',
+                'Model': 'm',
+                # Spreads the requests over the engines.
+                'Prompt-Prefix': f'{number:x}0a:100,{number:x}0b:100',
+            },
+        )
+        context.statuses.append(answer.status)
