--- a/guavadyke/decisions/prompt_quarantine.py
+++ b/guavadyke/decisions/prompt_quarantine.py
@@ -116,10 +116,6 @@
         """The quarantined parts."""
         return self._quarantined
 
-    def crash_count(self, part: str) -> int:
-        """Return how many servers have ended under requests with a part."""
-        return self._counts[part]
-
     def nears_blame(self, suspects: Iterable[Suspect]) -> bool:
         """Return whether a whole request among these has crashed repeatedly."""
         return any(
