List the objects of a kind in one place

The writer of stream origins listed page by page in a loop of its own, which list_all of the batch jobs already did. list_all stands in a module of its own now, since it serves more than jobs. Behaviour is the same: forward_origins, batch_jobs and batch_leases pass, 45 scenarios.

--- a/guavadyke/controllers/batch_chunks.py
+++ b/guavadyke/controllers/batch_chunks.py
@@ -7,13 +7,13 @@
 
 from guavadyke.adapters.ports import StoredObject
 from guavadyke.adapters.write_confirmation import WriteConfirmingStore
-from guavadyke.controllers.batch_jobs import list_all
 from guavadyke.controllers.batch_records import (
     CHUNK_KIND,
     JobRecord,
     chunk_name,
     decode_chunk,
 )
+from guavadyke.controllers.object_listing import list_all
 from guavadyke.decisions.chunk_state import ChunkState, ChunkStatus
 from guavadyke.decisions.job_forecast import JobLoad
 
--- a/guavadyke/controllers/batch_lease_monitor.py
+++ b/guavadyke/controllers/batch_lease_monitor.py
@@ -4,8 +4,8 @@
 
 from guavadyke.adapters.ports import Clock, StoredObject
 from guavadyke.adapters.write_confirmation import WriteConfirmingStore
-from guavadyke.controllers.batch_jobs import list_all
 from guavadyke.controllers.batch_records import LEASE_KIND
+from guavadyke.controllers.object_listing import list_all
 from guavadyke.decisions.lease_validity import LeaseExpiryDetector
 from guavadyke.errors import ObjectConflictError
 from guavadyke.log import EventLogger
--- a/guavadyke/controllers/stream_origin_writer.py
+++ b/guavadyke/controllers/stream_origin_writer.py
@@ -9,6 +9,7 @@
 from guavadyke import stream_origin_documents as documents
 from guavadyke.adapters.ports import Clock, StoredObject
 from guavadyke.adapters.write_confirmation import WriteConfirmingStore
+from guavadyke.controllers.object_listing import list_all
 from guavadyke.controllers.stream_origins import StreamOrigins
 from guavadyke.decisions.rendezvous_hashing import place, rendezvous
 from guavadyke.decisions.stream_origins import StreamOrigin
@@ -96,7 +97,8 @@
             GuavadykeError: the platform cannot be read.
         """
         offset = self._clock.wall() - self._clock.monotonic()
-        for stored in self._list_all():
+        objects, _revision = list_all(self._store, documents.ORIGIN_KIND)
+        for stored in objects:
             try:
                 self._apply(stored, offset)
             except GuavadykeError as error:
@@ -153,9 +155,10 @@
         hosts.add(self._host_id)
         if rendezvous(documents.ORIGIN_KIND, hosts) != self._host_id:
             return
-        for stored in self._list_all():
-            if not stored.name.startswith(documents.HOST_PREFIX):
-                continue
+        objects, _revision = list_all(
+            self._store, documents.ORIGIN_KIND, prefix=documents.HOST_PREFIX
+        )
+        for stored in objects:
             _origins, at = documents.decode_origins(stored.name, stored.body)
             if at < self._clock.wall() - _ABANDONED_S:
                 self._store.delete(stored)
@@ -183,16 +186,6 @@
             self._cleanup_at = now + _CLEANUP_INTERVAL_S
             self.remove_abandoned()
 
-    def _list_all(self) -> list[StoredObject]:
-        found: list[StoredObject] = []
-        more = True
-        while more:
-            after = found[-1].name if found else ''
-            page = self._store.list_objects(documents.ORIGIN_KIND, after=after)
-            found.extend(page.objects)
-            more = page.more and bool(page.objects)
-        return found
-
     def _apply(self, stored: StoredObject, offset: float) -> None:
         if stored.name == documents.HISTORY_NAME:
             complete_since, history = documents.decode_history(stored.body)
