Read only streams, not versions, for a stream that no host knows

Cause: the read for lost streams applied the record of versions too, which is for a host that starts and has not seen them leave. Change: that read lists the objects of hosts alone. Evidence: the new scenario of forward_origins failed before; all 19 pass. Why it works: a running host dates the leaving of a version by its own list of servers; only a start has to ask the record.

--- a/features/forward_origins.feature
+++ b/features/forward_origins.feature
@@ -47,6 +47,16 @@
     And these hosts are lost
     Then every stream is found at the other hosts with at most 4 reads
 
+  Scenario: a read for a lost stream does not keep a version that has left
+    Given 1 hosts with servers of the versions "v1,v2"
+    When 16 seconds pass for all hosts
+    And all hosts exchange what they know
+    And the servers are those of "v2"
+    And 10 seconds pass for all hosts
+    Then a stream that nobody knows is not found
+    When 6 seconds pass for all hosts
+    Then a stream that nobody knows is taken for one of "v2"
+
   Scenario: a stream that no host knows is not taken for one of either version
     Given 20 hosts with servers of the versions "v1,v2"
     When 60 streams begin at hosts in turn
--- a/features/steps/forward_origins_steps.py
+++ b/features/steps/forward_origins_steps.py
@@ -171,6 +171,17 @@
         assert found.software == version, (host_id, found)
 
 
+@then('a stream that nobody knows is not found')
+def step_nobody_knows(context: Context) -> None:
+    assert not context.streams.find('host-0', 'stream-unknown').known
+
+
+@then('a stream that nobody knows is taken for one of "{version}"')
+def step_nobody_knows_taken(context: Context, version: str) -> None:
+    found = context.streams.find('host-0', 'stream-unknown')
+    assert found.software == version, found
+
+
 @then('no stream is found at {hosts:d} hosts')
 def step_not_found(context: Context, hosts: int) -> None:
     for host_id, origin in _looked_up(context, hosts):
--- a/guavadyke/controllers/stream_origin_writer.py
+++ b/guavadyke/controllers/stream_origin_writer.py
@@ -96,24 +96,15 @@
         Raises:
             GuavadykeError: the platform cannot be read.
         """
-        offset = self._clock.wall() - self._clock.monotonic()
-        objects, _revision = list_all(self._store, documents.ORIGIN_KIND)
-        for stored in objects:
-            try:
-                self._apply(stored, offset)
-            except GuavadykeError as error:
-                self._logger.warning(
-                    'stream_origins_unusable',
-                    name=stored.name,
-                    reason=error.message,
-                )
+        self._read('')
         self._recalled.set()
 
     def read_again(self) -> None:
         """Learn of the streams of hosts that may have been lost.
 
         Callers wait for a read that is under way. There is no other one for a
-        while after it.
+        while after it. Versions are left out: this host has seen itself which
+        of them have left.
         """
         with self._reading:
             now = self._clock.monotonic()
@@ -121,7 +112,7 @@
                 return
             self._read_at = now
             try:
-                self.recall()
+                self._read(documents.HOST_PREFIX)
             except GuavadykeError as error:
                 self._logger.warning(
                     'stream_origins_not_exchanged', reason=error.message
@@ -186,6 +177,22 @@
             self._cleanup_at = now + _CLEANUP_INTERVAL_S
             self.remove_abandoned()
 
+    def _read(self, prefix: str) -> None:
+        """Apply the objects whose names start with a prefix."""
+        offset = self._clock.wall() - self._clock.monotonic()
+        objects, _revision = list_all(
+            self._store, documents.ORIGIN_KIND, prefix=prefix
+        )
+        for stored in objects:
+            try:
+                self._apply(stored, offset)
+            except GuavadykeError as error:
+                self._logger.warning(
+                    'stream_origins_unusable',
+                    name=stored.name,
+                    reason=error.message,
+                )
+
     def _apply(self, stored: StoredObject, offset: float) -> None:
         if stored.name == documents.HISTORY_NAME:
             complete_since, history = documents.decode_history(stored.body)
