Shift the times of a history in one place

Reading and writing the record of versions had the same nested comprehension, once with a plus and once with a minus. Behaviour is the same; forward_origins passes.

--- a/guavadyke/controllers/stream_origin_writer.py
+++ b/guavadyke/controllers/stream_origin_writer.py
@@ -197,14 +197,7 @@
         if stored.name == documents.HISTORY_NAME:
             complete_since, history = documents.decode_history(stored.body)
             self._origins.recall(
-                {
-                    service: {
-                        version: gone_at - offset
-                        for version, gone_at in versions.items()
-                    }
-                    for service, versions in history.items()
-                },
-                complete_since - offset,
+                _shifted(history, -offset), complete_since - offset
             )
         elif stored.name.startswith(documents.HOST_PREFIX):
             known, _at = documents.decode_origins(stored.name, stored.body)
@@ -229,14 +222,7 @@
         offset = self._clock.wall() - self._clock.monotonic()
         complete_since, history = self._origins.record()
         body = documents.encode_history(
-            complete_since + offset,
-            {
-                service: {
-                    version: gone_at + offset
-                    for version, gone_at in versions.items()
-                }
-                for service, versions in history.items()
-            },
+            complete_since + offset, _shifted(history, offset)
         )
         if stored is None:
             self._store.create(
@@ -276,3 +262,15 @@
         else:
             self._own = self._store.update(self._own, body)
         self._written = lately
+
+
+def _shifted(
+    history: documents.History, seconds: float
+) -> dict[str, dict[str, float]]:
+    """Return a history whose times are of another clock."""
+    return {
+        service: {
+            version: gone_at + seconds for version, gone_at in versions.items()
+        }
+        for service, versions in history.items()
+    }
