--- a/features/builders_forward_processes.py
+++ b/features/builders_forward_processes.py
@@ -119,6 +119,15 @@
         """Write the configuration to the store."""
         self.store.put('config', 'main', users.configuration())
 
+    def start(self, daemons: int, engines: int) -> None:
+        """Configure and start a fleet; wait until every daemon is ready."""
+        self.configure()
+        for _ in range(engines):
+            self.add_engine()
+        for _ in range(daemons):
+            self.start_daemon()
+        self.wait_ready()
+
     def start_daemon(self) -> DaemonProcess:
         """Start a daemon."""
         number = len(self.daemons) + 1
--- a/features/builders_prompt_crashes.py
+++ b/features/builders_prompt_crashes.py
@@ -49,14 +49,7 @@
         return super()._answer(request)
 
     def _crash(self, request: StandinRequest) -> None:
-        write = request.connection.start_answer(
-            200,
-            {
-                'Content-Type': 'text/event-stream',
-                'Request-Id': request.headers['request-id'],
-                'Response-Signature': f'signed by {self.name}',
-            },
-        )
+        write = self._start_stream(request)
         write(users.EVENT[:4])
         with self._crash_lock:
             self._store.remove('servers', self.name)
--- a/features/builders_users_platform.py
+++ b/features/builders_users_platform.py
@@ -10,7 +10,7 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from guavadyke.standins.http import (
     StandinAnswer,
@@ -293,8 +293,11 @@
         self._stream(request)
         return None
 
-    def _stream(self, request: StandinRequest) -> None:
-        write = request.connection.start_answer(
+    def _start_stream(
+        self, request: StandinRequest
+    ) -> Callable[[bytes], object]:
+        """Send the head of a stream; return what sends its events."""
+        return request.connection.start_answer(
             200,
             {
                 'Content-Type': 'text/event-stream',
@@ -303,6 +306,9 @@
                 **self._own_headers,
             },
         )
+
+    def _stream(self, request: StandinRequest) -> None:
+        write = self._start_stream(request)
         first = int(request.headers.get('last-event-id', '0')) + 1
         for number in range(first, self.script.events + 1):
             if request.connection.is_disconnected:
--- a/features/builders_versions.py
+++ b/features/builders_versions.py
@@ -38,14 +38,7 @@
         )
 
     def _stream(self, request: StandinRequest) -> None:
-        write = request.connection.start_answer(
-            200,
-            {
-                'Content-Type': 'text/event-stream',
-                'Request-Id': request.headers['request-id'],
-                'Response-Signature': f'signed by {self.name}',
-            },
-        )
+        write = self._start_stream(request)
         resumed_after = int(request.headers.get('last-event-id', '0'))
         for number in range(resumed_after + 1, self.script.events + 1):
             if request.connection.is_disconnected:
--- a/features/steps/forward_leaving_answers_steps.py
+++ b/features/steps/forward_leaving_answers_steps.py
@@ -18,12 +18,7 @@
 def step_fleet(context: Context, daemons: int, engines: int) -> None:
     context.fleet = processes.UsersFleet()
     context.add_cleanup(context.fleet.close)
-    context.fleet.configure()
-    for _ in range(engines):
-        context.fleet.add_engine()
-    for _ in range(daemons):
-        context.fleet.start_daemon()
-    context.fleet.wait_ready()
+    context.fleet.start(daemons, engines)
     context.numbers = itertools.count()
 
 
--- a/features/steps/forward_processes_steps.py
+++ b/features/steps/forward_processes_steps.py
@@ -21,12 +21,7 @@
 def step_fleet(context: Context, daemons: int, engines: int) -> None:
     context.fleet = processes.UsersFleet()
     context.add_cleanup(context.fleet.close)
-    context.fleet.configure()
-    for _ in range(engines):
-        context.fleet.add_engine()
-    for _ in range(daemons):
-        context.fleet.start_daemon()
-    context.fleet.wait_ready()
+    context.fleet.start(daemons, engines)
 
 
 @given("1 daemon on the users' platform without a configuration")
--- a/features/steps/forward_server_limits_steps.py
+++ b/features/steps/forward_server_limits_steps.py
@@ -41,12 +41,7 @@
 def _start_fleet(context: Context, daemons: int, engines: int) -> None:
     context.fleet = processes.UsersFleet()
     context.add_cleanup(context.fleet.close)
-    context.fleet.configure()
-    for _ in range(engines):
-        context.fleet.add_engine()
-    for _ in range(daemons):
-        context.fleet.start_daemon()
-    context.fleet.wait_ready()
+    context.fleet.start(daemons, engines)
     first, *others = context.fleet.daemons
     assert wait_until(
         lambda: first.log.count('event=peer_changed') >= len(others), _RESULTS_S
