Log slow steps of mirrors, slow calls through peers, and sources of watches

Cause: the logs could not tell whether a host was late because its own watch was silent, because another host answered that nothing had changed, or because a list was held up by a call through a peer. Change: one line for each step of a mirror that takes longer than it should, each call through a peer over half a second, and each change of the host that answers watches. No logic changes.

--- a/features/builders_forward_watches.py
+++ b/features/builders_forward_watches.py
@@ -18,6 +18,7 @@
 from guavadyke.decisions.change_log import ChangeLog
 from guavadyke.decisions.watch_sharing import plan_watch
 from guavadyke.errors import GuavadykeError
+from guavadyke.log import EventLogger
 
 KIND = 'things'
 # Hosts that ask do not wait in these tests.
@@ -125,7 +126,10 @@
             list,
             build.ManualClock(),
             random.Random(seed),
-            SharedWatches(hub, PeerWatches(_Channels(self)), plan),
+            EventLogger(),
+            SharedWatches(
+                hub, PeerWatches(_Channels(self), EventLogger()), plan
+            ),
         )
         return WatchingHost(link, hub, store)
 
--- a/features/steps/forward_watches_steps.py
+++ b/features/steps/forward_watches_steps.py
@@ -160,7 +160,7 @@
     context.address = sockets.address
     client = _CountingClient(authenticator, 'host-2', clock, TransportFaults())
     context.client = client
-    context.peers = PeerWatches(PeerChannels(client))
+    context.peers = PeerWatches(PeerChannels(client), EventLogger())
 
 
 @when('a host asks it for changes three times')
--- a/features/steps/outside_fallback_steps.py
+++ b/features/steps/outside_fallback_steps.py
@@ -16,6 +16,7 @@
 from guavadyke.adapters.write_confirmation import WriteConfirmingStore
 from guavadyke.decisions.call_timeout import AdaptiveTimeout
 from guavadyke.errors import PlatformUnavailableError
+from guavadyke.log import EventLogger
 
 _KIND = 'jobs'
 _HELPER = '10.0.0.2:7000'
@@ -61,6 +62,7 @@
         lambda: [_HELPER],
         context.clock,
         random.Random(5),
+        EventLogger(),
     )
     context.failed_calls = 0
 
--- a/guavadyke/adapters/platform_fallback.py
+++ b/guavadyke/adapters/platform_fallback.py
@@ -26,8 +26,11 @@
     PlatformOutcomeUnknownError,
     PlatformUnavailableError,
 )
+from guavadyke.log import EventLogger
 
 _MAX_PEERS = 3
+# A call through a peer that takes longer is logged.
+_SLOW_PEER_CALL_S = 0.5
 _Result = TypeVar('_Result')
 
 
@@ -41,6 +44,7 @@
             that they reach the platform, the nearest first.
         clock: delays direct attempts while the platform is unreachable.
         rng: adds jitter to these delays.
+        logger: logs peers that are slow to answer.
         shared_watches: watches through other hosts of the zone.
     """
 
@@ -51,8 +55,10 @@
         relay_addresses: Callable[[], list[str]],
         clock: Clock,
         rng: random.Random,
+        logger: EventLogger,
         shared_watches: SharedWatches | None = None,
     ) -> None:
+        self._logger = logger
         self._direct = direct
         self._client = client
         self._relay_addresses = relay_addresses
@@ -256,7 +262,12 @@
     def _through_peers(self, call: calls.PlatformCall) -> calls.PlatformReply:
         """Make the call through the first of the nearest peers that can."""
         for address in self._relay_addresses()[:_MAX_PEERS]:
-            reply = self._through_peer(address, call)
+            asked_at = self._clock.monotonic()
+            try:
+                reply = self._through_peer(address, call)
+            finally:
+                took_s = self._clock.monotonic() - asked_at
+                _log_slow_peer(self._logger, address, call, took_s)
             if reply is not None:
                 self.calls_through_peers += 1
                 return reply
@@ -293,6 +304,19 @@
         return None
 
 
+def _log_slow_peer(
+    logger: EventLogger, address: str, call: calls.PlatformCall, took_s: float
+) -> None:
+    if took_s > _SLOW_PEER_CALL_S:
+        logger.info(
+            'peer_call_slow',
+            peer=address,
+            method=call.method,
+            kind=call.kind,
+            took_s=round(took_s, 3),
+        )
+
+
 def _raise_remote_error(error: calls.RemoteError) -> None:
     """Raise the platform's error; ignore that the peer could not call it."""
     if error.code is ErrorCode.version_conflict:
--- a/guavadyke/adapters/shared_watches.py
+++ b/guavadyke/adapters/shared_watches.py
@@ -16,6 +16,7 @@
     GuavadykeError,
     PlatformUnavailableError,
 )
+from guavadyke.log import EventLogger
 
 # A host that asks notices within about two seconds that its source is frozen
 # or cut off.
@@ -82,10 +83,13 @@
 
     Args:
         channels: connections to peers.
+        logger: logs which host answers, whenever that changes.
     """
 
-    def __init__(self, channels: PeerChannels) -> None:
+    def __init__(self, channels: PeerChannels, logger: EventLogger) -> None:
         self._channels = channels
+        self._logger = logger
+        self._source_by_kind: dict[str, str] = {}
 
     def watch(
         self, query: calls.WatchQuery, addresses: Iterable[str]
@@ -94,8 +98,22 @@
 
         An expired answer says that the platform has to be asked.
         """
-        answers = (self._ask(address, query) for address in addresses)
-        return next((one for one in answers if one is not None), None)
+        asked_at = time.monotonic()
+        answers = (
+            (address, self._ask(address, query)) for address in addresses
+        )
+        source, answer = next(
+            (found for found in answers if found[1] is not None), ('', None)
+        )
+        if source != self._source_by_kind.get(query.kind, ''):
+            self._source_by_kind[query.kind] = source
+            self._logger.info(
+                'watch_source_changed',
+                kind=query.kind,
+                source=source,
+                took_s=round(time.monotonic() - asked_at, 3),
+            )
+        return answer
 
     def _ask(self, address: str, query: calls.WatchQuery) -> WatchAnswer | None:
         wait_s = min(query.wait_s, _MAX_PEER_WAIT_S)
--- a/guavadyke/controllers/mirror.py
+++ b/guavadyke/controllers/mirror.py
@@ -25,6 +25,8 @@
 LONGEST_RETRY_S = 0.8
 _BACKOFF_FACTOR = 2
 _MAX_DOUBLINGS = 8
+# Time that a step may take beyond the wait of its watch before it is logged.
+_SLOW_STEP_S = 0.5
 
 
 class WatchableStore(Protocol):
@@ -222,13 +224,33 @@
 
     def _run(self) -> None:
         while not self._stop.is_set():
+            lists = self._revision is None
+            began_at = self._clock.monotonic()
             try:
                 self.step()
             except GuavadykeError as error:
+                self._log_slow_step(began_at, lists=lists, failed=True)
                 self._stop.wait(self.record_failure(error))
             else:
+                self._log_slow_step(began_at, lists=lists, failed=False)
                 self.record_success()
 
+    def _log_slow_step(
+        self, began_at: float, *, lists: bool, failed: bool
+    ) -> None:
+        took_s = self._clock.monotonic() - began_at
+        expected_s = _SLOW_STEP_S
+        if not lists and not failed:
+            expected_s += self._settings.watch_wait_s
+        if took_s > expected_s:
+            self._logger.info(
+                'mirror_step_slow',
+                kind=self._settings.kind,
+                step='list' if lists else 'watch',
+                took_s=round(took_s, 3),
+                failed=failed,
+            )
+
     def _record_watch(self) -> None:
         """Record a successful watch, which peers cannot answer."""
         if self._failures:
--- a/guavadyke/fleet_service.py
+++ b/guavadyke/fleet_service.py
@@ -94,6 +94,7 @@
             self._relay_addresses,
             clock,
             _child_rng(rng),
+            logger,
         )
         self._peer_port.local_status.reached_directly = (
             self._fallback_store.reaches_platform
--- a/guavadyke/forward_peers.py
+++ b/guavadyke/forward_peers.py
@@ -74,9 +74,10 @@
             self._relay_addresses,
             clock,
             random.Random(rng.getrandbits(64)),
+            logger,
             SharedWatches(
                 self._watch_hub,
-                PeerWatches(PeerChannels(client)),
+                PeerWatches(PeerChannels(client), logger),
                 self._plan_watch,
             ),
         )
