Reproduce changes that hosts learn of too late (known red)

Hosts that hear nothing from the platform serve a new route 11.5 to 12.2 s after its confirmation and use a removed engine; a source of changes and a relay of reads answer although they hear nothing themselves.

--- a/features/builders_users_platform.py
+++ b/features/builders_users_platform.py
@@ -105,6 +105,8 @@
         self.refusals: list[int] = []
         # Hosts whose calls are all answered with 503.
         self.rejected_hosts: frozenset[str] = frozenset()
+        # Hosts whose calls get no answer; their connections stay open.
+        self.silent_hosts: frozenset[str] = frozenset()
         # Number of next writes that take effect without an answer.
         self.lost_answers = 0
         self._server = StandinServer(LOOPBACK, 0, self._answer)
@@ -131,8 +133,15 @@
 
     def _answer(self, request: StandinRequest) -> StandinAnswer:
         self.calls[request.method] += 1
-        if request.headers.get('guavadyke-host') in self.rejected_hosts:
+        host = request.headers.get('guavadyke-host')
+        if host in self.rejected_hosts:
             return json_answer({}, 503)
+        answer = self._result(request)
+        if host in self.silent_hosts:
+            request.connection.hang(bool)
+        return answer
+
+    def _result(self, request: StandinRequest) -> StandinAnswer:
         if self.refusals:
             return json_answer({}, self.refusals.pop(0))
         name_match = _NAME_PATH.fullmatch(request.path)
