Notice within the bounds when the platform no longer answers a watch

Callers saw: routes and engines as of an older version for up to 12 s, at hosts that hear nothing from the platform. Cause: a watch of routes and servers waited 10 s for a change and 2 s more for its answer. TCP keepalive, on which the client counted, sees nothing where the platform acknowledges and does not answer. Fix: the time in which a change has to be learned is a setting, read from the bounds of the deployment; a watch of routes or servers waits for half of it and for its answer a fifth, on a kept connection. A silent platform is thus a failed watch, for which there already is a way through other hosts.

--- a/guavadyke/adapters/platform_calls.py
+++ b/guavadyke/adapters/platform_calls.py
@@ -18,6 +18,7 @@
 
 from guavadyke.adapters.connection_pool import ConnectionPool, new_connection
 from guavadyke.decisions.call_timeout import AdaptiveTimeout
+from guavadyke.decisions.watch_sharing import watch_times
 from guavadyke.errors import (
     ErrorCode,
     GuavadykeError,
@@ -37,7 +38,6 @@
 _MAX_IDLE_S = 5
 # A page of objects has about 1 MB, an object as much at most.
 _MAX_REPLY_BYTES = 16_777_216
-_WATCH_TIMEOUT_MARGIN_S = 2
 Document = TypeVar('Document', bound=pydantic.BaseModel)
 _TRANSPORT_ERRORS = (OSError, HTTPError, client.HTTPException)
 _READ_RESULT_STATUSES = frozenset((NOT_FOUND_STATUS, GONE_STATUS))
@@ -124,22 +124,23 @@
         return _check_read_reply(call, reply)
 
     def watch(self, call: PlatformCall, wait_s: float) -> PlatformReply:
-        """Send a watch on a separate connection.
+        """Send a watch, which the platform answers after ``wait_s`` at most.
 
         Raises:
             PlatformUnavailableError: the call failed or timed out.
         """
-        connection = self._connect()
+        reused = self._pool.acquire(self._settings.url)
+        if reused is not None:
+            # The platform may have closed the idle connection.
+            with contextlib.suppress(ConnectionError):
+                reply = self._watch_with(reused, call, wait_s)
+                return _check_read_reply(call, reply)
         try:
-            reply = self._send_and_receive(
-                connection, call, wait_s + _WATCH_TIMEOUT_MARGIN_S
-            )
-        except _TRANSPORT_ERRORS as error:
+            reply = self._watch_with(self._connect(), call, wait_s)
+        except ConnectionError as error:
             raise PlatformUnavailableError(
                 f'{call.path} could not be watched: {error!r}',
             ) from error
-        finally:
-            connection.close()
         return _check_read_reply(call, reply)
 
     def write(self, call: PlatformCall) -> PlatformReply:
@@ -162,6 +163,27 @@
             ) from error
         return self._check_write_reply(call, reply)
 
+    def _watch_with(
+        self, connection: HTTPConnection, call: PlatformCall, wait_s: float
+    ) -> PlatformReply:
+        margin_s = max(
+            watch_times(self._settings.freshness_s).margin_s,
+            self._adaptive_timeout.timeout_s,
+        )
+        try:
+            reply = self._send_and_receive(connection, call, wait_s + margin_s)
+        except ConnectionError:
+            connection.close()
+            raise
+        except _TRANSPORT_ERRORS as error:
+            connection.close()
+            raise PlatformUnavailableError(
+                f'{call.path} could not be watched: {error!r}',
+            ) from error
+        if connection.is_connected:
+            self._pool.release(self._settings.url, connection)
+        return reply
+
     def _read_with(
         self,
         connection: HTTPConnection,
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -42,6 +42,7 @@
 from guavadyke.controllers.server_pool import ServerDecoder, ServerPool
 from guavadyke.decisions.forward_routes import RouteTable
 from guavadyke.decisions.slot import HostLocation
+from guavadyke.decisions.watch_sharing import watch_times
 from guavadyke.filters.caller_watch import CallerWatch
 from guavadyke.filters.forward_attempt import ForwardTools
 from guavadyke.forward_job_documents import JOB_KIND, PROGRESS_KIND
@@ -309,18 +310,24 @@
         )
         peers = self._peers.store
         routes = RouteTableSink(ports.decode_table, self.table, self.logger)
-        retirements = self._state_mirror(
-            ports.retirement_kind,
+        retirements = self._create_mirror(
+            MirrorSettings(
+                ports.retirement_kind, self.settings.platform.watch_wait_s
+            ),
             peers,
             self._retirements,
         )
+        # Changes of these have to be learned in time.
+        urgent_s = watch_times(self.settings.platform.freshness_s).wait_s
+        servers = MirrorSettings(ports.server_kind, urgent_s)
+        table = MirrorSettings(ports.table_kind, urgent_s)
         learned = [
             self._create_mirror(part.mirror_settings, jobs, part.sink)
             for part in self._learning.mirrored
         ]
         mirrors = (
-            self._state_mirror(ports.table_kind, peers, routes),
-            self._state_mirror(ports.server_kind, peers, self.pool),
+            self._create_mirror(table, peers, routes),
+            self._create_mirror(servers, peers, self.pool),
             self._job_mirror(JOB_KIND, jobs, self.registry.jobs),
             self._job_mirror(PROGRESS_KIND, jobs, self.registry.progress),
             *learned,
@@ -339,15 +346,6 @@
         )
         return self._create_mirror(settings, store, sink)
 
-    def _state_mirror(
-        self,
-        kind: str,
-        store: WatchableStore,
-        sink: MirrorSink,
-    ) -> Mirror:
-        wait_s = self.settings.platform.watch_wait_s
-        return self._create_mirror(MirrorSettings(kind, wait_s), store, sink)
-
     def _create_mirror(
         self,
         settings: MirrorSettings,
--- a/guavadyke/platform/settings_file.py
+++ b/guavadyke/platform/settings_file.py
@@ -33,6 +33,8 @@
 _CALL_TIMEOUT_S = 1.0
 _WATCH_WAIT_S = 10.0
 _RATE_SHARE = 0.8
+_DEFAULT_BOUND_MS = 2000
+_MS_PER_S = 1000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -118,6 +120,7 @@
                 url=f'http://{settings_file.text("Provider.Address")}',
                 call_timeout_s=_CALL_TIMEOUT_S,
                 watch_wait_s=_WATCH_WAIT_S,
+                freshness_s=_freshness_s(settings_file),
                 fleet_writes_per_s=_RATE_SHARE
                 * settings_file.number('Provider.WritesPerS', 400),
                 fleet_reads_per_s=_RATE_SHARE
@@ -144,6 +147,15 @@
     )
 
 
+def _freshness_s(settings_file: SettingsFile) -> float:
+    """Return the shorter of the bounds of configurations and of leaving."""
+    bounds_ms = (
+        settings_file.number('Bounds.ConfigApplyMs', _DEFAULT_BOUND_MS),
+        settings_file.number('Bounds.DrainMs', _DEFAULT_BOUND_MS),
+    )
+    return min(bounds_ms) / _MS_PER_S
+
+
 def _stop_settings(settings_file: SettingsFile) -> StopSettings:
     grace_s = settings_file.number('Bounds.GraceS', 8)
     delay_s = min(_BALANCER_DELAY_S, grace_s / 2)
--- a/guavadyke/settings.py
+++ b/guavadyke/settings.py
@@ -168,6 +168,12 @@
         default=20,
         description='Seconds that one watch call waits for an event.',
     )
+    freshness_s: Positive = pydantic.Field(
+        default=2,
+        description='Seconds within which a host has to learn of a new '
+        'configuration or a leaving backend server, whichever of its ways '
+        'to the platform has failed.',
+    )
     relist_interval_s: Positive = pydantic.Field(
         default=60,
         description='Seconds between full lists, which cover for a watch '
