Let a source of changes answer only for as long as it hears from the platform

Callers saw: as with a silent watch, at hosts that ask another host for changes. Cause: a source answered "nothing has changed" for as long as its own watch had not failed, also after a freeze, and hosts knew only the sources of their zone. Fix: a source answers for the time in which its next answer is due, then says that it does not know. The host that asks goes on to the next source, at last to those of other zones; only the first one may wait, and one that failed is asked last. A watching host whose call failed probes shortly before it asks others.

--- a/features/builders_forward_watches.py
+++ b/features/builders_forward_watches.py
@@ -23,6 +23,8 @@
 KIND = 'things'
 # Hosts that ask do not wait in these tests.
 _WAIT_S = 0.001
+# Longer than any of these tests takes.
+_MARGIN_S = 60.0
 
 
 class _Channels:
@@ -114,7 +116,7 @@
     def _host(self, name: str, seed: int) -> WatchingHost:
         link = MemoryStore(self.platform)
         link.faults.waits = False
-        hub = WatchHub()
+        hub = WatchHub(_MARGIN_S)
 
         def plan(kind: str) -> tuple[bool, tuple[str, ...]]:
             found = plan_watch(kind, name, self.hosts)
--- a/features/steps/forward_silent_platform_steps.py
+++ b/features/steps/forward_silent_platform_steps.py
@@ -21,7 +21,8 @@
 _NEW_PREFIX = '/added7/'
 _POLL_S = 0.05
 _KIND = 'things'
-_SILENCE_S = 3.0
+_WAIT_S = 0.05
+_MARGIN_S = 0.05
 
 
 class _CountedStore(MemoryStore):
@@ -83,13 +84,13 @@
 
 @given('a host that answers others what it hears from the platform')
 def step_source(context: Context) -> None:
-    context.hub = WatchHub()
-    context.hub.record(_KIND, 1, WatchAnswer(1, ()))
+    context.hub = WatchHub(_MARGIN_S)
+    context.hub.record(calls.WatchQuery(_KIND, 1, _WAIT_S), WatchAnswer(1, ()))
 
 
 @when('it has heard nothing for longer than a watch takes')
 def step_heard_nothing(_context: Context) -> None:
-    time.sleep(_SILENCE_S)
+    time.sleep(2 * (_WAIT_S + _MARGIN_S))
 
 
 @then('it does not answer that nothing has changed')
--- a/features/steps/forward_watches_steps.py
+++ b/features/steps/forward_watches_steps.py
@@ -144,7 +144,7 @@
 def step_server(context: Context) -> None:
     clock = SuspendAwareClock()
     authenticator = MessageAuthenticator(b'key of the fleet')
-    context.hub = WatchHub()
+    context.hub = WatchHub(60)
     sockets = bind_sockets(
         ListenSettings.model_validate({'ip': '127.0.0.1', 'port': 0})
     )
@@ -169,7 +169,8 @@
     context.seen = []
     for number in range(1, 4):
         context.hub.record(
-            KIND, number - 1, WatchAnswer(number, (change(number),))
+            calls.WatchQuery(KIND, number - 1, 1),
+            WatchAnswer(number, (change(number),)),
         )
         answer = context.peers.watch(
             calls.WatchQuery(KIND, revision, 1), (context.address,)
--- a/guavadyke/adapters/peer_rpc.py
+++ b/guavadyke/adapters/peer_rpc.py
@@ -45,7 +45,7 @@
 # A connection without a query for this time is closed.
 _WATCH_IDLE_S = 15.0
 # Added to the time that a peer may wait for changes.
-_WATCH_MARGIN_S = 0.7
+_WATCH_MARGIN_S = 0.4
 _ACCEPT_TIMEOUT_S = 0.2
 
 RequestHandler = Callable[[str, calls.PeerRequest], calls.PeerReply]
--- a/guavadyke/adapters/shared_watches.py
+++ b/guavadyke/adapters/shared_watches.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -18,9 +19,11 @@
 )
 from guavadyke.log import EventLogger
 
-# A host that asks notices within about two seconds that its source is frozen
-# or cut off.
+# Bounds the time after which a host that asks notices that its source is
+# frozen or cut off.
 _MAX_PEER_WAIT_S = 1.5
+# A source that did not answer is asked last for this time.
+_FAILED_SOURCE_S = 5.0
 # Length of a direct watch of a host that finds no source; then it asks the
 # sources again.
 _SUBSTITUTE_WAIT_S = 2.0
@@ -30,16 +33,25 @@
     """Passes the answers of this host's watches on to hosts that ask.
 
     Thread-safe.
+
+    Args:
+        margin_s: seconds by which the next answer of a watch may be late;
+            after that this host no longer knows whether something changed.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, margin_s: float) -> None:
+        self._margin_s = margin_s
+        self._valid_until: dict[str, float] = {}
         self._changed = threading.Condition()
         self._logs: dict[str, ChangeLog] = collections.defaultdict(ChangeLog)
 
-    def record(self, kind: str, revision: int, answer: WatchAnswer) -> None:
-        """Add the answer to a direct watch for changes after a revision."""
+    def record(self, query: calls.WatchQuery, answer: WatchAnswer) -> None:
+        """Add the answer to a direct watch; the next one has to follow."""
         with self._changed:
-            self._logs[kind].record(revision, answer)
+            self._logs[query.kind].record(query.revision, answer)
+            self._valid_until[query.kind] = (
+                time.monotonic() + query.wait_s + self._margin_s
+            )
             self._changed.notify_all()
 
     def suspend(self, kind: str) -> None:
@@ -55,12 +67,12 @@
         with self._changed:
             log = self._logs[query.kind]
             found = log.changes_after(query.revision)
-            while found is None and log.current:
+            while found is None and self._knows(query.kind):
                 left_s = until - time.monotonic()
                 if left_s <= 0 or not self._changed.wait(left_s):
                     break
                 found = log.changes_after(query.revision)
-            if found is None and log.current:
+            if found is None and self._knows(query.kind):
                 found = WatchAnswer(query.revision, ())
         if found is None:
             return calls.PeerReply(
@@ -77,6 +89,11 @@
             ),
         )
 
+    def _knows(self, kind: str) -> bool:
+        """Return whether this host would know of a change by now."""
+        valid_until = self._valid_until.get(kind, 0)
+        return self._logs[kind].current and time.monotonic() <= valid_until
+
 
 class PeerWatches:
     """Asks other hosts for changes, over a connection per kind.
@@ -90,17 +107,24 @@
         self._channels = channels
         self._logger = logger
         self._source_by_kind: dict[str, str] = {}
+        self._failed_at: dict[str, float] = {}
 
     def watch(
         self, query: calls.WatchQuery, addresses: Iterable[str]
     ) -> WatchAnswer | None:
         """Ask hosts one after the other; return None if none can tell.
 
-        An expired answer says that the platform has to be asked.
+        Only the first one may wait for a change. An expired answer says that
+        the platform has to be asked.
         """
         asked_at = time.monotonic()
+        waits = itertools.chain((query.wait_s,), itertools.repeat(0))
+        ordered = sorted(
+            addresses, key=lambda address: self._has_failed(address, asked_at)
+        )
         answers = (
-            (address, self._ask(address, query)) for address in addresses
+            (address, self._ask(address, query.with_wait(wait_s)))
+            for address, wait_s in zip(ordered, waits, strict=False)
         )
         source, answer = next(
             (found for found in answers if found[1] is not None), ('', None)
@@ -120,9 +144,12 @@
         try:
             reply = self._channels.call(address, query.kind, query, wait_s)
         except (calls.PeerNotReachedError, calls.PeerAnswerLostError):
+            self._failed_at[address] = time.monotonic()
             return None
         if reply.error is not None:
+            self._failed_at[address] = time.monotonic()
             return None
+        self._failed_at.pop(address, None)
         platform = reply.platform
         return WatchAnswer(
             max(query.revision, platform.revision),
@@ -130,6 +157,10 @@
             expired=platform.expired,
         )
 
+    def _has_failed(self, address: str, now: float) -> bool:
+        failed_at = self._failed_at.get(address)
+        return failed_at is not None and now - failed_at < _FAILED_SOURCE_S
+
 
 class SharedWatches:
     """Watches a kind directly or through hosts of the same zone.
@@ -171,11 +202,11 @@
                 watches it can be reached.
         """
         watches, addresses = self._plan(query.kind)
+        if probe:
+            return self._probe(query, direct, addresses)
         if watches:
             return self._watch_directly(query, direct, addresses)
         self._hub.suspend(query.kind)
-        if probe:
-            return self._probe(query, direct, addresses)
         answer = self._peers.watch(query, addresses)
         if answer is None:
             return direct(query.with_wait(_SUBSTITUTE_WAIT_S))
@@ -198,7 +229,7 @@
             if through_peer is None or through_peer.expired:
                 raise
             return through_peer
-        self._hub.record(query.kind, query.revision, answer)
+        self._hub.record(query, answer)
         return answer
 
     def _probe(
@@ -207,6 +238,7 @@
         direct: Callable[[calls.WatchQuery], WatchAnswer],
         addresses: tuple[str, ...],
     ) -> WatchAnswer:
+        self._hub.suspend(query.kind)
         try:
             return direct(query.with_wait(0))
         except PlatformUnavailableError:
--- a/guavadyke/forward_peers.py
+++ b/guavadyke/forward_peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import random
 
 from guavadyke.adapters import peer_calls as calls
@@ -20,13 +21,15 @@
     WatchHub,
 )
 from guavadyke.controllers.membership import FleetCells, PeerEvents
-from guavadyke.decisions.watch_sharing import plan_watch
+from guavadyke.decisions.watch_sharing import plan_watch, watch_times
 from guavadyke.log import EventLogger
 from guavadyke.membership_service import MembershipService
 from guavadyke.settings import HostSettings
 from guavadyke.snapshots import CatalogueSnapshot, FleetSnapshot, SnapshotCell
 
 _ALIVE = 'alive'
+# A watching host may connect anew and apply changes between two watches.
+_HUB_MARGINS = 2
 
 
 class ForwardPeers:
@@ -64,7 +67,9 @@
         self._host_id = settings.host_id
         self._zone = settings.zone
         self._fleet = fleet
-        self._watch_hub = WatchHub()
+        self._watch_hub = WatchHub(
+            _HUB_MARGINS * watch_times(settings.platform.freshness_s).margin_s
+        )
         client = PeerClient(
             port.authenticator, settings.host_id, clock, port.faults
         )
@@ -146,12 +151,14 @@
 
     def _plan_watch(self, kind: str) -> tuple[bool, tuple[str, ...]]:
         """Return whether to watch a kind, and the addresses to ask."""
-        addresses = {
-            peer.host_id: peer.address
-            for peer in self._fleet.current.peers
-            if peer.state == _ALIVE and peer.zone == self._zone
-        }
-        plan = plan_watch(kind, self._host_id, addresses)
+        alive = [
+            peer for peer in self._fleet.current.peers if peer.state == _ALIVE
+        ]
+        addresses = {peer.host_id: peer.address for peer in alive}
+        zones: dict[str, list[str]] = collections.defaultdict(list)
+        for peer in alive:
+            zones[peer.zone].append(peer.host_id)
+        plan = plan_watch(kind, self._host_id, zones.pop(self._zone, ()), zones)
         return plan.watches, tuple(
             addresses[host_id] for host_id in plan.sources
         )
