Do not let calls through a peer that lost the platform hold a host up

Callers saw: a host with an old configuration for seconds after the platform had come back, while hosts that had just started knew the new one. Cause: while the platform is away, hosts ask each other to list. Each peer made the call although its own failed, so that its threads waited for timeouts and its queue filled; the host that asked waited up to 4 s for each of three peers. Fix: a host that does not reach the platform refuses to call it for others at once. A read through a peer is given up after 1 s, and where watches probe the platform a list goes through a peer first, as other reads do.

--- a/features/builders_forward_watches.py
+++ b/features/builders_forward_watches.py
@@ -49,7 +49,9 @@
 class _NoClient:
     """Relays no calls, so that hosts learn only by their watches."""
 
-    def call(self, address: str, _request: object) -> calls.PeerReply:
+    def call(
+        self, address: str, _request: object, _timeout_s: float
+    ) -> calls.PeerReply:
         raise calls.PeerNotReachedError(address)
 
 
--- a/features/steps/forward_silent_platform_steps.py
+++ b/features/steps/forward_silent_platform_steps.py
@@ -103,7 +103,7 @@
 def step_relay(context: Context) -> None:
     context.direct = _CountedStore(MemoryPlatform())
     context.direct.faults.cut = True
-    context.relay = PlatformRelay(context.direct)
+    context.relay = PlatformRelay(context.direct, bool)
 
 
 @when('another host asks it for a list')
--- a/features/steps/outside_fallback_steps.py
+++ b/features/steps/outside_fallback_steps.py
@@ -43,6 +43,7 @@
         self,
         address: str,
         request: calls.PlatformCall,
+        _timeout_s: float,
     ) -> calls.PeerReply:
         assert address == _HELPER
         if self.cut:
@@ -55,7 +56,9 @@
     context.platform = MemoryPlatform()
     context.clock = build.ManualClock()
     context.direct = _CountedStore(context.platform)
-    context.client = _PeerClient(PlatformRelay(MemoryStore(context.platform)))
+    context.client = _PeerClient(
+        PlatformRelay(MemoryStore(context.platform), lambda: True)
+    )
     context.store = FallbackStore(
         context.direct,
         context.client,
--- a/guavadyke/adapters/peer_rpc.py
+++ b/guavadyke/adapters/peer_rpc.py
@@ -35,6 +35,8 @@
 
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 4.0
+# A read can be repeated at the next peer, or directly.
+READ_TIMEOUT_S = 1.0
 MAX_FRAME_BYTES = 4_194_304
 _LENGTH_BYTES = 4
 _MAX_READ_BYTES = 65_536
@@ -77,14 +79,16 @@
         self,
         address: str,
         request: calls.PeerRequest,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> calls.PeerReply:
-        """Call a peer and wait for its answer.
+        """Call a peer and wait up to ``timeout_s`` seconds for its answer.
 
         Raises:
             PeerNotReachedError: the call had no effect.
             PeerAnswerLostError: the call may have taken effect.
         """
         with contextlib.closing(self.connect(address)) as connection:
+            connection.settimeout(timeout_s)
             return self.exchange(connection, request)
 
     def exchange(
--- a/guavadyke/adapters/platform_fallback.py
+++ b/guavadyke/adapters/platform_fallback.py
@@ -8,7 +8,11 @@
 from typing import TypeVar
 
 from guavadyke.adapters import peer_calls as calls
-from guavadyke.adapters.peer_rpc import PeerClient
+from guavadyke.adapters.peer_rpc import (
+    CALL_TIMEOUT_S,
+    READ_TIMEOUT_S,
+    PeerClient,
+)
 from guavadyke.adapters.ports import (
     Clock,
     ListedHost,
@@ -100,7 +104,13 @@
             limit=limit,
             bodies=bodies,
         )
-        return self._call_direct_first(
+        # Lists find out if the platform is back unless shared watches do.
+        path = (
+            self._call_direct_first
+            if self._shared_watches is None
+            else self._call_by_any_path
+        )
+        return path(
             lambda: self._direct.list_objects(
                 kind,
                 prefix=prefix,
@@ -214,9 +224,9 @@
     ) -> _Result:
         """Make a latency-sensitive call: through peers if the last one failed.
 
-        Direct calls are then left to lists, which are made all the time and
-        detect that the platform is reachable again. The platform is called
-        directly only if no peer can make the call.
+        Direct calls are then left to lists or watches, which are made all
+        the time and detect that the platform is reachable again. The platform
+        is called directly only if no peer can make the call.
         """
         if not self._breaker.last_call_failed:
             return self._call_direct_first(direct, call, read)
@@ -289,7 +299,11 @@
             GuavadykeError: the platform refused the call.
         """
         try:
-            reply = self._client.call(address, call)
+            reply = self._client.call(
+                address,
+                call,
+                CALL_TIMEOUT_S if call.method.writes else READ_TIMEOUT_S,
+            )
         except calls.PeerNotReachedError:
             return None
         except calls.PeerAnswerLostError as error:
--- a/guavadyke/adapters/platform_relay.py
+++ b/guavadyke/adapters/platform_relay.py
@@ -4,11 +4,11 @@
 
 import dataclasses
 import itertools
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from guavadyke.adapters import peer_calls as calls
 from guavadyke.adapters.ports import PlatformStore, StoredObject
-from guavadyke.errors import GuavadykeError, ObjectConflictError
+from guavadyke.errors import ErrorCode, GuavadykeError, ObjectConflictError
 
 _MAX_PAGE_BYTES = 1_500_000
 _MAX_PAGE_OBJECTS = 500
@@ -20,14 +20,29 @@
     Args:
         direct: store that calls the platform directly, never through
             another peer.
+        reaches_platform: whether this host's own calls succeed.
     """
 
-    def __init__(self, direct: PlatformStore) -> None:
+    def __init__(
+        self, direct: PlatformStore, reaches_platform: Callable[[], bool]
+    ) -> None:
         self._direct = direct
+        self._reaches_platform = reaches_platform
         self.relayed_calls = 0
 
     def answer(self, call: calls.PlatformCall) -> calls.PeerReply:
-        """Make the call and return the platform's answer or error."""
+        """Make the call and return the platform's answer or error.
+
+        A host that does not reach the platform itself refuses at once, so
+        that its threads stay free for the time when it does.
+        """
+        if not self._reaches_platform():
+            return calls.PeerReply(
+                error=calls.RemoteError(
+                    ErrorCode.platform_unavailable,
+                    'this host does not reach the platform either',
+                ),
+            )
         self.relayed_calls += 1
         try:
             return calls.PeerReply(platform=self._call(call))
--- a/guavadyke/fleet_service.py
+++ b/guavadyke/fleet_service.py
@@ -269,7 +269,7 @@
             self._catalogue.state,
             self._catalogue.differing_versions,
             self._membership.fleet_state,
-            PlatformRelay(platform),
+            PlatformRelay(platform, self._fallback_store.reaches_platform),
         )
 
     def _relay_addresses(self) -> list[str]:
--- a/guavadyke/forward_peers.py
+++ b/guavadyke/forward_peers.py
@@ -61,7 +61,6 @@
         logger: EventLogger,
     ) -> None:
         self._seeds = frozenset(settings.peer.seeds)
-        self._platform_relay = PlatformRelay(platform)
         port = PeerPort(settings, fleet, clock, logger)
         self._messenger = port.messenger
         self._host_id = settings.host_id
@@ -86,6 +85,9 @@
                 self._plan_watch,
             ),
         )
+        self._platform_relay = PlatformRelay(
+            platform, self._store.reaches_platform
+        )
         port.local_status.reached_directly = self._store.reaches_platform
         self._membership = MembershipService(
             settings.peer,
