Remove servers that left while one host had lost the platform

Callers saw: requests at an engine two seconds and more after its entry had been removed, from hosts that had lost the platform for a moment. Cause: the list after any failed watch counted as one after an outage of the platform, in which entries expire; missing servers were kept for 2 s more. Fix: entries can have expired only where the host has heard nothing for two thirds of the time in which they expire, a server writing three times in it. The time follows from the deployment's heartbeat.

--- a/features/forward_mirrors.feature
+++ b/features/forward_mirrors.feature
@@ -37,3 +37,13 @@
     Given a mirror of bodies of a, b and c
     When the platform is briefly unreachable
     Then the first list was not after an outage and the second was
+
+  Scenario Outline: entries can only have expired in a loss that is long enough
+    Given a mirror whose entries expire of a, b and c
+    When the platform is unreachable for <seconds> seconds
+    Then the second list was <after>
+
+    Examples:
+      | seconds | after               |
+      | 2.3     | not after an outage |
+      | 2.5     | after an outage     |
--- a/features/steps/forward_mirrors_steps.py
+++ b/features/steps/forward_mirrors_steps.py
@@ -21,6 +21,7 @@
 from guavadyke.log import EventLogger
 
 _KIND = 'things'
+_OUTAGE_S = 2.4
 _ROUNDS = 8
 
 
@@ -71,11 +72,17 @@
     context.link.faults.waits = False
     context.sink = _Sink()
     context.logger = _EventCollector()
+    context.clock = build.ManualClock()
     context.mirror = Mirror(
-        MirrorSettings(_KIND, 1, by_names=how == 'by names'),
+        MirrorSettings(
+            _KIND,
+            1,
+            by_names=how == 'by names',
+            outage_s=_OUTAGE_S if how == 'whose entries expire' else 0,
+        ),
         context.link,
         context.sink,
-        build.ManualClock(),
+        context.clock,
         random.Random(4),
         context.logger,
     )
@@ -119,6 +126,20 @@
     _advance(context)
 
 
+@when('the platform is unreachable for {seconds:g} seconds')
+def step_outage(context: Context, seconds: float) -> None:
+    context.link.faults.cut = True
+    _advance(context)
+    context.clock.sleep(seconds)
+    context.link.faults.cut = False
+    _advance(context)
+
+
+@then('the second list was {after}')
+def step_second_list(context: Context, after: str) -> None:
+    assert context.sink.lists == [False, after == 'after an outage']
+
+
 @then('the sink holds a, the new b and d')
 def step_holds(context: Context) -> None:
     assert context.sink.objects == {'a': b'old', 'b': b'new', 'd': b'new'}
--- a/guavadyke/controllers/mirror.py
+++ b/guavadyke/controllers/mirror.py
@@ -88,13 +88,15 @@
     it returns several at once; it suits kinds that may be mirrored late.
     With ``by_names``, lists after the first one fetch names and versions
     only, and changed objects are read one by one: less traffic for large
-    objects that seldom change.
+    objects that seldom change. Entries cannot have expired in a shorter loss
+    of the platform than ``outage_s``.
     """
 
     kind: str
     watch_wait_s: float
     delay_after_changes_s: float = 0
     by_names: bool = False
+    outage_s: float = 0
 
 
 class Mirror:
@@ -269,9 +271,11 @@
             self._apply_names(found)
         else:
             self._versions = {stored.name: stored.version for stored in found}
+            lost_s = self._clock.monotonic() - (self._reached_at or 0)
             self._sink.replace(
                 tuple(found),
-                after_outage=self._failures > 0,
+                after_outage=self._failures > 0
+                and lost_s >= self._settings.outage_s,
             )
         self._revision = revision
 
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -56,6 +56,9 @@
 
 _ALIVE_STATE = 'alive'
 _REASSIGNMENT_S = 1.0
+# A server writes its entry three times in the time in which it expires, and
+# may have written it just after the platform was lost.
+_EXPIRY_SHARE = 2 / 3
 # Collects changes of several jobs in one watch; jobs are due much later.
 _JOB_WATCH_DELAY_S = 0.3
 
@@ -319,7 +322,11 @@
         )
         # Changes of these have to be learned in time.
         urgent_s = watch_times(self.settings.platform.freshness_s).wait_s
-        servers = MirrorSettings(ports.server_kind, urgent_s)
+        servers = MirrorSettings(
+            ports.server_kind,
+            urgent_s,
+            outage_s=_EXPIRY_SHARE * self.settings.platform.entry_expiry_s,
+        )
         table = MirrorSettings(ports.table_kind, urgent_s)
         learned = [
             self._create_mirror(part.mirror_settings, jobs, part.sink)
--- a/guavadyke/settings.py
+++ b/guavadyke/settings.py
@@ -174,6 +174,11 @@
         'configuration or a leaving backend server, whichever of its ways '
         'to the platform has failed.',
     )
+    entry_expiry_s: Positive = pydantic.Field(
+        default=3.6,
+        description='Seconds without a heartbeat after which the platform '
+        'removes the entry of a backend server.',
+    )
     relist_interval_s: Positive = pydantic.Field(
         default=60,
         description='Seconds between full lists, which cover for a watch '
