Stop using servers that say in their answers that they leave

Callers saw: requests at an engine over DrainMs after a host had passed on its answer that it leaves, while the host hears nothing from the platform. Cause: nothing read the statement; only the entry on the platform counted. Fix: the statement in any answer of the expected engine marks this incarnation as leaving in the registry from which every path chooses, and goes to the other hosts with the reports of failures.

--- a/features/builders_users_platform.py
+++ b/features/builders_users_platform.py
@@ -292,7 +292,9 @@
         self.requests.append(request)
         self.arrivals.append(time.monotonic())
         if request.headers.get('expect-instance') != self.name:
-            return json_answer({}, 421, {'Instance-Id': self.name})
+            return json_answer(
+                {}, 421, {'Instance-Id': self.name, **self._own_headers}
+            )
         if self.script.refuse:
             return json_answer(
                 {}, 503, {'Not-Executed': '1', **self._own_headers}
--- a/features/steps/forward_leaving_answers_steps.py
+++ b/features/steps/forward_leaving_answers_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import time
 
 from behave import given, then, when
 from behave.runner import Context
@@ -11,6 +12,9 @@
 from features import builders_users_platform as users
 
 _HTTP_OK = 200
+_HTTP_UNAVAILABLE = 503
+_LATER_BORN_MS = 1_700_000_100_000
+_LISTED_S = 0.5
 
 
 @given('{daemons:d} daemon with {engines:d} engines whose entries stay ready')
@@ -50,6 +54,38 @@
     assert set(context.statuses) == {_HTTP_OK}, context.statuses
 
 
+@when('the first engine starts again under its id')
+def step_starts_again(context: Context) -> None:
+    engine = context.fleet.engines[0]
+    engine.script.leaving = False
+    entry = users.engine_entry(engine.address, born=_LATER_BORN_MS)
+    context.fleet.store.put('servers', engine.name, entry)
+    time.sleep(_LISTED_S)
+
+
+@when('another engine that leaves has taken the address of the first one')
+def step_reused(context: Context) -> None:
+    context.former = context.fleet.engines[0].name
+    context.fleet.engines[0].name = 'i-other'
+    context.fleet.engines[0].script.leaving = True
+
+
+@then('the entry of the first engine still gets requests')
+def step_entry_used(context: Context) -> None:
+    log = context.fleet.daemons[0].log
+    assert 'backend_server_says_leaving' not in log, log
+
+
+@then('the first engine has got some of the last requests')
+def step_some(context: Context) -> None:
+    assert len(context.fleet.engines[0].requests) > context.got_before
+
+
+@then('all of them were refused as not run')
+def step_refused(context: Context) -> None:
+    assert set(context.statuses) == {_HTTP_UNAVAILABLE}, context.statuses
+
+
 def _send(
     context: Context, daemons: list[processes.DaemonProcess], count: int
 ) -> None:
--- a/guavadyke/adapters/backend.py
+++ b/guavadyke/adapters/backend.py
@@ -74,6 +74,10 @@
         """Return the requests a second that the server takes."""
         return math.inf
 
+    def leaving(self, _status: int, _headers: Mapping[str, str]) -> bool:
+        """Return whether the server that was called says that it leaves."""
+        return False
+
     def answer_defect(self, _status: int, _headers: Mapping[str, str]) -> str:
         """Return why the answer must not be relayed, empty if it may be."""
         return ''
@@ -340,8 +344,7 @@
             f'{call.address} returned the answer to another request',
             not_run=False,
         )
-    if call.observe_limit is not None:
-        call.observe_limit(dialect.request_limit(answer.headers))
+    _observe_server(call, answer, dialect)
     if dialect.not_run(answer.status, answer.headers):
         answer.discard()
         if dialect.names_requests and answered_id is None and is_reused:
@@ -365,6 +368,17 @@
         )
 
 
+def _observe_server(
+    call: BackendCall, answer: HttpBackendAnswer, dialect: BackendDialect
+) -> None:
+    """Pass on what the server says of itself in an answer."""
+    if call.observe_limit is not None:
+        call.observe_limit(dialect.request_limit(answer.headers))
+    leaving = dialect.leaving(answer.status, answer.headers)
+    if leaving and call.observe_leaving is not None:
+        call.observe_leaving()
+
+
 def _backend_error(error: Exception, address: str) -> BackendServerError:
     silent = isinstance(error, (TimeoutError, ReadTimeoutError))
     fault = BackendFault.silent if silent else BackendFault.broken
--- a/guavadyke/adapters/peer_notice_codec.py
+++ b/guavadyke/adapters/peer_notice_codec.py
@@ -134,6 +134,8 @@
         backend_id=fault.backend_id,
         zone=fault.zone,
         failing=fault.failing,
+        leaving=fault.leaving or None,
+        born_ms=fault.born_ms or None,
     )
 
 
@@ -142,6 +144,8 @@
         checked_text(struct.backend_id),
         checked_text(struct.zone),
         bool(struct.failing),
+        bool(struct.leaving),
+        int(struct.born_ms or 0),
     )
 
 
--- a/guavadyke/adapters/ports.py
+++ b/guavadyke/adapters/ports.py
@@ -215,7 +215,9 @@
     ``deadline_s`` is what is left of its deadline, 0 without one;
     ``last_event_id`` is the event after which a stream goes on. The adapter
     calls ``observe_limit`` with the requests a second that the server takes
-    from all hosts, as its answer says; infinity if it names no limit.
+    from all hosts, as its answer says; infinity if it names no limit. It
+    calls ``observe_leaving`` for an answer in which the server says that it
+    leaves.
     """
 
     request_id: str
@@ -233,6 +235,7 @@
     deadline_s: float = 0
     last_event_id: int = 0
     observe_limit: Callable[[float], object] | None = None
+    observe_leaving: Callable[[], object] | None = None
 
 
 class BackendAnswer(Protocol):
--- a/guavadyke/controllers/fault_exchange.py
+++ b/guavadyke/controllers/fault_exchange.py
@@ -6,6 +6,7 @@
 
 from guavadyke.controllers.urgent_notices import UrgentNotices
 from guavadyke.decisions.fault_reports import FaultReports, ServerFault
+from guavadyke.decisions.server_registry import ListedServer, incarnation_of
 from guavadyke.decisions.slot import HostLocation
 from guavadyke.log import EventLogger
 
@@ -42,6 +43,23 @@
         self._report(server_id, self._here, now)
         self._announce(server_id, failing=True)
 
+    def said_leaving(self, server: ListedServer) -> None:
+        """Report that a server has said in an answer that it leaves."""
+        self._logger.info(
+            'backend_server_says_leaving',
+            backend_server=server.server_id,
+            incarnation=server.incarnation,
+        )
+        self._urgent.add_fault(
+            ServerFault(
+                server.server_id,
+                self._here.zone,
+                failing=False,
+                leaving=True,
+                born_ms=server.born_ms,
+            )
+        )
+
     def succeeded(self, server_id: str) -> None:
         """Withdraw all reports of a server that has answered a request."""
         if self._reports.withdraw(server_id):
@@ -52,6 +70,8 @@
     ) -> None:
         """Apply the reports of another host."""
         for fault in faults:
+            if fault.leaving:
+                continue
             if fault.failing:
                 reporter = HostLocation(host_id, fault.zone)
                 self._report(fault.backend_id, reporter, now)
@@ -75,3 +95,12 @@
             backend_server=server_id,
         )
         self._urgent.add_fault(ServerFault(server_id, self._here.zone, failing))
+
+
+def leaving_incarnations(faults: Iterable[ServerFault]) -> list[str]:
+    """Return the incarnations of servers that have said that they leave."""
+    return [
+        incarnation_of(fault.backend_id, fault.born_ms)
+        for fault in faults
+        if fault.leaving
+    ]
--- a/guavadyke/controllers/item_run.py
+++ b/guavadyke/controllers/item_run.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import functools
 import itertools
 import types
 
@@ -241,6 +242,9 @@
             server_id=self.lease.server.server_id,
             last_event_id=self._partial.last_id,
             observe_limit=self._tools.limits.observer(self.lease.server),
+            observe_leaving=functools.partial(
+                self._tools.pool.said_leaving, self.lease.server
+            ),
         )
 
 
--- a/guavadyke/controllers/server_pool.py
+++ b/guavadyke/controllers/server_pool.py
@@ -15,7 +15,10 @@
     PeerNotice,
     StoredObject,
 )
-from guavadyke.controllers.fault_exchange import FaultExchange
+from guavadyke.controllers.fault_exchange import (
+    FaultExchange,
+    leaving_incarnations,
+)
 from guavadyke.controllers.mirror import MirrorSink
 from guavadyke.controllers.urgent_notices import UrgentNotices
 from guavadyke.controllers.wait_estimator import (
@@ -23,7 +26,6 @@
     WaitEstimatorParts,
 )
 from guavadyke.decisions.load_balancing import (
-    ANY_SERVER,
     LoadBalancer,
     group_by_service,
 )
@@ -238,6 +240,17 @@
             ):
                 self._fault_exchange.ejected(server_id, now)
 
+    def said_leaving(self, server: ListedServer) -> None:
+        """Send nothing more to a server that has said that it leaves.
+
+        The other hosts are told at once.
+        """
+        with self._lock:
+            now = self._clock.monotonic()
+            if self._server_registry.say_leaving(server.incarnation, now):
+                self._fault_exchange.said_leaving(server)
+                self._refresh()
+
     def set_batch_backlog(
         self, items: int, due_order: tuple[str, ...], *, pressing: bool
     ) -> None:
@@ -283,7 +296,9 @@
                     for name, count in self._load_balancer.own_online.items()
                 ),
                 batch_counts=tuple(
-                    starmap(BatchCount, self._batch_counts().items()),
+                    starmap(
+                        BatchCount, self._load_balancer.batch_counts().items()
+                    ),
                 ),
             )
 
@@ -321,14 +336,15 @@
                     now,
                 )
             self._fault_exchange.received(host_id, notice.faults, now)
-
-    def _batch_counts(self) -> dict[str, int]:
-        held = dict(self._load_balancer.own_batch)
-        waiting = self._load_balancer.own_waiting
-        return {**held, ANY_SERVER: waiting} if waiting > 0 else held
+            heard = [
+                self._server_registry.say_leaving(incarnation, now)
+                for incarnation in leaving_incarnations(notice.faults)
+            ]
+            if any(heard):
+                self._refresh()
 
     def _servers(self, service: str, now: float) -> tuple[ListedServer, ...]:
-        due = self._server_registry.next_removal_at()
+        due = self._server_registry.next_change_at()
         if due is not None and due <= now:
             self._refresh()
         return self._by_service.get(service, ())
--- a/guavadyke/decisions/fault_reports.py
+++ b/guavadyke/decisions/fault_reports.py
@@ -30,12 +30,16 @@
     """Whether a host's requests to one backend server fail.
 
     ``zone`` is the host's availability zone. If not ``failing``, the server
-    answers again after it has failed.
+    answers again after it has failed. With ``leaving`` the server that
+    started at ``born_ms``, in milliseconds since the epoch, has said in an
+    answer that it leaves; nothing is said of its failures then.
     """
 
     backend_id: str
     zone: str
     failing: bool
+    leaving: bool = False
+    born_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/guavadyke/decisions/load_balancing.py
+++ b/guavadyke/decisions/load_balancing.py
@@ -96,6 +96,13 @@
             + self.batch_elsewhere.total(server_id, now),
         )
 
+    def batch_counts(self) -> dict[str, int]:
+        """Return this host's items by server, and those that wait."""
+        held = dict(self.own_batch)
+        if self.own_waiting <= 0:
+            return held
+        return {**held, ANY_SERVER: self.own_waiting}
+
     def own_share(
         self,
         servers: Iterable[ListedServer],
--- a/guavadyke/decisions/server_registry.py
+++ b/guavadyke/decisions/server_registry.py
@@ -8,6 +8,9 @@
 # Time in which servers whose entries expired during an outage of the platform
 # register again; stated in the users' operations pages.
 REREGISTRATION_S = 2.0
+# How long a server counts as leaving because it has said so. Its entry follows
+# within seconds; one that stays is taken for usable again.
+_SAID_LEAVING_S = 120.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,7 +36,7 @@
     @property
     def incarnation(self) -> str:
         """Id and start of the server; new whenever it starts again."""
-        return f'{self.server_id}/{self.born_ms}'
+        return incarnation_of(self.server_id, self.born_ms)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -62,6 +65,22 @@
     def __init__(self) -> None:
         self._servers: dict[str, ListedServer] = {}
         self._keep_until: dict[str, float] = {}
+        # By incarnation, until when servers count as leaving.
+        self._leaving_until: dict[str, float] = {}
+
+    def say_leaving(self, incarnation: str, now: float) -> bool:
+        """Record that a server has said in an answer that it leaves.
+
+        Args:
+            incarnation: the server and its start.
+            now: seconds of the monotonic clock.
+
+        Returns:
+            Whether it had not said so before.
+        """
+        is_new = self._leaving_until.get(incarnation, 0) <= now
+        self._leaving_until[incarnation] = now + _SAID_LEAVING_S
+        return is_new
 
     def update(self, server: ListedServer) -> None:
         """Add or update an entry."""
@@ -103,11 +122,22 @@
         """Return the servers, removing those missing for too long."""
         for name in self._overdue(now):
             self.remove(name)
-        return tuple(self._servers.values())
+        self._leaving_until = {
+            incarnation: until
+            for incarnation, until in self._leaving_until.items()
+            if until > now
+        }
+        return tuple(map(self._as_it_said, self._servers.values()))
+
+    def next_change_at(self) -> float | None:
+        """Return when the servers change by themselves; None for never."""
+        times = (*self._keep_until.values(), *self._leaving_until.values())
+        return min(times, default=None)
 
-    def next_removal_at(self) -> float | None:
-        """Return when the next missing entry is removed; None without one."""
-        return min(self._keep_until.values(), default=None)
+    def _as_it_said(self, server: ListedServer) -> ListedServer:
+        if server.leaving or server.incarnation not in self._leaving_until:
+            return server
+        return dataclasses.replace(server, leaving=True)
 
     def _overdue(self, now: float) -> Collection[str]:
         return [
@@ -115,6 +145,11 @@
         ]
 
 
+def incarnation_of(server_id: str, born_ms: int) -> str:
+    """Return what identifies one start of a server."""
+    return f'{server_id}/{born_ms}'
+
+
 def that_may_resume(
     servers: Sequence[ListedServer],
     software: str | None,
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 from collections.abc import Callable, Mapping
 
 from guavadyke.adapters.cancellation import CallCancellation
@@ -175,6 +176,9 @@
                 deadline_s=remaining_s,
                 last_event_id=last_event_id,
                 observe_limit=self._tools.limits.observer(self._lease.server),
+                observe_leaving=functools.partial(
+                    self._tools.pool.said_leaving, self._lease.server
+                ),
             ),
         )
         return self._answer
--- a/guavadyke/peer/messages.thrift
+++ b/guavadyke/peer/messages.thrift
@@ -70,11 +70,14 @@
 }
 
 /** Whether the sender's requests to one backend server fail; without
- * failing, the server answers again. */
+ * failing, the server answers again. With leaving, the server that started
+ * at born_ms has said that it leaves. */
 struct ServerFault {
   1: string backend_id,
   2: string zone,
   3: bool failing,
+  4: optional bool leaving,
+  5: optional i64 born_ms,
 }
 
 /** Asks for one request to a backend server that limits the requests of all
--- a/guavadyke/platform/engine_adapter.py
+++ b/guavadyke/platform/engine_adapter.py
@@ -21,6 +21,8 @@
 _NOT_EXECUTED_HEADER = 'not-executed'
 _SIGNATURE_HEADER = 'response-signature'
 _LIMIT_HEADER = 'server-limit'
+_LEAVING_HEADER = 'server-leaving'
+_LEAVING = '1'
 _LIMIT_PATTERN = re.compile(r'\d{1,9}(\.\d{1,9})?')
 _HTTP_MISDIRECTED = 421
 _SUCCESS_STATUSES = range(200, 300)
@@ -122,6 +124,13 @@
         stated = headers.get(_LIMIT_HEADER, '').strip()
         return float(stated) if _LIMIT_PATTERN.fullmatch(stated) else math.inf
 
+    def leaving(self, status: int, headers: Mapping[str, str]) -> bool:
+        """Return whether the engine that was expected says that it leaves."""
+        return (
+            status != _HTTP_MISDIRECTED
+            and headers.get(_LEAVING_HEADER, '').strip() == _LEAVING
+        )
+
     def answer_defect(self, status: int, headers: Mapping[str, str]) -> str:
         """Return why a response cannot be forwarded, empty if it can."""
         if status in _NOT_RUN_STATUSES:
