Read lists of engines beside an entry that cannot be read

Cause: an answer of the platform was parsed as a whole. One entry nested too deeply failed every list and watch of its kind, a number of thousands of digits ended the mirror's thread, and a port out of range or a start beyond 64 bits passed as an engine that fails in a connection or a message. Fix: where an answer fails to parse, only the objects in it that cannot be read lose their contents; they keep their names, so that pages go on and a known engine is dropped. Entries are checked for a valid address and 64 bits.

--- a/features/builders_users_platform.py
+++ b/features/builders_users_platform.py
@@ -35,6 +35,7 @@
 _STATUS_PATH = re.compile(r'/api/objects/([^/]+)/([^/]+)/status')
 _S_PER_MS = 0.001
 _MAX_REQUEST_BYTES = 65_536
+_RAW_MARK = 'raw contents of '
 EVENT = b'id: 1\ndata: word 1\n\n'
 
 
@@ -107,6 +108,7 @@
         self.rejected_hosts: frozenset[str] = frozenset()
         # Hosts whose calls get no answer; their connections stay open.
         self.silent_hosts: frozenset[str] = frozenset()
+        self._raw_specs: dict[str, str] = {}
         # Number of next writes that take effect without an answer.
         self.lost_answers = 0
         self._server = StandinServer(LOOPBACK, 0, self._answer)
@@ -121,6 +123,11 @@
         body = json.dumps(spec).encode()
         return self.table.write(kind, name, body, None).version
 
+    def put_raw(self, kind: str, name: str, spec: str) -> None:
+        """Write an object whose contents are any text, valid or not."""
+        self._raw_specs[name] = spec
+        self.put(kind, name, f'{_RAW_MARK}{name}')
+
     def remove(self, kind: str, name: str) -> None:
         self.table.write(kind, name, None, None)
 
@@ -136,11 +143,18 @@
         host = request.headers.get('guavadyke-host')
         if host in self.rejected_hosts:
             return json_answer({}, 503)
-        answer = self._result(request)
+        answer = self._with_raw_specs(self._result(request))
         if host in self.silent_hosts:
             request.connection.hang(bool)
         return answer
 
+    def _with_raw_specs(self, answer: StandinAnswer) -> StandinAnswer:
+        body = answer.body
+        for name, spec in self._raw_specs.items():
+            mark = json.dumps(f'{_RAW_MARK}{name}')
+            body = body.replace(mark.encode(), spec.encode())
+        return dataclasses.replace(answer, body=body)
+
     def _result(self, request: StandinRequest) -> StandinAnswer:
         if self.refusals:
             return json_answer({}, self.refusals.pop(0))
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -280,7 +280,7 @@
         url=f'http://{context.users_store.address}',
         call_timeout_s=1,
     )
-    context.store = ObjectStore(settings, 'front-1')
+    context.store = ObjectStore(settings, 'front-1', EventLogger())
 
 
 @then('objects follow the contract of the platform store')
--- a/guavadyke/platform/daemon.py
+++ b/guavadyke/platform/daemon.py
@@ -60,7 +60,7 @@
     def __init__(self, settings: ForwardHostSettings) -> None:
         self._settings = settings
         self._logger = EventLogger(host=settings.host_id, zone=settings.zone)
-        store = ObjectStore(settings.platform, settings.host_id)
+        store = ObjectStore(settings.platform, settings.host_id, self._logger)
         self._host = ForwardHost(
             settings,
             ForwardPorts(
--- a/guavadyke/platform/engine_adapter.py
+++ b/guavadyke/platform/engine_adapter.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import ipaddress
 import math
 import re
 import types
 from collections.abc import Mapping
-from typing import Literal
+from typing import Annotated, Literal
 
 import pydantic
 
@@ -17,6 +18,10 @@
 
 ENGINE_KIND = 'servers'
 _MS_PER_S = 1000
+_MAX_PORT = 65_535
+_MAX_SLOTS = 1_000_000
+# Messages between hosts hold times in 64 bits.
+_MAX_MS = 2**63 - 1
 _REQUEST_ID_HEADER = 'request-id'
 _NOT_EXECUTED_HEADER = 'not-executed'
 _SIGNATURE_HEADER = 'response-signature'
@@ -35,21 +40,33 @@
 ))
 
 
+def _checked_address(address: str) -> str:
+    """Return an IP:PORT.
+
+    Raises:
+        ValueError: the IP address or the port is not valid.
+    """
+    ip, _colon, port = address.rpartition(':')
+    ipaddress.IPv4Address(ip)
+    if not port.isdecimal() or not 0 < int(port) <= _MAX_PORT:
+        raise ValueError(f'{port} is not a port')
+    return address
+
+
 class _EngineEntry(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(strict=True)
 
     service: str = pydantic.Field(alias='Service', min_length=1)
-    address: str = pydantic.Field(
-        alias='Address',
-        pattern=r'^\d+\.\d+\.\d+\.\d+:\d+$',
+    address: Annotated[str, pydantic.AfterValidator(_checked_address)] = (
+        pydantic.Field(alias='Address')
     )
     zone: str = pydantic.Field(alias='Zone')
     # Version of the engine's software, not of the model's weights.
     software: str = pydantic.Field(alias='Version')
-    slots: int = pydantic.Field(alias='Slots', ge=1)
+    slots: int = pydantic.Field(alias='Slots', ge=1, le=_MAX_SLOTS)
     state: Literal['ready', 'draining'] = pydantic.Field(alias='State')
     # Start of the engine in Unix milliseconds; identifies the incarnation.
-    born_ms: int = pydantic.Field(alias='born', default=0)
+    born_ms: int = pydantic.Field(alias='born', default=0, ge=0, le=_MAX_MS)
 
 
 class EngineDecoder:
--- a/guavadyke/platform/store.py
+++ b/guavadyke/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import types
 from collections.abc import Mapping
@@ -13,8 +14,10 @@
 from guavadyke.adapters.platform_calls import (
     GONE_STATUS,
     NOT_FOUND_STATUS,
+    Document,
     PlatformCall,
     PlatformCalls,
+    PlatformReply,
     ReplyParser,
     parse_reply,
 )
@@ -26,6 +29,8 @@
     WatchAnswer,
 )
 from guavadyke.errors import PlatformUnavailableError
+from guavadyke.log import EventLogger
+from guavadyke.platform.odd_objects import without_contents
 from guavadyke.settings import PlatformSettings
 
 _OBJECTS_PATH = '/api/objects'
@@ -85,9 +90,13 @@
     Args:
         settings: URL of the store and timeouts of calls.
         host_id: this host's id.
+        logger: logs answers with an object that cannot be read.
     """
 
-    def __init__(self, settings: PlatformSettings, host_id: str) -> None:
+    def __init__(
+        self, settings: PlatformSettings, host_id: str, logger: EventLogger
+    ) -> None:
+        self._logger = logger
         self._calls = PlatformCalls(settings, host_id, ObjectReplyReader())
 
     def read(self, kind: str, name: str) -> StoredObject | None:
@@ -117,7 +126,7 @@
         )
         if reply.status == NOT_FOUND_STATUS:
             raise PlatformUnavailableError(f'{kind} cannot be listed')
-        listing = parse_reply(_Listing, reply)
+        listing = self._parse(_Listing, reply, 'Items')
         return ObjectListing(
             listing.revision,
             tuple(
@@ -193,7 +202,7 @@
         reply = self._calls.watch(call, wait_s)
         if reply.status == GONE_STATUS:
             return WatchAnswer(revision, (), expired=True)
-        changes = parse_reply(_Changes, reply)
+        changes = self._parse(_Changes, reply, 'events')
         return WatchAnswer(
             changes.revision,
             tuple(_object_event(kind, change) for change in changes.events),
@@ -203,6 +212,28 @@
         """Return no hosts: this platform doesn't list entry hosts."""
         return ()
 
+    def _parse(
+        self, model: type[Document], reply: PlatformReply, list_name: str
+    ) -> Document:
+        """Parse a list; an object in it that is unreadable has no contents.
+
+        Raises:
+            PlatformUnavailableError: the answer itself is malformed.
+        """
+        try:
+            return parse_reply(model, reply)
+        except PlatformUnavailableError as error:
+            self._logger.warning(
+                'platform_object_unreadable', reason=error.message
+            )
+        try:
+            body = without_contents(reply.body, list_name)
+        except (ValueError, RecursionError) as error:
+            raise PlatformUnavailableError(
+                f'the platform returned a malformed answer: {error!r}',
+            ) from error
+        return parse_reply(model, dataclasses.replace(reply, body=body))
+
     def _write(
         self,
         method: str,
@@ -226,7 +257,11 @@
 
 def _stored_object(kind: str, wire_object: _Object) -> StoredObject:
     spec = wire_object.spec
-    text = spec if isinstance(spec, str) else json.dumps(spec)
+    try:
+        text = spec if isinstance(spec, str) else json.dumps(spec)
+    except (ValueError, RecursionError):
+        # A number with thousands of digits; no reader can use the object.
+        text = ''
     return StoredObject(
         kind,
         wire_object.metadata.name,
