Reach servers through other hosts where a host has lost its links

Callers saw: 322 of 915 tries refused and 15 failed at hosts that were cut off from all engines; of 119 first tries there none was served. Cause: a host had no way to a server but its own link, and took the cut for failures of the servers. Without the way through others 5 of 9 scenarios of forward_stranded.feature fail. Fix: a host that cannot connect asks another one for a connection, over which it sends the request itself; so retries, resumption, deadlines and cancelling stay as they are. That another host reaches the server proves that the link and not the server has failed.

--- /dev/null
+++ b/features/builders_stranded.py
@@ -0,0 +1,164 @@
+"""A host that loses its links to engines, and hosts that may help it."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import random
+import socket
+from collections.abc import Callable
+
+from urllib3.connection import HTTPConnection
+
+from features import builders_users_platform as users
+from guavadyke.adapters import backend
+from guavadyke.adapters.clock import SuspendAwareClock
+from guavadyke.adapters.connection_pool import new_connection
+from guavadyke.adapters.message_authentication import MessageAuthenticator
+from guavadyke.adapters.peer_calls import PeerReply
+from guavadyke.adapters.peer_datagrams import RejectedMessageLog
+from guavadyke.adapters.peer_rpc import PeerClient, PeerServer
+from guavadyke.adapters.peer_sockets import TransportFaults, bind_sockets
+from guavadyke.adapters.peer_tunnels import PeerTunnels, TunnelRelay
+from guavadyke.adapters.ports import BackendCall
+from guavadyke.decisions.server_registry import ListedServer
+from guavadyke.log import EventLogger
+from guavadyke.platform.engine_adapter import EngineDialect
+from guavadyke.settings import ListenSettings
+from guavadyke.snapshots import FleetSnapshot, PeerView, SnapshotCell
+
+_ZONE = 'south-a'
+_TIMEOUT_S = 2.0
+_CONNECT_TIMEOUT_S = 0.1
+
+
+class ResettingEngine(users.UsersEngine):
+    """An engine that can reset its connection within an answer."""
+
+    resets = False
+
+    def _stream(self, request: users.StandinRequest) -> None:
+        if not self.resets:
+            super()._stream(request)
+            return
+        write = self._start_stream(request)
+        write(users.EVENT)
+        request.connection.reset()
+
+
+class StrandedHost:
+    """A host, an engine and other hosts of which the first are cut off too.
+
+    ``direct`` counts the connections over its own link.
+    """
+
+    def __init__(self, helpers: int, cut: int) -> None:
+        self.engine = ResettingEngine('i-1')
+        self.direct = 0
+        self._clock = SuspendAwareClock()
+        self._authenticator = MessageAuthenticator(b'key of the fleet')
+        self._close: list[Callable[[], object]] = [self.engine.close]
+        self.relays = [
+            TunnelRelay(functools.partial(_answer, number < cut), EventLogger())
+            for number in range(helpers)
+        ]
+        addresses = [self._serve(relay) for relay in self.relays]
+        self.list_engine(listed=True)
+        peers = tuple(
+            PeerView(f'host-{number}', _ZONE, 'south', address, 'alive', 1, 0)
+            for number, address in enumerate(addresses)
+        )
+        self.servers = backend.HttpBackendServers(dialect=EngineDialect())
+        self.servers.open_through_peer = PeerTunnels(
+            PeerClient(
+                self._authenticator, 'stranded', self._clock, TransportFaults()
+            ),
+            SnapshotCell(FleetSnapshot(peers=peers)),
+            _ZONE,
+            random.Random(3),
+            EventLogger(),
+        ).open
+        self._link = 'accepted'
+        self._silent = socket.create_server((users.LOOPBACK, 0), backlog=0)
+        self._close.append(self._silent.close)
+        backend.new_connection = self._new_connection
+        self._close.append(_restore)
+
+    def change_link(self, state: str) -> None:
+        """Have direct connections refused, silent or accepted."""
+        self._link = state
+
+    def list_engine(self, *, listed: bool) -> None:
+        """Tell the other hosts whether the engine is listed."""
+        server = ListedServer('i-1', 'llm', self.engine.address, _ZONE, 8)
+        for relay in self.relays:
+            relay.servers_listed((server,) if listed else ())
+
+    def call(self, request_id: str) -> BackendCall:
+        """Return a request to the engine."""
+        return BackendCall(
+            request_id=request_id,
+            address=self.engine.address,
+            method='POST',
+            path='/1',
+            headers={},
+            body=b'text',
+            connect_timeout_s=_CONNECT_TIMEOUT_S,
+            first_byte_timeout_s=_TIMEOUT_S,
+            gap_timeout_s=_TIMEOUT_S,
+            server_id='i-1',
+        )
+
+    def close(self) -> None:
+        """Stop everything that was started."""
+        for close in reversed(self._close):
+            close()
+
+    def _serve(self, relay: TunnelRelay) -> str:
+        sockets = bind_sockets(
+            ListenSettings.model_validate({'ip': users.LOOPBACK, 'port': 0})
+        )
+        server = PeerServer(
+            sockets,
+            self._authenticator,
+            self._clock,
+            RejectedMessageLog(self._clock, EventLogger()),
+            lambda _sender, _request: PeerReply(),
+            relay,
+        )
+        relay.start()
+        server.start()
+        self._close.extend((relay.close, server.close))
+        return sockets.address
+
+    def _new_connection(self, origin: str, timeout_s: float) -> HTTPConnection:
+        self.direct += 1
+        if self._link == 'accepted':
+            return new_connection(origin, timeout_s)
+        if self._link == 'refused':
+            return new_connection('http://127.0.0.1:1', timeout_s)
+        return _SilentConnection('127.0.0.1', timeout=timeout_s)
+
+
+class _SilentConnection(HTTPConnection):
+    """A connection over a link that drops every packet."""
+
+    def connect(self) -> None:
+        raise TimeoutError('timed out')
+
+
+def _answer(is_cut: bool, _address: str) -> bool:
+    return is_cut
+
+
+def _restore() -> None:
+    backend.new_connection = new_connection
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """How a request ended and how many seconds it took."""
+
+    body: bytes
+    error: Exception | None
+    took_s: float
--- /dev/null
+++ b/features/steps/forward_stranded_steps.py
@@ -0,0 +1,121 @@
+"""Steps of forward_stranded.feature."""
+
+from __future__ import annotations
+
+import time
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.builders_processes import wait_until
+from features.builders_stranded import Outcome, StrandedHost
+from guavadyke.adapters.ports import BackendFault, BackendServerError
+from guavadyke.decisions.server_ways import ServerWays
+
+_WAIT_S = 3.0
+
+
+@given('a host with {helpers:d} other hosts, the first {cut:d} cut off as well')
+def step_host(context: Context, helpers: int, cut: int) -> None:
+    context.host = StrandedHost(helpers, cut)
+    context.add_cleanup(context.host.close)
+
+
+@given('no link that is known to be cut')
+def step_ways(context: Context) -> None:
+    context.ways = ServerWays()
+
+
+@when('its connections to engines are {state}')
+def step_link(context: Context, state: str) -> None:
+    context.host.change_link(state.removesuffix(' again'))
+
+
+@when('the engine is not listed any more')
+def step_unlisted(context: Context) -> None:
+    context.host.list_engine(listed=False)
+
+
+@when('the engine resets its connection within an answer')
+def step_resets(context: Context) -> None:
+    context.host.engine.resets = True
+
+
+@when('it forwards {count:d} requests')
+def step_forward(context: Context, count: int) -> None:
+    context.direct_before = context.host.direct
+    context.outcomes = [
+        _forward(context.host, f'request-{number}') for number in range(count)
+    ]
+
+
+@when('a request is cancelled after its first event')
+def step_cancelled(context: Context) -> None:
+    context.host.engine.script.events = 200
+    answer = context.host.servers.send(context.host.call('request-0'))
+    next(iter(answer.chunks()))
+    answer.cancel()
+
+
+@then('all {count:d} requests got the whole answer of the engine')
+def step_whole(context: Context, count: int) -> None:
+    last = f'id: {context.host.engine.script.events}\n'.encode()
+    whole = [one for one in context.outcomes if last in one.body]
+    assert len(whole) == count, context.outcomes
+    assert len(context.host.engine.requests) == count
+
+
+@then('no request took longer than {seconds:g} second')
+def step_quick(context: Context, seconds: float) -> None:
+    longest_s = max(one.took_s for one in context.outcomes)
+    assert longest_s <= seconds, longest_s
+
+
+@then('it fails as not reached and not run')
+def step_not_reached(context: Context) -> None:
+    error = context.outcomes[0].error
+    assert error.fault is BackendFault.not_reached, error
+    assert error.not_run, error
+    assert not context.host.engine.requests
+
+
+@then('it fails as broken')
+def step_broken(context: Context) -> None:
+    error = context.outcomes[0].error
+    assert error is not None, context.outcomes
+    assert error.fault is BackendFault.broken, error
+
+
+@then('the engine sees its connection closed')
+def step_closed(context: Context) -> None:
+    assert wait_until(context.host.engine.caller_disconnected.is_set, _WAIT_S)
+
+
+@then('the last requests went over its own link')
+def step_own_link(context: Context) -> None:
+    assert context.host.direct > context.direct_before
+    assert not context.host.servers.is_cut(context.host.engine.address)
+    assert all(one.error is None for one in context.outcomes), context.outcomes
+
+
+@then('one silent server leaves kept connections in use')
+def step_one_silent(context: Context) -> None:
+    assert not context.ways.fell_silent('10.0.0.1:80', 1.0)
+    assert not context.ways.fell_silent('10.0.0.1:80', 1.5)
+
+
+@then('a second one within 2 seconds does not')
+def step_two_silent(context: Context) -> None:
+    assert context.ways.fell_silent('10.0.0.2:80', 2.0)
+    assert not context.ways.fell_silent('10.0.0.3:80', 5.0)
+
+
+def _forward(host: StrandedHost, request_id: str) -> Outcome:
+    began_at = time.monotonic()
+    body = b''
+    failure: BackendServerError | None = None
+    try:
+        body = b''.join(host.servers.send(host.call(request_id)).chunks())
+    except BackendServerError as error:
+        failure = error
+    return Outcome(body, failure, time.monotonic() - began_at)
--- a/guavadyke/adapters/backend.py
+++ b/guavadyke/adapters/backend.py
@@ -11,7 +11,8 @@
 import math
 import socket
 import threading
-from collections.abc import Iterator, Mapping
+import time
+from collections.abc import Callable, Iterator, Mapping
 from http import client
 
 import pydantic
@@ -19,13 +20,19 @@
 from urllib3.exceptions import HTTPError, ReadTimeoutError
 from urllib3.response import BaseHTTPResponse
 
-from guavadyke.adapters.connection_pool import ConnectionPool, new_connection
+from guavadyke.adapters.connection_pool import (
+    ConnectionPool,
+    TunnelledConnection,
+    connection_over,
+    new_connection,
+)
 from guavadyke.adapters.ports import (
     BackendCall,
     BackendFault,
     BackendServerError,
     ReportedLoad,
 )
+from guavadyke.decisions.server_ways import ServerWays
 
 NOT_RUN_HEADER = 'Engine-Not-Run'
 _REQUEST_ID_HEADER = 'x-request-id'
@@ -89,6 +96,9 @@
     A connection is reused only if its last answer was read completely and
     it has been idle for no longer than ``idle_s``.
 
+    A server whose link is cut is reached through other hosts once
+    ``open_through_peer`` is set; it returns None if no host reaches it.
+
     Args:
         idle_s: seconds after which an idle connection is not reused.
         dialect: headers that the servers use.
@@ -101,6 +111,14 @@
     ) -> None:
         self._pool = ConnectionPool(idle_s)
         self._dialect = dialect or BackendDialect()
+        self._ways = ServerWays()
+        self._lock = threading.Lock()
+        self.open_through_peer: Callable[[str], socket.socket | None] = _no_way
+
+    def is_cut(self, address: str) -> bool:
+        """Return whether this host's own link to a server seems cut."""
+        with self._lock:
+            return self._ways.is_cut(address, time.monotonic())
 
     def send(self, call: BackendCall) -> HttpBackendAnswer:
         """Send the request and wait for the status line and headers.
@@ -119,7 +137,12 @@
         except _TRANSPORT_ERRORS as error:
             connection.close()
             self._pool.close_idle(_origin(call))
-            raise _backend_error(error, call.address) from error
+            failure = _backend_error(error, call.address)
+            if failure.fault is BackendFault.silent and not _is_tunnel(
+                connection
+            ):
+                self._record_silence(call.address)
+            raise failure from error
         _check_headers(call, answer, self._dialect, is_reused=is_reused)
         return answer
 
@@ -159,21 +182,61 @@
         Raises:
             BackendServerError: connecting failed; nothing was sent.
         """
-        origin = _origin(call)
-        reused = None if call.fresh else self._pool.acquire(origin)
+        with self._lock:
+            detour_first = self._ways.prefers_peers(
+                call.address, time.monotonic()
+            )
+        reused = self._acquire_idle(call, through_peer=detour_first)
         if reused is not None:
             return reused, True
-        connection = new_connection(origin, call.connect_timeout_s)
+        connection = self._connect_through_peer(call) if detour_first else None
+        if connection is None:
+            connection = self._connect(call, may_detour=not detour_first)
+        return connection, False
+
+    def _acquire_idle(
+        self, call: BackendCall, *, through_peer: bool
+    ) -> HTTPConnection | None:
+        """Return an idle connection of the wanted way, closing others."""
+        reused = None if call.fresh else self._pool.acquire(_origin(call))
+        while reused is not None and _is_tunnel(reused) != through_peer:
+            reused.close()
+            reused = self._pool.acquire(_origin(call))
+        return reused
+
+    def _connect(
+        self, call: BackendCall, *, may_detour: bool
+    ) -> HTTPConnection:
+        connection = new_connection(_origin(call), call.connect_timeout_s)
         try:
             connection.connect()
         except _TRANSPORT_ERRORS as error:
             connection.close()
+            detour = self._connect_through_peer(call) if may_detour else None
+            if detour is not None:
+                return detour
             raise BackendServerError(
                 BackendFault.not_reached,
                 f'{call.address} is not reached: {error}',
                 not_run=True,
             ) from error
-        return connection, False
+        with self._lock:
+            self._ways.reached_directly(call.address, time.monotonic())
+        return connection
+
+    def _connect_through_peer(self, call: BackendCall) -> HTTPConnection | None:
+        opened = self.open_through_peer(call.address)
+        if opened is None:
+            return None
+        with self._lock:
+            self._ways.proved_cut(call.address, time.monotonic())
+        return connection_over(opened, _origin(call))
+
+    def _record_silence(self, address: str) -> None:
+        with self._lock:
+            suspect = self._ways.fell_silent(address, time.monotonic())
+        if suspect:
+            self._pool.close_all_idle()
 
 
 class HttpBackendAnswer:
@@ -316,6 +379,14 @@
             self._pool.close_idle(origin)
 
 
+def _is_tunnel(connection: HTTPConnection) -> bool:
+    return isinstance(connection, TunnelledConnection)
+
+
+def _no_way(_address: str) -> None:
+    """Reach no server before there are other hosts."""
+
+
 def _origin(call: BackendCall) -> str:
     return f'http://{call.address}'
 
--- a/guavadyke/adapters/connection_pool.py
+++ b/guavadyke/adapters/connection_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 import socket
 import threading
 import time
@@ -14,6 +15,7 @@
 _MAX_IDLE_CONNECTIONS = 64
 # A server may send interim responses, such as 100, before its answer.
 _MAX_HEADS = 8
+_BLOCK_BYTES = 65_536
 # A peer can vanish without closing its connections. TCP keepalive detects
 # this within about two seconds, the time in which a leaving server has to be
 # noticed.
@@ -21,7 +23,7 @@
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 1
 _MAX_UNACKNOWLEDGED_MS = 2500
-_SOCKET_OPTIONS = (
+SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
@@ -91,6 +93,14 @@
         for _since, connection in waiting:
             connection.close()
 
+    def close_all_idle(self) -> None:
+        """Close all idle connections, because none of them can be trusted."""
+        with self._lock:
+            waiting = tuple(itertools.chain.from_iterable(self._idle.values()))
+            self._idle.clear()
+        for _since, connection in waiting:
+            connection.close()
+
     def _remove_expired(self) -> list[HTTPConnection]:
         """Remove expired connections of all origins, once per idle time."""
         now = time.monotonic()
@@ -119,6 +129,27 @@
         return expired
 
 
+class TunnelledConnection(HTTPConnection):
+    """A connection over a socket that another host has connected."""
+
+    opened: socket.socket
+
+    def _new_conn(self) -> socket.socket:
+        return self.opened
+
+
+def connection_over(opened: socket.socket, origin: str) -> HTTPConnection:
+    """Return a connection to an origin over an open socket."""
+    url = parse_url(origin)
+    connection = TunnelledConnection(
+        url.hostname or '', url.port, blocksize=_BLOCK_BYTES
+    )
+    connection.opened = opened
+    connection.response_class = BoundedHeadResponse
+    connection.connect()
+    return connection
+
+
 def new_connection(origin: str, connect_timeout_s: float) -> HTTPConnection:
     """Return a connection to an origin without opening it.
 
@@ -132,8 +163,8 @@
         url.hostname or '',
         url.port,
         timeout=connect_timeout_s,
-        blocksize=65_536,
-        socket_options=list(_SOCKET_OPTIONS),
+        blocksize=_BLOCK_BYTES,
+        socket_options=list(SOCKET_OPTIONS),
     )
     connection.response_class = BoundedHeadResponse
     return connection
--- a/guavadyke/adapters/peer_call_codec.py
+++ b/guavadyke/adapters/peer_call_codec.py
@@ -182,6 +182,11 @@
     )
 
 
+@_set_request.register
+def _set_tunnel_call(request: calls.TunnelCall, struct: Any) -> None:
+    struct.tunnel_call = ttypes.TunnelCall(address=request.address)
+
+
 def _request_from_struct(struct: Any) -> calls.PeerRequest:
     if struct.catalogue_query is not None:
         return calls.CatalogueQuery(tuple(struct.catalogue_query.digests))
@@ -195,6 +200,8 @@
             struct.watch_query.revision,
             struct.watch_query.wait_ms / 1000,
         )
+    if struct.tunnel_call is not None:
+        return calls.TunnelCall(str(struct.tunnel_call.address))
     return _platform_call_from_struct(struct.platform_call)
 
 
--- a/guavadyke/adapters/peer_calls.py
+++ b/guavadyke/adapters/peer_calls.py
@@ -88,8 +88,23 @@
         return dataclasses.replace(self, wait_s=min(self.wait_s, longest_s))
 
 
+@dataclasses.dataclass(frozen=True)
+class TunnelCall:
+    """Requests a connection to a backend server at an IP:PORT.
+
+    After an answer without error the connection carries its bytes.
+    """
+
+    address: str
+
+
 PeerRequest: TypeAlias = (
-    CatalogueQuery | CatalogueFetch | FleetQuery | PlatformCall | WatchQuery
+    CatalogueQuery
+    | CatalogueFetch
+    | FleetQuery
+    | PlatformCall
+    | WatchQuery
+    | TunnelCall
 )
 
 
--- a/guavadyke/adapters/peer_rpc.py
+++ b/guavadyke/adapters/peer_rpc.py
@@ -12,6 +12,7 @@
 import uuid
 from collections.abc import Callable, Generator
 from concurrent.futures import ThreadPoolExecutor
+from typing import Protocol
 
 from guavadyke.adapters import peer_call_codec as codec
 from guavadyke.adapters import peer_calls as calls
@@ -50,6 +51,12 @@
 _WATCH_MARGIN_S = 0.4
 _ACCEPT_TIMEOUT_S = 0.2
 
+_NOT_REACHED_REPLY = calls.PeerReply(
+    error=calls.RemoteError(
+        ErrorCode.no_backend_server, 'the server is not reached from here'
+    ),
+)
+
 RequestHandler = Callable[[str, calls.PeerRequest], calls.PeerReply]
 
 
@@ -121,8 +128,10 @@
             )
         return envelope.reply
 
-    def connect(self, address: str) -> socket.socket:
-        """Open a connection to a peer.
+    def connect(
+        self, address: str, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> socket.socket:
+        """Open a connection to a peer within ``timeout_s`` seconds.
 
         Raises:
             PeerNotReachedError: the peer cannot be reached.
@@ -132,7 +141,7 @@
         try:
             connection = socket.create_connection(
                 split_address(address),
-                timeout=CONNECT_TIMEOUT_S,
+                timeout=timeout_s,
             )
         except (OSError, ValueError) as error:
             raise calls.PeerNotReachedError(str(error)) from error
@@ -190,6 +199,18 @@
             connection.close()
 
 
+class Tunnels(Protocol):
+    """Connects other hosts to backend servers."""
+
+    def connect(self, call: calls.TunnelCall) -> socket.socket | None:
+        """Connect to a server, None if that is impossible."""
+        ...
+
+    def carry(self, caller: socket.socket, upstream: socket.socket) -> None:
+        """Carry bytes between two connections until one of them ends."""
+        ...
+
+
 class PeerServer:
     """Answers calls of peers on bounded thread pools.
 
@@ -202,6 +223,7 @@
         clock: checks the age of calls.
         rejection_log: counts and logs rejected messages.
         answer: handles a request; gets the sender's host id and the request.
+        tunnels: connects other hosts to backend servers, None to refuse.
     """
 
     def __init__(
@@ -211,7 +233,9 @@
         clock: Clock,
         rejection_log: RejectedMessageLog,
         answer: RequestHandler,
+        tunnels: Tunnels | None = None,
     ) -> None:
+        self._tunnels = tunnels
         self._socket = sockets.calls
         self._authenticator = authenticator
         self._clock = clock
@@ -258,20 +282,47 @@
 
     def _serve(self, connection: socket.socket, address: str) -> None:
         connection.settimeout(CALL_TIMEOUT_S)
-        watches = False
+        goes_on = False
         try:
             with self._handled(connection, address) as open_connection:
                 envelope = self._receive_call(open_connection)
-                watches = isinstance(envelope.request, calls.WatchQuery)
-                if watches:
-                    watches = self._start_watch(connection, address, envelope)
+                if isinstance(envelope.request, calls.WatchQuery):
+                    goes_on = self._start_watch(connection, address, envelope)
+                elif isinstance(envelope.request, calls.TunnelCall):
+                    goes_on = self._start_tunnel(
+                        connection, envelope, envelope.request
+                    )
                 else:
-                    self._send_reply(open_connection, envelope)
+                    reply = self._handle_request(
+                        envelope.sender, envelope.request
+                    )
+                    self._send_reply(open_connection, envelope, reply)
         finally:
             self._free_capacity.release()
-            if not watches:
+            if not goes_on:
                 connection.close()
 
+    def _start_tunnel(
+        self,
+        connection: socket.socket,
+        envelope: codec.CallEnvelope,
+        call: calls.TunnelCall,
+    ) -> bool:
+        """Connect to a backend server and return whether that succeeded."""
+        upstream = (
+            None if self._tunnels is None else self._tunnels.connect(call)
+        )
+        if self._tunnels is None or upstream is None:
+            self._send_reply(connection, envelope, _NOT_REACHED_REPLY)
+            return False
+        try:
+            self._send_reply(connection, envelope, calls.PeerReply())
+        except OSError:
+            upstream.close()
+            raise
+        self._tunnels.carry(connection, upstream)
+        return True
+
     def _start_watch(
         self,
         connection: socket.socket,
@@ -299,7 +350,10 @@
                 self._handled(connection, address),
             ):
                 while not self._closed.is_set():
-                    self._send_reply(connection, envelope)
+                    reply = self._handle_request(
+                        envelope.sender, envelope.request
+                    )
+                    self._send_reply(connection, envelope, reply)
                     envelope = self._receive_call(connection)
         finally:
             self._free_watches.release()
@@ -324,9 +378,11 @@
         return envelope
 
     def _send_reply(
-        self, connection: socket.socket, envelope: codec.CallEnvelope
+        self,
+        connection: socket.socket,
+        envelope: codec.CallEnvelope,
+        reply: calls.PeerReply,
     ) -> None:
-        reply = self._handle_request(envelope.sender, envelope.request)
         payload = codec.encode_reply(
             codec.ReplyEnvelope(envelope.nonce, reply),
         )
--- a/guavadyke/controllers/server_pool.py
+++ b/guavadyke/controllers/server_pool.py
@@ -375,3 +375,16 @@
         self._on_listed(servers)
         self._by_service = group_by_service(servers)
         self._load_balancer.keep_health_of(servers)
+
+
+def tell_each(
+    *listeners: Callable[[Iterable[ListedServer]], object],
+) -> Callable[[Iterable[ListedServer]], None]:
+    """Return what calls each listener with all servers."""
+
+    def tell(servers: Iterable[ListedServer]) -> None:
+        listed = tuple(servers)
+        for listener in listeners:
+            listener(listed)
+
+    return tell
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -10,7 +10,6 @@
 from guavadyke.adapters.clock import SuspendAwareClock
 from guavadyke.adapters.platform_rate_limit import RateLimitedStore
 from guavadyke.adapters.ports import (
-    BackendServers,
     Clock,
     PlatformStore,
     StoredObject,
@@ -39,7 +38,11 @@
     RetirementRequest,
 )
 from guavadyke.controllers.route_table_sink import RouteTableSink
-from guavadyke.controllers.server_pool import ServerDecoder, ServerPool
+from guavadyke.controllers.server_pool import (
+    ServerDecoder,
+    ServerPool,
+    tell_each,
+)
 from guavadyke.decisions.forward_routes import RouteTable
 from guavadyke.decisions.slot import HostLocation
 from guavadyke.decisions.watch_sharing import watch_times
@@ -47,7 +50,7 @@
 from guavadyke.filters.forward_attempt import ForwardTools
 from guavadyke.forward_job_documents import JOB_KIND, PROGRESS_KIND
 from guavadyke.forward_learning import ForwardLearning
-from guavadyke.forward_peers import ForwardPeers
+from guavadyke.forward_peers import ForwardPeers, RoutedBackendServers
 from guavadyke.http_server import HttpServer
 from guavadyke.log import EventLogger
 from guavadyke.metrics import HostMetrics
@@ -73,7 +76,7 @@
     """
 
     store: PlatformStore
-    servers: BackendServers
+    servers: RoutedBackendServers
     table_kind: str
     server_kind: str
     decode_table: Callable[[StoredObject], RouteTable | None]
@@ -122,6 +125,7 @@
             self.clock,
             self._child_rng(),
             logger,
+            ports.servers,
         )
         store = WriteConfirmingStore(
             self._peers.store, self.clock, self._child_rng()
@@ -142,7 +146,10 @@
             self._child_rng(),
             logger,
             self._live_hosts,
-            self._learning.streams.origins.servers_listed,
+            tell_each(
+                self._learning.streams.origins.servers_listed,
+                self._peers.tunnel_relay.servers_listed,
+            ),
         )
         self._watch = CallerWatch()
         self.tools = ForwardTools(
--- a/guavadyke/forward_peers.py
+++ b/guavadyke/forward_peers.py
@@ -4,6 +4,9 @@
 
 import collections
 import random
+import socket
+from collections.abc import Callable
+from typing import Protocol
 
 from guavadyke.adapters import peer_calls as calls
 from guavadyke.adapters.peer_port import PeerPort
@@ -12,9 +15,15 @@
     PeerClient,
     PeerServer,
 )
+from guavadyke.adapters.peer_tunnels import PeerTunnels, TunnelRelay
 from guavadyke.adapters.platform_fallback import FallbackStore
 from guavadyke.adapters.platform_relay import PlatformRelay
-from guavadyke.adapters.ports import Clock, PeerMessenger, PlatformStore
+from guavadyke.adapters.ports import (
+    BackendServers,
+    Clock,
+    PeerMessenger,
+    PlatformStore,
+)
 from guavadyke.adapters.shared_watches import (
     PeerWatches,
     SharedWatches,
@@ -32,6 +41,20 @@
 _HUB_MARGINS = 2
 
 
+class RoutedBackendServers(BackendServers, Protocol):
+    """Client that reaches servers through other hosts where it has to.
+
+    ``open_through_peer`` returns a connection to a server at an IP:PORT, None
+    if no other host reaches it.
+    """
+
+    open_through_peer: Callable[[str], socket.socket | None]
+
+    def is_cut(self, address: str) -> bool:
+        """Return whether this host's own link to a server seems cut."""
+        ...
+
+
 class ForwardPeers:
     """Tracks the other hosts and relays platform calls for them.
 
@@ -46,6 +69,8 @@
         clock: the host's clock.
         rng: seeds the random generators of the threads.
         logger: logs changes.
+        servers: client of backend servers, which are reached through other
+            hosts from now on where links are cut.
 
     Raises:
         GuavadykeError: the peer port is in use or the fleet key is missing.
@@ -59,6 +84,7 @@
         clock: Clock,
         rng: random.Random,
         logger: EventLogger,
+        servers: RoutedBackendServers,
     ) -> None:
         self._seeds = frozenset(settings.peer.seeds)
         port = PeerPort(settings, fleet, clock, logger)
@@ -104,12 +130,21 @@
             rng,
             logger,
         )
+        servers.open_through_peer = PeerTunnels(
+            client,
+            fleet,
+            settings.zone,
+            random.Random(rng.getrandbits(64)),
+            logger,
+        ).open
+        self.tunnel_relay = TunnelRelay(servers.is_cut, logger)
         self._peer_server = PeerServer(
             port.sockets,
             port.authenticator,
             clock,
             port.rejection_log,
             self._answer_peer,
+            self.tunnel_relay,
         )
 
     @property
@@ -124,6 +159,7 @@
 
     def start(self) -> None:
         """Join the fleet through the seeds."""
+        self.tunnel_relay.start()
         self._peer_server.start()
         self._membership.start(self._seeds)
 
@@ -134,6 +170,7 @@
     def close(self) -> None:
         """Stop membership and close the peer port."""
         self._peer_server.close()
+        self.tunnel_relay.close()
         self._membership.close()
 
     def _relay_addresses(self) -> list[str]:
--- a/guavadyke/peer/messages.thrift
+++ b/guavadyke/peer/messages.thrift
@@ -190,6 +190,12 @@
   3: i32 wait_ms,
 }
 
+/** Asks for a connection to a backend server; after an answer without error
+ * the connection carries its bytes. */
+struct TunnelCall {
+  1: string address,
+}
+
 /** A change of an object; without its state it was deleted. */
 struct ObjectEvent {
   1: string name,
@@ -223,6 +229,7 @@
   7: optional FleetQuery fleet_query,
   8: optional PlatformCall platform_call,
   9: optional WatchQuery watch_query,
+  10: optional TunnelCall tunnel_call,
 }
 
 struct Reply {
