Rely on the only known version of a service only if it is confirmed now

Callers saw: nothing here yet; other operators report streams that went on at another software version at a host that had been out of step. Cause: a host that no other host answered took the one version that it had listed for the only one, as long as its last list had not failed. It may be seconds behind while it is cut off from the others. Evidence: on the condition before, a stream of v2 was taken for one of v1 at a host that had not learned of v2. Fix: where no other host confirms it, one list from the platform has to; without an answer the stream is refused, as where the platform cannot be reached.

--- a/features/builders_forward.py
+++ b/features/builders_forward.py
@@ -275,7 +275,7 @@
         HostLocation('host-1', ZONE),
         SnapshotCell(FleetSnapshot()),
         SilentMessenger(),
-        lambda: True,
+        lambda _service, _software: True,
         ManualClock(),
         EventLogger(),
     )
--- a/features/builders_origin_fleet.py
+++ b/features/builders_origin_fleet.py
@@ -4,6 +4,7 @@
 
 import collections
 import contextlib
+import functools
 from collections.abc import Callable, Collection, Iterable, Sequence
 
 from features import builders_forward as build
@@ -64,6 +65,7 @@
         self.platform = MemoryPlatform()
         self.silent: set[str] = set()
         self.cut_off: set[str] = set()
+        self.out_of_step: set[str] = set()
         self.told: dict[str, set[str]] = collections.defaultdict(set)
         self.names = [f'host-{number}' for number in range(size)]
         self.origins: dict[str, StreamOrigins] = {}
@@ -93,8 +95,9 @@
             )
             for version in versions
         )
-        for origins in self.origins.values():
-            origins.servers_listed(self.servers)
+        for name, origins in self.origins.items():
+            if name not in self.out_of_step:
+                origins.servers_listed(self.servers)
 
     def restart_all(self) -> None:
         """Start all hosts anew, which forget what they knew."""
@@ -139,6 +142,10 @@
         """Return where a stream began, as a host learns it."""
         return self.origins[host_id].find(build.SERVICE, stream_id)
 
+    def _serves_alone(self, name: str, _service: str, software: str) -> bool:
+        listed = {server.software for server in self.servers}
+        return name not in self.cut_off and listed == {software}
+
     def _start(self, name: str) -> None:
         fleet = SnapshotCell(
             FleetSnapshot(
@@ -151,7 +158,7 @@
             HostLocation(name, _zone(name)),
             fleet,
             OriginMessenger(self, name),
-            lambda: name not in self.cut_off,
+            functools.partial(self._serves_alone, name),
             self.clock,
             EventLogger(),
         )
--- a/features/forward_origins.feature
+++ b/features/forward_origins.feature
@@ -88,6 +88,21 @@
     And the last host is cut off
     Then no stream of another host is found at the last host
 
+  Scenario: a host that is out of step relies on no single version
+    Given 20 hosts with servers of the versions "v1"
+    When 16 seconds pass for all hosts
+    And the last host falls out of step with the platform and the others
+    And the servers are those of "v1,v2"
+    And 30 streams begin at the first 18 hosts
+    Then no stream of another host is found at the last host
+
+  Scenario: a host that reaches only the platform takes up streams of one version
+    Given 20 hosts with servers of the versions "v1"
+    When 16 seconds pass for all hosts
+    And 30 streams begin at the first 18 hosts
+    And the last host falls out of step with the platform and the others
+    Then every stream of another host is found at the last host
+
   Scenario: a host that does not answer holds a stream up only for a moment
     Given 3 hosts on the wall clock with servers of the versions "v1,v2"
     When the other hosts fall silent
--- a/features/steps/forward_origins_steps.py
+++ b/features/steps/forward_origins_steps.py
@@ -110,6 +110,13 @@
     context.streams.origins[last]._clock = _RunningClock(context.streams.clock)
 
 
+@when('the last host falls out of step with the platform and the others')
+def step_out_of_step(context: Context) -> None:
+    step_cut_off(context)
+    context.streams.out_of_step = context.streams.cut_off
+    context.streams.cut_off = set()
+
+
 @when('the other hosts fall silent')
 def step_silent(context: Context) -> None:
     context.streams.silent = set(context.streams.names[1:])
@@ -197,6 +204,13 @@
     assert not found.known, found
 
 
+@then('every stream of another host is found at the last host')
+def step_found_last(context: Context) -> None:
+    last = context.streams.names[-1]
+    first = context.streams.begun[0]
+    assert context.streams.find(last, first.stream_id) == first
+
+
 @then('each stream was told to at most {hosts:d} hosts')
 def step_told(context: Context, hosts: int) -> None:
     told = map(len, context.streams.told.values())
--- a/guavadyke/controllers/mirror.py
+++ b/guavadyke/controllers/mirror.py
@@ -14,8 +14,10 @@
     StoredObject,
     WatchAnswer,
 )
+from guavadyke.decisions.watch_sharing import watch_times
 from guavadyke.errors import GuavadykeError
 from guavadyke.log import EventLogger
+from guavadyke.settings import PlatformSettings
 
 # Backoff while the platform cannot be watched. It is short because entries
 # that expired or changed meanwhile have to be known soon after the outage,
@@ -27,6 +29,9 @@
 _MAX_DOUBLINGS = 8
 # Time that a step may take beyond the wait of its watch before it is logged.
 _SLOW_STEP_S = 0.5
+# A server writes its entry three times in the time in which it expires, and
+# may have written it just after the platform was lost.
+_EXPIRY_SHARE = 2 / 3
 
 
 class WatchableStore(Protocol):
@@ -99,6 +104,15 @@
     outage_s: float = 0
 
 
+def urgent_mirror(kind: str, settings: PlatformSettings) -> MirrorSettings:
+    """Return how to mirror a kind whose changes must be learned in time."""
+    return MirrorSettings(
+        kind,
+        watch_times(settings.freshness_s).wait_s,
+        outage_s=_EXPIRY_SHARE * settings.entry_expiry_s,
+    )
+
+
 class Mirror:
     """Keeps a sink in sync with the platform, in a thread of its own.
 
--- a/guavadyke/controllers/stream_origins.py
+++ b/guavadyke/controllers/stream_origins.py
@@ -35,7 +35,8 @@
         here: the id and the zone of this host.
         fleet: the other hosts.
         messenger: carries origins and questions.
-        connected: whether this host knows which servers are listed.
+        serves_alone: whether the platform lists no other version of a
+            service than the given one now.
         clock: a monotonic clock.
         logger: logs streams that cannot go on.
     """
@@ -45,14 +46,14 @@
         here: HostLocation,
         fleet: SnapshotCell[FleetSnapshot],
         messenger: PeerMessenger,
-        connected: Callable[[], bool],
+        serves_alone: Callable[[str, str], bool],
         clock: Clock,
         logger: EventLogger,
     ) -> None:
         self._here = here
         self._fleet = fleet
         self._messenger = messenger
-        self._connected = connected
+        self._serves_alone = serves_alone
         self._clock = clock
         self._logger = logger
         self._changed = threading.Condition()
@@ -172,7 +173,8 @@
                 origin = self._known.find(stream_id)
         if origin.known:
             return origin
-        if only is not None and (denied or self._connected()):
+        # What no other host confirms may be out of date at this host.
+        if only is not None and (denied or self._serves_alone(service, only)):
             return StreamOrigin(stream_id, service, only)
         self._logger.info(
             'stream_origin_unknown',
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -31,6 +31,7 @@
     MirrorSettings,
     MirrorSink,
     WatchableStore,
+    urgent_mirror,
 )
 from guavadyke.controllers.retirement_controller import (
     RetirementController,
@@ -43,9 +44,9 @@
     ServerPool,
     tell_each,
 )
+from guavadyke.controllers.version_check import VersionCheck
 from guavadyke.decisions.forward_routes import RouteTable
 from guavadyke.decisions.slot import HostLocation
-from guavadyke.decisions.watch_sharing import watch_times
 from guavadyke.filters.caller_watch import CallerWatch
 from guavadyke.filters.forward_attempt import ForwardTools
 from guavadyke.forward_job_documents import JOB_KIND, PROGRESS_KIND
@@ -59,9 +60,6 @@
 
 _ALIVE_STATE = 'alive'
 _REASSIGNMENT_S = 1.0
-# A server writes its entry three times in the time in which it expires, and
-# may have written it just after the platform was lost.
-_EXPIRY_SHARE = 2 / 3
 # Collects changes of several jobs in one watch; jobs are due much later.
 _JOB_WATCH_DELAY_S = 0.3
 
@@ -135,7 +133,7 @@
             store,
             self.fleet,
             self._peers.messenger,
-            self.connected,
+            VersionCheck(store, ports.server_kind, ports.decode_server, logger),
             self.clock,
             logger,
         )
@@ -327,14 +325,8 @@
             peers,
             self._retirements,
         )
-        # Changes of these have to be learned in time.
-        urgent_s = watch_times(self.settings.platform.freshness_s).wait_s
-        servers = MirrorSettings(
-            ports.server_kind,
-            urgent_s,
-            outage_s=_EXPIRY_SHARE * self.settings.platform.entry_expiry_s,
-        )
-        table = MirrorSettings(ports.table_kind, urgent_s)
+        servers = urgent_mirror(ports.server_kind, self.settings.platform)
+        table = urgent_mirror(ports.table_kind, self.settings.platform)
         learned = [
             self._create_mirror(part.mirror_settings, jobs, part.sink)
             for part in self._learning.mirrored
--- a/guavadyke/forward_learning.py
+++ b/guavadyke/forward_learning.py
@@ -22,7 +22,8 @@
         store: the platform.
         fleet: the other hosts.
         messenger: carries notices to them.
-        connected: whether this host knows which servers are listed.
+        serves_alone: whether the platform lists no other version of a
+            service than the given one now.
         clock: the host's clock.
         logger: logs what is learned.
     """
@@ -33,7 +34,7 @@
         store: WriteConfirmingStore,
         fleet: SnapshotCell[FleetSnapshot],
         messenger: PeerMessenger,
-        connected: Callable[[], bool],
+        serves_alone: Callable[[str, str], bool],
         clock: Clock,
         logger: EventLogger,
     ) -> None:
@@ -42,7 +43,7 @@
             settings, store, fleet, messenger, clock, logger
         )
         self.streams = ForwardStreams(
-            settings, store, fleet, messenger, connected, clock, logger
+            settings, store, fleet, messenger, serves_alone, clock, logger
         )
 
     @property
--- a/guavadyke/forward_streams.py
+++ b/guavadyke/forward_streams.py
@@ -24,7 +24,8 @@
         store: the platform.
         fleet: the other hosts.
         messenger: carries origins and questions.
-        connected: whether this host knows which servers are listed.
+        serves_alone: whether the platform lists no other version of a
+            service than the given one now.
         clock: the host's clock.
         logger: logs streams that cannot go on.
     """
@@ -35,13 +36,13 @@
         store: WriteConfirmingStore,
         fleet: SnapshotCell[FleetSnapshot],
         messenger: PeerMessenger,
-        connected: Callable[[], bool],
+        serves_alone: Callable[[str, str], bool],
         clock: Clock,
         logger: EventLogger,
     ) -> None:
         here = HostLocation(settings.host_id, settings.zone)
         self.origins = StreamOrigins(
-            here, fleet, messenger, connected, clock, logger
+            here, fleet, messenger, serves_alone, clock, logger
         )
         self._writer = StreamOriginWriter(
             settings.host_id, self.origins, store, fleet, clock, logger
