Let a stream go on only with a numbered event

Callers saw: nothing here yet; other operators report error texts, at times whole heads, in the middle of streams. Cause: a block without an id was passed on wherever it came. When a stream broke off and the next server answered 200 with the text of an error, the text went to the caller as an event and the stream ended as complete; an item was completed. Fix: after a resumption the first block that is no comment has to be the next numbered event; anything else is a broken answer, after which the stream goes on elsewhere or ends visibly.

--- a/features/builders_framed_server.py
+++ b/features/builders_framed_server.py
@@ -16,6 +16,7 @@
 _MAX_REQUEST_BYTES = 65_536
 _TAKEN_S = 0.2
 _NO_LINGER = struct.pack('ii', 1, 0)
+ODD_TEXT = b'the engine has failed'
 _HEAD = (
     b'HTTP/1.1 200 OK\r\n'
     b'Content-Type: text/event-stream\r\n'
@@ -38,6 +39,22 @@
     return b'%bConnection: close\r\n\r\n%b' % (_HEAD, body)
 
 
+def odd_answer(odd: str) -> bytes:
+    """Return an answer that does not go on with a stream."""
+    if odd.startswith('status 200 and a text'):
+        end = b'\n\n' if odd.endswith('block') else b''
+        return answer_bytes('with a length', ODD_TEXT + end)
+    inner = b'HTTP/1.1 503 Unavailable\r\nX: y\r\n\r\n%b' % ODD_TEXT
+    if odd == 'a head within a body':
+        return answer_bytes('with a length', inner)
+    status = odd.split()[1].encode()
+    return b'HTTP/1.1 %b Error\r\nContent-Length: %d\r\n\r\n%b' % (
+        status,
+        len(ODD_TEXT),
+        ODD_TEXT,
+    )
+
+
 class FramedServer:
     """Sends one given answer on each connection, then ends it.
 
--- a/features/forward_answer_ends.feature
+++ b/features/forward_answer_ends.feature
@@ -58,3 +58,25 @@
     Given a streamed route and a server that answers with neither a length nor chunks
     When an item is run at it
     Then the run is completed
+
+  Scenario Outline: <odd> from the next server is no part of a stream that has begun
+    Given a resumable stream route and a server whose stream in chunks ends inside its last event
+    And another server that answers with <odd>
+    When a request is sent to it
+    Then the answer breaks off
+    And the caller has got the events before it and nothing else
+
+    Examples:
+      | odd                           |
+      | status 404 and a text         |
+      | status 500 and a text         |
+      | status 503 and a text         |
+      | status 200 and a text         |
+      | status 200 and a text block   |
+      | a head within a body          |
+
+  Scenario: an item whose next server answers with an error does not get its text
+    Given a streamed route and a server whose stream in chunks ends inside its last event
+    And another server that answers with status 200 and a text block
+    When an item is run at one after the other
+    Then no run has the text
--- a/features/steps/forward_answer_ends_steps.py
+++ b/features/steps/forward_answer_ends_steps.py
@@ -50,18 +50,45 @@
     _add_servers(context, kind, framed.FramedServer('s1', [answer]))
 
 
-@given(
-    'another server that answers with neither a length nor chunks from there on'
-)
-def step_other(context: Context) -> None:
-    answer = framed.answer_bytes(_UNFRAMED, build.stream(build.EVENTS))
-    other = framed.FramedServer('s2', [answer])
-    context.add_cleanup(other.close)
-    # The first server is preferred, as it is in the host's zone.
-    remote = dataclasses.replace(other.listed, zone=build.OTHER_ZONE)
+@given('another server that answers with {odd}')
+def step_other_odd(context: Context, odd: str) -> None:
+    if odd == 'neither a length nor chunks from there on':
+        _add_plain_server(context)
+        return
+    context.odd_server = framed.FramedServer('s2', [framed.odd_answer(odd)])
+    context.add_cleanup(context.odd_server.close)
+    remote = dataclasses.replace(
+        context.odd_server.listed, zone=build.OTHER_ZONE
+    )
     context.pool.put(build.server_object(remote, version=2))
 
 
+@when('an item is run at one after the other')
+def step_item_twice(context: Context) -> None:
+    step_item(context)
+    first = context.outcome
+    run = ItemRun(
+        build.job(),
+        build.item(0),
+        ServerLease(context.odd_server.listed, batch=True, taken_at=build.NOW),
+        first.partial,
+        build.item_run_tools(context.pool),
+    )
+    context.outcome = run.perform(HttpBackendServers(), ForwardSettings())
+
+
+@then('no run has the text')
+def step_no_text(context: Context) -> None:
+    assert context.outcome.end is RunEnd.broken, context.outcome
+    pieces = b''.join(context.outcome.partial.pieces)
+    assert framed.ODD_TEXT not in pieces, pieces
+
+
+@then('the caller has got the events before it and nothing else')
+def step_only_events(context: Context) -> None:
+    assert context.body == build.stream(last=build.EVENTS - 1), context.body
+
+
 def _add_servers(
     context: Context, kind: str, server: framed.FramedServer
 ) -> None:
@@ -125,3 +152,12 @@
 def step_broken(context: Context) -> None:
     assert context.outcome.end is RunEnd.broken, context.outcome
     assert context.outcome.partial.last_id == build.EVENTS - 1
+
+
+def _add_plain_server(context: Context) -> None:
+    answer = framed.answer_bytes(_UNFRAMED, build.stream(build.EVENTS))
+    other = framed.FramedServer('s2', [answer])
+    context.add_cleanup(other.close)
+    # The first server is preferred, as it is in the host's zone.
+    remote = dataclasses.replace(other.listed, zone=build.OTHER_ZONE)
+    context.pool.put(build.server_object(remote, version=2))
--- a/guavadyke/decisions/server_sent_events.py
+++ b/guavadyke/decisions/server_sent_events.py
@@ -8,6 +8,7 @@
 _FIELD_ID = b'id'
 _FIELD_DATA = b'data'
 # Bytes without the end of an event beyond this are no event.
+_MAX_SHOWN_BYTES = 40
 _MAX_EVENT_BYTES = 1_048_576
 _SEPARATORS = (b'\n\n', b'\r\n\r\n')
 
@@ -28,16 +29,27 @@
     event_id: int | None
     data: bytes
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it has no fields, as the blocks that keep a stream open."""
+        return all(
+            not line or line.startswith(b':') for line in self.raw.splitlines()
+        )
+
 
 class EventParser:
     """Splits a byte stream into events and checks that ids rise by 1.
 
+    A stream that goes on has to do so with a numbered event; anything else is
+    not part of it, such as the text of an error.
+
     Args:
         last_id: id of the last event already received; 0 for none.
     """
 
     def __init__(self, last_id: int = 0) -> None:
         self._last_id = last_id
+        self._goes_on = last_id > 0
         self._buffer = b''
 
     @property
@@ -57,7 +69,8 @@
             piece: the next bytes of the stream.
 
         Raises:
-            EventOrderError: an event is missing, repeated or too large.
+            EventOrderError: an event is missing, repeated or too large, or
+                the stream goes on with something else.
         """
         self._buffer += piece
         while True:
@@ -75,7 +88,13 @@
 
     def _check(self, event: StreamEvent) -> None:
         if event.event_id is None:
+            if self._goes_on and not event.is_comment:
+                raise EventOrderError(
+                    f'no event follows event {self._last_id}, but '
+                    f'{event.raw[:_MAX_SHOWN_BYTES]!r}',
+                )
             return
+        self._goes_on = False
         if event.event_id != self._last_id + 1:
             raise EventOrderError(
                 f'event {event.event_id} follows event {self._last_id}',
