--- a/guavadyke/adapters/connection_pool.py
+++ b/guavadyke/adapters/connection_pool.py
@@ -17,8 +17,8 @@
 _MAX_HEADS = 8
 _BLOCK_BYTES = 65_536
 # A peer can vanish without closing its connections. TCP keepalive detects
-# this within about two seconds, the time in which a leaving server has to be
-# noticed.
+# this after three seconds: TCP_USER_TIMEOUT, not the number of probes, decides
+# when they give up. It notices no peer that acknowledges and does not answer.
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 1
