Shorten the timeout of platform calls again after an answered watch

Cause: found on reading. Timeouts that had doubled in an outage were reset by reads alone; a watch adds this timeout to its wait, so that a host without reads would notice the next silence after 2 s instead of 1.4 s. Change: an answered watch counts as an answered call, with what it took beyond its wait.

--- a/guavadyke/adapters/platform_calls.py
+++ b/guavadyke/adapters/platform_calls.py
@@ -170,6 +170,7 @@
             watch_times(self._settings.freshness_s).margin_s,
             self._adaptive_timeout.timeout_s,
         )
+        sent_at = time.monotonic()
         try:
             reply = self._send_and_receive(connection, call, wait_s + margin_s)
         except ConnectionError:
@@ -180,6 +181,8 @@
             raise PlatformUnavailableError(
                 f'{call.path} could not be watched: {error!r}',
             ) from error
+        late_s = time.monotonic() - sent_at - wait_s
+        self._adaptive_timeout.answered(max(0, late_s))
         if connection.is_connected:
             self._pool.release(self._settings.url, connection)
         return reply
