Try the next host where the options of a tunnel cannot be set

Cause: found on reading. A peer that resets a connection at once can make the system refuse socket options; the error would have ended the request. Change: it counts as a host that does not help, with a log line.

--- a/guavadyke/adapters/peer_tunnels.py
+++ b/guavadyke/adapters/peer_tunnels.py
@@ -100,7 +100,8 @@
             return None
         try:
             reply = self._ask(tunnel, server_address)
-        except calls.PeerAnswerLostError:
+        except (OSError, calls.PeerAnswerLostError) as error:
+            self._logger.info('tunnel_not_opened', peer=peer, reason=error)
             tunnel.close()
             return None
         if reply.error is not None:
