Ask few hosts for a way to a server that may itself have failed

A request at an engine that had gone dark waited for five hosts to try it in vain, 0.53 s before the next engine was tried; 0.1 s before there were tunnels. Change: unless the link is known to be cut, no further host is asked once 80 ms have passed, so that one of them tries it. A server that refuses still costs milliseconds.

--- a/features/builders_stranded.py
+++ b/features/builders_stranded.py
@@ -6,6 +6,7 @@
 import functools
 import random
 import socket
+import time
 from collections.abc import Callable
 
 from urllib3.connection import HTTPConnection
@@ -94,6 +95,11 @@
         for relay in self.relays:
             relay.servers_listed((server,) if listed else ())
 
+    def darken_engine(self) -> None:
+        """Have the other hosts wait for connections to the engine in vain."""
+        for relay in self.relays:
+            relay.connect = _wait_in_vain
+
     def call(self, request_id: str) -> BackendCall:
         """Return a request to the engine."""
         return BackendCall(
@@ -140,6 +146,10 @@
         return _SilentConnection('127.0.0.1', timeout=timeout_s)
 
 
+def _wait_in_vain(_call: object) -> None:
+    time.sleep(_CONNECT_TIMEOUT_S)
+
+
 class _SilentConnection(HTTPConnection):
     """A connection over a link that drops every packet."""
 
--- a/features/forward_stranded.feature
+++ b/features/forward_stranded.feature
@@ -52,3 +52,11 @@
     Given no link that is known to be cut
     Then one silent server leaves kept connections in use
     And a second one within 2 seconds does not
+
+  Scenario: a server that nobody reaches costs its callers little
+    Given a host with 8 other hosts, the first 0 cut off as well
+    When its connections to engines are silent
+    And no other host gets an answer from the engine either
+    And it forwards 1 requests
+    Then it fails as not reached and not run
+    And no request took longer than 0.4 second
--- a/features/steps/forward_stranded_steps.py
+++ b/features/steps/forward_stranded_steps.py
@@ -36,6 +36,11 @@
     context.host.list_engine(listed=False)
 
 
+@when('no other host gets an answer from the engine either')
+def step_dark(context: Context) -> None:
+    context.host.darken_engine()
+
+
 @when('the engine resets its connection within an answer')
 def step_resets(context: Context) -> None:
     context.host.engine.resets = True
--- a/guavadyke/adapters/backend.py
+++ b/guavadyke/adapters/backend.py
@@ -12,8 +12,9 @@
 import socket
 import threading
 import time
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from http import client
+from typing import Protocol
 
 import pydantic
 from urllib3.connection import HTTPConnection
@@ -90,6 +91,21 @@
         return ''
 
 
+class OpenThroughPeer(Protocol):
+    """Opens connections to servers through other hosts."""
+
+    def __call__(
+        self, server_address: str, *, known_cut: bool
+    ) -> socket.socket | None:
+        """Return a connection to an IP:PORT, None if no host reaches it.
+
+        Args:
+            server_address: address of the server.
+            known_cut: whether the link rather than the server has failed.
+        """
+        ...
+
+
 class HttpBackendServers:
     """Implements ``BackendServers`` over HTTP.
 
@@ -113,7 +129,7 @@
         self._dialect = dialect or BackendDialect()
         self._ways = ServerWays()
         self._lock = threading.Lock()
-        self.open_through_peer: Callable[[str], socket.socket | None] = _no_way
+        self.open_through_peer: OpenThroughPeer = _no_way
 
     def is_cut(self, address: str) -> bool:
         """Return whether this host's own link to a server seems cut."""
@@ -225,7 +241,9 @@
         return connection
 
     def _connect_through_peer(self, call: BackendCall) -> HTTPConnection | None:
-        opened = self.open_through_peer(call.address)
+        opened = self.open_through_peer(
+            call.address, known_cut=self.is_cut(call.address)
+        )
         if opened is None:
             return None
         with self._lock:
@@ -383,7 +401,7 @@
     return isinstance(connection, TunnelledConnection)
 
 
-def _no_way(_address: str) -> None:
+def _no_way(server_address: str, *, known_cut: bool) -> None:
     """Reach no server before there are other hosts."""
 
 
--- a/guavadyke/adapters/peer_tunnels.py
+++ b/guavadyke/adapters/peer_tunnels.py
@@ -26,7 +26,10 @@
 
 _MAX_TUNNELS = 256
 _MAX_PIECE_BYTES = 65_536
-_CONNECT_TIMEOUT_S = 0.15
+_CONNECT_TIMEOUT_S = 0.1
+# After this time no further host is asked unless the link is known to be cut:
+# a server that nobody reaches should cost its callers little.
+_FIRST_DOUBT_S = 0.08
 _ANSWER_TIMEOUT_S = 0.4
 _SELECT_TIMEOUT_S = 0.5
 _MAX_PEERS = 5
@@ -65,9 +68,20 @@
         self._helper = ''
         self._failed_at: dict[str, float] = {}
 
-    def open(self, server_address: str) -> socket.socket | None:
-        """Return a connection to a server, None if no host reaches it."""
+    def open(
+        self, server_address: str, *, known_cut: bool
+    ) -> socket.socket | None:
+        """Return a connection to a server, None if no host reaches it.
+
+        Args:
+            server_address: IP:PORT of the server.
+            known_cut: whether the link rather than the server has failed.
+        """
+        began_at = time.monotonic()
         for peer in self._candidates()[:_MAX_PEERS]:
+            doubted_s = time.monotonic() - began_at
+            if doubted_s > _FIRST_DOUBT_S and not known_cut:
+                break
             tunnel = self._open_through(peer, server_address)
             if tunnel is not None:
                 self._log_helper(peer)
--- a/guavadyke/forward_peers.py
+++ b/guavadyke/forward_peers.py
@@ -4,11 +4,10 @@
 
 import collections
 import random
-import socket
-from collections.abc import Callable
 from typing import Protocol
 
 from guavadyke.adapters import peer_calls as calls
+from guavadyke.adapters.backend import OpenThroughPeer
 from guavadyke.adapters.peer_port import PeerPort
 from guavadyke.adapters.peer_rpc import (
     PeerChannels,
@@ -44,11 +43,10 @@
 class RoutedBackendServers(BackendServers, Protocol):
     """Client that reaches servers through other hosts where it has to.
 
-    ``open_through_peer`` returns a connection to a server at an IP:PORT, None
-    if no other host reaches it.
+    ``open_through_peer`` opens connections to servers through other hosts.
     """
 
-    open_through_peer: Callable[[str], socket.socket | None]
+    open_through_peer: OpenThroughPeer
 
     def is_cut(self, address: str) -> bool:
         """Return whether this host's own link to a server seems cut."""
