--- a/features/forward_origins.feature
+++ b/features/forward_origins.feature
@@ -133,3 +133,13 @@
   Scenario: origins and questions pass between hosts unchanged
     When a notice with a known and an unknown origin and a question is sent
     Then it arrives as it was
+
+  Scenario Outline: only the platform's own list confirms that a version serves alone
+    Given a platform with servers of "<versions>" that <answers>
+    Then it is <confirmed> that "v1" serves alone
+
+    Examples:
+      | versions | answers         | confirmed     |
+      | v1       | answers         | confirmed     |
+      | v1,v2    | answers         | not confirmed |
+      | v1       | does not answer | not confirmed |
--- a/features/steps/forward_origins_steps.py
+++ b/features/steps/forward_origins_steps.py
@@ -10,6 +10,7 @@
 
 from features import builders_forward as build
 from features import builders_origin_fleet as fleets
+from features.builders_batch_platform import MemoryPlatform, MemoryStore
 from guavadyke.adapters.clock import SystemClock
 from guavadyke.adapters.peer_datagram_codec import (
     PeerDatagram,
@@ -17,8 +18,11 @@
     encode_datagram,
 )
 from guavadyke.adapters.ports import PeerNotice
+from guavadyke.controllers.version_check import VersionCheck
 from guavadyke.decisions.object_versions import CatalogueMark
+from guavadyke.decisions.server_registry import ListedServer
 from guavadyke.decisions.stream_origins import StreamOrigin
+from guavadyke.log import EventLogger
 from guavadyke.stream_origin_documents import HOST_PREFIX, ORIGIN_KIND
 
 _STEP_S = 0.1
@@ -255,3 +259,25 @@
 
     def monotonic(self) -> float:
         return time.monotonic() + self._behind_s
+
+
+@given('a platform with servers of "{versions}" that {answers}')
+def step_platform(context: Context, versions: str, answers: str) -> None:
+    platform = MemoryPlatform()
+    link = MemoryStore(platform)
+    link.faults.cut = answers == 'does not answer'
+    for version in versions.split(','):
+        server = ListedServer(
+            f's-{version}', build.SERVICE, '', '', 8, software=version
+        )
+        with platform.changed:
+            platform.put('servers', server.server_id, build.server_body(server))
+    context.check = VersionCheck(
+        build.settled(link), 'servers', build.decode_server, EventLogger()
+    )
+
+
+@then('it is {confirmed} that "{version}" serves alone')
+def step_alone(context: Context, confirmed: str, version: str) -> None:
+    alone = context.check(build.SERVICE, version)
+    assert alone == (confirmed == 'confirmed'), alone
