Say how a process stands when a test fleet does not start

The log of the process was lost with its folder, so that a port in use, a crash and a slow start looked alike.

Change: the three waits of ProcessFleet name the process, its exit status and the end of its log.

--- a/features/builders_processes.py
+++ b/features/builders_processes.py
@@ -34,6 +34,7 @@
 _STOP_TIMEOUT_S = 60.0
 _POLL_INTERVAL_S = 0.05
 _HTTP_OK = 200
+_LOG_END_CHARACTERS = 2000
 _KEY = 'caller-key'
 _TOKEN = 'operator-token'
 
@@ -83,6 +84,12 @@
         """Return the path of a file in the folder."""
         return Path(self._folder.name) / name
 
+    def state(self, name: str) -> str:
+        """Return how a process stands and the end of its log."""
+        status = self._processes[name].poll()
+        log = self.path(f'{name}.log').read_text(encoding='utf-8')
+        return f'{name}: exit status {status}; {log[-_LOG_END_CHARACTERS:]}'
+
     def kill(self, name: str) -> None:
         """Kill a process with SIGKILL."""
         self._processes[name].kill()
@@ -143,9 +150,11 @@
                 self._start_standin(f'{zone}-engine-{number}', 'engine')
         for host_id in self.hosts:
             self.start_host(host_id)
-        for ports in self.hosts.values():
+        for host_id, ports in self.hosts.items():
             listening = functools.partial(_accepts_connections, ports.operator)
-            assert wait_until(listening, _START_TIMEOUT_S)
+            assert wait_until(listening, _START_TIMEOUT_S), (
+                self.processes.state(host_id)
+            )
         self._write_catalogue()
 
     def close(self) -> None:
@@ -204,7 +213,7 @@
         self.processes.start(name, 'standin', kind, '--port', str(port))
         assert wait_until(
             lambda: _accepts_connections(port), _START_TIMEOUT_S
-        ), name
+        ), self.processes.state(name)
 
     def _write_catalogue(self) -> None:
         operator = self.operator(next(iter(self.hosts)))
@@ -220,7 +229,7 @@
             assert wait_until(
                 functools.partial(self._has_catalogue, host_id, names),
                 _START_TIMEOUT_S,
-            ), host_id
+            ), self.processes.state(host_id)
 
     def _has_catalogue(self, host_id: str, names: set[str]) -> bool:
         answer = self.operator(host_id).expect('GET', '/operator/catalogue')
