Give out each port of a test fleet once

Cause: free_port chose among 22,000 ports at random each time. ProcessFleet chooses twelve ports for its hosts before any of them listens, then a port for each of six stand-ins: one such fleet in about 150 has a port twice, and its host ends with address_in_use.

Change: a process gives out each port once.

--- a/features/path_demo.feature
+++ b/features/path_demo.feature
@@ -14,6 +14,10 @@
     When the daemon is started with them as a process
     Then it ends with exit code 2 and names "address_in_use"
 
+  Scenario: two processes of a test fleet never get the same port
+    When 600 free ports are chosen before one of them is used
+    Then no port is chosen twice
+
   Scenario: a watch is not subject to the timeout of other calls
     Given a platform stand-in and calls that may take 0.2 seconds
     When an object is watched for 0.6 seconds without a change
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -1,5 +1,6 @@
 """Steps of path_demo.feature."""
 
+import collections
 import contextlib
 import functools
 import json
@@ -20,6 +21,7 @@
 from guavadyke.adapters.platform_rate_limit import RateLimitedStore
 from guavadyke.client import Client
 from guavadyke.demo import run_demo
+from guavadyke.embedded_fleet import free_port
 from guavadyke.entry_host import EntryHost
 from guavadyke.settings import EntrySettings, PlatformSettings
 from guavadyke.standins.faults import PlatformFaults
@@ -56,6 +58,17 @@
     context.document = document
 
 
+@when('{count:d} free ports are chosen before one of them is used')
+def step_ports(context: Context, count: int) -> None:
+    context.ports = [free_port() for _ in range(count)]
+
+
+@then('no port is chosen twice')
+def step_ports_differ(context: Context) -> None:
+    counts = collections.Counter(context.ports)
+    assert max(counts.values()) == 1, counts.most_common(3)
+
+
 @when('the daemon is started with them as a process')
 def step_daemon(context: Context) -> None:
     with contextlib.ExitStack() as stack:
--- a/guavadyke/embedded_fleet.py
+++ b/guavadyke/embedded_fleet.py
@@ -31,6 +31,11 @@
 _FLEET_KEY_VARIABLE = 'GUAVADYKE_EMBEDDED_FLEET_KEY'
 _FLEET_KEY = 'embedded-fleet-key'
 _NON_EPHEMERAL_PORTS = range(10_000, 32_000)
+_unused_ports = iter(
+    random.SystemRandom().sample(
+        _NON_EPHEMERAL_PORTS, len(_NON_EPHEMERAL_PORTS)
+    )
+)
 _IN_FORCE_TIMEOUT_S = 30.0
 _POLL_INTERVAL_S = 0.02
 
@@ -59,20 +64,19 @@
     """Return a port on loopback that is free for TCP and UDP.
 
     It is below the system's ephemeral ports, so that no outgoing connection
-    can occupy it before the caller listens on it.
+    can occupy it before the caller listens on it. No port is returned twice
+    in a process.
 
     Raises:
-        OSError: no port is free.
+        OSError: no port is left.
     """
-    for port in random.SystemRandom().sample(
-        _NON_EPHEMERAL_PORTS, len(_NON_EPHEMERAL_PORTS)
-    ):
+    for port in _unused_ports:
         if _is_free(port, socket.SOCK_STREAM) and _is_free(
             port,
             socket.SOCK_DGRAM,
         ):
             return port
-    raise OSError('no port is free')
+    raise OSError('no port is left')
 
 
 def _is_free(port: int, kind: socket.SocketKind) -> bool:
