Let a failed server block no way to the others through peers

What callers saw: a host whose links are cut found no other host for up to two seconds after one of its requests had met a server that has really failed, and answered that nothing was reached.

Cause: PeerTunnels remembered which host had not reached a server, and passed it over for all servers.

Change: the memory is kept by host and server; a host that itself is not reached is passed over for all. Old entries are dropped, under a lock.

--- a/features/builders_stranded.py
+++ b/features/builders_stranded.py
@@ -28,6 +28,8 @@
 from guavadyke.settings import ListenSettings
 from guavadyke.snapshots import FleetSnapshot, PeerView, SnapshotCell
 
+# No server listens there.
+FAILED_ADDRESS = f'{users.LOOPBACK}:1'
 _ZONE = 'south-a'
 _TIMEOUT_S = 2.0
 _CONNECT_TIMEOUT_S = 0.1
@@ -91,20 +93,27 @@
 
     def list_engine(self, *, listed: bool) -> None:
         """Tell the other hosts whether the engine is listed."""
-        server = ListedServer('i-1', 'llm', self.engine.address, _ZONE, 8)
+        servers = [
+            ListedServer(name, 'llm', address, _ZONE, 8)
+            for name, address in (
+                ('i-1', self.engine.address),
+                ('i-2', FAILED_ADDRESS),
+            )
+            if listed
+        ]
         for relay in self.relays:
-            relay.servers_listed((server,) if listed else ())
+            relay.servers_listed(servers)
 
     def darken_engine(self) -> None:
         """Have the other hosts wait for connections to the engine in vain."""
         for relay in self.relays:
             relay.connect = _wait_in_vain
 
-    def call(self, request_id: str) -> BackendCall:
-        """Return a request to the engine."""
+    def call(self, request_id: str, address: str = '') -> BackendCall:
+        """Return a request to the engine or to another address."""
         return BackendCall(
             request_id=request_id,
-            address=self.engine.address,
+            address=address or self.engine.address,
             method='POST',
             path='/1',
             headers={},
@@ -142,7 +151,7 @@
         if self._link == 'accepted':
             return new_connection(origin, timeout_s)
         if self._link == 'refused':
-            return new_connection('http://127.0.0.1:1', timeout_s)
+            return new_connection(f'http://{FAILED_ADDRESS}', timeout_s)
         return _SilentConnection('127.0.0.1', timeout=timeout_s)
 
 
--- a/features/forward_stranded.feature
+++ b/features/forward_stranded.feature
@@ -19,6 +19,13 @@
     And it forwards 1 requests
     Then it fails as not reached and not run
 
+  Scenario: an engine that has failed uses up no way to the others
+    Given a host with 1 other hosts, the first 0 cut off as well
+    When its connections to engines are refused
+    And it forwards a request to an engine that has failed
+    And it forwards 1 requests
+    Then all 1 requests got the whole answer of the engine
+
   Scenario: a host connects others to listed servers only
     Given a host with 1 other hosts, the first 0 cut off as well
     When its connections to engines are refused
--- a/features/steps/forward_stranded_steps.py
+++ b/features/steps/forward_stranded_steps.py
@@ -8,7 +8,11 @@
 from behave.runner import Context
 
 from features.builders_processes import wait_until
-from features.builders_stranded import Outcome, StrandedHost
+from features.builders_stranded import (
+    FAILED_ADDRESS,
+    Outcome,
+    StrandedHost,
+)
 from guavadyke.adapters.ports import BackendFault, BackendServerError
 from guavadyke.decisions.server_ways import ServerWays
 
@@ -54,6 +58,12 @@
     ]
 
 
+@when('it forwards a request to an engine that has failed')
+def step_failed_engine(context: Context) -> None:
+    outcome = _forward(context.host, 'request-failed', FAILED_ADDRESS)
+    assert outcome.error is not None, outcome
+
+
 @when('a request is cancelled after its first event')
 def step_cancelled(context: Context) -> None:
     context.host.engine.script.events = 200
@@ -115,12 +125,14 @@
     assert not context.ways.fell_silent('10.0.0.3:80', 5.0)
 
 
-def _forward(host: StrandedHost, request_id: str) -> Outcome:
+def _forward(host: StrandedHost, request_id: str, address: str = '') -> Outcome:
     began_at = time.monotonic()
     body = b''
     failure: BackendServerError | None = None
     try:
-        body = b''.join(host.servers.send(host.call(request_id)).chunks())
+        body = b''.join(
+            host.servers.send(host.call(request_id, address)).chunks()
+        )
     except BackendServerError as error:
         failure = error
     return Outcome(body, failure, time.monotonic() - began_at)
--- a/guavadyke/adapters/peer_tunnels.py
+++ b/guavadyke/adapters/peer_tunnels.py
@@ -33,8 +33,9 @@
 _ANSWER_TIMEOUT_S = 0.4
 _SELECT_TIMEOUT_S = 0.5
 _MAX_PEERS = 5
-# A host that did not reach a server is not asked again for this time.
+# A host that did not reach a server is not asked for it again for this time.
 _FAILED_PEER_S = 2.0
+_ANY_SERVER = ''
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
@@ -66,7 +67,8 @@
         self._rng = rng
         self._logger = logger
         self._helper = ''
-        self._failed_at: dict[str, float] = {}
+        self._lock = threading.Lock()
+        self._failed_at: dict[tuple[str, str], float] = {}
 
     def open(
         self, server_address: str, *, known_cut: bool
@@ -78,7 +80,7 @@
             known_cut: whether the link rather than the server has failed.
         """
         began_at = time.monotonic()
-        for peer in self._candidates()[:_MAX_PEERS]:
+        for peer in self._candidates(server_address)[:_MAX_PEERS]:
             doubted_s = time.monotonic() - began_at
             if doubted_s > _FIRST_DOUBT_S and not known_cut:
                 break
@@ -86,16 +88,35 @@
             if tunnel is not None:
                 self._log_helper(peer)
                 return tunnel
-            self._failed_at[peer] = time.monotonic()
+            self._record_failure(peer, server_address)
         self._log_helper('')
         return None
 
-    def _candidates(self) -> list[str]:
+    def _record_failure(self, peer: str, server_address: str) -> None:
+        now = time.monotonic()
+        with self._lock:
+            self._failed_at = {
+                failed: at
+                for failed, at in self._failed_at.items()
+                if at > now - _FAILED_PEER_S
+            }
+            self._failed_at[peer, server_address] = now
+
+    def _failed_peers(self, server_address: str) -> frozenset[str]:
         since = time.monotonic() - _FAILED_PEER_S
+        with self._lock:
+            return frozenset(
+                peer
+                for (peer, server), at in self._failed_at.items()
+                if at > since and server in {server_address, _ANY_SERVER}
+            )
+
+    def _candidates(self, server_address: str) -> list[str]:
+        failed = self._failed_peers(server_address)
         usable = [
             peer
             for peer in self._fleet.current.alive
-            if self._failed_at.get(peer.address, since) <= since
+            if peer.address not in failed
         ]
         near = [peer.address for peer in usable if peer.zone == self._zone]
         far = [peer.address for peer in usable if peer.zone != self._zone]
@@ -111,6 +132,7 @@
         try:
             tunnel = self._client.connect(peer, _CONNECT_TIMEOUT_S)
         except calls.PeerNotReachedError:
+            self._record_failure(peer, _ANY_SERVER)
             return None
         try:
             reply = self._ask(tunnel, server_address)
