Close the connection of a tunnel that cannot be set up

Cause: TunnelRelay.connect set the socket options after its error handling; a server that reset the new connection left the socket open, and the error ended the whole call of the other host. The loop over SOCKET_OPTIONS stood twice.

Change: the connection is closed and the refusal logged; set_socket_options is beside SOCKET_OPTIONS in connection_pool.

--- a/features/builders_stranded.py
+++ b/features/builders_stranded.py
@@ -12,7 +12,7 @@
 from urllib3.connection import HTTPConnection
 
 from features import builders_users_platform as users
-from guavadyke.adapters import backend
+from guavadyke.adapters import backend, peer_tunnels
 from guavadyke.adapters.clock import SuspendAwareClock
 from guavadyke.adapters.connection_pool import new_connection
 from guavadyke.adapters.message_authentication import MessageAuthenticator
@@ -20,7 +20,6 @@
 from guavadyke.adapters.peer_datagrams import RejectedMessageLog
 from guavadyke.adapters.peer_rpc import PeerClient, PeerServer
 from guavadyke.adapters.peer_sockets import TransportFaults, bind_sockets
-from guavadyke.adapters.peer_tunnels import PeerTunnels, TunnelRelay
 from guavadyke.adapters.ports import BackendCall
 from guavadyke.decisions.server_registry import ListedServer
 from guavadyke.log import EventLogger
@@ -62,7 +61,9 @@
         self._authenticator = MessageAuthenticator(b'key of the fleet')
         self._close: list[Callable[[], object]] = [self.engine.close]
         self.relays = [
-            TunnelRelay(functools.partial(_answer, number < cut), EventLogger())
+            peer_tunnels.TunnelRelay(
+                functools.partial(_answer, number < cut), EventLogger()
+            )
             for number in range(helpers)
         ]
         addresses = [self._serve(relay) for relay in self.relays]
@@ -72,7 +73,7 @@
             for number, address in enumerate(addresses)
         )
         self.servers = backend.HttpBackendServers(dialect=EngineDialect())
-        self.servers.open_through_peer = PeerTunnels(
+        self.servers.open_through_peer = peer_tunnels.PeerTunnels(
             PeerClient(
                 self._authenticator, 'stranded', self._clock, TransportFaults()
             ),
@@ -109,6 +110,30 @@
         for relay in self.relays:
             relay.connect = _wait_in_vain
 
+    def break_connections(self) -> list[socket.socket]:
+        """Have connections of other hosts to the engine end at once.
+
+        Returns:
+            A list that grows while such connections are made.
+        """
+        broken: list[socket.socket] = []
+        set_options = peer_tunnels.set_socket_options
+        self._close.append(
+            functools.partial(
+                setattr, peer_tunnels, 'set_socket_options', set_options
+            )
+        )
+
+        def break_connection(opened: socket.socket) -> None:
+            host, port = opened.getpeername()
+            if f'{host}:{port}' == self.engine.address:
+                broken.append(opened)
+                raise ConnectionResetError
+            set_options(opened)
+
+        peer_tunnels.set_socket_options = break_connection
+        return broken
+
     def call(self, request_id: str, address: str = '') -> BackendCall:
         """Return a request to the engine or to another address."""
         return BackendCall(
@@ -129,7 +154,7 @@
         for close in reversed(self._close):
             close()
 
-    def _serve(self, relay: TunnelRelay) -> str:
+    def _serve(self, relay: peer_tunnels.TunnelRelay) -> str:
         sockets = bind_sockets(
             ListenSettings.model_validate({'ip': users.LOOPBACK, 'port': 0})
         )
--- a/features/forward_stranded.feature
+++ b/features/forward_stranded.feature
@@ -26,6 +26,14 @@
     And it forwards 1 requests
     Then all 1 requests got the whole answer of the engine
 
+  Scenario: a connection to an engine that ends at once is closed by the helper
+    Given a host with 1 other hosts, the first 0 cut off as well
+    When its connections to engines are refused
+    And connections of other hosts to the engine end at once
+    And it forwards 1 requests
+    Then it fails as not reached and not run
+    And none of these connections is left open
+
   Scenario: a host connects others to listed servers only
     Given a host with 1 other hosts, the first 0 cut off as well
     When its connections to engines are refused
--- a/features/steps/forward_stranded_steps.py
+++ b/features/steps/forward_stranded_steps.py
@@ -45,6 +45,18 @@
     context.host.darken_engine()
 
 
+@when('connections of other hosts to the engine end at once')
+def step_end_at_once(context: Context) -> None:
+    context.broken = context.host.break_connections()
+
+
+@then('none of these connections is left open')
+def step_none_open(context: Context) -> None:
+    assert context.broken, 'no connection was made'
+    left = [one for one in context.broken if one.fileno() >= 0]
+    assert not left, left
+
+
 @when('the engine resets its connection within an answer')
 def step_resets(context: Context) -> None:
     context.host.engine.resets = True
--- a/guavadyke/adapters/connection_pool.py
+++ b/guavadyke/adapters/connection_pool.py
@@ -33,6 +33,16 @@
 )
 
 
+def set_socket_options(opened: socket.socket) -> None:
+    """Set the options of all connections on an open socket.
+
+    Raises:
+        OSError: the connection has ended.
+    """
+    for option in SOCKET_OPTIONS:
+        opened.setsockopt(*option)
+
+
 class BoundedHeadResponse(client.HTTPResponse):
     """A response that has only a few interim heads before its own.
 
--- a/guavadyke/adapters/peer_tunnels.py
+++ b/guavadyke/adapters/peer_tunnels.py
@@ -17,7 +17,7 @@
 from collections.abc import Callable, Iterable
 
 from guavadyke.adapters import peer_calls as calls
-from guavadyke.adapters.connection_pool import SOCKET_OPTIONS
+from guavadyke.adapters.connection_pool import set_socket_options
 from guavadyke.adapters.peer_rpc import PeerClient
 from guavadyke.adapters.peer_sockets import split_address
 from guavadyke.decisions.server_registry import ListedServer
@@ -148,8 +148,7 @@
     def _ask(
         self, tunnel: socket.socket, server_address: str
     ) -> calls.PeerReply:
-        for option in SOCKET_OPTIONS:
-            tunnel.setsockopt(*option)
+        set_socket_options(tunnel)
         tunnel.settimeout(_ANSWER_TIMEOUT_S)
         return self._client.exchange(tunnel, calls.TunnelCall(server_address))
 
@@ -218,17 +217,12 @@
         ):
             return None
         try:
-            upstream = socket.create_connection(
-                split_address(call.address), _CONNECT_TIMEOUT_S
-            )
+            return _connect(call.address)
         except OSError as error:
             self._logger.info(
                 'tunnel_refused', address=call.address, reason=repr(error)
             )
-            return None
-        for option in SOCKET_OPTIONS:
-            upstream.setsockopt(*option)
-        return upstream
+        return None
 
     def carry(self, caller: socket.socket, upstream: socket.socket) -> None:
         """Carry bytes between two connections until one of them ends."""
@@ -312,6 +306,16 @@
             end.close()
 
 
+def _connect(address: str) -> socket.socket:
+    with contextlib.ExitStack() as on_failure:
+        upstream = on_failure.enter_context(
+            socket.create_connection(split_address(address), _CONNECT_TIMEOUT_S)
+        )
+        set_socket_options(upstream)
+        on_failure.pop_all()
+    return upstream
+
+
 def _read(direction: _Direction) -> None:
     """Read a piece and pass on what the other end takes at once."""
     piece = direction.source.recv(_MAX_PIECE_BYTES)
