Share the step that starts daemons and engines

The same given step stood in the steps of forward_silent_platform and of forward_leaving_answers; one phrase serves both.

--- a/features/platform_odd_entries.feature
+++ b/features/platform_odd_entries.feature
@@ -17,7 +17,7 @@
       | no object                         |
 
   Scenario: daemons go on beside odd entries
-    Given 1 daemons, 2 engines and a platform
+    Given 1 daemon, 2 engines and a platform
     When another writer leaves every kind of odd entry
     And a route is added
     Then every daemon serves it within 2 seconds
--- a/features/steps/forward_leaving_answers_steps.py
+++ b/features/steps/forward_leaving_answers_steps.py
@@ -5,7 +5,7 @@
 import itertools
 import time
 
-from behave import given, then, when
+from behave import then, when
 from behave.runner import Context
 
 from features import builders_forward_processes as processes
@@ -17,15 +17,6 @@
 _LISTED_S = 0.5
 
 
-@given('{daemons:d} daemon with {engines:d} engines whose entries stay ready')
-@given('{daemons:d} daemons with {engines:d} engines whose entries stay ready')
-def step_fleet(context: Context, daemons: int, engines: int) -> None:
-    context.fleet = processes.UsersFleet()
-    context.add_cleanup(context.fleet.close)
-    context.fleet.start(daemons, engines)
-    context.numbers = itertools.count()
-
-
 @when('the first engine says in its answers that it leaves')
 def step_leaving(context: Context) -> None:
     context.fleet.engines[0].script.leaving = True
--- a/features/steps/forward_silent_platform_steps.py
+++ b/features/steps/forward_silent_platform_steps.py
@@ -35,6 +35,7 @@
         return super().list_objects(*arguments, **options)
 
 
+@given('{daemons:d} daemon, {engines:d} engines and a platform')
 @given('{daemons:d} daemons, {engines:d} engines and a platform')
 def step_fleet(context: Context, daemons: int, engines: int) -> None:
     context.fleet = processes.UsersFleet()
