Let a small zone's hosts ask two others when they hear nothing

What callers would see: where all hosts of a zone watch the platform for themselves, a host had one other of its zone as source, though all could tell. If that one was frozen while the platform did not answer this host, it learned of no change within its zone; with one zone, of none at all.

Cause: the sources were the first two of the zone by rank, whoever watches.

Change: the sources are the first two other hosts among those that watch.

--- a/features/builders_forward_watches.py
+++ b/features/builders_forward_watches.py
@@ -23,6 +23,8 @@
 KIND = 'things'
 # Hosts that ask do not wait in these tests.
 _WAIT_S = 0.001
+# Time that a peer has for its answer beyond the wait for a change.
+PEER_MARGIN_S = 0.4
 # Longer than any of these tests takes.
 _MARGIN_S = 60.0
 
@@ -38,9 +40,12 @@
         address: str,
         _key: str,
         request: calls.WatchQuery,
-        _wait_s: float,
+        wait_s: float,
     ) -> calls.PeerReply:
         host = self._fleet.hosts[address]
+        if host.frozen:
+            self._fleet.frozen_wait_s += wait_s + PEER_MARGIN_S
+            raise calls.PeerAnswerLostError(address)
         if host.lost:
             raise calls.PeerNotReachedError(address)
         return host.hub.answer(request)
@@ -64,13 +69,15 @@
     store: FallbackStore
     revision: int = 0
     lost: bool = False
+    frozen: bool = False
+    wait_s: float = _WAIT_S
     failures: int = 0
     events: list[ObjectEvent] = dataclasses.field(default_factory=list)
 
     def watch(self) -> None:
         """Make one watch from the revision that the host knows."""
         try:
-            answer = self.store.watch(KIND, self.revision, _WAIT_S)
+            answer = self.store.watch(KIND, self.revision, self.wait_s)
         except GuavadykeError:
             self.failures += 1
             return
@@ -79,10 +86,14 @@
 
 
 class WatchingFleet:
-    """Hosts of one zone on one platform."""
+    """Hosts of one zone on one platform.
+
+    ``frozen_wait_s`` sums up how long hosts would have waited for frozen ones.
+    """
 
     def __init__(self, size: int) -> None:
         self.platform = MemoryPlatform()
+        self.frozen_wait_s: float = 0
         self.hosts: dict[str, WatchingHost] = {}
         self.hosts = {
             name: self._host(name, number)
--- a/features/forward_watches.feature
+++ b/features/forward_watches.feature
@@ -33,6 +33,12 @@
     And an object is written
     Then every host learns of it
 
+  Scenario: a host without the platform learns of changes past a frozen one
+    Given 3 hosts of a zone that watch a kind
+    When a host cannot reach the platform and its first source is frozen
+    And an object is written
+    Then every host that answers learns of it
+
   Scenario: hosts notice that the platform is away
     Given 30 hosts of a zone that watch a kind
     When the platform is away
--- a/features/steps/forward_watches_steps.py
+++ b/features/steps/forward_watches_steps.py
@@ -22,6 +22,7 @@
 from guavadyke.adapters.peer_sockets import TransportFaults, bind_sockets
 from guavadyke.adapters.ports import WatchAnswer
 from guavadyke.adapters.shared_watches import PeerWatches, WatchHub
+from guavadyke.decisions.watch_sharing import plan_watch
 from guavadyke.log import EventLogger
 from guavadyke.settings import ListenSettings
 
@@ -77,6 +78,21 @@
     _bring_trouble(context.fleet.others[0], 'cannot reach the platform')
 
 
+@when('a host cannot reach the platform and its first source is frozen')
+def step_frozen_source(context: Context) -> None:
+    fleet = context.fleet
+    name = next(iter(fleet.hosts))
+    _bring_trouble(fleet.hosts[name], 'cannot reach the platform')
+    first_source = plan_watch(KIND, name, fleet.hosts).sources[0]
+    fleet.hosts[first_source].frozen = True
+
+
+@then('every host that answers learns of it')
+def step_answering_learn(context: Context) -> None:
+    answering = [host for host in context.fleet.live if not host.frozen]
+    _assert_learned(context, answering)
+
+
 @when('the platform is away')
 def step_away(context: Context) -> None:
     for host in context.fleet.hosts.values():
--- a/guavadyke/decisions/watch_sharing.py
+++ b/guavadyke/decisions/watch_sharing.py
@@ -77,17 +77,19 @@
         other_zones: ids of the live hosts of the other zones.
     """
     hosts = {me, *zone_hosts}
-    watchers = rank_names(kind, hosts)[:WATCHERS_PER_ZONE]
-    near = [host_id for host_id in watchers if host_id != me]
+    watchers = rank_names(kind, hosts)
+    if len(hosts) > MAX_WATCHING_ZONE:
+        watchers = watchers[:WATCHERS_PER_ZONE]
+    others = [host_id for host_id in watchers if host_id != me]
     far = [
         rank_names(kind, zone)[:WATCHERS_PER_ZONE]
         for zone in other_zones.values()
     ]
     sources = (
-        *rank_names(me, near),
+        *rank_names(me, others[:WATCHERS_PER_ZONE]),
         *rank_names(me, [rank_names(me, zone)[0] for zone in far if zone]),
     )
     return WatchPlan(
-        watches=len(hosts) <= MAX_WATCHING_ZONE or me in watchers,
+        watches=me in watchers,
         sources=sources[:_MAX_SOURCES],
     )
