Soak processes under drawn faults, judged by callers and engines

Change: python -m features.soak draws faults from a seed (hosts killed, paused, stopped, reloaded, cut from the platform; routes added, engines that leave or crash, odd entries), plays them to daemons as processes under load, and judges by what callers and engines saw: MIXED, TWICE, REFUSED, CONFIG, DRAIN, LOST, EXIT, RECOVER. It can be replayed from its folder. For each promise a scenario plants a breach, and seven allowed cases are told apart from breaches.

Left: proxies between the processes, engines of two versions, limits, crashing requests, clocks; the command of guavadyke itself.

--- /dev/null
+++ b/features/soak.py
@@ -0,0 +1,265 @@
+"""A soak: a fleet of processes under faults that a seed draws.
+
+``python -m features.soak --seed 1 --seconds 30 --hosts 4 --folder DIR`` plays
+one and writes its schedule, its report and the logs; ``--replay DIR`` plays
+the schedule of such a folder again.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import heapq
+import itertools
+import json
+import random
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import click
+import urllib3
+
+from features import builders_users_platform as users
+from features.builders_forward_processes import DaemonProcess, results
+from features.builders_processes import wait_until
+from features.soak_checker import Call, History, broken_promises
+from features.soak_fleet import ONCE_PREFIX, SoakFleet, event
+from features.soak_fleet_faults import FleetFaults
+from features.soak_host_faults import HostFaults
+from features.soak_schedule import (
+    Fault,
+    Schedule,
+    draw_schedule,
+    read_schedule,
+)
+
+_ENGINES = 4
+_ITEMS = 40
+_CALLERS = 6
+_LAST_CALLS = 20
+_PAUSE_S = 0.04
+_PROBE_S = 0.15
+_RESULTS_S = 30.0
+_SUBMIT_S = 10.0
+_ONCE_SHARE = 0.3
+_OK = 200
+_SCHEDULE_FILE = 'schedule.json'
+_REPORT_FILE = 'report.json'
+
+
+class Soak:
+    """One run of a schedule.
+
+    Args:
+        schedule: the faults and the number of hosts.
+    """
+
+    def __init__(self, schedule: Schedule) -> None:
+        self._schedule = schedule
+        self._fleet = SoakFleet(schedule.hosts)
+        self._host_faults = HostFaults(self._fleet)
+        fleet_faults = FleetFaults(self._fleet)
+        self._begin_by_kind = {
+            'killed': self._host_faults.kill,
+            'paused': self._host_faults.pause,
+            'restarted': self._host_faults.restart,
+            'reloaded': self._host_faults.reload,
+            'platform_silent': self._host_faults.silence,
+            'platform_rejects': self._host_faults.reject,
+            'route_added': fleet_faults.add_route,
+            'engine_leaves': fleet_faults.leave,
+            'engine_crashes': fleet_faults.crash,
+            'odd_entry': fleet_faults.write_odd,
+        }
+        self._numbers = itertools.count()
+        self._ending = threading.Event()
+
+    @property
+    def history(self) -> History:
+        """What callers and engines have seen."""
+        return self._fleet.history
+
+    @property
+    def logs(self) -> dict[str, str]:
+        """What each host has logged."""
+        return {daemon.name: daemon.log for daemon in self._fleet.daemons}
+
+    def run(self) -> None:
+        """Play the schedule."""
+        self._fleet.start(self._schedule.hosts, _ENGINES)
+        self._fleet.begin_time()
+        self._submit()
+        work = [
+            functools.partial(self._call_until_end, number)
+            for number in range(_CALLERS)
+        ]
+        threads = [
+            threading.Thread(target=one)
+            for one in (*work, self._probe_until_end)
+        ]
+        for thread in threads:
+            thread.start()
+        self._play_faults()
+        self._ending.set()
+        for thread in threads:
+            thread.join()
+        self._host_faults.settle()
+        self._call_last()
+        self._read_results()
+
+    def close(self) -> None:
+        """End all processes."""
+        self._ending.set()
+        self._fleet.close()
+
+    def _play_faults(self) -> None:
+        steps: list[tuple[float, int, Callable[[], object]]] = []
+        order = itertools.count()
+        for fault in self._schedule.faults:
+            begin = functools.partial(self._begin, fault, steps, order)
+            heapq.heappush(steps, (fault.at_s, next(order), begin))
+        while steps:
+            at_s, _order, act = heapq.heappop(steps)
+            self._wait_until(at_s)
+            act()
+        self._wait_until(self._schedule.seconds)
+
+    def _begin(
+        self,
+        fault: Fault,
+        steps: list[tuple[float, int, Callable[[], object]]],
+        order: Iterator[int],
+    ) -> None:
+        end = self._begin_by_kind[fault.kind](fault)
+        heapq.heappush(steps, (fault.at_s + fault.for_s, next(order), end))
+
+    def _wait_until(self, at_s: float) -> None:
+        time.sleep(max(0, at_s - self._fleet.now_s()))
+
+    def _submit(self) -> None:
+        self._fleet.submit(_ITEMS)
+        self.history.items = [f'item-{number}' for number in range(_ITEMS)]
+
+    def _call_until_end(self, caller: int) -> None:
+        rng = random.Random(f'{self._schedule.seed} {caller}')
+        while not self._ending.wait(_PAUSE_S):
+            host = rng.randrange(self._schedule.hosts)
+            once = rng.random() < _ONCE_SHARE
+            kind = 'once' if once else 'stream'
+            prefix = ONCE_PREFIX if once else users.STREAM_PREFIX
+            self._call(kind, host, prefix)
+
+    def _probe_until_end(self) -> None:
+        while not self._ending.wait(_PROBE_S):
+            for path in tuple(self.history.routes):
+                for host in range(self._schedule.hosts):
+                    self._call('probe', host, path)
+
+    def _call_last(self) -> None:
+        for number in range(_LAST_CALLS):
+            host = number % self._schedule.hosts
+            self._call('last', host, users.STREAM_PREFIX)
+
+    def _call(self, kind: str, host: int, path: str) -> None:
+        request_id = f'{kind}-{next(self._numbers)}'
+        sent_s = self._fleet.now_s()
+        status, body = self._answer(self._fleet.daemons[host], request_id, path)
+        whole = b''.join(event(request_id, number) for number in range(1, 6))
+        self.history.calls.append(
+            Call(
+                kind,
+                request_id,
+                host,
+                path,
+                sent_s,
+                self._fleet.now_s(),
+                status,
+                own=body == whole,
+            )
+        )
+
+    def _answer(
+        self, daemon: DaemonProcess, request_id: str, path: str
+    ) -> tuple[int, bytes]:
+        headers = {'Request-Id': request_id, 'Model': 'm'}
+        try:
+            answer = daemon.call(
+                'POST', f'{path}1', body=b'text', headers=headers
+            )
+        except urllib3.exceptions.HTTPError:
+            return 0, b''
+        return answer.status, answer.data
+
+    def _read_results(self) -> None:
+        wait_until(self._all_listed, _RESULTS_S)
+
+    def _all_listed(self) -> bool:
+        listed = [listing['Id'] for listing in results(self._fleet.daemons[0])]
+        self.history.results = listed
+        return len(listed) >= _ITEMS
+
+
+def play(schedule: Schedule, folder: Path | None) -> list[str]:
+    """Play a schedule; return a line for each broken promise.
+
+    Args:
+        schedule: what is played.
+        folder: gets schedule, report and logs; None writes nothing.
+    """
+    soak = Soak(schedule)
+    try:
+        soak.run()
+        broken = broken_promises(soak.history)
+        if folder is not None:
+            _write(folder, schedule, soak, broken)
+    finally:
+        soak.close()
+    return broken
+
+
+def _write(
+    folder: Path, schedule: Schedule, soak: Soak, broken: list[str]
+) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    schedule.write(folder / _SCHEDULE_FILE)
+    report = {
+        'broken': broken,
+        'history': dataclasses.asdict(soak.history),
+    }
+    (folder / _REPORT_FILE).write_text(
+        json.dumps(report, indent=1, default=sorted), encoding='utf-8'
+    )
+    for name, log in soak.logs.items():
+        (folder / f'{name}.log').write_text(log, encoding='utf-8')
+
+
+@click.command()
+@click.option('--seed', default=1, help='Draws the faults.')
+@click.option('--seconds', default=30.0, help='Length of the soak.')
+@click.option('--hosts', default=4, help='Number of hosts.')
+@click.option('--folder', type=click.Path(path_type=Path))
+@click.option('--replay', type=click.Path(exists=True, path_type=Path))
+def main(
+    seed: int,
+    seconds: float,
+    hosts: int,
+    folder: Path | None,
+    replay: Path | None,
+) -> None:
+    """Play a soak and print each broken promise."""
+    schedule = draw_schedule(seed, seconds, hosts)
+    if replay is not None:
+        schedule = read_schedule(replay / _SCHEDULE_FILE)
+    broken = play(schedule, folder)
+    for line in broken:
+        click.echo(line)
+    faults = len(schedule.faults)
+    click.echo(f'seed {schedule.seed}: {faults} faults, {len(broken)} broken')
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/features/steps/soak_steps.py
@@ -0,0 +1,65 @@
+"""Steps of soak.feature."""
+
+from __future__ import annotations
+
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features import soak, soak_schedule
+from features.builders_soak import ALLOWED, BROKEN
+from features.soak_checker import broken_promises
+
+_SECONDS = 60.0
+_HOSTS = 5
+
+
+@given('a soak on which it is allowed that {what}')
+def step_allowed(context: Context, what: str) -> None:
+    context.broken = broken_promises(ALLOWED[what]())
+
+
+@given('a soak on which {what}')
+def step_broken(context: Context, what: str) -> None:
+    context.broken = broken_promises(BROKEN[what]())
+
+
+@then('it reports the promise "{promise}"')
+def step_reports(context: Context, promise: str) -> None:
+    names = [line.partition(':')[0] for line in context.broken]
+    assert names == [promise], context.broken
+
+
+@then('it reports nothing')
+def step_reports_nothing(context: Context) -> None:
+    assert not context.broken, '\n'.join(context.broken)
+
+
+@given('the schedule of seed {seed:d}')
+def step_schedule(context: Context, seed: int) -> None:
+    context.seed = seed
+    context.schedule = soak_schedule.draw_schedule(seed, _SECONDS, _HOSTS)
+
+
+@then('the seed draws the same schedule again')
+def step_same(context: Context) -> None:
+    again = soak_schedule.draw_schedule(context.seed, _SECONDS, _HOSTS)
+    other = soak_schedule.draw_schedule(context.seed + 1, _SECONDS, _HOSTS)
+    assert again == context.schedule, again
+    assert again != other, other
+
+
+@then('its file holds the same schedule')
+def step_file(context: Context) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / 'schedule.json'
+        context.schedule.write(path)
+        assert soak_schedule.read_schedule(path) == context.schedule
+
+
+@when('seed {seed:d} is played for {seconds:g} seconds on {hosts:d} hosts')
+def step_play(context: Context, seed: int, seconds: float, hosts: int) -> None:
+    schedule = soak_schedule.draw_schedule(seed, seconds, hosts)
+    context.broken = soak.play(schedule, None)
