Report a host of a soak that does not stop

A host that outlived its stop ended the thread that waits for it: it was never started again and nothing was reported.

--- a/features/builders_soak.py
+++ b/features/builders_soak.py
@@ -68,7 +68,9 @@
     'an engine gets requests long after it left': lambda: _ran_after(2.3),
     'an item is not listed': _listed,
     'an item is listed twice': lambda: _listed('item-0', 'item-0'),
-    'a process ends by itself': lambda: History(_HOSTS, ended=['front-1']),
+    'a process ends by itself': lambda: History(
+        _HOSTS, ended=['front-1 ended by itself']
+    ),
     'a request is not served after all faults': lambda: History(
         _HOSTS, calls=[_call('last', 503, 30)]
     ),
--- a/features/soak.py
+++ b/features/soak.py
@@ -48,7 +48,6 @@
 _PAUSE_S = 0.04
 _PROBE_S = 0.15
 _RESULTS_S = 30.0
-_SUBMIT_S = 10.0
 _ONCE_SHARE = 0.3
 _OK = 200
 _SCHEDULE_FILE = 'schedule.json'
--- a/features/soak_checker.py
+++ b/features/soak_checker.py
@@ -72,7 +72,8 @@
 
     ``routes`` has the time at which each added path was written, ``left`` the
     time at which each engine's entry was removed, ``results`` the ids of
-    completed items as they are listed, ``ended`` processes that nobody ended.
+    completed items as they are listed, ``ended`` a line for each process that
+    ended by itself or did not stop.
     A change has to be in force after ``in_force_s`` seconds.
     """
 
@@ -194,8 +195,8 @@
 
 
 def _exits(history: History) -> Iterator[str]:
-    for name in history.ended:
-        yield f'EXIT: {name} ended by itself'
+    for line in history.ended:
+        yield f'EXIT: {line}'
 
 
 def _last(history: History) -> Iterator[str]:
--- a/features/soak_host_faults.py
+++ b/features/soak_host_faults.py
@@ -4,6 +4,7 @@
 
 import functools
 import signal
+import subprocess
 import threading
 from collections.abc import Callable, Iterable
 
@@ -33,11 +34,11 @@
         """Wait for hosts that are starting; note which ended by themselves."""
         for start in self._starts:
             start.join()
-        self._fleet.history.ended = [
-            daemon.name
+        self._fleet.history.ended.extend(
+            f'{daemon.name} ended by itself'
             for number, daemon in enumerate(self._fleet.daemons)
             if number not in self._down and daemon.process.poll() is not None
-        ]
+        )
 
     def kill(self, fault: Fault) -> Callable[[], None]:
         """Kill hosts; start them again."""
@@ -98,7 +99,12 @@
 
     def _start_one(self, fault: Fault, began_s: float, number: int) -> None:
         daemon = self._fleet.daemons[number]
-        daemon.process.wait(processes.STOP_S)
+        try:
+            daemon.process.wait(processes.STOP_S)
+        except subprocess.TimeoutExpired:
+            self._fleet.history.ended.append(f'{daemon.name} did not stop')
+            daemon.process.kill()
+            daemon.process.wait()
         daemon.start()
         wait_until(daemon.is_ready, processes.START_S)
         self._down.discard(number)
