--- a/features/soak_checker.py
+++ b/features/soak_checker.py
@@ -73,8 +73,8 @@
     ``routes`` has the time at which each added path was written, ``left`` the
     time at which each engine's entry was removed, ``results`` the ids of
     completed items as they are listed, ``ended`` a line for each process that
-    ended by itself or did not stop.
-    A change has to be in force after ``in_force_s`` seconds.
+    ended by itself or did not stop. A change has to be in force after
+    ``in_force_s`` seconds.
     """
 
     hosts: int
