Show that hosts which have just started queue a wave of requests

Cause: the mean time that a request holds a place is 0 until the first request of a host has ended; until then no wait is estimated and nothing is refused, so that the wave of retries fills the servers' queues.

Evidence: the load test in virtual time, a wave of 8 times capacity for 0.6 s on hosts that have just started: 733 callers in time of 1,118 servable, 0.9 of them are asked for, as elsewhere in the load tests.

--- a/features/forward_load.feature
+++ b/features/forward_load.feature
@@ -21,6 +21,11 @@
     When it is simulated with waits of up to 1.5 seconds and with waits bounded by the objective
     Then no caller is refused
 
+  Scenario: hosts that have just started queue no wave of requests
+    Given a load of a wave at the start on 5 servers behind 10 hosts
+    When it is simulated with waits of up to 1.5 seconds and with waits bounded by the objective
+    Then at least 0.9 of the servable requests are answered in time
+
   Scenario: the retries of refused callers are spread out
     Given a load of a burst of 3 times capacity on 5 servers behind 10 hosts
     When it is simulated with waits of up to 1.5 seconds and with waits bounded by the objective
--- a/features/steps/forward_load_steps.py
+++ b/features/steps/forward_load_steps.py
@@ -51,6 +51,7 @@
     'peaks of 1.84 times capacity': Load(_peaks(_TROUGH_S), 26),
     'peaks in close succession': Load(_peaks(1.5), 17),
     'a burst of 3 times capacity': Load(((0, 0.5), (5, 3), (8, 0.5)), 15),
+    'a wave at the start': Load(((0, 8), (0.6, 0.8)), 8),
     'two of five servers lost': Load(((0, 0.8),), 20, lost=2),
 })
 
@@ -102,6 +103,13 @@
     assert served >= part * servable, (served, servable)
 
 
+@then('at least {part:g} of the servable requests are answered in time')
+def step_part_in_time(context: Context, part: float) -> None:
+    in_time = sum(caller.in_time for caller in context.callers)
+    servable = len(_SEEDS) * context.load.servable
+    assert in_time >= part * servable, (in_time, servable)
+
+
 @then('no caller is refused')
 def step_none_refused(context: Context) -> None:
     refused = [caller for caller in context.callers if caller.refusals]
