Refuse what a stopping host can no longer finish

Cause: after the balancer's delay the host waited until no request was in flight, and passed on each that still came on kept connections. With steady traffic it was never idle, and the end of the grace period cut the latest.

Change: after the delay idle connections are closed and further requests are refused as not run, with Retry-After 0. What is in flight has the rest of the grace period. The caller port of the product's own interface had the same fault and did not ask callers to close; it makes the same calls. Liveness and readiness checks are still answered there.

Evidence: features/forward_stops.feature failed before (2 of 18 requests on kept connections cut) and passes. format, lint, types and 39 scenarios of related features passed.

--- a/guavadyke/entry_host.py
+++ b/guavadyke/entry_host.py
@@ -119,7 +119,9 @@
             name=_HAND_OVER_THREAD,
         )
         handing_over.start()
+        self._caller_server.disable_keep_alive()
         self._clock.sleep(self._settings.stop.balancer_delay_s)
+        self._caller_server.refuse_requests()
         settled = self._caller_server.wait_until_idle(
             self._clock,
             self._settings.stop.longest_s,
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -297,9 +297,14 @@
         self._peers.close()
 
     def _finish_requests(self, port: HttpServer, until: float) -> None:
-        """Serve requests until the balancer stops sending, then finish them."""
+        """Serve requests until the balancer stops sending, then finish them.
+
+        Callers go on to use open connections after that. What they send then
+        could be cut off, so it is refused.
+        """
         port.disable_keep_alive()
         self.clock.sleep(self.settings.stop.balancer_delay_s)
+        port.refuse_requests()
         remaining_s = until - self.clock.monotonic()
         whole = port.wait_until_idle(self.clock, remaining_s)
         self.logger.info('callers_settled', whole=whole)
--- a/guavadyke/http_application.py
+++ b/guavadyke/http_application.py
@@ -43,10 +43,12 @@
 
     ``pattern`` is a regular expression for the whole path; its named groups
     become the exchange's ``path_parts``. The method ``*`` matches any.
+    ``while_stopping`` is whether a stopping host still serves the route.
     """
 
     pattern: str
     handlers: Mapping[str, Handler]
+    while_stopping: bool = False
 
 
 def error_document(
@@ -124,13 +126,12 @@
         clock: Clock,
         logger: EventLogger,
     ) -> None:
-        self._routes = [
-            (re.compile(route.pattern), route.handlers) for route in routes
-        ]
+        self._routes = [(re.compile(route.pattern), route) for route in routes]
         self._clock = clock
         self._logger = logger
         self._lock = threading.Lock()
         self._in_flight = 0
+        self._refuses = False
 
     def __call__(
         self,
@@ -155,6 +156,13 @@
         """Number of requests whose answer has not ended yet."""
         return self._in_flight
 
+    def refuse_requests(self) -> None:
+        """Answer all further requests with ``stopping``.
+
+        Requests that are in flight go on.
+        """
+        self._refuses = True
+
     def _call_handler(self, exchange: Exchange) -> Answer:
         try:
             return self._find_handler(exchange)(exchange)
@@ -175,19 +183,18 @@
             )
 
     def _find_handler(self, exchange: Exchange) -> Handler:
-        for pattern, handlers in self._routes:
+        for pattern, route in self._routes:
             match = pattern.fullmatch(exchange.path)
             if match is None:
                 continue
-            exchange.path_parts = match.groupdict(default='')
-            handler = handlers.get(exchange.method) or handlers.get('*')
-            if handler is None:
+            if self._refuses and not route.while_stopping:
                 raise GuavadykeError(
-                    ErrorCode.method_not_allowed,
-                    f'{exchange.method} is not allowed for this path',
-                    findings=(Finding('method', f'one of {sorted(handlers)}'),),
+                    ErrorCode.stopping,
+                    'this host is stopping; another one may serve the request',
+                    retry_after_s=0,
                 )
-            return handler
+            exchange.path_parts = match.groupdict(default='')
+            return _handler_of(route, exchange.method)
         raise GuavadykeError(
             ErrorCode.not_found,
             f'no route matches {exchange.path}',
@@ -212,6 +219,23 @@
             self._in_flight += change
 
 
+def _handler_of(route: Route, method: str) -> Handler:
+    """Return the handler of a method.
+
+    Raises:
+        GuavadykeError: ``method_not_allowed``.
+    """
+    handler = route.handlers.get(method) or route.handlers.get('*')
+    if handler is None:
+        allowed = sorted(route.handlers)
+        raise GuavadykeError(
+            ErrorCode.method_not_allowed,
+            f'{method} is not allowed for this path',
+            findings=(Finding('method', f'one of {allowed}'),),
+        )
+    return handler
+
+
 class _AnswerBody:
     """Iterable body of an answer; the WSGI server calls ``close`` once."""
 
--- a/guavadyke/http_server.py
+++ b/guavadyke/http_server.py
@@ -10,6 +10,7 @@
 import uuid
 from typing import Any
 
+from urllib3.util.wait import wait_for_read
 from waitress.channel import ClientDisconnected, HTTPChannel
 from waitress.server import create_server
 from waitress.task import ErrorTask, WSGITask
@@ -157,6 +158,18 @@
         """Close each connection after its next answer."""
         self._server.stopping = True
 
+    def refuse_requests(self) -> None:
+        """Refuse further requests and close the idle connections.
+
+        Requests that are in flight go on. A request that arrives on an open
+        connection is answered with ``stopping``.
+        """
+        self.disable_keep_alive()
+        self._application.refuse_requests()
+        self._server.trigger.pull_trigger(
+            functools.partial(_close_idle_channels, self._server)
+        )
+
     def wait_until_idle(self, clock: Clock, timeout_s: float) -> bool:
         """Wait until no request is in flight and all answers are sent.
 
@@ -198,6 +211,22 @@
         server.trigger.close()
 
 
+def _close_idle_channels(server: Any) -> None:
+    """Close connections without a request, within the loop's thread."""
+    for channel in tuple(server.active_channels.values()):
+        if _is_idle(channel):
+            channel.handle_close()
+
+
+def _is_idle(channel: Any) -> bool:
+    """Return whether a connection has neither a request nor an answer."""
+    received = channel.requests or channel.request is not None
+    closing = channel.will_close or channel.close_when_flushed
+    if received or closing or channel.total_outbufs_len:
+        return False
+    return not wait_for_read(channel.socket, timeout=0)
+
+
 def _close_sockets(server: Any, linger: bytes | None) -> None:
     """Close all sockets of the server's loop, within the loop's thread."""
     for channel in tuple(server.active_channels.values()):
--- a/guavadyke/online_service.py
+++ b/guavadyke/online_service.py
@@ -138,8 +138,12 @@
             Route(CHAT_PATH, {'POST': model}),
             Route(COMPLETIONS_PATH, {'POST': model}),
             Route(_SERVICE_PATTERN, {'*': service}),
-            Route('/health/live', {'GET': _check_live}),
-            Route('/health/ready', {'GET': self._check_ready}),
+            Route('/health/live', {'GET': _check_live}, while_stopping=True),
+            Route(
+                '/health/ready',
+                {'GET': self._check_ready},
+                while_stopping=True,
+            ),
         ]
 
     def metrics_routes(self) -> list[Route]:
