Read chunks of answers in bounded pieces

Cause: read_chunked() collects a whole chunk before it yields any of it, so the bounds of events, bodies and items saw no byte. The same cause on related paths: trailers without end, and calls of the product's own interface for loads, order states and the text of errors, which kept the whole body.

Change: bodies in chunks are read piece by piece like those with a length, a trailer has at most 100 lines, and the three calls share one bounded reader with forwarded requests.

--- a/features/builders_endless.py
+++ b/features/builders_endless.py
@@ -21,6 +21,9 @@
     'a status line': (b'HTTP/1.1 200 ', b'x' * 8192),
     'a body without length': (_HEAD, b'x' * 8192),
     'a chunked body': (_CHUNKED_HEAD, _CHUNK),
+    'one chunk': (b'%b40000000\r\n' % _CHUNKED_HEAD, b'x' * 8192),
+    'a chunk size': (_CHUNKED_HEAD, b'0' * 8192),
+    'a trailer': (b'%b0\r\n' % _CHUNKED_HEAD, b'X-Filler: 1\r\n' * 64),
     'an error without an end': (
         b'HTTP/1.1 500 Internal Server Error\r\n\r\n',
         b'x' * 8192,
--- a/features/forward_endless.feature
+++ b/features/forward_endless.feature
@@ -1,5 +1,6 @@
 Feature: Servers that send bytes without end
 
+  # Guards against a process that ends because it keeps all that a server sends.
   Scenario Outline: a <kind> request to a server that sends <bytes>
     Given a server that sends <bytes> until its caller closes
     When a <kind> request is sent to it
@@ -13,10 +14,16 @@
       | streamed | a status line              |
       | streamed | a body without length      |
       | streamed | a chunked body             |
+      | streamed | one chunk                  |
+      | streamed | a chunk size               |
+      | streamed | a trailer                  |
       | idempotent | header lines               |
       | idempotent | interim responses          |
       | idempotent | a body without length      |
       | idempotent | a chunked body             |
+      | idempotent | one chunk                  |
+      | idempotent | a chunk size               |
+      | idempotent | a trailer                  |
 
   Scenario Outline: an item at a server that sends <bytes>
     Given a server that sends <bytes> until its caller closes
@@ -30,9 +37,26 @@
       | interim responses          |
       | a body without length      |
       | a chunked body             |
+      | one chunk                  |
+      | a chunk size               |
+      | a trailer                  |
       | an error without an end    |
       | events without ids         |
 
+  # Guards against calls of the product's own interface that keep every byte.
+  Scenario Outline: the <call> of a server that sends <bytes>
+    Given a server that sends <bytes> until its caller closes
+    When the <call> is read from it
+    Then the call fails
+    And the server sees its connection closed
+
+    Examples:
+      | call        | bytes                   |
+      | load        | one chunk               |
+      | load        | a body without length   |
+      | order state | one chunk               |
+      | error text  | an error without an end |
+
   Scenario Outline: a call to a platform that sends <bytes>
     Given a server that sends <bytes> until its caller closes
     When an object is read from it as the platform
--- a/features/steps/forward_endless_steps.py
+++ b/features/steps/forward_endless_steps.py
@@ -10,9 +10,12 @@
 from behave.runner import Context
 
 from features import builders_forward as build
+from features import builders_outside as outside
 from features.builders_endless import EndlessServer
 from guavadyke.adapters.backend import HttpBackendServers
+from guavadyke.adapters.engine_order_client import EngineOrderClient
 from guavadyke.adapters.platform import HttpPlatformStore
+from guavadyke.adapters.ports import BackendFault, BackendServerError
 from guavadyke.controllers.item_run import ItemRun, PartialText, RunEnd
 from guavadyke.decisions.forward_routes import RouteKind
 from guavadyke.decisions.server_registry import ServerLease
@@ -21,10 +24,12 @@
     PlatformUnavailableError,
     RunStatus,
 )
+from guavadyke.filters.attempts import check_status
 from guavadyke.filters.forward import Forwarder
 from guavadyke.settings import ForwardSettings, PlatformSettings
 
 _TIMEOUT_S = 30
+_CALL_S = 2.0
 
 
 @given('a server that sends {shape} until its caller closes')
@@ -74,6 +79,28 @@
     context.outcomes = outcomes
 
 
+@when('the {call} is read from it')
+def step_call(context: Context, call: str) -> None:
+    read = {
+        'load': lambda servers, at: servers.load(at, _CALL_S),
+        'order state': lambda servers, at: EngineOrderClient(
+            servers, 'host-1'
+        ).state(at),
+        'error text': lambda servers, at: check_status(
+            servers.send(outside.backend_call(at, b''))
+        ),
+    }[call]
+    try:
+        read(HttpBackendServers(), context.server.address)
+    except BackendServerError as error:
+        context.error = error
+
+
+@then('the call fails')
+def step_call_fails(context: Context) -> None:
+    assert context.error.fault is BackendFault.broken, context.error
+
+
 @when('an object is read from it as the platform')
 def step_platform(context: Context) -> None:
     store = HttpPlatformStore(
--- a/guavadyke/adapters/backend.py
+++ b/guavadyke/adapters/backend.py
@@ -21,6 +21,7 @@
 from urllib3.exceptions import HTTPError, ReadTimeoutError
 from urllib3.response import BaseHTTPResponse
 
+from guavadyke.adapters.answer_bodies import read_body
 from guavadyke.adapters.connection_pool import (
     ConnectionPool,
     TunnelledConnection,
@@ -41,6 +42,7 @@
 _OK = 200
 _MAX_IDLE_S = 5
 _MAX_READ_BYTES = 65_536
+_MAX_LOAD_BYTES = 1_048_576
 _TRANSPORT_ERRORS = (OSError, HTTPError, client.HTTPException)
 
 
@@ -181,7 +183,7 @@
                 gap_timeout_s=timeout_s,
             ),
         )
-        body = b''.join(answer.chunks())
+        body = read_body(answer, _MAX_LOAD_BYTES)
         try:
             document = _LoadDocument.model_validate_json(body)
         except pydantic.ValidationError as error:
@@ -356,13 +358,13 @@
         return response
 
     def _body_pieces(self) -> Iterator[bytes]:
-        # read_chunked() installs its error handling once for the whole body,
-        # read1() does so for each piece.
-        if self._response.chunked:
-            return self._response.read_chunked()
-        if self._response.length_remaining is None:
-            return self._read_until_close()
-        return iter(lambda: self._response.read1(_MAX_READ_BYTES), b'')
+        # read_chunked() collects a whole chunk, whatever its size.
+        if (
+            self._response.chunked
+            or self._response.length_remaining is not None
+        ):
+            return iter(lambda: self._response.read1(_MAX_READ_BYTES), b'')
+        return self._read_until_close()
 
     def _read_until_close(self) -> Iterator[bytes]:
         """Yield a body without length that ends when the connection closes.
--- a/guavadyke/adapters/connection_pool.py
+++ b/guavadyke/adapters/connection_pool.py
@@ -15,6 +15,8 @@
 _MAX_IDLE_CONNECTIONS = 64
 # A server may send interim responses, such as 100, before its answer.
 _MAX_HEADS = 8
+_MAX_TRAILER_LINES = 100
+_MAX_LINE_BYTES = 65_536
 _BLOCK_BYTES = 65_536
 # A peer can vanish without closing its connections. TCP keepalive detects
 # this after three seconds: TCP_USER_TIMEOUT, not the number of probes, decides
@@ -44,9 +46,10 @@
 
 
 class BoundedHeadResponse(client.HTTPResponse):
-    """A response that has only a few interim heads before its own.
+    """A response with only a few interim heads and a short trailer.
 
-    The base class bounds the lines of a head, but not the heads.
+    The base class bounds the lines of a head, but neither the heads nor the
+    trailer after a body in chunks.
     """
 
     _heads = 0
@@ -57,6 +60,12 @@
             raise client.HTTPException('too many interim responses')
         return super()._read_status()  # type: ignore[misc, no-any-return]
 
+    def _read_and_discard_trailer(self) -> None:
+        for _ in range(_MAX_TRAILER_LINES):
+            if not self.fp.readline(_MAX_LINE_BYTES).strip():
+                return
+        raise client.HTTPException('the trailer does not end')
+
 
 class ConnectionPool:
     """Idle connections by origin; the most recently used is reused first.
--- a/guavadyke/adapters/engine_order_client.py
+++ b/guavadyke/adapters/engine_order_client.py
@@ -9,6 +9,7 @@
 
 import pydantic
 
+from guavadyke.adapters.answer_bodies import read_body
 from guavadyke.adapters.ports import (
     BackendCall,
     BackendFault,
@@ -28,6 +29,7 @@
 _CONFLICT_STATUS = 409
 _CONNECT_TIMEOUT_S = 0.5
 _ANSWER_TIMEOUT_S = 2
+_MAX_STATE_BYTES = 1_048_576
 
 
 class _LoadDocument(pydantic.BaseModel):
@@ -95,7 +97,7 @@
                 fresh=True,
             ),
         )
-        content = b''.join(answer.chunks())
+        content = read_body(answer, _MAX_STATE_BYTES)
         if answer.status == _CONFLICT_STATUS:
             raise OrderRefusedError(content.decode(errors='replace'))
         if answer.status >= _FIRST_ERROR_STATUS:
--- a/guavadyke/filters/attempts.py
+++ b/guavadyke/filters/attempts.py
@@ -6,6 +6,7 @@
 from contextlib import AbstractContextManager
 from typing import TypeVar
 
+from guavadyke.adapters.answer_bodies import read_body
 from guavadyke.adapters.ports import (
     BackendAnswer,
     BackendCall,
@@ -23,6 +24,7 @@
 
 _MIN_TIMEOUT_S = 0.05
 _MAX_EXCERPT_BYTES = 2000
+_MAX_ERROR_BYTES = 1_048_576
 _RETRYABLE_STATUSES = frozenset((408, 425, 429))
 _FIRST_SERVER_ERROR = 500
 _FIRST_CLIENT_ERROR = 400
@@ -232,13 +234,13 @@
 
     Raises:
         BackendServerError: a failure that another server may not have:
-            5xx, 408, 425 or 429.
+            5xx, 408, 425 or 429; or the body does not end.
         GuavadykeError: ``backend_rejected``; any other 4xx is final.
     """
     status = answer.status
     if status < _FIRST_CLIENT_ERROR:
         return
-    excerpt = b''.join(answer.chunks())[:_MAX_EXCERPT_BYTES]
+    excerpt = read_body(answer, _MAX_ERROR_BYTES)[:_MAX_EXCERPT_BYTES]
     text = excerpt.decode(errors='replace')
     if status >= _FIRST_SERVER_ERROR or status in _RETRYABLE_STATUSES:
         raise BackendServerError(
--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -5,6 +5,7 @@
 import contextlib
 from collections.abc import Generator, Iterator
 
+from guavadyke.adapters.answer_bodies import read_body
 from guavadyke.adapters.cancellation import CallCancellation
 from guavadyke.adapters.ports import (
     BackendAnswer,
@@ -316,19 +317,7 @@
     Raises:
         BackendServerError: the body is broken or does not end.
     """
-    pieces: list[bytes] = []
-    size_bytes = 0
-    for piece in answer.chunks():
-        pieces.append(piece)
-        size_bytes += len(piece)
-        if size_bytes > _MAX_BODY_BYTES:
-            answer.cancel()
-            raise BackendServerError(
-                BackendFault.broken,
-                f'the body does not end within {size_bytes} bytes',
-                not_run=False,
-            )
-    body = b''.join(pieces)
+    body = read_body(answer, _MAX_BODY_BYTES)
     attempt.done()
     whole = _response_head(answer)
     whole.body = body
