Log answers that are broken off

A host logged status=200 for an answer that it had cut, and the reason only as one of many lines of normal operation under another event. A warning now names the request, the code, the time and the reason, so that a record of warnings shows which answers were cut and why.

--- a/guavadyke/http_application.py
+++ b/guavadyke/http_application.py
@@ -148,7 +148,9 @@
             raise
         _send_head(answer, exchange, start_response)
         return _AnswerBody(
-            answer.body, lambda: self._finish_request(exchange, answer)
+            answer.body,
+            lambda: self._finish_request(exchange, answer),
+            lambda error: self._log_broken_off(exchange, error),
         )
 
     @property
@@ -214,6 +216,20 @@
             elapsed_ms=round(elapsed_s * 1000, 1),
         )
 
+    def _log_broken_off(
+        self, exchange: Exchange, error: GuavadykeError
+    ) -> None:
+        elapsed_s = self._clock.monotonic() - exchange.received_at
+        self._logger.warning(
+            'answer_broken_off',
+            request_id=exchange.request_id,
+            path=exchange.path,
+            code=error.code,
+            elapsed_ms=round(elapsed_s * 1000, 1),
+            abandoned=exchange.disconnected(),
+            reason=error.message,
+        )
+
     def _change_in_flight(self, change: int) -> None:
         with self._lock:
             self._in_flight += change
@@ -243,14 +259,17 @@
         self,
         body: bytes | Iterator[bytes],
         on_close: Callable[[], None],
+        on_error: Callable[[GuavadykeError], None],
     ) -> None:
         self._pieces = iter((body,)) if isinstance(body, bytes) else body
         self._on_close = on_close
+        self._on_error = on_error
 
     def __iter__(self) -> Iterator[bytes]:
         try:
             yield from self._pieces
         except GuavadykeError as error:
+            self._on_error(error)
             raise IncompleteAnswerError(error.message) from error
 
     def close(self) -> None:
