Leave a silent server only for another one that takes the request

Callers saw: streams without their end while sound servers stood still for 1.0 to 1.3 s.

Cause: on routes whose requests may be repeated, 1 s without data ended the attempt whether or not a further one was allowed or any server was left. A stream with its attempts used up was cut although its server went on. The first byte had the same fault at a request's last server.

Change: an answer may be silent until the request's deadline. It is left only after another server has been reserved for it, and after 1.5 s rather than 1 s while all other servers with calls of this host are silent too.

One expectation is replaced: a request whose first server refused it had 0.15 s for its first byte at the second of two servers and failed then, with no server left. That row names three servers now, and rows for two and three are added.

--- /dev/null
+++ b/features/builders_pausing_server.py
@@ -0,0 +1,110 @@
+"""Backend servers that stand still in the middle of an answer."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import itertools
+import socket
+import threading
+import time
+
+from features import builders_forward as build
+from guavadyke.adapters.backend import HttpBackendServers
+from guavadyke.adapters.clock import SystemClock
+from guavadyke.decisions.server_registry import ListedServer
+from guavadyke.filters.caller_watch import CallerWatch
+from guavadyke.filters.forward_attempt import ForwardRequest, ForwardTools
+from guavadyke.platform.engine_adapter import EngineDialect
+
+_HEAD = (
+    b'HTTP/1.1 200 OK\r\n'
+    b'Content-Type: text/event-stream\r\n'
+    b'Response-Signature: 3e1b\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n'
+)
+_EVENT_S = 0.02
+_AFTER_HEADER = b'last-event-id:'
+_SLOTS = 8
+
+
+class PausingServer:
+    """Sends a stream whose event follows 20 ms after the one before.
+
+    Args:
+        name: id of the server.
+        pause_after: event after which it stands still; 0 for before its
+            answer.
+        pause_s: how long it stands still.
+    """
+
+    def __init__(self, name: str, pause_after: int, pause_s: float) -> None:
+        self.requests = 0
+        self._name = name
+        self._pause_after = pause_after
+        self._pause_s = pause_s
+        self._socket = socket.create_server((build.LOOPBACK, 0))
+        threading.Thread(target=self._run, daemon=True).start()
+
+    @property
+    def listed(self) -> ListedServer:
+        """The server as hosts list it."""
+        ip, port = self._socket.getsockname()
+        return ListedServer(
+            self._name, build.SERVICE, f'{ip}:{port}', build.ZONE, _SLOTS
+        )
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._socket.close()
+
+    def _run(self) -> None:
+        with contextlib.suppress(OSError):
+            for connection, _address in iter(self._socket.accept, None):
+                threading.Thread(
+                    target=self._serve, args=(connection,), daemon=True
+                ).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with connection, contextlib.suppress(OSError):
+            request = connection.recv(65_536).lower()
+            self.requests += 1
+            _before, _name, after = request.partition(_AFTER_HEADER)
+            first = int(after.split()[0]) + 1 if after else 1
+            self._pause_at(0)
+            connection.sendall(_HEAD)
+            for number in range(first, build.EVENTS + 1):
+                event = build.event(number)
+                connection.sendall(b'%x\r\n%b\r\n' % (len(event), event))
+                time.sleep(_EVENT_S)
+                self._pause_at(number)
+            connection.sendall(b'0\r\n\r\n')
+
+    def _pause_at(self, number: int) -> None:
+        if number == self._pause_after:
+            time.sleep(self._pause_s)
+
+
+def real_time_tools(servers: tuple[PausingServer, ...]) -> ForwardTools:
+    """Return the tools of a host that lists these servers."""
+    watch = CallerWatch()
+    watch.start()
+    pool = build.pool(tuple(one.listed for one in servers), SystemClock())
+    return dataclasses.replace(
+        build.tools(HttpBackendServers(dialect=EngineDialect()), pool),
+        clock=SystemClock(),
+        watch=watch,
+    )
+
+
+_request_numbers = itertools.count(1)
+
+
+def real_time_request() -> ForwardRequest:
+    """Return a request that is received now."""
+    now = time.monotonic()
+    return dataclasses.replace(
+        build.request(f'request-{next(_request_numbers)}'),
+        received_at=now,
+        deadline=now + build.DEADLINE_S,
+    )
--- a/features/forward_requests.feature
+++ b/features/forward_requests.feature
@@ -118,18 +118,20 @@
     When a request is forwarded
     Then it ends with no_backend_server after 0 attempts
 
-  Scenario Outline: the first byte timeouts of a <kind> request after <fault>
-    Given a <kind> route and two servers
+  Scenario Outline: the first byte timeouts of a <kind> request after <fault>, <servers> servers
+    Given a <kind> route and <servers> servers
     And the first attempt ends as <fault>
     When a request is forwarded
     Then its attempts had first byte timeouts of <waits> seconds
 
     Examples:
-      | kind             | fault               | waits         |
-      | resumable stream | broken              | 0.15 and 5    |
-      | resumable stream | refused and not run | 0.15 and 0.15 |
-      | streamed         | refused and not run | 5 and 5       |
-      | non_idempotent   | refused and not run | 5 and 5       |
+      | kind             | fault               | servers | waits         |
+      | resumable stream | broken              | two     | 0.15 and 5    |
+      | resumable stream | broken              | three   | 0.15 and 5    |
+      | resumable stream | refused and not run | three   | 0.15 and 0.15 |
+      | resumable stream | refused and not run | two     | 0.15 and 5    |
+      | streamed         | refused and not run | two     | 5 and 5       |
+      | non_idempotent   | refused and not run | two     | 5 and 5       |
 
   Scenario: a server that times out once still gets requests
     Given a resumable stream route and two servers
--- /dev/null
+++ b/features/forward_silence.feature
@@ -0,0 +1,52 @@
+Feature: Backend servers that fall silent in the middle of an answer
+
+  # Guards against answers that are cut although their server goes on.
+  Scenario Outline: a <kind> request with <attempts> attempts whose only server pauses
+    Given a <kind> route with <attempts> attempts
+    And a server that pauses for 1.4 seconds after event <event>
+    When a request is sent
+    Then its answer is whole
+    And the servers have got 1 request
+
+    Examples:
+      | kind             | attempts | event |
+      | resumable stream | 1        | 2     |
+      | resumable stream | 2        | 2     |
+      | idempotent       | 1        | 2     |
+      | idempotent       | 2        | 2     |
+      | idempotent       | 2        | 0     |
+      | resumable stream | 2        | 0     |
+
+  # Guards against a stream that is cut since its attempts are used up.
+  Scenario: a stream that has moved once waits for its last server
+    Given a resumable stream route with 2 attempts
+    And a server that pauses for 4 seconds after event 2
+    And a server that pauses for 1.4 seconds after event 4
+    When a request is sent
+    Then its answer is whole
+    And the servers have got 2 requests
+
+  # Guards against all streams that move at once when a whole service pauses.
+  Scenario: streams stay where they are while all servers pause
+    Given a resumable stream route with 2 attempts
+    And a server that pauses for 1.2 seconds after event 2
+    And a server that pauses for 1.2 seconds after event 2
+    When 2 requests are sent at the same time
+    Then its answer is whole
+    And the servers have got 2 requests
+
+  Scenario: a stream leaves a server that alone is silent
+    Given a resumable stream route with 2 attempts
+    And a server that pauses for 4 seconds after event 2
+    And a server that pauses for 0 seconds after event 2
+    When a request is sent
+    Then its answer is whole within 2 seconds
+    And the servers have got 2 requests
+
+  Scenario: no lease of a server is left when requests have moved
+    Given a resumable stream route with 2 attempts
+    And a server that pauses for 4 seconds after event 2
+    And a server that pauses for 0 seconds after event 2
+    When 4 requests are sent at the same time
+    Then its answer is whole
+    And no request is counted at any server
--- /dev/null
+++ b/features/steps/forward_silence_steps.py
@@ -0,0 +1,90 @@
+"""Steps of forward_silence.feature."""
+
+from __future__ import annotations
+
+import time
+from concurrent import futures
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features import builders_forward as build
+from features import builders_pausing_server as pausing
+from guavadyke.decisions.forward_routes import RouteKind
+from guavadyke.errors import GuavadykeError
+from guavadyke.filters.forward import Forwarder
+
+
+@given('a {kind} route with {attempts:d} attempts')
+def step_route(context: Context, kind: str, attempts: int) -> None:
+    resumable = kind == 'resumable stream'
+    context.route = build.route(
+        RouteKind('streamed' if resumable else kind),
+        resumable=resumable,
+        max_attempts=attempts,
+    )
+    context.servers = ()
+
+
+@given('a server that pauses for {seconds:g} seconds after event {event:d}')
+def step_server(context: Context, seconds: float, event: int) -> None:
+    name = f's{len(context.servers) + 1}'
+    server = pausing.PausingServer(name, event, seconds)
+    context.add_cleanup(server.close)
+    context.servers = (*context.servers, server)
+
+
+@when('a request is sent')
+def step_send(context: Context) -> None:
+    step_send_many(context, 1)
+
+
+@when('{count:d} requests are sent at the same time')
+def step_send_many(context: Context, count: int) -> None:
+    context.tools = pausing.real_time_tools(context.servers)
+    context.add_cleanup(context.tools.watch.close)
+    began = time.monotonic()
+    with futures.ThreadPoolExecutor(count) as callers:
+        context.bodies = list(
+            callers.map(lambda _number: _body(context), range(count))
+        )
+    context.elapsed_s = time.monotonic() - began
+
+
+@then('its answer is whole')
+def step_whole(context: Context) -> None:
+    assert set(context.bodies) == {build.stream()}, context.bodies
+
+
+@then('its answer is whole within {seconds:g} seconds')
+def step_whole_within(context: Context, seconds: float) -> None:
+    step_whole(context)
+    assert context.elapsed_s < seconds, context.elapsed_s
+
+
+@then('the servers have got {count:d} request')
+@then('the servers have got {count:d} requests')
+def step_requests(context: Context, count: int) -> None:
+    got = [server.requests for server in context.servers]
+    assert sum(got) == count, got
+
+
+@then('no request is counted at any server')
+def step_no_lease(context: Context) -> None:
+    assert not context.tools.pool.load_notice().counts
+
+
+def _body(context: Context) -> bytes:
+    """Return what the caller gets, up to an error."""
+    body = b''
+    try:
+        answer = Forwarder(
+            pausing.real_time_request(), context.route, context.tools
+        ).answer()
+        if isinstance(answer.body, bytes):
+            return answer.body
+        for event in answer.body:
+            body = b''.join((body, event))
+    except GuavadykeError as error:
+        return b'%b, then %b' % (body, str(error.code).encode())
+    return body
--- a/guavadyke/adapters/backend.py
+++ b/guavadyke/adapters/backend.py
@@ -310,8 +310,11 @@
                 than the gap timeout, or the call was cancelled.
         """
         whole = False
+        observe_data = self._call.observe_data or _ignore_data
         try:
-            yield from self._body_pieces()
+            for piece in self._body_pieces():
+                observe_data()
+                yield piece
             whole = not self._cancelled
         except _TRANSPORT_ERRORS as error:
             raise _backend_error(error, self._call.address) from error
@@ -403,6 +406,10 @@
     return isinstance(connection, TunnelledConnection)
 
 
+def _ignore_data() -> None:
+    """Do nothing where nobody waits for signs of life."""
+
+
 def _no_way(server_address: str, *, known_cut: bool) -> None:
     """Reach no server before there are other hosts."""
 
--- a/guavadyke/adapters/ports.py
+++ b/guavadyke/adapters/ports.py
@@ -217,7 +217,7 @@
     calls ``observe_limit`` with the requests a second that the server takes
     from all hosts, as its answer says; infinity if it names no limit. It
     calls ``observe_leaving`` for an answer in which the server says that it
-    leaves.
+    leaves, and ``observe_data`` whenever a part of the body arrives.
     """
 
     request_id: str
@@ -236,6 +236,7 @@
     last_event_id: int = 0
     observe_limit: Callable[[float], object] | None = None
     observe_leaving: Callable[[], object] | None = None
+    observe_data: Callable[[], object] | None = None
 
 
 class BackendAnswer(Protocol):
--- /dev/null
+++ b/guavadyke/controllers/pool_parts.py
@@ -0,0 +1,25 @@
+"""State that a server pool shares with its parts."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+from collections.abc import Callable, Sequence
+
+from guavadyke.adapters.ports import Clock
+from guavadyke.decisions.load_balancing import LoadBalancer
+from guavadyke.decisions.server_registry import ListedServer
+
+
+@dataclasses.dataclass(frozen=True)
+class PoolParts:
+    """What a server pool shares with its parts.
+
+    ``lock`` guards ``table``. ``servers`` returns the servers of a service
+    at a time of the monotonic clock; the lock has to be held.
+    """
+
+    lock: threading.Lock
+    table: LoadBalancer
+    servers: Callable[[str, float], Sequence[ListedServer]]
+    clock: Clock
--- a/guavadyke/controllers/server_pool.py
+++ b/guavadyke/controllers/server_pool.py
@@ -20,11 +20,10 @@
     leaving_incarnations,
 )
 from guavadyke.controllers.mirror import MirrorSink
+from guavadyke.controllers.other_servers import OtherServers
+from guavadyke.controllers.pool_parts import PoolParts
 from guavadyke.controllers.urgent_notices import UrgentNotices
-from guavadyke.controllers.wait_estimator import (
-    WaitEstimator,
-    WaitEstimatorParts,
-)
+from guavadyke.controllers.wait_estimator import WaitEstimator
 from guavadyke.decisions.load_balancing import (
     LoadBalancer,
     group_by_service,
@@ -85,12 +84,9 @@
         self._lock = threading.Lock()
         self._server_registry = ServerRegistry()
         self._load_balancer = LoadBalancer(here, rng)
-        self.wait_estimator = WaitEstimator(
-            WaitEstimatorParts(
-                self._lock, self._load_balancer, self._servers, clock
-            ),
-            rng,
-        )
+        parts = PoolParts(self._lock, self._load_balancer, self._servers, clock)
+        self.wait_estimator = WaitEstimator(parts, rng)
+        self.others = OtherServers(parts)
         self.urgent = UrgentNotices()
         self._fault_exchange = FaultExchange(
             here,
--- a/guavadyke/controllers/wait_estimator.py
+++ b/guavadyke/controllers/wait_estimator.py
@@ -2,30 +2,12 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
-import threading
-from collections.abc import Callable, Sequence
 
-from guavadyke.adapters.ports import Clock
-from guavadyke.decisions.load_balancing import LoadBalancer
+from guavadyke.controllers.pool_parts import PoolParts
 from guavadyke.decisions.load_shedding import Overload, RetryScheduler
 from guavadyke.decisions.request_queue import ServiceTimeEstimator
-from guavadyke.decisions.server_registry import ListedServer, ServerLease
-
-
-@dataclasses.dataclass(frozen=True)
-class WaitEstimatorParts:
-    """What a server pool shares with its wait estimator.
-
-    ``lock`` guards ``table``. ``servers`` returns the servers of a service
-    at a time of the monotonic clock; the lock has to be held.
-    """
-
-    lock: threading.Lock
-    table: LoadBalancer
-    servers: Callable[[str, float], Sequence[ListedServer]]
-    clock: Clock
+from guavadyke.decisions.server_registry import ServerLease
 
 
 class WaitEstimator:
@@ -38,7 +20,7 @@
         rng: adds jitter to the retry times of refused callers.
     """
 
-    def __init__(self, parts: WaitEstimatorParts, rng: random.Random) -> None:
+    def __init__(self, parts: PoolParts, rng: random.Random) -> None:
         self._parts = parts
         self._lock = parts.lock
         self._table = parts.table
--- a/guavadyke/filters/caller_watch.py
+++ b/guavadyke/filters/caller_watch.py
@@ -17,10 +17,18 @@
 class _WatchedCall:
     abandoned: Callable[[], bool]
     cancellation: CallCancellation
+    check_silence: Callable[[], object]
+
+
+def _ignore_silence() -> None:
+    """Do nothing about a call that cannot move to another server."""
 
 
 class CallerWatch:
-    """Checks all running calls from one thread and cancels abandoned ones."""
+    """Checks all running calls from one thread and cancels abandoned ones.
+
+    Each check also lets a call see whether its server has fallen silent.
+    """
 
     def __init__(self) -> None:
         self._watched_calls: dict[int, _WatchedCall] = {}
@@ -47,15 +55,19 @@
         self,
         abandoned: Callable[[], bool],
         cancellation: CallCancellation,
+        check_silence: Callable[[], object] = _ignore_silence,
     ) -> Generator[None]:
         """Cancel a call if it is abandoned while the block runs.
 
         Args:
             abandoned: returns whether nobody waits for the result.
             cancellation: cancels the call.
+            check_silence: called at each check; must not raise.
         """
         number = next(self._call_ids)
-        self._watched_calls[number] = _WatchedCall(abandoned, cancellation)
+        self._watched_calls[number] = _WatchedCall(
+            abandoned, cancellation, check_silence
+        )
         self._call_added.set()
         try:
             yield
@@ -67,7 +79,7 @@
             if not self._watched_calls:
                 self._wait_for_call()
             for watched in tuple(self._watched_calls.values()):
-                _cancel_abandoned(watched)
+                _check(watched)
 
     def _wait_for_call(self) -> None:
         """Wait until there is a call to check, or until ``close``."""
@@ -76,6 +88,10 @@
             self._call_added.wait()
 
 
-def _cancel_abandoned(watched: _WatchedCall) -> None:
-    if not watched.cancellation.cancelled and watched.abandoned():
+def _check(watched: _WatchedCall) -> None:
+    if watched.cancellation.cancelled:
+        return
+    if watched.abandoned():
         watched.cancellation.cancel()
+    else:
+        watched.check_silence()
--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -14,6 +14,7 @@
 )
 from guavadyke.decisions.forward_routes import ForwardRoute, RouteKind
 from guavadyke.decisions.request_attempts import RequestAttempts, retry_after_s
+from guavadyke.decisions.server_registry import ServerLease
 from guavadyke.decisions.server_sent_events import EventOrderError, EventParser
 from guavadyke.decisions.stream_origins import StreamOrigin
 from guavadyke.errors import ErrorCode, GuavadykeError
@@ -27,6 +28,7 @@
     ForwardRequest,
     ForwardTools,
 )
+from guavadyke.filters.silence_check import SilenceCheck
 
 # An attempt needs time for several round trips within a zone.
 _MIN_ATTEMPT_S = 0.02
@@ -69,11 +71,12 @@
         self._admission = ServerAdmission(request, route, tools)
         self._request_attempts = RequestAttempts(route)
         self._cancellation = CallCancellation()
+        self._silence = SilenceCheck(
+            request, tools, self._admission, self._request_attempts
+        )
         self._event_parser = EventParser(request.last_event_id)
         self._started = False
         self._ended = False
-        # The software version that has begun the stream.
-        self._software: str | None = None
 
     def answer(self) -> Answer:
         """Return the answer of a backend server.
@@ -102,7 +105,7 @@
     def _start_stream(self) -> Answer:
         """Return a streamed answer, after its first event has arrived."""
         if self._request.last_event_id:
-            self._software = self._find_software()
+            self._admission.software = self._find_software()
         pieces = self._events()
         head = next(pieces)
         if isinstance(head, Answer):
@@ -195,7 +198,7 @@
         """Yield the head of the answer before its first event."""
         if not self._started:
             self._started = True
-            self._software = attempt.software
+            self._admission.software = attempt.software
             self._tools.origins.began(
                 StreamOrigin(
                     self._request.stream_id,
@@ -218,23 +221,39 @@
                 ErrorCode.deadline_exceeded,
                 'too little time is left for an attempt',
             )
-        try:
-            lease = self._admission.acquire(
-                self._request_attempts.failed, remaining_s, self._software
-            )
-        except AdmissionRefusedError as refusal:
-            raise self._give_up(
-                refusal.code, refusal.message, refusal.retry_in_s
-            ) from refusal
-        return ForwardAttempt(
+        lease = self._silence.take_reserved() or self._acquire(remaining_s)
+        attempt = ForwardAttempt(
             self._request,
             self._route,
             lease,
             self._cancellation,
             self._tools,
-            may_fail_over=self._request_attempts.may_retry_running
-            and not self._started,
+            may_fail_over=not self._started and self._may_leave(lease),
         )
+        self._silence.watch(attempt)
+        return attempt
+
+    def _acquire(self, remaining_s: float) -> ServerLease:
+        """Reserve a server.
+
+        Raises:
+            GuavadykeError: no server is available or the queue of every
+                server is too long.
+        """
+        try:
+            return self._admission.acquire(
+                self._request_attempts.failed, remaining_s
+            )
+        except AdmissionRefusedError as refusal:
+            raise self._give_up(
+                refusal.code, refusal.message, refusal.retry_in_s
+            ) from refusal
+
+    def _may_leave(self, lease: ServerLease) -> bool:
+        """Return whether the request may go on at another server."""
+        failed = self._request_attempts.failed | {lease.server.server_id}
+        may_retry = self._request_attempts.may_retry_running
+        return may_retry and self._admission.has_any(failed)
 
     def _handle_failure(
         self,
@@ -246,6 +265,7 @@
         Raises:
             GuavadykeError: no further attempt is allowed.
         """
+        error = attempt.cause(error)
         attempt.failed(error)
         self._request_attempts.add_failure(
             attempt.server_id,
@@ -300,15 +320,21 @@
             retry_after_s=retry_after_s(code, retry_in_s),
         )
 
-    def _watch_call(self) -> contextlib.AbstractContextManager[None]:
-        """Cancel the call when the caller leaves or the deadline passes."""
-        return self._tools.watch.cancel_when_abandoned(
-            self._is_late_or_abandoned, self._cancellation
-        )
+    @contextlib.contextmanager
+    def _watch_call(self) -> Generator[None]:
+        """Cancel the call when the caller leaves or the deadline passes.
 
-    def _is_late_or_abandoned(self) -> bool:
-        late = self._tools.clock.monotonic() >= self._request.deadline
-        return late or self._request.abandoned()
+        It moves to another server when its own has fallen silent.
+        """
+        with (
+            contextlib.closing(self._silence),
+            self._tools.watch.cancel_when_abandoned(
+                lambda: self._request.is_over(self._tools.clock.monotonic()),
+                self._cancellation,
+                self._silence.check,
+            ),
+        ):
+            yield
 
 
 def _buffered_answer(answer: BackendAnswer, attempt: ForwardAttempt) -> Answer:
--- a/guavadyke/filters/forward_admission.py
+++ b/guavadyke/filters/forward_admission.py
@@ -35,7 +35,8 @@
 class ServerAdmission:
     """Reserves servers for the attempts of one request.
 
-    ``service`` is the service that has to serve it.
+    ``service`` is the service that has to serve it; ``software`` is the
+    software version that has begun its stream, None for any.
 
     Args:
         request: the request.
@@ -53,20 +54,18 @@
         self._route = route
         self._tools = tools
         self.service = route.service_of(request.stream_id)
+        self.software: str | None = None
 
     def acquire(
         self,
         failed: frozenset[str],
         remaining_s: float,
-        software: str | None = None,
     ) -> ServerLease:
         """Reserve the best server that takes the request now.
 
         Args:
             failed: ids of servers that are not tried again.
             remaining_s: seconds until the request's deadline.
-            software: the software version that has begun the request's
-                stream, None for any.
 
         Raises:
             AdmissionRefusedError: there is none.
@@ -78,16 +77,22 @@
                 self.service,
                 excluded,
                 self._request.prompt_key or self._request.request_id,
-                software,
+                self.software,
             )
             if lease is None:
-                raise self._no_server_error(failed, software)
+                raise self._no_server_error(failed)
             self._check_wait(lease, remaining_s)
             if self._tools.limits.admit(lease.server):
                 return lease
             self._tools.pool.release(lease, BackendFault.refused)
             excluded |= {lease.server.server_id}
 
+    def has_any(self, failed: frozenset[str]) -> bool:
+        """Return whether any server but the failed ones is listed."""
+        return self._tools.pool.others.has_any(
+            self.service, failed, self.software
+        )
+
     def _check_prompt(self) -> None:
         """Refuse a prompt that has crashed servers.
 
@@ -129,9 +134,7 @@
                 ),
             )
 
-    def _no_server_error(
-        self, failed: frozenset[str], software: str | None
-    ) -> AdmissionRefusedError:
+    def _no_server_error(self, failed: frozenset[str]) -> AdmissionRefusedError:
         """Return the error of a request for which there is no server."""
         waits = self._tools.limits.exhausted().values()
         if waits:
@@ -143,13 +146,13 @@
             )
         code = (
             ErrorCode.no_backend_server
-            if software is None
+            if self.software is None
             else ErrorCode.stream_not_resumable
         )
         return AdmissionRefusedError(
             None if failed else code,
             f'no backend server of {self.service} '
-            f'{_describe_version(software)}accepts requests',
+            f'{_describe_version(self.software)}accepts requests',
         )
 
 
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -65,6 +65,10 @@
             return self.began_as
         return self.request_id
 
+    def is_over(self, now: float) -> bool:
+        """Return whether its deadline has passed or its caller has left."""
+        return now >= self.deadline or self.abandoned()
+
     @property
     def suspect_parts(self) -> tuple[str, ...]:
         """What may crash a server: shared parts and the request itself."""
@@ -106,7 +110,8 @@
         lease: lease of the backend server to use.
         cancellation: cancels the call.
         tools: settings, clock and services that all requests share.
-        may_fail_over: whether another server may be tried after this one.
+        may_fail_over: whether another server may be tried after this one,
+            and there is one.
     """
 
     def __init__(
@@ -135,6 +140,8 @@
         self._service_began_at = None if queued else lease.taken_at
         self._answer: BackendAnswer | None = None
         self._resumed_after = 0
+        self._heard_at = lease.taken_at
+        self._left_silent = False
 
     @property
     def server_id(self) -> str:
@@ -154,10 +161,7 @@
         """
         self._resumed_after = last_event_id
         remaining_s = self._request.deadline - self._tools.clock.monotonic()
-        gap_s = remaining_s
-        if self._route.repeatable:
-            gap_s = min(remaining_s, self._tools.settings.silence_s)
-        self._answer = self._tools.servers.send(
+        answer = self._tools.servers.send(
             BackendCall(
                 request_id=self._request.request_id,
                 address=self._lease.server.address,
@@ -170,7 +174,7 @@
                     self._tools.settings.connect_timeout_s,
                 ),
                 first_byte_timeout_s=self._first_byte_timeout_s(remaining_s),
-                gap_timeout_s=gap_s,
+                gap_timeout_s=remaining_s,
                 cancellation=self._cancellation,
                 server_id=self.server_id,
                 deadline_s=remaining_s,
@@ -179,9 +183,23 @@
                 observe_leaving=functools.partial(
                     self._tools.pool.said_leaving, self._lease.server
                 ),
+                observe_data=self._record_data,
             ),
         )
-        return self._answer
+        self._heard_at = self._tools.clock.monotonic()
+        self._answer = answer
+        return answer
+
+    def silent_s(self, now: float) -> float:
+        """Return for how long an answer that has begun brings no data."""
+        return 0 if self._answer is None else now - self._heard_at
+
+    def leave_silent(self) -> None:
+        """Cancel the call, so that the request goes on at another server."""
+        answer = self._answer
+        if answer is not None:
+            self._left_silent = True
+            answer.cancel()
 
     def record_event(self) -> None:
         """Record an event of the answer; the first one shows the start."""
@@ -225,6 +243,16 @@
             )
         self._release_lease(None)
 
+    def cause(self, error: BackendServerError) -> BackendServerError:
+        """Return why the attempt failed, given how its call has ended."""
+        if not self._left_silent:
+            return error
+        return BackendServerError(
+            BackendFault.silent,
+            f'{self._lease.server.address} fell silent in its answer',
+            not_run=False,
+        )
+
     def failed(self, error: BackendServerError) -> None:
         """Release the lease after a failure."""
         self._release_lease(error)
@@ -256,6 +284,10 @@
         )
         return min(remaining_s, patience_s)
 
+    def _record_data(self) -> None:
+        self._heard_at = self._tools.clock.monotonic()
+        self._tools.pool.others.heard(self.server_id)
+
     def _release_lease(self, error: BackendServerError | None) -> None:
         if not self._holds_lease:
             return
@@ -263,8 +295,10 @@
         # A cancelled call tells nothing about the health of the server.
         is_server_fault = error is not None and not self._cancellation.cancelled
         fault = error.fault if error is not None and is_server_fault else None
-        if fault is BackendFault.silent and self._may_fail_over:
-            # The timeout was short, so the server may only be busy.
+        if fault is BackendFault.silent and (
+            self._may_fail_over or self._left_silent
+        ):
+            # The time was short, so the server may only be busy.
             fault = BackendFault.broken
         if is_server_fault and error is not None and error.disconnected:
             self._guarded.disconnected(self._lease.server.incarnation)
--- a/guavadyke/settings.py
+++ b/guavadyke/settings.py
@@ -344,8 +344,9 @@
     )
     silence_s: Positive = pydantic.Field(
         default=1,
-        description='Seconds without data after which a resumable stream '
-        'moves to another backend server.',
+        description='Seconds without data after which an answer that may be '
+        'repeated moves to another backend server, if one takes it; half as '
+        'long again while all other servers are silent too.',
     )
     connect_timeout_s: Positive = pydantic.Field(
         default=0.1,
