Take a head that breaks off for a broken answer

Other operators saw: a server stopped within its answer's head and closed, and callers got a 200 with an empty body, framed as whole.

Cause: http.client takes the end of a connection for the end of a head. Where the head had already said that there is no body, the answer counted as whole.

Change: a line of a head, of a chunk's size or of a trailer that has no end breaks the answer, in all calls to backend servers and to the platform.

--- a/features/builders_framed_server.py
+++ b/features/builders_framed_server.py
@@ -8,6 +8,7 @@
 import struct
 import threading
 import time
+import types
 from collections.abc import Iterable
 
 from features import builders_forward as build
@@ -39,6 +40,39 @@
     return b'%bConnection: close\r\n\r\n%b' % (_HEAD, body)
 
 
+_BROKEN_HEADS = types.MappingProxyType({
+    'after the status line': b'HTTP/1.1 200 OK\r\n',
+    'within the signature': (
+        b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\nResponse-Signature: 3e'
+    ),
+    'before its empty line': b'%bContent-Length: 0\r\n' % _HEAD,
+    'after the length of no body': (
+        b'HTTP/1.1 200 OK\r\nResponse-Signature: 3e1b\r\nContent-Length: 0'
+    ),
+    'within a refusal': b'HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\nX',
+})
+_LAST_CHUNKS = types.MappingProxyType({
+    'within the last size': b'0',
+    'before the last line': b'0\r\n',
+    'without the last chunk': b'',
+})
+
+
+def broken_head(place: str) -> bytes:
+    """Return what is sent of a head that breaks off."""
+    return _BROKEN_HEADS[place]
+
+
+def broken_chunks(place: str, body: bytes) -> bytes:
+    """Return an answer in chunks without all of its end."""
+    return b'%bTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n%b' % (
+        _HEAD,
+        len(body),
+        body,
+        _LAST_CHUNKS[place],
+    )
+
+
 def odd_answer(odd: str) -> bytes:
     """Return an answer that does not go on with a stream."""
     if odd.startswith('status 200 and a text'):
--- a/features/forward_answer_ends.feature
+++ b/features/forward_answer_ends.feature
@@ -80,3 +80,32 @@
     And another server that answers with status 200 and a text block
     When an item is run at one after the other
     Then no run has the text
+
+  # Guards against heads that break off and are taken for whole ones.
+  Scenario Outline: a <kind> answer whose head breaks off <place> has been broken off
+    Given a <kind> route and a server whose head breaks off <place>
+    When a request is sent to it
+    Then the answer breaks off
+
+    Examples:
+      | kind       | place                          |
+      | idempotent | after the status line          |
+      | idempotent | within the signature           |
+      | idempotent | before its empty line          |
+      | idempotent | after the length of no body    |
+      | idempotent | within a refusal               |
+      | streamed   | after the status line          |
+      | streamed   | within the signature           |
+      | streamed   | before its empty line          |
+      | streamed   | after the length of no body    |
+
+  Scenario Outline: an answer in chunks that ends <place> has been broken off
+    Given a streamed route and a server whose chunks end <place>
+    When a request is sent to it
+    Then the answer breaks off
+
+    Examples:
+      | place                  |
+      | within the last size   |
+      | before the last line   |
+      | without the last chunk |
--- a/features/steps/forward_answer_ends_steps.py
+++ b/features/steps/forward_answer_ends_steps.py
@@ -50,6 +50,18 @@
     _add_servers(context, kind, framed.FramedServer('s1', [answer]))
 
 
+@given('a {kind} route and a server whose head breaks off {place}')
+def step_broken_head(context: Context, kind: str, place: str) -> None:
+    answer = framed.broken_head(place)
+    _add_servers(context, kind, framed.FramedServer('s1', [answer]))
+
+
+@given('a streamed route and a server whose chunks end {place}')
+def step_broken_chunks(context: Context, place: str) -> None:
+    answer = framed.broken_chunks(place, build.stream())
+    _add_servers(context, 'streamed', framed.FramedServer('s1', [answer]))
+
+
 @given('another server that answers with {odd}')
 def step_other_odd(context: Context, odd: str) -> None:
     if odd == 'neither a length nor chunks from there on':
--- a/guavadyke/adapters/connection_pool.py
+++ b/guavadyke/adapters/connection_pool.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import collections
+import io
 import itertools
 import socket
 import threading
 import time
 from http import client
+from typing import Any
 
 from urllib3.connection import HTTPConnection, HTTPSConnection
 from urllib3.util import parse_url
@@ -45,8 +47,26 @@
         opened.setsockopt(*option)
 
 
+class _WholeLineReader(io.BufferedReader):
+    """Reads lines, and takes one without its end for a broken connection.
+
+    The base class of responses takes a head that breaks off for a whole one.
+    """
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Return a line with its end, or the first ``size`` bytes of one.
+
+        Raises:
+            IncompleteRead: the connection ended within the line.
+        """
+        line = super().readline(size)
+        if line.endswith(b'\n') or len(line) == size:
+            return line
+        raise client.IncompleteRead(line)
+
+
 class BoundedHeadResponse(client.HTTPResponse):
-    """A response with only a few interim heads and a short trailer.
+    """A response with a whole head, few interim heads and a short trailer.
 
     The base class bounds the lines of a head, but neither the heads nor the
     trailer after a body in chunks.
@@ -54,6 +74,10 @@
 
     _heads = 0
 
+    def __init__(self, opened: socket.socket, *args: Any, **named: Any) -> None:
+        super().__init__(opened, *args, **named)
+        self.fp = _WholeLineReader(self.fp.detach())
+
     def _read_status(self) -> tuple[str, int, str]:
         self._heads += 1
         if self._heads > _MAX_HEADS:
