--- a/features/builders_stranded.py
+++ b/features/builders_stranded.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import functools
+import os
 import random
 import socket
+import threading
 import time
 from collections.abc import Callable
 
@@ -32,6 +35,7 @@
 _ZONE = 'south-a'
 _TIMEOUT_S = 2.0
 _CONNECT_TIMEOUT_S = 0.1
+_MAX_REQUEST_BYTES = 65_536
 
 
 class ResettingEngine(users.UsersEngine):
@@ -48,6 +52,40 @@
         request.connection.reset()
 
 
+class UnframedEngine:
+    """An engine whose answer has no length; it pauses after an event."""
+
+    def __init__(self) -> None:
+        self.paused = threading.Event()
+        self._ended = threading.Event()
+        self._socket = socket.create_server((users.LOOPBACK, 0))
+        threading.Thread(target=self._answer, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        """IP:PORT of the engine."""
+        ip, port = self._socket.getsockname()
+        return f'{ip}:{port}'
+
+    def end(self) -> None:
+        """End the answer."""
+        self._ended.set()
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._ended.set()
+        self._socket.close()
+
+    def _answer(self) -> None:
+        connection, _address = self._socket.accept()
+        head, event = users.answer_parts('to the end')
+        with connection, contextlib.suppress(OSError):
+            connection.recv(_MAX_REQUEST_BYTES)
+            connection.sendall(head + event)
+            self.paused.set()
+            self._ended.wait(_TIMEOUT_S)
+
+
 class StrandedHost:
     """A host, an engine and other hosts of which the first are cut off too.
 
@@ -105,6 +143,22 @@
         for relay in self.relays:
             relay.servers_listed(servers)
 
+    def kill_helpers(self) -> None:
+        """Close the connections of the other hosts as their end does."""
+        for relay in self.relays:
+            for carried in tuple(relay._directions):
+                os.close(carried.detach())
+
+    def start_unframed_engine(self) -> UnframedEngine:
+        """Start an engine whose answer has no length, and list it."""
+        engine = UnframedEngine()
+        self._close.append(engine.close)
+        for relay in self.relays:
+            relay.servers_listed([
+                ListedServer('i-1', 'llm', engine.address, _ZONE, 8)
+            ])
+        return engine
+
     def darken_engine(self) -> None:
         """Have the other hosts wait for connections to the engine in vain."""
         for relay in self.relays:
--- a/features/forward_stranded.feature
+++ b/features/forward_stranded.feature
@@ -48,6 +48,18 @@
     And it forwards 1 requests
     Then it fails as broken
 
+  # Guards against a stream that counts as whole since its helper has ended.
+  Scenario Outline: an answer without a length whose <end> is <counted>
+    Given a host with 1 other hosts, the first 0 cut off as well
+    When its connections to engines are refused
+    And it forwards a request and its <end> within an answer without a length
+    Then the answer is <counted>
+
+    Examples:
+      | end                         | counted |
+      | helper is killed            | broken  |
+      | engine ends its connection  | whole   |
+
   Scenario: an engine is freed when the caller of a tunnelled request leaves
     Given a host with 1 other hosts, the first 0 cut off as well
     When its connections to engines are refused
--- a/features/steps/forward_stranded_steps.py
+++ b/features/steps/forward_stranded_steps.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import time
+from concurrent import futures
 
 from behave import given, then, when
 from behave.runner import Context
 
+from features import builders_users_platform as users
 from features.builders_processes import wait_until
 from features.builders_stranded import (
     FAILED_ADDRESS,
@@ -17,6 +19,7 @@
 from guavadyke.decisions.server_ways import ServerWays
 
 _WAIT_S = 3.0
+_PASSED_ON_S = 0.2
 
 
 @given('a host with {helpers:d} other hosts, the first {cut:d} cut off as well')
@@ -70,6 +73,33 @@
     ]
 
 
+@when('it forwards a request and its {end} within an answer without a length')
+def step_unframed(context: Context, end: str) -> None:
+    engine = context.host.start_unframed_engine()
+    with futures.ThreadPoolExecutor(1) as callers:
+        outcome = callers.submit(_forward, context.host, 'r-1', engine.address)
+        assert engine.paused.wait(_WAIT_S)
+        # The helper has passed the event on before its end.
+        time.sleep(_PASSED_ON_S)
+        if end == 'helper is killed':
+            context.host.kill_helpers()
+        else:
+            engine.end()
+        context.outcomes = [outcome.result(_WAIT_S)]
+
+
+@then('the answer is whole')
+def step_unframed_whole(context: Context) -> None:
+    outcome = context.outcomes[0]
+    assert outcome.error is None, outcome
+    assert outcome.body == users.EVENT, outcome
+
+
+@then('the answer is broken')
+def step_unframed_broken(context: Context) -> None:
+    step_broken(context)
+
+
 @when('it forwards a request to an engine that has failed')
 def step_failed_engine(context: Context) -> None:
     outcome = _forward(context.host, 'request-failed', FAILED_ADDRESS)
--- a/guavadyke/adapters/peer_tunnels.py
+++ b/guavadyke/adapters/peer_tunnels.py
@@ -37,6 +37,7 @@
 _FAILED_PEER_S = 2.0
 _ANY_SERVER = ''
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+_END_ON_CLOSE = struct.pack('ii', 0, 0)
 
 
 class PeerTunnels:
@@ -225,7 +226,13 @@
         return None
 
     def carry(self, caller: socket.socket, upstream: socket.socket) -> None:
-        """Carry bytes between two connections until one of them ends."""
+        """Carry bytes between two connections until one of them ends.
+
+        Both are reset if this process ends before: the end of a connection
+        would complete an answer that has no length.
+        """
+        for end in (caller, upstream):
+            _set_linger(end, _RESET_ON_CLOSE)
         with self._lock:
             self._added.append((caller, upstream))
         self._waker.send(b'.')
@@ -298,14 +305,17 @@
             self._directions.pop(end, None)
             if end in self._selector.get_map():
                 self._selector.unregister(end)
-            with contextlib.suppress(OSError):
-                if reset:
-                    end.setsockopt(
-                        socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-                    )
+            if not reset:
+                _set_linger(end, _END_ON_CLOSE)
             end.close()
 
 
+def _set_linger(end: socket.socket, linger: bytes) -> None:
+    """Set how a connection ends; it may have ended already."""
+    with contextlib.suppress(OSError):
+        end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def _connect(address: str) -> socket.socket:
     with contextlib.ExitStack() as on_failure:
         upstream = on_failure.enter_context(
