Take a stream that ends at its deadline for one that was stopped

Callers may see: the events before the deadline of a request as a whole stream, where the server stops its work at the deadline that it was sent and ends the stream in order.

Cause: such an end arrives within the 0.1 s in which the host has not yet cancelled the call, and nothing else tells it from the end of the stream.

Change: a stream that ends no earlier than its deadline, less the precision of the deadline that was sent, is broken off.

Evidence: 2 of 3 new scenarios of features/forward_requests.feature failed before; all pass, a stream that ends before its deadline stays whole.

--- a/features/forward_requests.feature
+++ b/features/forward_requests.feature
@@ -58,6 +58,19 @@
       | 1    |
       | 5    |
 
+  # Guards against the events before a deadline that count as a whole stream.
+  Scenario Outline: a stream that its server ends in order <when> is <counted>
+    Given a streamed route and two servers
+    And the first server ends its stream in order after 3 events
+    When a request is forwarded and its stream ends <when>
+    Then the caller has got 3 events and the answer is <counted>
+
+    Examples:
+      | when                       | counted |
+      | at its deadline            | broken  |
+      | 0.5 s before its deadline  | whole   |
+      | 0.05 s after its deadline  | broken  |
+
   Scenario: a stream that cannot be resumed is aborted, not ended
     Given a streamed route and two servers
     And the first server breaks off after 2 events
--- a/features/steps/forward_requests_steps.py
+++ b/features/steps/forward_requests_steps.py
@@ -47,6 +47,34 @@
     )
 
 
+@given('the first server ends its stream in order after {sent:d} events')
+def step_ends_in_order(context: Context, sent: int) -> None:
+    context.servers.scripts.append(build.Scripted(sent=sent))
+
+
+@when('a request is forwarded and its stream ends {moment}')
+def step_forward_until(context: Context, moment: str) -> None:
+    distance = moment.removesuffix('its deadline').split()
+    seconds = float(distance[0]) if len(distance) > 1 else 0
+    late_s = -seconds if distance[-1] == 'before' else seconds
+    tools = build.tools(context.servers, context.pool)
+    request = build.request('request-1')
+    answer = Forwarder(request, context.route, tools).answer()
+    context.error = None
+    context.events = [next(answer.body) for _ in range(3)]
+    tools.clock.now = request.deadline + late_s
+    try:
+        context.events.extend(answer.body)
+    except GuavadykeError as error:
+        context.error = error
+
+
+@then('the caller has got {count:d} events and the answer is {counted}')
+def step_got(context: Context, count: int, counted: str) -> None:
+    assert b''.join(context.events) == build.stream(1, count)
+    assert (context.error is None) == (counted == 'whole'), context.error
+
+
 @given('the first server sends {fault}')
 def step_sends(context: Context, fault: str) -> None:
     bodies = {
--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -32,6 +32,8 @@
 
 # An attempt needs time for several round trips within a zone.
 _MIN_ATTEMPT_S = 0.02
+# Servers get the time that is left in whole milliseconds.
+_DEADLINE_PRECISION_S = 0.002
 # A body that is longer is taken for bytes without end.
 _MAX_BODY_BYTES = 8_388_608
 _OK = 200
@@ -173,6 +175,13 @@
             yield from self._yield_head_once(answer, attempt)
             yield event
         _check_has_event(self._event_parser)
+        if self._request.deadline - self._tools.clock.monotonic() <= (
+            _DEADLINE_PRECISION_S
+        ):
+            # The server stops at the deadline, maybe before its last event.
+            raise self._give_up(
+                ErrorCode.backend_silent, 'the stream ended at its deadline'
+            )
         attempt.done()
 
     def _check_failure(self, answer: BackendAnswer) -> None:
