Judge each object of an answer by the parser of the answer

Cause: what cannot be read was asked of another parser than the one that had refused the answer. It accepts halves of surrogate pairs and deeper nesting, so that nothing was left out.

Change: every element of a list, a watch or a read is judged by the parser of the answer itself. One that it refuses has no contents, one without a readable name is left out; both are counted in one line of the log.

--- a/features/platform_odd_entries.feature
+++ b/features/platform_odd_entries.feature
@@ -15,6 +15,25 @@
       | with a port out of range          |
       | with an address that is no IP     |
       | no object                         |
+      | with half of a surrogate pair     |
+      | nested 250 levels deep            |
+      | nested 900 levels deep            |
+      | no JSON                           |
+      | a text of a megabyte              |
+
+  # Guards against one entry that hides all others of its kind.
+  Scenario Outline: no entry that another writer leaves hides engines from a <call>
+    Then whatever lies beside two engines, a <call> shows these and no other
+
+    Examples:
+      | call  |
+      | list  |
+      | watch |
+
+  Scenario: an object that cannot be read has no contents
+    Given a store with the entries of two engines
+    When another writer leaves an entry that is with half of a surrogate pair
+    Then a read of it returns an object without contents
 
   Scenario: daemons go on beside odd entries
     Given 1 daemon, 2 engines and a platform
--- a/features/steps/platform_odd_entries_steps.py
+++ b/features/steps/platform_odd_entries_steps.py
@@ -5,9 +5,12 @@
 import json
 import types
 
+import hypothesis
 from behave import given, then, when
 from behave.runner import Context
+from hypothesis import strategies as st
 
+from features import builders_odd_answers as answers
 from features import builders_users_platform as users
 from guavadyke.log import EventLogger
 from guavadyke.platform.engine_adapter import ENGINE_KIND, EngineDecoder
@@ -15,6 +18,7 @@
 from guavadyke.settings import PlatformSettings
 
 _DEPTH = 100_000
+_EXAMPLES = 60
 _DIGITS = 6000
 _WATCH_S = 1.0
 _ENGINE_ADDRESS = '127.0.0.1:8000'
@@ -37,6 +41,13 @@
         users.engine_entry('999.0.0.1:8000')
     ),
     'no object': '"text"',
+    'with half of a surrogate pair': (
+        r'{"Service": "labels", "Note": "shepherd \ud83d", "Slots": "?"}'
+    ),
+    'nested 250 levels deep': '[' * 250 + ']' * 250,
+    'nested 900 levels deep': '[' * 900 + ']' * 900,
+    'a text of a megabyte': f'"{"x" * 1_000_000}"',
+    'no JSON': '{"Service": tru}',
 })
 
 
@@ -79,6 +90,43 @@
     assert _usable(context) == {'i-1', 'i-2'}, _usable(context)
 
 
+@then('whatever lies beside two engines, a {call} shows these and no other')
+def step_generated(context: Context, call: str) -> None:
+    store = ObjectStore(
+        PlatformSettings(url='http://127.0.0.1:1'), 'host-1', EventLogger()
+    )
+    decode = EngineDecoder(EventLogger())
+
+    @hypothesis.settings(
+        max_examples=_EXAMPLES, deadline=None, derandomize=True
+    )
+    @hypothesis.given(
+        st.lists(answers.odd_elements(), max_size=3), st.integers()
+    )
+    def check(odd_elements: list[bytes], place: int) -> None:
+        elements = [answers.sound_element('i-1'), *odd_elements]
+        elements.insert(place % len(elements) + 1, answers.sound_element('i-2'))
+        if call == 'list':
+            store._calls = answers.fixed_calls(answers.listing(elements))
+            shown = store.list_objects(ENGINE_KIND).objects
+        else:
+            store._calls = answers.fixed_calls(answers.changes(elements))
+            events = store.watch(ENGINE_KIND, 1, 1).events
+            shown = [event.current for event in events]
+        usable = [one.name for one in shown if decode(one) is not None]
+        assert usable == ['i-1', 'i-2'], usable
+
+    check()
+
+
+@then('a read of it returns an object without contents')
+def step_read(context: Context) -> None:
+    stored = context.store.read(ENGINE_KIND, 'a-odd')
+    assert stored.name == 'a-odd'
+    assert not stored.body, stored
+    assert stored.version > 0
+
+
 @then('a watch tells of a third engine that is added later')
 def step_watched(context: Context) -> None:
     context.users_store.put(
--- a/guavadyke/platform/store.py
+++ b/guavadyke/platform/store.py
@@ -30,11 +30,12 @@
 )
 from guavadyke.errors import PlatformUnavailableError
 from guavadyke.log import EventLogger
-from guavadyke.platform.odd_objects import without_contents
+from guavadyke.platform.odd_objects import AnswerRepair
 from guavadyke.settings import PlatformSettings
 
 _OBJECTS_PATH = '/api/objects'
 _HTTP_CONFLICT = 409
+_MAX_REASON = 300
 _JSON_HEADERS = types.MappingProxyType({'Content-Type': 'application/json'})
 
 
@@ -66,6 +67,26 @@
     revision: int = pydantic.Field(alias='AsOf')
 
 
+def _is_object(element: bytes) -> bool:
+    return _is_valid(_Object, element)
+
+
+def _is_event(element: bytes) -> bool:
+    return _is_valid(_Event, element)
+
+
+def _is_valid(model: type[pydantic.BaseModel], element: bytes) -> bool:
+    try:
+        model.model_validate_json(element)
+    except pydantic.ValidationError:
+        return False
+    return True
+
+
+_LISTED_OBJECTS = AnswerRepair('Items', _is_object)
+_CHANGED_OBJECTS = AnswerRepair('events', _is_event)
+
+
 class ObjectReplyReader(ReplyParser):
     """Reads the object's version from the body of a reply to a write."""
 
@@ -104,7 +125,13 @@
         reply = self._calls.read(PlatformCall('GET', _object_path(kind, name)))
         if reply.status == NOT_FOUND_STATUS:
             return None
-        return _stored_object(kind, parse_reply(_Object, reply))
+        listed = b'{"Items":[%b],"HasMore":false,"AsOf":0}' % reply.body
+        listing = self._parse(
+            _Listing, dataclasses.replace(reply, body=listed), _LISTED_OBJECTS
+        )
+        if not listing.objects:
+            raise PlatformUnavailableError(f'{kind} {name} cannot be read')
+        return _stored_object(kind, listing.objects[0])
 
     def list_objects(
         self,
@@ -126,7 +153,7 @@
         )
         if reply.status == NOT_FOUND_STATUS:
             raise PlatformUnavailableError(f'{kind} cannot be listed')
-        listing = self._parse(_Listing, reply, 'Items')
+        listing = self._parse(_Listing, reply, _LISTED_OBJECTS)
         return ObjectListing(
             listing.revision,
             tuple(
@@ -202,7 +229,7 @@
         reply = self._calls.watch(call, wait_s)
         if reply.status == GONE_STATUS:
             return WatchAnswer(revision, (), expired=True)
-        changes = self._parse(_Changes, reply, 'events')
+        changes = self._parse(_Changes, reply, _CHANGED_OBJECTS)
         return WatchAnswer(
             changes.revision,
             tuple(_object_event(kind, change) for change in changes.events),
@@ -213,7 +240,7 @@
         return ()
 
     def _parse(
-        self, model: type[Document], reply: PlatformReply, list_name: str
+        self, model: type[Document], reply: PlatformReply, repair: AnswerRepair
     ) -> Document:
         """Parse a list; an object in it that is unreadable has no contents.
 
@@ -223,16 +250,22 @@
         try:
             return parse_reply(model, reply)
         except PlatformUnavailableError as error:
-            self._logger.warning(
-                'platform_object_unreadable', reason=error.message
-            )
+            reason = error.message
         try:
-            body = without_contents(reply.body, list_name)
+            readable = repair(reply.body)
         except (ValueError, RecursionError) as error:
             raise PlatformUnavailableError(
                 f'the platform returned a malformed answer: {error!r}',
             ) from error
-        return parse_reply(model, dataclasses.replace(reply, body=body))
+        self._logger.warning(
+            'platform_objects_unreadable',
+            emptied=readable.emptied,
+            left_out=readable.left_out,
+            reason=reason[:_MAX_REASON],
+        )
+        return parse_reply(
+            model, dataclasses.replace(reply, body=readable.body)
+        )
 
     def _write(
         self,
