Write the log from a thread of its own

Cause: the thread that logs wrote to the pipe under the lock of the handler, so that a full pipe held every thread that logs.

Change: records are queued, details apart from warnings, and one thread writes them. Beyond a bound they are dropped by kind and counted, in the metrics and in the log when its reader is back.

--- a/features/builders_forward_processes.py
+++ b/features/builders_forward_processes.py
@@ -11,6 +11,7 @@
 import tempfile
 from collections.abc import Mapping
 from pathlib import Path
+from typing import BinaryIO
 
 import urllib3
 
@@ -46,17 +47,11 @@
     def start(self) -> None:
         """Start the process."""
         with (self.folder / f'{self.name}.log').open('ab') as log:
-            self.process = subprocess.Popen(
-                [sys.executable, '-m', 'guavadyke.platform', 'entry'],
-                cwd=_ROOT,
-                stdout=log,
-                stderr=log,
-                env={
-                    **os.environ,
-                    'GUAVADYKE_CONFIG': str(self.settings_path),
-                    'GUAVADYKE_FLEET_KEY': 'fleet-key',
-                },
-            )
+            self._start(log)
+
+    def start_unread(self) -> None:
+        """Start the process with a log that nobody reads."""
+        self._start(subprocess.PIPE)
 
     def is_ready(self) -> bool:
         """Return whether the readiness check of the load balancer passes."""
@@ -92,6 +87,19 @@
             preload_content=preload,
         )
 
+    def _start(self, log: BinaryIO | int) -> None:
+        self.process = subprocess.Popen(
+            [sys.executable, '-m', 'guavadyke.platform', 'entry'],
+            cwd=_ROOT,
+            stdout=log,
+            stderr=log,
+            env={
+                **os.environ,
+                'GUAVADYKE_CONFIG': str(self.settings_path),
+                'GUAVADYKE_FLEET_KEY': 'fleet-key',
+            },
+        )
+
 
 class UsersFleet:
     """A platform store, engines and daemons, stopped by ``close``."""
@@ -128,8 +136,8 @@
             self.start_daemon()
         self.wait_ready()
 
-    def start_daemon(self) -> DaemonProcess:
-        """Start a daemon."""
+    def start_daemon(self, *, unread: bool = False) -> DaemonProcess:
+        """Start a daemon, with a log that nobody reads if ``unread``."""
         number = len(self.daemons) + 1
         daemon = DaemonProcess(
             f'front-{number}',
@@ -150,7 +158,10 @@
             ),
             encoding='utf-8',
         )
-        daemon.start()
+        if unread:
+            daemon.start_unread()
+        else:
+            daemon.start()
         self.daemons.append(daemon)
         return daemon
 
--- a/features/forward_processes.feature
+++ b/features/forward_processes.feature
@@ -49,3 +49,10 @@
     Given 1 daemon on the users' platform with 2 engines
     When its settings file is made invalid and it gets a reload signal
     Then a request is answered 200 and the log names the error
+
+  # Guards against a host that hangs once the pipe of its log is full.
+  Scenario: a host whose log nobody reads goes on serving
+    Given 1 daemon whose log nobody reads with 2 engines
+    When 400 streams are requested
+    And a job of 4 items is submitted
+    Then all 4 results can be read at stable positions
--- a/features/steps/forward_processes_steps.py
+++ b/features/steps/forward_processes_steps.py
@@ -24,6 +24,15 @@
     context.fleet.start(daemons, engines)
 
 
+@given('1 daemon whose log nobody reads with {engines:d} engines')
+def step_unread_log(context: Context, engines: int) -> None:
+    context.fleet = processes.UsersFleet()
+    context.add_cleanup(context.fleet.close)
+    context.fleet.start(0, engines)
+    context.fleet.start_daemon(unread=True)
+    assert wait_until(context.fleet.daemons[0].is_ready, processes.START_S)
+
+
 @given("1 daemon on the users' platform without a configuration")
 def step_no_configuration(context: Context) -> None:
     context.fleet = processes.UsersFleet()
--- a/guavadyke/log.py
+++ b/guavadyke/log.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import json
+import logging as standard_logging
 
 from absl import logging
 
+from guavadyke.log_writer import LogWriter
+
+_STANDARD_ERROR = 2
 _UNQUOTED_CHARACTERS = frozenset(
     'abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-:/+@',
 )
@@ -60,11 +64,27 @@
 
 
 def configure(verbosity: str) -> None:
-    """Set up logging for this process.
+    """Set up logging for this process, to standard error.
 
     Args:
         verbosity: lowest severity to log: ``debug``, ``info``, ``warning``
             or ``error``.
     """
-    logging.use_absl_handler()
+    root = standard_logging.getLogger()
+    for handler in tuple(root.handlers):
+        root.removeHandler(handler)
+    root.addHandler(LogWriter(_STANDARD_ERROR, logging.PythonFormatter()))
     logging.set_verbosity(verbosity)
+
+
+def dropped_records() -> dict[str, int]:
+    """Return how many records this process has dropped so far, by kind.
+
+    Records are dropped while nobody reads the log.
+    """
+    writers = (
+        handler
+        for handler in standard_logging.getLogger().handlers
+        if isinstance(handler, LogWriter)
+    )
+    return next((writer.dropped for writer in writers), {})
--- a/guavadyke/metrics.py
+++ b/guavadyke/metrics.py
@@ -8,6 +8,7 @@
 
 from hdrh.histogram import HdrHistogram
 
+from guavadyke import log
 from guavadyke.filters.base import Answer, Exchange
 from guavadyke.http_application import Route
 
@@ -48,9 +49,13 @@
             histogram.record_value(elapsed_us, times)
 
     def counters(self) -> dict[str, int]:
-        """Return the counters by name."""
+        """Return the counters by name, with the dropped records of the log."""
+        dropped = {
+            f'log_dropped_{kind}': count
+            for kind, count in log.dropped_records().items()
+        }
         with self._lock:
-            return dict(self._counters)
+            return {**self._counters, **dropped}
 
     def latencies(self) -> dict[str, dict[str, float]]:
         """Return each histogram's percentiles in seconds and its count."""
