Soak: callers that keep connections, faults in series, signals that overlap

Callers of a soak opened a connection for each request, so that a stop could cut no kept one, and a host that one fault held down got no other signal.

Three in ten faults come up to four times in a row. A host that stops may be told to reload its settings.

The same seed draws other faults than before.

--- a/features/builders_soak.py
+++ b/features/builders_soak.py
@@ -48,6 +48,15 @@
     return History(_HOSTS, calls=[_call('once', status, 1)], runs=runs)
 
 
+def _kept_cut(*troubles: Trouble) -> History:
+    return History(
+        _HOSTS,
+        calls=[_call('kept', 0, _CHANGED_S + 1)],
+        runs=[Run('r-1', _ENGINE, _CHANGED_S + 1)],
+        troubles=list(troubles),
+    )
+
+
 def _listed(*results: str) -> History:
     return History(_HOSTS, items=['item-0'], results=list(results))
 
@@ -60,6 +69,9 @@
         502, 'i-1', 'i-2'
     ),
     'a request runs that was refused as not run': lambda: _once(503, 'i-1'),
+    'a stop cuts a request on a kept connection': lambda: _kept_cut(
+        _trouble('restarted', 0)
+    ),
     'a route is not served in time': lambda: _probed((12.3, 404)),
     'a route is served and then not': lambda: _probed((11, 200), (11.5, 404)),
     'a host that was paused learns too late': lambda: _probed(
@@ -85,6 +97,9 @@
     ),
     'an engine gets requests when it has just left': lambda: _ran_after(2),
     'a refused request never ran': lambda: _once(503),
+    'a killed host cuts a request on a kept connection': lambda: _kept_cut(
+        _trouble('killed', 0)
+    ),
     'the run of a request is unknown': lambda: _once(502, 'i-1'),
     'an item is listed once': lambda: _listed('item-0'),
 })
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -13,6 +13,7 @@
       | CONFIG  | a route is served and then not              |
       | CONFIG  | a host that was paused learns too late      |
       | DRAIN   | an engine gets requests long after it left  |
+      | LOST    | a stop cuts a request on a kept connection  |
       | LOST    | an item is not listed                       |
       | LOST    | an item is listed twice                     |
       | EXIT    | a process ends by itself                    |
@@ -29,6 +30,7 @@
       | no host hears the platform for a while        |
       | an engine gets requests when it has just left |
       | a refused request never ran                   |
+      | a killed host cuts a request on a kept connection |
       | the run of a request is unknown               |
       | an item is listed once                        |
 
@@ -40,3 +42,8 @@
   Scenario: a short soak breaks no promise
     When seed 1 is played for 14 seconds on 3 hosts
     Then it reports nothing
+
+  # Guards against requests on kept connections that a stop cuts.
+  Scenario: a stop among callers that keep their connections breaks no promise
+    When a host is stopped and reloaded while callers keep their connections
+    Then it reports nothing
--- a/features/soak.py
+++ b/features/soak.py
@@ -31,9 +31,10 @@
     History,
     broken_promises,
 )
-from features.soak_fleet import ONCE_PREFIX, SoakFleet, event
+from features.soak_fleet import ONCE_PREFIX, SoakFleet, whole_body
 from features.soak_fleet_faults import FleetFaults
 from features.soak_host_faults import HostFaults
+from features.soak_kept_callers import KeptCallers
 from features.soak_schedule import (
     Fault,
     Schedule,
@@ -100,9 +101,10 @@
             functools.partial(self._call_until_end, number)
             for number in range(_CALLERS)
         ]
+        kept = KeptCallers(self._fleet, self._schedule, self._ending)
         threads = [
             threading.Thread(target=one)
-            for one in (*work, self._probe_until_end)
+            for one in (*work, *kept.work, self._probe_until_end)
         ]
         for thread in threads:
             thread.start()
@@ -172,7 +174,6 @@
         request_id = f'{kind}-{next(self._numbers)}'
         sent_s = self._fleet.now_s()
         status, body = self._answer(self._fleet.daemons[host], request_id, path)
-        whole = b''.join(event(request_id, number) for number in range(1, 6))
         self.history.calls.append(
             Call(
                 kind,
@@ -182,7 +183,7 @@
                 sent_s,
                 self._fleet.now_s(),
                 status,
-                own=body == whole,
+                own=body == whole_body(request_id),
             )
         )
 
--- a/features/soak_checker.py
+++ b/features/soak_checker.py
@@ -20,6 +20,15 @@
     'platform_silent',
     'platform_rejects',
 ))
+# Planned work, which cuts no request.
+_PLANNED_KINDS = frozenset((
+    'restarted',
+    'reloaded',
+    'route_added',
+    'engine_leaves',
+    'odd_entry',
+))
+_ONCE_KINDS = frozenset(('once', 'kept'))
 _NOT_FOUND = 404
 _OK = 200
 
@@ -29,8 +38,9 @@
     """A caller's request; ``status`` is 0 if no whole answer came.
 
     ``own`` is whether the body is the whole answer to this request. ``kind``
-    is stream, once (not idempotent), probe (of an added route) or last (after
-    all faults). Times are in seconds of the soak.
+    is stream, once (not idempotent), kept (not idempotent, on a connection
+    that is used until its host closes it), probe (of an added route) or last
+    (after all faults). Times are in seconds of the soak.
     """
 
     kind: str
@@ -91,7 +101,17 @@
 
 def broken_promises(history: History) -> list[str]:
     """Return a line for each broken promise, which begins with its name."""
-    checks = (_mixed, _twice, _refused, _config, _drain, _items, _exits, _last)
+    checks = (
+        _mixed,
+        _twice,
+        _refused,
+        _kept,
+        _config,
+        _drain,
+        _items,
+        _exits,
+        _last,
+    )
     return [line for check in checks for line in check(history)]
 
 
@@ -104,7 +124,7 @@
 def _twice(history: History) -> Iterator[str]:
     runs = collections.Counter(run.request_id for run in history.runs)
     for call in history.calls:
-        if call.kind == 'once' and runs[call.request_id] > 1:
+        if call.kind in _ONCE_KINDS and runs[call.request_id] > 1:
             yield f'TWICE: {runs[call.request_id]} runs of {call}'
 
 
@@ -112,10 +132,27 @@
     ran = {run.request_id for run in history.runs}
     for call in history.calls:
         refused = call.status in _NOT_RUN_STATUSES
-        if call.kind == 'once' and refused and call.request_id in ran:
+        if call.kind in _ONCE_KINDS and refused and call.request_id in ran:
             yield f'REFUSED: ran all the same: {call}'
 
 
+def _kept(history: History) -> Iterator[str]:
+    """Find requests on kept connections that only planned work has cut."""
+    ran = {run.request_id for run in history.runs}
+    for call in history.calls:
+        if call.kind != 'kept' or call.status or call.request_id not in ran:
+            continue
+        excuses = [
+            trouble
+            for trouble in history.troubles
+            if trouble.kind not in _PLANNED_KINDS
+            and trouble.overlaps(call.sent_s - _SLACK_S, call.ended_s)
+            and (not trouble.hosts or call.host in trouble.hosts)
+        ]
+        if not excuses:
+            yield f'LOST: cut on a kept connection: {call}'
+
+
 def _config(history: History) -> Iterator[str]:
     probes = [call for call in history.calls if call.kind == 'probe']
     served_s = {
--- a/features/soak_fleet.py
+++ b/features/soak_fleet.py
@@ -13,6 +13,9 @@
 from features.soak_schedule import Fault
 
 ONCE_PREFIX = '/once/'
+# Requests that may run once and take a second.
+SLOW_PATH = f'{ONCE_PREFIX}slow'
+_SLOW_PAUSE_S = 0.2
 
 
 class SoakEngine(users.UsersEngine):
@@ -32,9 +35,11 @@
         self._on_run(request_id)
         write = self._start_stream(request)
         first = int(request.headers.get('last-event-id', '0')) + 1
+        slow = request.path == SLOW_PATH
+        pause_s = _SLOW_PAUSE_S if slow else self.script.pause_s
         for number in range(first, self.script.events + 1):
             write(event(request_id, number))
-            time.sleep(self.script.pause_s)
+            time.sleep(pause_s)
 
 
 def event(request_id: str, number: int) -> bytes:
@@ -42,6 +47,11 @@
     return f'id: {number}\ndata: {request_id} {number}\n\n'.encode()
 
 
+def whole_body(request_id: str) -> bytes:
+    """Return the whole answer to a request."""
+    return b''.join(event(request_id, number) for number in range(1, 6))
+
+
 class SoakFleet(processes.UsersFleet):
     """Daemons as processes, and faults that begin and end.
 
--- a/features/soak_host_faults.py
+++ b/features/soak_host_faults.py
@@ -29,6 +29,7 @@
         self._down: set[int] = set()
         self._unheard: dict[str, list[frozenset[str]]] = {}
         self._starts: list[threading.Thread] = []
+        self._stopping: list[subprocess.Popen[bytes]] = []
 
     def settle(self) -> None:
         """Wait for hosts that are starting; note which ended by themselves."""
@@ -53,7 +54,9 @@
         began_s = self._fleet.now_s()
         taken = self._take_down(fault)
         for number in taken:
-            self._fleet.daemons[number].process.send_signal(signal.SIGTERM)
+            process = self._fleet.daemons[number].process
+            process.send_signal(signal.SIGTERM)
+            self._stopping.append(process)
         return functools.partial(self._start_again, fault, began_s, taken)
 
     def pause(self, fault: Fault) -> Callable[[], None]:
@@ -65,10 +68,12 @@
         return functools.partial(self._resume, fault, began_s, taken)
 
     def reload(self, fault: Fault) -> Callable[[], None]:
-        """Have hosts check their settings again."""
+        """Have hosts check their settings again, also while they stop."""
         for number in fault.hosts:
-            if number not in self._down:
-                self._fleet.daemons[number].process.send_signal(signal.SIGHUP)
+            daemon = self._fleet.daemons[number]
+            # A process that has just started does not listen to signals yet.
+            if number not in self._down or daemon.process in self._stopping:
+                daemon.process.send_signal(signal.SIGHUP)
         return functools.partial(
             self._fleet.record, fault, self._fleet.now_s(), fault.hosts
         )
--- a/features/soak_schedule.py
+++ b/features/soak_schedule.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import json
 import math
 import random
@@ -16,6 +17,10 @@
 _SHORTEST_S = 0.2
 _LONGEST_S = 3.5
 _FAULTS_PER_S = 0.6
+# Some faults come in a series, each soon after the one before.
+_SERIES_SHARE = 0.3
+_MOST_IN_SERIES = 4
+_SERIES_GAP_S = 0.7
 HOST_FAULTS = (
     'killed',
     'paused',
@@ -66,9 +71,9 @@
     rng = random.Random(seed)
     length_s = max(0, seconds - QUIET_START_S - QUIET_END_S)
     count = math.ceil(length_s * _FAULTS_PER_S)
+    drawn = (_draw_series(rng, length_s, hosts) for _ in range(count))
     faults = sorted(
-        (_draw_fault(rng, length_s, hosts) for _ in range(count)),
-        key=lambda fault: fault.at_s,
+        itertools.chain.from_iterable(drawn), key=lambda fault: fault.at_s
     )
     return Schedule(seed, seconds, hosts, tuple(faults))
 
@@ -86,6 +91,29 @@
         yield Fault(hosts=hosts, **document)
 
 
+def _draw_series(
+    rng: random.Random, length_s: float, hosts: int
+) -> list[Fault]:
+    """Draw a fault that comes once or several times, maybe overlapping."""
+    first = _draw_fault(rng, length_s, hosts)
+    times = 1
+    if rng.random() < _SERIES_SHARE:
+        times = rng.randint(2, _MOST_IN_SERIES)
+    gap_s = rng.uniform(_SHORTEST_S, _SERIES_GAP_S)
+    repeated = (
+        dataclasses.replace(first, at_s=round(first.at_s + number * gap_s, 3))
+        for number in range(times)
+    )
+    until_s = QUIET_START_S + length_s
+    return [
+        dataclasses.replace(
+            fault, for_s=round(min(fault.for_s, until_s - fault.at_s), 3)
+        )
+        for fault in repeated
+        if fault.at_s < until_s
+    ]
+
+
 def _draw_fault(rng: random.Random, length_s: float, hosts: int) -> Fault:
     kind = rng.choice((*HOST_FAULTS, *FLEET_FAULTS))
     at_s = QUIET_START_S + rng.uniform(0, length_s)
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -65,3 +65,13 @@
 def step_play(context: Context, seed: int, seconds: float, hosts: int) -> None:
     schedule = soak_schedule.draw_schedule(seed, seconds, hosts)
     context.broken = soak.play(schedule, None, _GENEROUS_S)
+
+
+@when('a host is stopped and reloaded while callers keep their connections')
+def step_play_stop(context: Context) -> None:
+    faults = (
+        soak_schedule.Fault('restarted', 4, 2, (0,)),
+        soak_schedule.Fault('reloaded', 5, 0.2, (0, 1)),
+    )
+    schedule = soak_schedule.Schedule(901, 20, 2, faults)
+    context.broken = soak.play(schedule, None, _GENEROUS_S)
