Leave a silent server before its answer only for another that takes the request

Cause: the wait for the first byte ended after half the latency objective because another server was listed. Whether it took the request was asked only after the call had been given up, and a server that may have run the request is not returned to. Once an answer has begun, SilenceCheck reserved first already.

Change: the same check now decides before the first byte. The adapter asks it when no byte has come in time, and waits on until another server has been reserved. Silence is still recorded for kept connections at each such moment, and a server is only taken for unreachable if the request had all its time.

--- a/features/builders_pausing_server.py
+++ b/features/builders_pausing_server.py
@@ -12,6 +12,9 @@
 from features import builders_forward as build
 from guavadyke.adapters.backend import HttpBackendServers
 from guavadyke.adapters.clock import SystemClock
+from guavadyke.adapters.ports import OnlineCount, PeerNotice
+from guavadyke.decisions.request_permits import Permit
+from guavadyke.decisions.server_limits import ServerLimit
 from guavadyke.decisions.server_registry import ListedServer
 from guavadyke.filters.caller_watch import CallerWatch
 from guavadyke.filters.forward_attempt import ForwardRequest, ForwardTools
@@ -26,6 +29,9 @@
 _EVENT_S = 0.02
 _AFTER_HEADER = b'last-event-id:'
 _SLOTS = 8
+_QUEUED = 10 * _SLOTS
+_ANNOUNCED_EVERY_S = 0.2
+_OTHER_HOST = 'host-2'
 
 
 class PausingServer:
@@ -85,6 +91,62 @@
             time.sleep(self._pause_s)
 
 
+class QueueElsewhere:
+    """Another host that announces more requests than a server has slots.
+
+    Args:
+        tools: the tools of the host that hears it.
+        server_id: the server at which the requests are.
+        for_s: seconds after which it announces none.
+    """
+
+    def __init__(
+        self, tools: ForwardTools, server_id: str, for_s: float
+    ) -> None:
+        self._tools = tools
+        self._server_id = server_id
+        self._for_s = for_s
+        self._closed = threading.Event()
+        self._record_service_time()
+        self._announce(_QUEUED)
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def close(self) -> None:
+        """Announce nothing more."""
+        self._closed.set()
+
+    def _record_service_time(self) -> None:
+        """Let the host know that a request takes a second."""
+        lease = self._tools.pool.acquire_online(
+            build.SERVICE, frozenset(), self._server_id
+        )
+        assert lease is not None
+        self._tools.pool.wait_estimator.record_service_time(lease, 1)
+        self._tools.pool.release(lease)
+
+    def _run(self) -> None:
+        ends_at = time.monotonic() + self._for_s
+        while not self._closed.wait(_ANNOUNCED_EVERY_S):
+            if time.monotonic() >= ends_at:
+                self._announce(0)
+                return
+            self._announce(_QUEUED)
+
+    def _announce(self, count: int) -> None:
+        self._tools.pool.record_notice(
+            _OTHER_HOST,
+            PeerNotice(counts=(OnlineCount(self._server_id, count, 0),)),
+        )
+
+
+def exhaust_limit(tools: ForwardTools, server_id: str) -> None:
+    """Let a server take no request for longer than a test lasts."""
+    tools.limits.apply(ServerLimit(server_id, 0, 1))
+    tools.limits.receive(
+        _OTHER_HOST, PeerNotice(permits=(Permit(server_id, wait_s=30),))
+    )
+
+
 def real_time_tools(servers: tuple[PausingServer, ...]) -> ForwardTools:
     """Return the tools of a host that lists these servers."""
     watch = CallerWatch()
--- a/features/forward_silence.feature
+++ b/features/forward_silence.feature
@@ -50,3 +50,29 @@
     When 4 requests are sent at the same time
     Then its answer is whole
     And no request is counted at any server
+
+  # Guards against a request that leaves its server while no other takes it.
+  Scenario Outline: a <kind> request stays at its server while the other one has a <reason>
+    Given a <kind> route with 2 attempts
+    And a server that pauses for 1.4 seconds after event 0
+    And a server that pauses for 0 seconds after event 0
+    And the last server has a <reason>
+    When a request is sent
+    Then its answer is whole
+    And the servers have got 1 request
+
+    Examples:
+      | kind             | reason         |
+      | resumable stream | long queue     |
+      | resumable stream | limit in force |
+      | idempotent       | long queue     |
+      | idempotent       | limit in force |
+
+  Scenario: a request leaves a silent server as soon as another one takes it
+    Given a resumable stream route with 2 attempts
+    And a server that pauses for 4 seconds after event 0
+    And a server that pauses for 0 seconds after event 0
+    And the last server has a long queue for 1 second
+    When a request is sent
+    Then its answer is whole within 2.5 seconds
+    And the servers have got 2 requests
--- a/features/steps/forward_silence_steps.py
+++ b/features/steps/forward_silence_steps.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import functools
+import math
 import time
+from collections.abc import Callable
 from concurrent import futures
 
 from behave import given, then, when
@@ -13,6 +16,7 @@
 from guavadyke.decisions.forward_routes import RouteKind
 from guavadyke.errors import GuavadykeError
 from guavadyke.filters.forward import Forwarder
+from guavadyke.filters.forward_attempt import ForwardTools
 
 
 @given('a {kind} route with {attempts:d} attempts')
@@ -24,6 +28,7 @@
         max_attempts=attempts,
     )
     context.servers = ()
+    context.hindrances = ()
 
 
 @given('a server that pauses for {seconds:g} seconds after event {event:d}')
@@ -34,6 +39,25 @@
     context.servers = (*context.servers, server)
 
 
+@given('the last server has a limit in force')
+def step_limit(context: Context) -> None:
+    _hinder(context, pausing.exhaust_limit)
+
+
+@given('the last server has a long queue')
+def step_queue(context: Context) -> None:
+    step_queue_for(context, math.inf)
+
+
+@given('the last server has a long queue for {seconds:g} second')
+def step_queue_for(context: Context, seconds: float) -> None:
+    def queue(tools: ForwardTools, server_id: str) -> None:
+        elsewhere = pausing.QueueElsewhere(tools, server_id, seconds)
+        context.add_cleanup(elsewhere.close)
+
+    _hinder(context, queue)
+
+
 @when('a request is sent')
 def step_send(context: Context) -> None:
     step_send_many(context, 1)
@@ -43,6 +67,8 @@
 def step_send_many(context: Context, count: int) -> None:
     context.tools = pausing.real_time_tools(context.servers)
     context.add_cleanup(context.tools.watch.close)
+    for hinder in context.hindrances:
+        hinder(context.tools)
     began = time.monotonic()
     with futures.ThreadPoolExecutor(count) as callers:
         context.bodies = list(
@@ -74,6 +100,17 @@
     assert not context.tools.pool.load_notice().counts
 
 
+def _hinder(
+    context: Context, hinder: Callable[[ForwardTools, str], object]
+) -> None:
+    """Keep the last server from taking requests once the host runs."""
+    server_id = context.servers[-1].listed.server_id
+    context.hindrances = (
+        *context.hindrances,
+        functools.partial(hinder, server_id=server_id),
+    )
+
+
 def _body(context: Context) -> bytes:
     """Return what the caller gets, up to an error."""
     body = b''
--- a/guavadyke/adapters/backend.py
+++ b/guavadyke/adapters/backend.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import math
 import socket
 import threading
@@ -20,6 +21,7 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError, ReadTimeoutError
 from urllib3.response import BaseHTTPResponse
+from urllib3.util.wait import wait_for_read
 
 from guavadyke.adapters.answer_bodies import read_body
 from guavadyke.adapters.connection_pool import (
@@ -147,7 +149,7 @@
         connection, is_reused = self._get_connection(call)
         try:
             answer = HttpBackendAnswer(
-                call,
+                self._recording_silence(call, connection),
                 connection,
                 self._pool,
                 self._dialect,
@@ -156,10 +158,8 @@
             connection.close()
             self._pool.close_idle(_origin(call))
             failure = _backend_error(error, call.address)
-            if failure.fault is BackendFault.silent and not _is_tunnel(
-                connection
-            ):
-                self._record_silence(call.address)
+            if failure.fault is BackendFault.silent:
+                self._record_silence(call.address, connection)
             raise failure from error
         _check_headers(call, answer, self._dialect, is_reused=is_reused)
         return answer
@@ -252,7 +252,23 @@
             self._ways.proved_cut(call.address, time.monotonic())
         return connection_over(opened, _origin(call))
 
-    def _record_silence(self, address: str) -> None:
+    def _recording_silence(
+        self, call: BackendCall, connection: HTTPConnection
+    ) -> BackendCall:
+        """Return the call, which records silence also while it waits on."""
+        wait_longer_s = call.wait_longer_s
+        if wait_longer_s is None:
+            return call
+
+        def record_and_wait() -> float:
+            self._record_silence(call.address, connection)
+            return wait_longer_s()
+
+        return dataclasses.replace(call, wait_longer_s=record_and_wait)
+
+    def _record_silence(self, address: str, connection: HTTPConnection) -> None:
+        if _is_tunnel(connection):
+            return
         with self._lock:
             suspect = self._ways.fell_silent(address, time.monotonic())
         if suspect:
@@ -356,10 +372,26 @@
             preload_content=False,
             decode_content=False,
         )
+        self._wait_for_answer()
         response = self._connection.getresponse()
         self._socket.settimeout(call.gap_timeout_s)
         return response
 
+    def _wait_for_answer(self) -> None:
+        """Wait for the first byte, as long as the caller wants to.
+
+        Raises:
+            TimeoutError: none came.
+        """
+        wait_longer_s = self._call.wait_longer_s
+        if wait_longer_s is None:
+            return
+        wait_s = self._call.first_byte_timeout_s
+        while not wait_for_read(self._socket, wait_s):
+            wait_s = wait_longer_s()
+            if wait_s <= 0:
+                raise TimeoutError('no byte of the answer has come')
+
     def _body_pieces(self) -> Iterator[bytes]:
         # read_chunked() collects a whole chunk, whatever its size.
         if (
--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -96,7 +96,7 @@
         while True:
             attempt = self._start_attempt()
             try:
-                answer = attempt.send()
+                answer = attempt.send(self._silence.wait_longer_s)
                 self._check_failure(answer)
                 return _buffered_answer(answer, attempt)
             except BackendServerError as error:
@@ -164,7 +164,9 @@
         self,
         attempt: ForwardAttempt,
     ) -> Generator[Answer | bytes]:
-        answer = attempt.send(self._event_parser.last_id)
+        answer = attempt.send(
+            self._silence.wait_longer_s, self._event_parser.last_id
+        )
         self._check_failure(answer)
         if answer.status != _OK and not self._started:
             yield _buffered_answer(answer, attempt)
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -153,9 +153,21 @@
         """Version of the server's software."""
         return self._lease.server.software
 
-    def send(self, last_event_id: int = 0) -> BackendAnswer:
+    @property
+    def has_answer(self) -> bool:
+        """Whether its answer has begun."""
+        return self._answer is not None
+
+    def send(
+        self, wait_longer_s: Callable[[], float], last_event_id: int = 0
+    ) -> BackendAnswer:
         """Send the request and wait for the response head.
 
+        Args:
+            wait_longer_s: called while the server is silent for longer than
+                usual; returns for how many seconds more to wait, 0 to leave.
+            last_event_id: event after which a stream goes on.
+
         Raises:
             BackendServerError: the server sent no response.
         """
@@ -184,6 +196,7 @@
                     self._tools.pool.said_leaving, self._lease.server
                 ),
                 observe_data=self._record_data,
+                wait_longer_s=wait_longer_s,
             ),
         )
         self._heard_at = self._tools.clock.monotonic()
@@ -195,10 +208,13 @@
         return 0 if self._answer is None else now - self._heard_at
 
     def leave_silent(self) -> None:
-        """Cancel the call, so that the request goes on at another server."""
+        """Cancel the call, so that the request goes on at another server.
+
+        A call without an answer ends by what ``wait_longer_s`` returns.
+        """
+        self._left_silent = True
         answer = self._answer
         if answer is not None:
-            self._left_silent = True
             answer.cancel()
 
     def record_event(self) -> None:
@@ -249,7 +265,7 @@
             return error
         return BackendServerError(
             BackendFault.silent,
-            f'{self._lease.server.address} fell silent in its answer',
+            f'{self._lease.server.address} fell silent',
             not_run=False,
         )
 
@@ -284,6 +300,13 @@
         )
         return min(remaining_s, patience_s)
 
+    def _had_short_time(self) -> bool:
+        """Return whether the call was given less than the time that is left."""
+        return self._left_silent or (
+            self._may_fail_over
+            and self._tools.clock.monotonic() < self._request.deadline
+        )
+
     def _record_data(self) -> None:
         self._heard_at = self._tools.clock.monotonic()
         self._tools.pool.others.heard(self.server_id)
@@ -295,10 +318,8 @@
         # A cancelled call tells nothing about the health of the server.
         is_server_fault = error is not None and not self._cancellation.cancelled
         fault = error.fault if error is not None and is_server_fault else None
-        if fault is BackendFault.silent and (
-            self._may_fail_over or self._left_silent
-        ):
-            # The time was short, so the server may only be busy.
+        if fault is BackendFault.silent and self._had_short_time():
+            # The server may only be busy.
             fault = BackendFault.broken
         if is_server_fault and error is not None and error.disconnected:
             self._guarded.disconnected(self._lease.server.incarnation)
--- a/guavadyke/filters/silence_check.py
+++ b/guavadyke/filters/silence_check.py
@@ -1,4 +1,4 @@
-"""Moves a request from a server that has fallen silent in its answer."""
+"""Moves a request from a server that has fallen silent."""
 
 from __future__ import annotations
 
@@ -21,12 +21,14 @@
 _PAUSE_FACTOR = 1.5
 # Time until a server is looked for again where there was none.
 _RETRY_S = 0.5
+# The same for a request that has got no answer yet.
+_FIRST_BYTE_RETRY_S = 0.25
 
 
 class SilenceCheck:
     """Decides when an attempt has waited too long for the next data.
 
-    Silence alone ends no answer: an attempt is left only once another server
+    Silence alone ends no attempt: it is left only once another server
     has been reserved for the next one. While all other servers are silent as
     well, the whole service may pause, and nothing is gained by moving soon.
 
@@ -52,11 +54,13 @@
         self._attempt: ForwardAttempt | None = None
         self._reserved: ServerLease | None = None
         self._retry_at = float('-inf')
+        self._kept_is_logged = False
 
     def watch(self, attempt: ForwardAttempt) -> None:
         """Check this attempt from now on."""
         with self._lock:
             self._attempt = attempt
+            self._kept_is_logged = False
 
     def take_reserved(self) -> ServerLease | None:
         """Return the lease for the next attempt, None without a reserved one.
@@ -84,6 +88,22 @@
             if self._reserved is not None:
                 attempt.leave_silent()
 
+    def wait_longer_s(self) -> float:
+        """Return for how long to wait on for the first byte of an answer.
+
+        Runs in the thread of the request. Returns 0 seconds once the deadline
+        has passed or another server has been reserved.
+        """
+        with self._lock:
+            attempt = self._attempt
+            if attempt is None or not self._attempts.may_retry_running:
+                return self._remaining_s()
+            self._reserved = self._reserve_next(attempt)
+            if self._reserved is None:
+                return min(_FIRST_BYTE_RETRY_S, self._remaining_s())
+            attempt.leave_silent()
+        return 0
+
     def close(self) -> None:
         """Check nothing more, and release a lease that was not needed."""
         reserved = self.take_reserved()
@@ -92,22 +112,32 @@
 
     def _reserve_next(self, attempt: ForwardAttempt) -> ServerLease | None:
         """Reserve a server for the next attempt, None if none takes it."""
-        now = self._tools.clock.monotonic()
         try:
             return self._admission.acquire(
                 self._attempts.failed | {attempt.server_id},
-                self._request.deadline - now,
+                self._remaining_s(),
             )
         except AdmissionRefusedError as refusal:
-            self._retry_at = now + _RETRY_S
-            self._tools.logger.info(
-                'silent_server_kept',
-                request_id=self._request.request_id,
-                backend_server=attempt.server_id,
-                reason=refusal.message,
-            )
+            self._retry_at = self._tools.clock.monotonic() + _RETRY_S
+            self._log_kept(attempt, refusal.message)
             return None
 
+    def _log_kept(self, attempt: ForwardAttempt, reason: str) -> None:
+        """Log once for each attempt why it stays where it is."""
+        if self._kept_is_logged:
+            return
+        self._kept_is_logged = True
+        self._tools.logger.info(
+            'silent_server_kept',
+            request_id=self._request.request_id,
+            backend_server=attempt.server_id,
+            answer_has_begun=attempt.has_answer,
+            reason=reason,
+        )
+
+    def _remaining_s(self) -> float:
+        return self._request.deadline - self._tools.clock.monotonic()
+
     def _is_due(self, attempt: ForwardAttempt) -> bool:
         silence_s = self._tools.settings.silence_s
         now = self._tools.clock.monotonic()
