Reserve no time to return for a request that only looks for another server

Each request that is kept at a silent server asks the others now and then. Every refusal reserved a time for a caller to return that no caller got, so that callers who were really refused were told to come back later and later.

Cause: the refusal held the estimate, which is made and reserved when it is asked for. Change: the refusal holds the call that makes it, and only a request that is refused makes it.

--- a/features/forward_silence.feature
+++ b/features/forward_silence.feature
@@ -76,3 +76,13 @@
     When a request is sent
     Then its answer is whole within 2.5 seconds
     And the servers have got 2 requests
+
+  Scenario: asking for a server in vain delays no caller that was refused
+    Given a resumable stream route with 2 attempts
+    And a server that pauses for 1.4 seconds after event 0
+    And a server that pauses for 0 seconds after event 0
+    And the last server has a long queue
+    When a request is sent
+    Then its answer is whole
+    # 81 requests of 1 s at 16 slots, half of which are for those who return.
+    And a caller that is refused may return within 10.2 seconds
--- a/features/steps/forward_silence_steps.py
+++ b/features/steps/forward_silence_steps.py
@@ -100,6 +100,14 @@
     assert not context.tools.pool.load_notice().counts
 
 
+@then('a caller that is refused may return within {seconds:g} seconds')
+def step_return(context: Context, seconds: float) -> None:
+    pool = context.tools.pool
+    lease = pool.acquire_online(build.SERVICE, frozenset(('s1',)), 'next')
+    retry_s = pool.wait_estimator.estimate_retry_after_s(lease, 0)
+    assert retry_s < seconds, retry_s
+
+
 def _hinder(
     context: Context, hinder: Callable[[ForwardTools, str], object]
 ) -> None:
--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -257,7 +257,7 @@
             )
         except AdmissionRefusedError as refusal:
             raise self._give_up(
-                refusal.code, refusal.message, refusal.retry_in_s
+                refusal.code, refusal.message, refusal.estimate_retry_s()
             ) from refusal
 
     def _may_leave(self, lease: ServerLease) -> bool:
--- a/guavadyke/filters/forward_admission.py
+++ b/guavadyke/filters/forward_admission.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from guavadyke.adapters.ports import BackendFault
 from guavadyke.decisions.forward_routes import ForwardRoute
 from guavadyke.decisions.load_shedding import longest_wait_s
@@ -11,25 +13,30 @@
 from guavadyke.filters.forward_attempt import ForwardRequest, ForwardTools
 
 
+def _no_estimate() -> None:
+    """Return that nothing is known of when a caller should retry."""
+
+
 class AdmissionRefusedError(Exception):
     """A request must not be sent to any server now.
 
     Args:
         code: the error code; None if it follows from failed attempts.
         message: human-readable description.
-        retry_in_s: seconds after which the caller should retry, if known.
+        estimate_retry_s: returns the seconds after which the caller should
+            retry, None if not known; it reserves that time for the caller.
     """
 
     def __init__(
         self,
         code: ErrorCode | None,
         message: str,
-        retry_in_s: float | None = None,
+        estimate_retry_s: Callable[[], float | None] = _no_estimate,
     ) -> None:
         super().__init__(message)
         self.code = code
         self.message = message
-        self.retry_in_s = retry_in_s
+        self.estimate_retry_s = estimate_retry_s
 
 
 class ServerAdmission:
@@ -106,7 +113,7 @@
                 ErrorCode.prompt_quarantined,
                 f'{found.crashes} backend servers have ended under '
                 f'{_describe(found.part)}',
-                found.trial_in_s,
+                lambda: found.trial_in_s,
             )
 
     def _check_wait(self, lease: ServerLease, remaining_s: float) -> None:
@@ -129,7 +136,7 @@
                 ErrorCode.overloaded,
                 f'every backend server of {self.service} has too long a '
                 f'queue: {wait_s:.2f} s, the maximum is {longest_s:.2f} s',
-                pool.wait_estimator.estimate_retry_after_s(
+                lambda: pool.wait_estimator.estimate_retry_after_s(
                     lease, wait_s - longest_s
                 ),
             )
@@ -142,7 +149,7 @@
                 ErrorCode.overloaded,
                 f'the backend servers of {self.service} take no more '
                 'requests now',
-                min(waits),
+                lambda: min(waits),
             )
         code = (
             ErrorCode.no_backend_server
