--- a/bench/day_bound.py
+++ b/bench/day_bound.py
@@ -22,10 +22,15 @@
 # Columns of counts in that table end here.
 _COUNTS_END = 7
 # Kinds of trouble that take servers away while they last.
-_WITHOUT_SERVERS = frozenset(('srv_crash', 'scale_in', 'servers_away'))
+_WITHOUT_SERVERS = frozenset((
+    'srv_crash',
+    'scale_in',
+    'servers_away',
+    'srv_slow (pause)',
+))
 _EVENT = re.compile(
     r'^\s*(?P<begin>[\d.]+) s to\s+(?P<end>[\d.]+) s\s+'
-    r'(?P<kind>\w+)[^\d]*(?P<count>\d+) servers',
+    r'(?P<kind>\w+(?: \(pause\))?)[^\d]*(?P<count>\d+) servers',
 )
 
 
@@ -56,6 +61,12 @@
     end_s: float
     servers: int
 
+    def share_of(self, window: Window) -> float:
+        """Return the share of a window in which they are away."""
+        until_s = min(self.end_s, window.begin_s + window.length_s)
+        away_s = until_s - max(self.begin_s, window.begin_s)
+        return max(0, away_s) / window.length_s
+
 
 def place_time_s(class_: Mapping[str, Any], server: Mapping[str, Any]) -> float:
     """Return how long a request of a class takes a place of a full server.
@@ -139,13 +150,8 @@
             free -= begun
             yield begun
 
-    def _places(self, window: Window, away: Iterable[Loss]) -> int:
-        until_s = window.begin_s + window.length_s
-        lost = sum(
-            loss.servers
-            for loss in away
-            if loss.begin_s < until_s and window.begin_s < loss.end_s
-        )
+    def _places(self, window: Window, away: Iterable[Loss]) -> float:
+        lost = sum(loss.servers * loss.share_of(window) for loss in away)
         return max(0, self.servers - lost) * self.places
 
 
--- a/features/steps/measure_bound_steps.py
+++ b/features/steps/measure_bound_steps.py
@@ -19,7 +19,7 @@
 4                      140     100      0       0      0       40  1.000
 
 what happened
-     2.0 s to      4.0 s  srv_crash {count} servers
+     2.0 s to      {until:.1f} s  {kind} {count} servers
      0.5 s to      1.5 s  node_kill 3 hosts
 """
 _SERVER = types.MappingProxyType({
@@ -44,7 +44,12 @@
 
 @given('a played day on which {count:d} server was away from second 2 to 4')
 def step_day(context: Context, count: int) -> None:
-    context.lines = _OUTPUT.format(count=count).splitlines()
+    context.lines = _output('srv_crash', count, 4)
+
+
+@given('a played day on which {count:d} server paused from second 2 to 3')
+def step_pauses(context: Context, count: int) -> None:
+    context.lines = _output('srv_slow (pause)', count, 3)
 
 
 @when('its bound is worked out')
@@ -74,3 +79,8 @@
 def step_place_time(context: Context, seconds: str) -> None:
     found = day_bound.place_time_s(context.request_class, _SERVER)
     assert f'{found:.4f}' == seconds, found
+
+
+def _output(kind: str, count: int, until_s: float) -> list[str]:
+    """Return what a day prints on which servers are away from second 2."""
+    return _OUTPUT.format(kind=kind, count=count, until=until_s).splitlines()
