Give a large request time to be sent while no other server takes it

A caller with a large request got a 502 when its server did not read it at once, because it paused or because the link was slow, though no other server took it.

Cause: the time for the first byte also limited how long sending may take, and on many routes it is half the latency objective. Found while looking for further decisions that rest on silence alone.

A dead connection is still noticed by the kernel's limit on unacknowledged data.

--- a/features/builders_pausing_server.py
+++ b/features/builders_pausing_server.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import itertools
+import re
 import socket
 import threading
 import time
@@ -29,6 +30,9 @@
 _EVENT_S = 0.02
 _AFTER_HEADER = b'last-event-id:'
 _SLOTS = 8
+_READ_BYTES = 65_536
+_END_OF_HEAD = b'\r\n\r\n'
+_LENGTH = re.compile(rb'content-length: *(\d+)', re.IGNORECASE)
 _QUEUED = 10 * _SLOTS
 _ANNOUNCED_EVERY_S = 0.2
 _OTHER_HOST = 'host-2'
@@ -42,13 +46,21 @@
         pause_after: event after which it stands still; 0 for before its
             answer.
         pause_s: how long it stands still.
+        reads_after_s: after how long it reads a request.
     """
 
-    def __init__(self, name: str, pause_after: int, pause_s: float) -> None:
+    def __init__(
+        self,
+        name: str,
+        pause_after: int,
+        pause_s: float,
+        reads_after_s: float = 0,
+    ) -> None:
         self.requests = 0
         self._name = name
         self._pause_after = pause_after
         self._pause_s = pause_s
+        self._reads_after_s = reads_after_s
         self._socket = socket.create_server((build.LOOPBACK, 0))
         threading.Thread(target=self._run, daemon=True).start()
 
@@ -73,9 +85,10 @@
 
     def _serve(self, connection: socket.socket) -> None:
         with connection, contextlib.suppress(OSError):
-            request = connection.recv(65_536).lower()
             self.requests += 1
-            _before, _name, after = request.partition(_AFTER_HEADER)
+            time.sleep(self._reads_after_s)
+            head = _read_request(connection).lower()
+            _before, _name, after = head.partition(_AFTER_HEADER)
             first = int(after.split()[0]) + 1 if after else 1
             self._pause_at(0)
             connection.sendall(_HEAD)
@@ -91,6 +104,18 @@
             time.sleep(self._pause_s)
 
 
+def _read_request(connection: socket.socket) -> bytes:
+    """Read a whole request and return its head."""
+    received = bytearray(connection.recv(_READ_BYTES))
+    head, _blank, _body = bytes(received).partition(_END_OF_HEAD)
+    found = _LENGTH.search(head)
+    missing = int(found[1]) if found else 0
+    missing -= len(received) - len(head) - len(_END_OF_HEAD)
+    while missing > 0:
+        missing -= len(connection.recv(_READ_BYTES))
+    return head
+
+
 class QueueElsewhere:
     """Another host that announces more requests than a server has slots.
 
@@ -162,11 +187,12 @@
 _request_numbers = itertools.count(1)
 
 
-def real_time_request() -> ForwardRequest:
+def real_time_request(body_bytes: int = 4) -> ForwardRequest:
     """Return a request that is received now."""
     now = time.monotonic()
     return dataclasses.replace(
         build.request(f'request-{next(_request_numbers)}'),
         received_at=now,
+        body=bytes(body_bytes),
         deadline=now + build.DEADLINE_S,
     )
--- a/features/forward_silence.feature
+++ b/features/forward_silence.feature
@@ -77,6 +77,16 @@
     Then its answer is whole within 2.5 seconds
     And the servers have got 2 requests
 
+  # Guards against a large request that is given up while it is sent.
+  Scenario: a request stays at a server that reads it late while no other takes it
+    Given a resumable stream route with 2 attempts
+    And a server that reads a request after 1.4 seconds
+    And a server that pauses for 0 seconds after event 0
+    And the last server has a long queue
+    When a request with a body of 16 MB is sent
+    Then its answer is whole
+    And the servers have got 1 request
+
   Scenario: asking for a server in vain delays no caller that was refused
     Given a resumable stream route with 2 attempts
     And a server that pauses for 1.4 seconds after event 0
--- a/features/steps/forward_silence_steps.py
+++ b/features/steps/forward_silence_steps.py
@@ -18,6 +18,8 @@
 from guavadyke.filters.forward import Forwarder
 from guavadyke.filters.forward_attempt import ForwardTools
 
+_MEGABYTE = 1_048_576
+
 
 @given('a {kind} route with {attempts:d} attempts')
 def step_route(context: Context, kind: str, attempts: int) -> None:
@@ -28,6 +30,7 @@
         max_attempts=attempts,
     )
     context.servers = ()
+    context.body_bytes = 4
     context.hindrances = ()
 
 
@@ -39,6 +42,14 @@
     context.servers = (*context.servers, server)
 
 
+@given('a server that reads a request after {seconds:g} seconds')
+def step_reads_late(context: Context, seconds: float) -> None:
+    name = f's{len(context.servers) + 1}'
+    server = pausing.PausingServer(name, -1, 0, seconds)
+    context.add_cleanup(server.close)
+    context.servers = (*context.servers, server)
+
+
 @given('the last server has a limit in force')
 def step_limit(context: Context) -> None:
     _hinder(context, pausing.exhaust_limit)
@@ -58,6 +69,12 @@
     _hinder(context, queue)
 
 
+@when('a request with a body of {megabytes:d} MB is sent')
+def step_send_large(context: Context, megabytes: int) -> None:
+    context.body_bytes = megabytes * _MEGABYTE
+    step_send_many(context, 1)
+
+
 @when('a request is sent')
 def step_send(context: Context) -> None:
     step_send_many(context, 1)
@@ -124,7 +141,9 @@
     body = b''
     try:
         answer = Forwarder(
-            pausing.real_time_request(), context.route, context.tools
+            pausing.real_time_request(context.body_bytes),
+            context.route,
+            context.tools,
         ).answer()
         if isinstance(answer.body, bytes):
             return answer.body
--- a/guavadyke/adapters/backend.py
+++ b/guavadyke/adapters/backend.py
@@ -362,8 +362,13 @@
 
     def _exchange(self, dialect: BackendDialect) -> BaseHTTPResponse:
         call = self._call
-        # urllib3 resets the socket's timeout to this value on each request.
-        self._connection.timeout = call.first_byte_timeout_s
+        # urllib3 resets the socket's timeout to this value on each request,
+        # and again before it reads the answer.
+        self._connection.timeout = (
+            call.first_byte_timeout_s
+            if call.wait_longer_s is None
+            else call.gap_timeout_s
+        )
         self._connection.request(
             call.method,
             call.path,
@@ -373,6 +378,7 @@
             decode_content=False,
         )
         self._wait_for_answer()
+        self._connection.timeout = call.first_byte_timeout_s
         response = self._connection.getresponse()
         self._socket.settimeout(call.gap_timeout_s)
         return response
--- a/guavadyke/adapters/ports.py
+++ b/guavadyke/adapters/ports.py
@@ -220,7 +220,7 @@
     leaves, and ``observe_data`` whenever a part of the body arrives. While
     no byte of the answer has come in ``first_byte_timeout_s``, it calls
     ``wait_longer_s``, which returns for how many seconds more to wait, 0 to
-    give the call up as silent.
+    give the call up as silent; such a call may take ``gap_timeout_s`` to send.
     """
 
     request_id: str
