Record the silence of a server once for a call that waits on

A call that is kept at a silent server asked four times a second whether to wait on, and each time gave up all idle connections of the host anew, as two silent servers do. They are given up once now, as before calls could wait on.

--- a/guavadyke/adapters/backend.py
+++ b/guavadyke/adapters/backend.py
@@ -8,12 +8,12 @@
 from __future__ import annotations
 
 import contextlib
-import dataclasses
+import functools
 import math
 import socket
 import threading
 import time
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from http import client
 from typing import Protocol
 
@@ -149,10 +149,13 @@
         connection, is_reused = self._get_connection(call)
         try:
             answer = HttpBackendAnswer(
-                self._recording_silence(call, connection),
+                call,
                 connection,
                 self._pool,
                 self._dialect,
+                functools.partial(
+                    self._record_silence, call.address, connection
+                ),
             )
         except _TRANSPORT_ERRORS as error:
             connection.close()
@@ -252,20 +255,6 @@
             self._ways.proved_cut(call.address, time.monotonic())
         return connection_over(opened, _origin(call))
 
-    def _recording_silence(
-        self, call: BackendCall, connection: HTTPConnection
-    ) -> BackendCall:
-        """Return the call, which records silence also while it waits on."""
-        wait_longer_s = call.wait_longer_s
-        if wait_longer_s is None:
-            return call
-
-        def record_and_wait() -> float:
-            self._record_silence(call.address, connection)
-            return wait_longer_s()
-
-        return dataclasses.replace(call, wait_longer_s=record_and_wait)
-
     def _record_silence(self, address: str, connection: HTTPConnection) -> None:
         if _is_tunnel(connection):
             return
@@ -285,6 +274,8 @@
         connection: an open connection.
         pool: receives the connection back after a complete answer.
         dialect: headers that the server uses.
+        record_silence: called once if the first byte is late and the call
+            waits on for it.
     """
 
     def __init__(
@@ -293,8 +284,10 @@
         connection: HTTPConnection,
         pool: ConnectionPool,
         dialect: BackendDialect,
+        record_silence: Callable[[], object],
     ) -> None:
         self._call = call
+        self._record_silence = record_silence
         self._connection = connection
         self._pool = pool
         self._socket: socket.socket = connection.sock
@@ -390,13 +383,15 @@
             TimeoutError: none came.
         """
         wait_longer_s = self._call.wait_longer_s
-        if wait_longer_s is None:
+        if wait_longer_s is None or wait_for_read(
+            self._socket, self._call.first_byte_timeout_s
+        ):
             return
-        wait_s = self._call.first_byte_timeout_s
-        while not wait_for_read(self._socket, wait_s):
-            wait_s = wait_longer_s()
-            if wait_s <= 0:
-                raise TimeoutError('no byte of the answer has come')
+        self._record_silence()
+        for wait_s in iter(wait_longer_s, 0):
+            if wait_for_read(self._socket, wait_s):
+                return
+        raise TimeoutError('no byte of the answer has come')
 
     def _body_pieces(self) -> Iterator[bytes]:
         # read_chunked() collects a whole chunk, whatever its size.
--- a/guavadyke/filters/silence_check.py
+++ b/guavadyke/filters/silence_check.py
@@ -136,7 +136,9 @@
         )
 
     def _remaining_s(self) -> float:
-        return self._request.deadline - self._tools.clock.monotonic()
+        """Return the seconds until the deadline, 0 once it has passed."""
+        now = self._tools.clock.monotonic()
+        return max(0, self._request.deadline - now)
 
     def _is_due(self, attempt: ForwardAttempt) -> bool:
         silence_s = self._tools.settings.silence_s
