Let a begun answer queue for as long as its request has time

Callers lost the rest of a stream, with seconds left, when its server broke off while the queues of the others were longer than a new request may wait.

Cause: the limit of a wait in a queue protects the objective for the first event, and applied to an answer of which the caller has a part as well. A new request that is refused can come again; a stream that is cut is lost.

Change: a request whose answer has begun and whose server has failed may wait until its deadline. A request that only looks for a better server than a silent one is still refused by the short limit.

--- a/features/builders_pausing_server.py
+++ b/features/builders_pausing_server.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 import itertools
+import math
 import re
 import socket
 import threading
@@ -33,7 +34,7 @@
 _READ_BYTES = 65_536
 _END_OF_HEAD = b'\r\n\r\n'
 _LENGTH = re.compile(rb'content-length: *(\d+)', re.IGNORECASE)
-_QUEUED = 10 * _SLOTS
+LONG_QUEUE = 10 * _SLOTS
 _ANNOUNCED_EVERY_S = 0.2
 _OTHER_HOST = 'host-2'
 
@@ -45,7 +46,7 @@
         name: id of the server.
         pause_after: event after which it stands still; 0 for before its
             answer.
-        pause_s: how long it stands still.
+        pause_s: how long it stands still; infinity to break off there.
         reads_after_s: after how long it reads a request.
     """
 
@@ -100,8 +101,11 @@
             connection.sendall(b'0\r\n\r\n')
 
     def _pause_at(self, number: int) -> None:
-        if number == self._pause_after:
-            time.sleep(self._pause_s)
+        if number != self._pause_after:
+            return
+        if math.isinf(self._pause_s):
+            raise ConnectionAbortedError
+        time.sleep(self._pause_s)
 
 
 def _read_request(connection: socket.socket) -> bytes:
@@ -122,18 +126,24 @@
     Args:
         tools: the tools of the host that hears it.
         server_id: the server at which the requests are.
+        requests: how many requests it announces.
         for_s: seconds after which it announces none.
     """
 
     def __init__(
-        self, tools: ForwardTools, server_id: str, for_s: float
+        self,
+        tools: ForwardTools,
+        server_id: str,
+        requests: int,
+        for_s: float = math.inf,
     ) -> None:
         self._tools = tools
         self._server_id = server_id
+        self._requests = requests
         self._for_s = for_s
         self._closed = threading.Event()
         self._record_service_time()
-        self._announce(_QUEUED)
+        self._announce(requests)
         threading.Thread(target=self._run, daemon=True).start()
 
     def close(self) -> None:
@@ -155,7 +165,7 @@
             if time.monotonic() >= ends_at:
                 self._announce(0)
                 return
-            self._announce(_QUEUED)
+            self._announce(self._requests)
 
     def _announce(self, count: int) -> None:
         self._tools.pool.record_notice(
--- a/features/forward_silence.feature
+++ b/features/forward_silence.feature
@@ -87,6 +87,16 @@
     Then its answer is whole
     And the servers have got 1 request
 
+  # Guards against a begun answer that is cut where a new request is refused.
+  Scenario: a stream whose server breaks off goes on behind a queue
+    Given a resumable stream route with 2 attempts
+    And a server that breaks off after event 2
+    And a server that pauses for 0 seconds after event 0
+    And the last server has 20 requests of other hosts
+    When a request is sent
+    Then its answer is whole
+    And the servers have got 2 requests
+
   Scenario: asking for a server in vain delays no caller that was refused
     Given a resumable stream route with 2 attempts
     And a server that pauses for 1.4 seconds after event 0
--- a/features/steps/forward_silence_steps.py
+++ b/features/steps/forward_silence_steps.py
@@ -42,6 +42,11 @@
     context.servers = (*context.servers, server)
 
 
+@given('a server that breaks off after event {event:d}')
+def step_breaks(context: Context, event: int) -> None:
+    step_server(context, math.inf, event)
+
+
 @given('a server that reads a request after {seconds:g} seconds')
 def step_reads_late(context: Context, seconds: float) -> None:
     name = f's{len(context.servers) + 1}'
@@ -57,16 +62,17 @@
 
 @given('the last server has a long queue')
 def step_queue(context: Context) -> None:
-    step_queue_for(context, math.inf)
+    _queue(context, pausing.LONG_QUEUE)
 
 
 @given('the last server has a long queue for {seconds:g} second')
 def step_queue_for(context: Context, seconds: float) -> None:
-    def queue(tools: ForwardTools, server_id: str) -> None:
-        elsewhere = pausing.QueueElsewhere(tools, server_id, seconds)
-        context.add_cleanup(elsewhere.close)
+    _queue(context, pausing.LONG_QUEUE, seconds)
 
-    _hinder(context, queue)
+
+@given('the last server has {requests:d} requests of other hosts')
+def step_requests_elsewhere(context: Context, requests: int) -> None:
+    _queue(context, requests)
 
 
 @when('a request with a body of {megabytes:d} MB is sent')
@@ -125,6 +131,16 @@
     assert retry_s < seconds, retry_s
 
 
+def _queue(context: Context, requests: int, for_s: float = math.inf) -> None:
+    """Let another host have requests at the last server."""
+
+    def queue(tools: ForwardTools, server_id: str) -> None:
+        elsewhere = pausing.QueueElsewhere(tools, server_id, requests, for_s)
+        context.add_cleanup(elsewhere.close)
+
+    _hinder(context, queue)
+
+
 def _hinder(
     context: Context, hinder: Callable[[ForwardTools, str], object]
 ) -> None:
--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -253,7 +253,9 @@
         """
         try:
             return self._admission.acquire(
-                self._request_attempts.failed, remaining_s
+                self._request_attempts.failed,
+                remaining_s,
+                has_begun=self._started,
             )
         except AdmissionRefusedError as refusal:
             raise self._give_up(
--- a/guavadyke/filters/forward_admission.py
+++ b/guavadyke/filters/forward_admission.py
@@ -67,12 +67,16 @@
         self,
         failed: frozenset[str],
         remaining_s: float,
+        *,
+        has_begun: bool = False,
     ) -> ServerLease:
         """Reserve the best server that takes the request now.
 
         Args:
             failed: ids of servers that are not tried again.
             remaining_s: seconds until the request's deadline.
+            has_begun: whether the caller has a part of the answer, which is
+                lost unless the request may queue for as long as is left.
 
         Raises:
             AdmissionRefusedError: there is none.
@@ -88,7 +92,10 @@
             )
             if lease is None:
                 raise self._no_server_error(failed)
-            self._check_wait(lease, remaining_s)
+            self._check_wait(
+                lease,
+                remaining_s if has_begun else self._longest_wait_s(remaining_s),
+            )
             if self._tools.limits.admit(lease.server):
                 return lease
             self._tools.pool.release(lease, BackendFault.refused)
@@ -116,7 +123,14 @@
                 lambda: found.trial_in_s,
             )
 
-    def _check_wait(self, lease: ServerLease, remaining_s: float) -> None:
+    def _longest_wait_s(self, remaining_s: float) -> float:
+        return longest_wait_s(
+            self._route,
+            remaining_s,
+            self._tools.settings.longest_wait_s,
+        )
+
+    def _check_wait(self, lease: ServerLease, longest_s: float) -> None:
         """Refuse a request that would wait too long at the server.
 
         Raises:
@@ -125,11 +139,6 @@
         """
         pool = self._tools.pool
         wait_s = pool.wait_estimator.estimate_wait_s(lease)
-        longest_s = longest_wait_s(
-            self._route,
-            remaining_s,
-            self._tools.settings.longest_wait_s,
-        )
         if wait_s > longest_s:
             pool.release(lease, BackendFault.refused)
             raise AdmissionRefusedError(
--- a/guavadyke/settings.py
+++ b/guavadyke/settings.py
@@ -356,7 +356,8 @@
     patience_share: Positive = pydantic.Field(
         default=0.5,
         description='Share of the latency objective after which a request '
-        'without its first event is sent to another backend server.',
+        'without its first event moves to another backend server, if one '
+        'takes it.',
     )
     idle_connection_s: Positive = pydantic.Field(
         default=4,
