Refuse waves of requests at hosts that have just started

Callers got late answers after hosts had started: each host queued all that came until its first request had ended, and the servers then worked through requests that were past their objective.

Cause: the estimate of how long a request holds a slot is 0 until one has ended on the host, so that every estimated wait was 0 and none was refused.

Change: as long as more requests of a service run on the host than have ended, the estimate is the time for which all of them have held slots, per request that has ended. Before the first has ended, all hosts together are taken to have had one end: the seconds held, over the host's share of the requests at the servers. The estimate grows with the age of the requests, so it fits services of any duration, and it needs no message.

--- a/guavadyke/controllers/pool_parts.py
+++ b/guavadyke/controllers/pool_parts.py
@@ -8,6 +8,7 @@
 
 from guavadyke.adapters.ports import Clock
 from guavadyke.decisions.load_balancing import LoadBalancer
+from guavadyke.decisions.running_requests import RunningRequests
 from guavadyke.decisions.server_registry import ListedServer
 
 
@@ -15,11 +16,14 @@
 class PoolParts:
     """What a server pool shares with its parts.
 
-    ``lock`` guards ``table``. ``servers`` returns the servers of a service
-    at a time of the monotonic clock; the lock has to be held.
+    ``lock`` guards ``table`` and ``running``. ``servers`` returns the servers
+    of a service at a time of the monotonic clock; the lock has to be held.
     """
 
     lock: threading.Lock
     table: LoadBalancer
     servers: Callable[[str, float], Sequence[ListedServer]]
     clock: Clock
+    running: RunningRequests = dataclasses.field(
+        default_factory=RunningRequests,
+    )
--- a/guavadyke/controllers/server_pool.py
+++ b/guavadyke/controllers/server_pool.py
@@ -85,6 +85,7 @@
         self._server_registry = ServerRegistry()
         self._load_balancer = LoadBalancer(here, rng)
         parts = PoolParts(self._lock, self._load_balancer, self._servers, clock)
+        self._running = parts.running
         self.wait_estimator = WaitEstimator(parts, rng)
         self.others = OtherServers(parts)
         self.urgent = UrgentNotices()
@@ -165,15 +166,17 @@
             load = self._load_balancer.load(chosen.server_id, now)
             holders = self._load_balancer.batch_by_host(chosen.server_id, now)
             self._load_balancer.own_online[chosen.server_id] += 1
-        if load.total >= chosen.slots:
+            lease = ServerLease(
+                chosen,
+                batch=False,
+                taken_at=now,
+                online_before=load.online,
+                batch_before=load.batch,
+            )
+            self._running.add(lease)
+        if lease.queued:
             self.urgent.add_contention(chosen.server_id, holders)
-        return ServerLease(
-            chosen,
-            batch=False,
-            taken_at=now,
-            online_before=load.online,
-            batch_before=load.batch,
-        )
+        return lease
 
     def acquire_batch(
         self,
@@ -224,6 +227,7 @@
             held[server_id] -= 1
             if held[server_id] <= 0:
                 held.pop(server_id)
+            self._running.remove(lease)
             health = self._load_balancer.health(lease.server)
             now = self._clock.monotonic()
             if lease.batch and fault is BackendFault.refused:
--- a/guavadyke/controllers/wait_estimator.py
+++ b/guavadyke/controllers/wait_estimator.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 
 from guavadyke.controllers.pool_parts import PoolParts
 from guavadyke.decisions.load_shedding import Overload, RetryScheduler
 from guavadyke.decisions.request_queue import ServiceTimeEstimator
+from guavadyke.decisions.running_requests import SlotsInUse
 from guavadyke.decisions.server_registry import ServerLease
 
 
@@ -49,12 +51,16 @@
         """
         with self._lock:
             server = lease.server
-            online = self._table.load(server.server_id, self._now()).online
+            now = self._now()
+            online = self._table.load(server.server_id, now).online
             ahead = online - server.slots
             if ahead <= 0:
                 return 0
             return self._service_times.wait_s(
-                server.service, ahead - 1, server.slots
+                server.service,
+                ahead - 1,
+                server.slots,
+                self._slots_in_use(server.service, now),
             )
 
     def estimate_retry_after_s(
@@ -71,10 +77,23 @@
             now = self._now()
             servers = self._parts.servers(service, now)
             slots = sum(server.slots for server in servers)
-            any_slot_s = self._service_times.wait_s(service, 0, slots)
+            any_slot_s = self._service_times.wait_s(
+                service,
+                0,
+                slots,
+                self._slots_in_use(service, now),
+            )
             own_slot_s = any_slot_s / self._table.own_share(servers, now)
             overload = Overload(excess_s, own_slot_s)
             return self._retry_times.reserve_retry_s(service, overload, now)
 
+    def _slots_in_use(self, service: str, now: float) -> SlotsInUse:
+        in_use = self._parts.running.slots_in_use(service, now)
+        if not self._service_times.needs_running(service, in_use):
+            return in_use
+        servers = self._parts.servers(service, now)
+        share = self._table.own_share(servers, now)
+        return dataclasses.replace(in_use, share=share)
+
     def _now(self) -> float:
         return self._parts.clock.monotonic()
--- a/guavadyke/decisions/request_queue.py
+++ b/guavadyke/decisions/request_queue.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import heapq
 import itertools
 from collections.abc import Iterator
 
+from guavadyke.decisions.running_requests import SlotsInUse
+
 _SMOOTHING_FACTOR = 0.1
 _INITIAL_MEAN_S = 0
+_NO_SLOTS = SlotsInUse()
 
 
 @dataclasses.dataclass(eq=False)
@@ -109,31 +113,56 @@
     """Estimates how long requests of an entry hold a slot.
 
     The estimate is an exponentially weighted moving average over the
-    requests that have ended.
+    requests that have ended. As long as more run than have ended, the running
+    ones count as well, since the shorter ones end first: the estimate is then
+    the time for which all of them have held slots, per request that has ended.
+    Before the first one has ended, all hosts together are taken to have had
+    one end, as each of them may send a wave of requests to the same servers.
     """
 
     def __init__(self) -> None:
         self._mean_s: dict[str, float] = {}
+        self._ended: collections.Counter[str] = collections.Counter()
 
     def record_duration(self, entry_name: str, duration_s: float) -> None:
         """Record for how many seconds an ended request held its slot."""
         previous_s = self._mean_s.get(entry_name, duration_s)
         change_s = (duration_s - previous_s) * _SMOOTHING_FACTOR
         self._mean_s[entry_name] = previous_s + change_s
+        self._ended[entry_name] += 1
+
+    def needs_running(self, entry_name: str, in_use: SlotsInUse) -> bool:
+        """Return whether more requests of an entry run than have ended."""
+        return in_use.count > self._ended[entry_name]
 
-    def mean_s(self, entry_name: str) -> float:
+    def mean_s(self, entry_name: str, in_use: SlotsInUse = _NO_SLOTS) -> float:
         """Return the mean number of seconds that a request holds a slot.
 
-        It is 0 as long as no request of the entry has ended.
-        """
-        return self._mean_s.get(entry_name, _INITIAL_MEAN_S)
+        It is 0 as long as no request of the entry has ended or runs.
 
-    def wait_s(self, entry_name: str, ahead: int, slots: int) -> float:
+        Args:
+            entry_name: the entry.
+            in_use: the slots that running requests of the entry hold.
+        """
+        mean_s = self._mean_s.get(entry_name, _INITIAL_MEAN_S)
+        if not self.needs_running(entry_name, in_use):
+            return mean_s
+        ended = self._ended[entry_name]
+        return (mean_s * ended + in_use.held_s) / max(in_use.share, ended)
+
+    def wait_s(
+        self,
+        entry_name: str,
+        ahead: int,
+        slots: int,
+        in_use: SlotsInUse = _NO_SLOTS,
+    ) -> float:
         """Estimate the seconds until a new request gets a slot.
 
         Args:
             entry_name: the entry that is requested.
             ahead: requests that wait before it.
             slots: slots that requests of the entry hold on this host.
+            in_use: those of them that are known to be in use since when.
         """
-        return self.mean_s(entry_name) * (ahead + 1) / max(1, slots)
+        return self.mean_s(entry_name, in_use) * (ahead + 1) / max(1, slots)
