Tell refused callers of a host that has just started a time that is due

Cause: the estimate for such a host divides by its share of all requests, so as to refuse waves that all hosts send. The time to return divides by that share once more.

Change: the time to return takes the running requests for what they are; the share counts once.

--- a/features/forward_decisions.feature
+++ b/features/forward_decisions.feature
@@ -209,6 +209,12 @@
     When another host reports 3 online requests there
     Then it looks at once which of its items to preempt
 
+  # Guards against callers sent away for minutes by a host that has just started.
+  Scenario: a host that has just started sends refused callers away no longer than others do
+    Given a host that has just started, with a request that runs for 0.5 seconds
+    When another host reports 100 online requests there
+    Then a refused caller may return as soon as at a host where requests take 0.5 seconds
+
   Scenario: a failing server and its recovery are told to all hosts
     Given a host with a server that another host has filled with items
     When a request fails because the server is not reached
--- a/features/steps/forward_decisions_steps.py
+++ b/features/steps/forward_decisions_steps.py
@@ -20,6 +20,7 @@
 )
 from guavadyke.controllers.forward_job_runner import newest_to_cancel
 from guavadyke.controllers.item_run import ItemRun, PartialText
+from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.decisions.fault_reports import FaultReports, ServerFault
 from guavadyke.decisions.first_event_times import FirstEventTimes
 from guavadyke.decisions.forward_job_items import JobItemTracker
@@ -632,6 +633,41 @@
         context.pool.acquire_batch(build.SERVICE, frozenset())
 
 
+@given(
+    'a host that has just started, '
+    'with a request that runs for {seconds:g} seconds'
+)
+def step_just_started(context: Context, seconds: float) -> None:
+    clock = build.ManualClock()
+    context.pool = build.pool((build.server('s1'),), clock)
+    context.pool.acquire_online(build.SERVICE, frozenset(), 'first')
+    clock.sleep(seconds)
+
+
+@then(
+    'a refused caller may return as soon as at a host '
+    'where requests take {seconds:g} seconds'
+)
+def step_returns_as_soon(context: Context, seconds: float) -> None:
+    experienced = build.pool((build.server('s1'),))
+    lease = experienced.acquire_online(build.SERVICE, frozenset(), 'first')
+    assert lease is not None
+    experienced.wait_estimator.record_service_time(lease, seconds)
+    notice = PeerNotice(counts=(OnlineCount('s1', 100, 0),))
+    experienced.record_notice('host-2', notice)
+    started_s, experienced_s = itertools.starmap(
+        _retry_s, ((context.pool, 'next'), (experienced, 'next'))
+    )
+    assert started_s <= experienced_s, (started_s, experienced_s)
+
+
+def _retry_s(pool: ServerPool, key: str) -> float:
+    """Return after how many seconds a caller that is refused may return."""
+    lease = pool.acquire_online(build.SERVICE, frozenset(), key)
+    assert lease is not None
+    return pool.wait_estimator.estimate_retry_after_s(lease, 0)
+
+
 @when('it sends an online request there')
 def step_online_there(context: Context) -> None:
     context.pool.acquire_online(build.SERVICE, frozenset(), 'key')
--- a/guavadyke/controllers/wait_estimator.py
+++ b/guavadyke/controllers/wait_estimator.py
@@ -81,7 +81,7 @@
                 service,
                 0,
                 slots,
-                self._slots_in_use(service, now),
+                self._parts.running.slots_in_use(service, now),
             )
             own_slot_s = any_slot_s / self._table.own_share(servers, now)
             overload = Overload(excess_s, own_slot_s)
