Leave a silent engine of an online request only for one that takes it

Callers of the product's own interface, and its batch items, lost answers whose engine only paused: backend_silent or backend_failed after online.gap_timeout_s (2 s) without data, whatever other engines did, and for streams that can't be resumed as well. What may be repeated was sent a second time to engines that all paused.

Cause: the socket's timeout ended the attempt on silence alone. Neither whether a retry was allowed nor whether another engine took the request was asked before.

Change: AttemptSilence decides, as SilenceCheck does for forwarded requests. The sockets wait until the deadline; an attempt is left only if a retry is allowed and paid for from the budget, and a slot at another available engine is reserved for it, or if no token of its answer is missing. The two settings say after how much silence another slot is sought. An engine whose silent answer is waited for gets no new requests while others are available. A retry after the deadline is not tried any more: the caller gets backend_silent. An event of an unexpected shape makes a stream not resumable instead of raising in the thread that checks all calls.

The only engine that is silent for one request and answers others is not asked a second time any more; such a request ends at its deadline.

--- a/guavadyke/decisions/answer_stream.py
+++ b/guavadyke/decisions/answer_stream.py
@@ -139,7 +139,8 @@
         try:
             for document in event_documents(blocks):
                 self._read_document(document)
-        except StreamFaultError:
+        except (StreamFaultError, AttributeError, TypeError):
+            # Events of another shape can't be continued.
             self._resumable = False
 
     def _read_document(self, document: Document) -> None:
@@ -231,6 +232,11 @@
         self._id = b''
         self._rewrite = _Rewriter(self.text.frame, partial)
 
+    @property
+    def lacks_only_end(self) -> bool:
+        """Whether no token is missing, though its end may be."""
+        return self._done or self._finished or self._has_all_tokens()
+
     def closing_events(self) -> bytes:
         """Return the missing final events of an answer with all its tokens.
 
@@ -241,9 +247,7 @@
         if self._finished and not self._done:
             self._done = True
             return _DONE_EVENT
-        partial = self.text.partial
-        longest = self._longest_tokens
-        if self._done or longest is None or partial.tokens < longest:
+        if self._done or not self._has_all_tokens():
             return b''
         self._finished = True
         self._done = True
@@ -268,6 +272,10 @@
             block = self._rewrite(block)
         return self._accept(block)
 
+    def _has_all_tokens(self) -> bool:
+        longest = self._longest_tokens
+        return longest is not None and self.text.partial.tokens >= longest
+
     def _whole_events(self, piece: bytes) -> bytes:
         received = (
             self._incomplete_event + piece if self._incomplete_event else piece
--- a/guavadyke/decisions/batch_admission.py
+++ b/guavadyke/decisions/batch_admission.py
@@ -4,7 +4,7 @@
 
 import collections
 import math
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
 from guavadyke.decisions.candidates import Candidates
 from guavadyke.decisions.remote_counts import RemoteCounts
@@ -68,6 +68,7 @@
         now: float,
         *,
         non_preemptible: bool = False,
+        excluded: Collection[str] = (),
     ) -> Slot | None:
         """Return a slot for a batch item, None where none is free.
 
@@ -76,11 +77,13 @@
             now: current time.
             non_preemptible: whether the item must not be preempted; such
                 items get only a share of the slots of a server.
+            excluded: ids of servers that must not be used.
         """
         free_slots = {
             view.server_id: self._free_slots(view, now)
             for view in self._sending_views(entry_name)
-            if not non_preemptible or self._may_add_non_preemptible(view)
+            if view.server_id not in excluded
+            and (not non_preemptible or self._may_add_non_preemptible(view))
         }
         emptiest = max(free_slots, key=lambda one: free_slots[one], default='')
         if not emptiest or free_slots[emptiest] < 1:
--- a/guavadyke/decisions/retries.py
+++ b/guavadyke/decisions/retries.py
@@ -56,6 +56,10 @@
         self._balance -= 1
         return True
 
+    def refund(self) -> None:
+        """Give back one retry that was spent."""
+        self._balance = min(_MAX_BALANCE, self._balance + 1)
+
 
 def is_safe_to_retry(failed: FailedAttempt, *, idempotent: bool) -> bool:
     """Return whether it is safe to send the request again.
--- a/guavadyke/decisions/slot_scheduler.py
+++ b/guavadyke/decisions/slot_scheduler.py
@@ -5,7 +5,7 @@
 import dataclasses
 import itertools
 import random
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 
 from guavadyke.adapters.ports import BackendFault, OnlineCount, ReportedLoad
 from guavadyke.decisions.batch_admission import BatchAdmission
@@ -119,6 +119,30 @@
         self.line.add(pending_request)
         return None
 
+    def reserve(
+        self, pending_request: PendingRequest, now: float
+    ) -> Slot | None:
+        """Return a free slot at a server that is not excluded, or None.
+
+        Servers that are ejected, and slots for which requests wait, are
+        left alone.
+        """
+        if self.line.length_of(pending_request.entry_name):
+            return None
+        views = self._available_views(
+            pending_request.entry_name, pending_request.excluded
+        )
+        return self._take_slot(views, pending_request, now)
+
+    def report_silence(self, slot: Slot, now: float) -> None:
+        """Eject a silent server, unless no other one is available.
+
+        Its call goes on; an answer or a load report readmits it.
+        """
+        server_id = slot.view.server_id
+        if self._available_views(slot.entry_name, frozenset((server_id,))):
+            self.router.server(server_id).health.failed(now, unreachable=True)
+
     def assign_free_slots(self, now: float) -> Iterator[Grant]:
         """Assign free slots to waiting requests; yield each assignment."""
         progress = True
@@ -167,7 +191,24 @@
             for view in views
             if view.server_id not in pending_request.excluded
         ]
-        view = self.router.choose(left or views, pending_request.key, now)
+        return self._take_slot(left or views, pending_request, now)
+
+    def _available_views(
+        self, entry_name: str, excluded: frozenset[str]
+    ) -> list[ServerView]:
+        return [
+            view
+            for view in self._candidates.for_entry(entry_name)
+            if view.server_id not in excluded and self.router.available(view)
+        ]
+
+    def _take_slot(
+        self,
+        views: Sequence[ServerView],
+        pending_request: PendingRequest,
+        now: float,
+    ) -> Slot | None:
+        view = self.router.choose(views, pending_request.key, now)
         if view is None:
             return None
         self.router.server(view.server_id).add_online(1, now)
--- a/guavadyke/filters/attempts.py
+++ b/guavadyke/filters/attempts.py
@@ -16,6 +16,7 @@
 from guavadyke.decisions.retries import FailedAttempt
 from guavadyke.decisions.slot import Slot
 from guavadyke.errors import ErrorCode, Finding, GuavadykeError, RunStatus
+from guavadyke.filters.attempt_silence import AnswerProgress, AttemptSilence
 from guavadyke.filters.backend_request import (
     AttemptTools,
     BackendRequest,
@@ -43,6 +44,7 @@
         request: the request to send.
         source: provides a backend server slot for each attempt.
         tools: settings, clock and services that all attempts share.
+        progress: what the answer has brought so far.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         request: BackendRequest,
         source: SlotSource,
         tools: AttemptTools,
+        progress: AnswerProgress,
     ) -> None:
         self._request = request
         self._source = source
@@ -57,6 +60,7 @@
         self._failed_attempts = 0
         self._excluded: frozenset[str] = frozenset()
         self._maybe_ran = False
+        self._silence = AttemptSilence(request, source, tools, progress)
 
     @property
     def maybe_ran(self) -> bool:
@@ -80,22 +84,10 @@
             PreemptedError: the slot was needed by online requests.
         """
         self._tools.retries.note_request()
-        while True:
-            slot = self._acquire_slot()
-            fault: BackendFault | None = None
-            try:
-                yield from make_attempt(slot)
-            except BackendServerError as error:
-                if not slot.cancellation.cancelled:
-                    fault = error.fault
-                self._handle_failure(slot, error)
-            except GeneratorExit:
-                slot.cancellation.cancel()
-                raise
-            else:
-                return
-            finally:
-                self._tools.capacity.release(slot, fault)
+        try:
+            yield from self._run(make_attempt)
+        finally:
+            self._silence.close()
 
     def watch_call(self, slot: Slot) -> AbstractContextManager[None]:
         """Cancel the call on the slot once nobody waits for the answer.
@@ -107,7 +99,7 @@
             bool if request.completes_if_abandoned else request.abandoned
         )
         return self._tools.watch.cancel_when_abandoned(
-            abandoned, slot.cancellation
+            abandoned, slot.cancellation, self._silence.check
         )
 
     def send(self, slot: Slot, body: bytes, *, whole: bool) -> BackendAnswer:
@@ -128,15 +120,42 @@
         if self._tools.clock.monotonic() >= self._request.deadline:
             raise self._deadline_error()
         self._tools.metrics.increment('attempts')
+        self._silence.begin(slot, self._excluded, self._failed_attempts + 1)
         try:
             answer = self._tools.servers.send(call)
         except BackendServerError as error:
             self._maybe_ran = self._maybe_ran or not error.not_run
             raise
         self._maybe_ran = True
+        self._silence.answered(answer)
         return answer
 
+    def _run(
+        self,
+        make_attempt: Callable[[Slot], Iterator[Piece]],
+    ) -> Iterator[Piece]:
+        while True:
+            slot = self._acquire_slot()
+            fault: BackendFault | None = None
+            try:
+                yield from make_attempt(slot)
+            except BackendServerError as error:
+                failure = self._silence.end(error)
+                cancelled = slot.cancellation.cancelled
+                fault = None if cancelled else failure.fault
+                self._handle_failure(slot, failure)
+            except GeneratorExit:
+                slot.cancellation.cancel()
+                raise
+            else:
+                return
+            finally:
+                self._tools.capacity.release(slot, fault)
+
     def _acquire_slot(self) -> Slot:
+        reserved = self._silence.take_reserved()
+        if reserved is not None:
+            return reserved
         try:
             return self._source.acquire(self._excluded)
         except GuavadykeError as error:
@@ -177,19 +196,29 @@
             raise PreemptedError from error
         self._excluded |= {slot.view.server_id}
         self._failed_attempts += 1
-        failed = FailedAttempt(error.fault, error.not_run)
-        is_abandoned = (
-            self._request.abandoned()
-            and not self._request.completes_if_abandoned
-        )
-        if is_abandoned or not self._tools.retries.allows(
-            failed,
-            self._failed_attempts,
-            idempotent=self._request.idempotent,
-        ):
+        if not self._may_retry(error):
             raise self._final_error(error) from error
         self._tools.metrics.increment('retries')
 
+    def _may_retry(self, error: BackendServerError) -> bool:
+        """Return whether a retry is allowed, and charge it to the budget.
+
+        One for which a slot is reserved has been charged already.
+        """
+        request = self._request
+        if request.abandoned() and not request.completes_if_abandoned:
+            return False
+        if self._silence.has_reserved:
+            return True
+        is_silent = error.fault is BackendFault.silent
+        if is_silent and self._tools.clock.monotonic() >= request.deadline:
+            return False
+        return self._tools.retries.allows(
+            FailedAttempt(error.fault, error.not_run),
+            self._failed_attempts,
+            idempotent=request.idempotent,
+        )
+
     def _final_error(self, error: BackendServerError) -> GuavadykeError:
         if not self._maybe_ran:
             return GuavadykeError(
@@ -212,7 +241,11 @@
         request = self._request
         settings = self._tools.settings
         remaining_s = request.deadline - self._tools.clock.monotonic()
-        first_byte_s = remaining_s if whole else settings.first_byte_timeout_s
+        first_byte_s = (
+            remaining_s
+            if whole
+            else min(remaining_s, settings.first_byte_timeout_s)
+        )
         number = f'.{self._failed_attempts}' if self._failed_attempts else ''
         return BackendCall(
             request_id=f'{request.request_id}{number}',
@@ -223,9 +256,11 @@
             body=body,
             connect_timeout_s=settings.connect_timeout_s,
             first_byte_timeout_s=max(_MIN_TIMEOUT_S, first_byte_s),
-            gap_timeout_s=settings.gap_timeout_s,
+            gap_timeout_s=max(_MIN_TIMEOUT_S, remaining_s),
             fresh=bool(self._failed_attempts) or not request.idempotent,
             cancellation=slot.cancellation,
+            observe_data=self._silence.record_data,
+            wait_longer_s=self._silence.wait_longer_s,
         )
 
 
--- a/guavadyke/filters/backend_request.py
+++ b/guavadyke/filters/backend_request.py
@@ -58,6 +58,13 @@
         """
         ...
 
+    def reserve(self, excluded: frozenset[str]) -> Slot | None:
+        """Return a free slot at a server that is not excluded.
+
+        Returns None at once if there is none.
+        """
+        ...
+
 
 @dataclasses.dataclass(frozen=True)
 class AttemptTools:
--- a/guavadyke/filters/batch_item_runner.py
+++ b/guavadyke/filters/batch_item_runner.py
@@ -78,6 +78,14 @@
             'online requests leave no capacity idle',
         )
 
+    def reserve(self, excluded: frozenset[str]) -> Slot | None:
+        """Return an idle slot at a server that is not excluded, or None."""
+        return self._tools.capacity.acquire_batch(
+            self._build_request.entry_name,
+            non_preemptible=not self._build_request.idempotent,
+            excluded=excluded,
+        )
+
 
 class _ItemRun(Protocol):
     """The run of one batch item."""
--- a/guavadyke/filters/dispatch.py
+++ b/guavadyke/filters/dispatch.py
@@ -15,6 +15,7 @@
 )
 from guavadyke.decisions.slot import Slot
 from guavadyke.errors import ErrorCode, GuavadykeError, RunStatus
+from guavadyke.filters.attempt_silence import UnseenAnswer
 from guavadyke.filters.attempts import Attempts, check_status
 from guavadyke.filters.backend_request import (
     AttemptTools,
@@ -74,20 +75,25 @@
             GuavadykeError: no slot became free before the deadline.
         """
         began_at = self._tools.clock.monotonic()
-        slot = self._tools.capacity.acquire(
-            SlotRequest(
-                entry_name=self._request.entry_name,
-                key=affinity_key(self._request),
-                deadline=self._request.deadline,
-                abandoned=self._request.abandoned,
-                excluded=excluded,
-                queue=self._queue,
-            ),
-        )
+        slot = self._tools.capacity.acquire(self._slot_request(excluded))
         waited_s = self._tools.clock.monotonic() - began_at
         self._tools.metrics.record('queue_wait', waited_s)
         return slot
 
+    def reserve(self, excluded: frozenset[str]) -> Slot | None:
+        """Return a free slot at a server that is not excluded, or None."""
+        return self._tools.capacity.try_acquire(self._slot_request(excluded))
+
+    def _slot_request(self, excluded: frozenset[str]) -> SlotRequest:
+        return SlotRequest(
+            entry_name=self._request.entry_name,
+            key=affinity_key(self._request),
+            deadline=self._request.deadline,
+            abandoned=self._request.abandoned,
+            excluded=excluded,
+            queue=self._queue,
+        )
+
 
 class Dispatcher:
     """Sends requests that have passed all filters to backend servers.
@@ -210,7 +216,7 @@
     ) -> None:
         self._request = request
         self._tools = tools
-        self._attempts = Attempts(request, source, tools)
+        self._attempts = Attempts(request, source, tools, UnseenAnswer())
 
     @property
     def maybe_ran(self) -> bool:
--- a/guavadyke/filters/retry_policy.py
+++ b/guavadyke/filters/retry_policy.py
@@ -57,3 +57,8 @@
             return True
         with self._lock:
             return self._budget.try_spend()
+
+    def refund(self) -> None:
+        """Give back what a retry was charged that is not made."""
+        with self._lock:
+            self._budget.refund()
--- a/guavadyke/filters/slot_pool.py
+++ b/guavadyke/filters/slot_pool.py
@@ -5,7 +5,7 @@
 import dataclasses
 import random
 import threading
-from collections.abc import Callable, Generator
+from collections.abc import Callable, Collection, Generator
 from contextlib import contextmanager
 
 from guavadyke.adapters.ports import (
@@ -120,6 +120,24 @@
         self._on_online_grant(slot.view.server_id)
         return slot
 
+    def try_acquire(self, request: SlotRequest) -> Slot | None:
+        """Return a free slot at a server that is not excluded, or None.
+
+        It doesn't wait, and takes no slot that a waiting request needs.
+        """
+        wanted = PendingRequest(
+            entry_name=request.entry_name,
+            key=request.key,
+            deadline=request.deadline,
+            excluded=request.excluded,
+        )
+        with self._lock:
+            slot = self._scheduler.reserve(wanted, self._refresh_scheduler())
+            self._grant_and_preempt()
+        if slot is not None:
+            self._on_online_grant(slot.view.server_id)
+        return slot
+
     def release(self, slot: Slot, fault: BackendFault | None = None) -> None:
         """Release a slot; ``fault`` is how its call failed, if it did."""
         with self._lock:
@@ -131,17 +149,22 @@
         entry_name: str,
         *,
         non_preemptible: bool,
+        excluded: Collection[str] = (),
     ) -> Slot | None:
         """Return a slot for a batch item, None if no slot is idle.
 
         Args:
             entry_name: catalogue entry of the item.
             non_preemptible: whether the item must not be preempted.
+            excluded: ids of servers that must not be used.
         """
         with self.locked() as scheduler:
             now = self._clock.monotonic()
             return scheduler.batch.acquire_slot(
-                entry_name, now, non_preemptible=non_preemptible
+                entry_name,
+                now,
+                non_preemptible=non_preemptible,
+                excluded=excluded,
             )
 
     def sends_batch(self, entry_name: str) -> bool:
--- a/guavadyke/filters/streaming.py
+++ b/guavadyke/filters/streaming.py
@@ -5,6 +5,7 @@
 import collections
 import itertools
 import json
+import threading
 from collections.abc import Iterator
 
 from guavadyke.adapters.ports import (
@@ -56,19 +57,32 @@
     ) -> None:
         self._request = request
         self._tools = tools
-        self._attempts = Attempts(request, source, tools)
+        self._attempts = Attempts(request, source, tools, self)
         self._relay = StreamRelay(
             chat=request.chat,
             partial=partial,
             answer_token_limit=_token_limit(request),
         )
         self._has_output = bool(partial.text)
+        self._lock = threading.Lock()
 
     @property
     def partial(self) -> PartialAnswer:
         """The part of the answer received so far."""
         return self._relay.partial
 
+    @property
+    def may_continue(self) -> bool:
+        """Whether another server can go on with the answer."""
+        with self._lock:
+            return not self._has_output or self._relay.partial.resumable
+
+    @property
+    def lacks_only_end(self) -> bool:
+        """Whether the answer can be completed without a server."""
+        with self._lock:
+            return self._relay.lacks_only_end
+
     @property
     def maybe_ran(self) -> bool:
         """Whether a backend server may have run the request."""
@@ -141,14 +155,22 @@
 
     def _relay_blocks(self, answer: BackendAnswer) -> Iterator[bytes]:
         for piece in answer.chunks():
-            # Read on after the end mark, to free the connection for reuse.
-            block = b'' if self._relay.complete else self._relay.feed(piece)
+            block = self._feed(piece)
             if block:
-                self._has_output = True
                 yield block
         if not self._relay.complete:
             raise StreamFaultError('the stream ended without its end mark')
 
+    def _feed(self, piece: bytes) -> bytes:
+        """Return the whole events that a piece completes."""
+        with self._lock:
+            # Read on after the end mark, to free the connection for reuse.
+            if self._relay.complete:
+                return b''
+            block = self._relay.feed(piece)
+            self._has_output = self._has_output or bool(block)
+        return block
+
     def _finish_or_raise(self, error: Exception) -> Iterator[bytes]:
         """Finish an answer that lacks only its end, else raise the error.
 
--- a/guavadyke/settings.py
+++ b/guavadyke/settings.py
@@ -211,11 +211,17 @@
     )
     first_byte_timeout_s: Positive = pydantic.Field(
         default=10,
-        description='Seconds to wait for the first byte of an answer.',
+        description=(
+            'Seconds without an answer after which a streamed request goes to '
+            'another server, if it may and one takes it.'
+        ),
     )
     gap_timeout_s: Positive = pydantic.Field(
         default=2,
-        description='Seconds without data after which a stream is abandoned.',
+        description=(
+            'Seconds without data after which an answer is continued at '
+            'another server, if it may be and one takes it.'
+        ),
     )
     idle_connection_s: Positive = pydantic.Field(
         default=5,
