Take whole events for progress of an online stream, not single bytes

A stream of the product's own interface whose engine sends a byte now and then, and completes no event, kept its place until its deadline though another engine was idle.

Cause: each byte counted as a sign of life.

Change: AnswerPace tells since when an answer makes no progress. Of a stream a whole event is progress, or a KiB of one that is not whole, so that a large event may take its time; of other answers each byte is, as before. The adapter passes on how many bytes have arrived.

A large event at 10 KiB/s and a trickle of the only engine stay where they are, as before.

--- a/features/builders_online_pauses.py
+++ b/features/builders_online_pauses.py
@@ -21,6 +21,7 @@
 SERVICE = 'open-booking'
 SERVICE_BODY = b'{"room": "1212121212121212"}'
 _EVENT_S = 0.01
+_TRICKLE_S = 0.05
 _PIECES = 16
 _HEAD = (
     b'HTTP/1.1 200 OK\r\n'
@@ -35,12 +36,14 @@
 class Pause:
     """A pause after a piece of an answer, 0 for before its head.
 
-    ``trickled`` sends one byte of the next piece now and then meanwhile.
+    ``trickled`` bytes of the next piece are sent each 50 ms meanwhile;
+    ``padding`` bytes are put before that piece, in the same event.
     """
 
     after: int
     seconds: float
-    trickled: bool = False
+    trickled: int = 0
+    padding: int = 0
 
 
 class PausingEngines:
@@ -138,11 +141,12 @@
     if not pause.trickled:
         time.sleep(pause.seconds)
         return piece
+    piece = b': %b\n%b' % (b'x' * pause.padding, piece)
     ends_at = time.monotonic() + pause.seconds
-    while len(piece) > 1 and time.monotonic() < ends_at:
-        _send_chunk(connection, piece[:1])
-        piece = piece[1:]
-        time.sleep(5 * _EVENT_S)
+    while len(piece) > pause.trickled and time.monotonic() < ends_at:
+        _send_chunk(connection, piece[: pause.trickled])
+        piece = piece[pause.trickled :]
+        time.sleep(_TRICKLE_S)
     return piece
 
 
--- a/features/online_silence.feature
+++ b/features/online_silence.feature
@@ -99,3 +99,35 @@
     When the host gets a streamed chat
     Then each answer is whole within 3 seconds
     And the engines have got 1 request
+
+  # Guards against an engine that is taken for alive as long as bytes come.
+  Scenario Outline: a <kind> leaves an engine that completes no event
+    Given 2 engines, of which the first one asked sends a byte now and then after piece 3
+    When the host gets a <kind>
+    Then each answer is whole within 3 seconds
+    And the engines have got 2 requests
+    And no slot is in use
+
+    Examples:
+      | kind          |
+      | streamed chat |
+      | whole chat    |
+      | batch item    |
+
+  Scenario Outline: a <kind> stays at an engine whose large event takes long
+    Given 2 engines, of which the first one asked sends a large event slowly after piece 3
+    When the host gets a <kind>
+    Then each answer is whole
+    And the engines have got 1 request
+
+    Examples:
+      | kind          |
+      | streamed chat |
+      | whole chat    |
+      | batch item    |
+
+  Scenario: a streamed chat stays at the only engine that sends a byte now and then
+    Given 1 engine that sends a byte now and then after piece 3
+    When the host gets a streamed chat
+    Then each answer is whole
+    And the engines have got 1 request
--- a/features/steps/online_silence_steps.py
+++ b/features/steps/online_silence_steps.py
@@ -149,6 +149,10 @@
     return _Outcome(text, code, now - began, now)
 
 
+def _trickle(piece: int) -> pausing.Pause:
+    return pausing.Pause(piece, _LEFT_S, trickled=1)
+
+
 def _start(context: Context, engines: pausing.PausingEngines) -> None:
     context.engines = engines
     context.add_cleanup(engines.close)
@@ -206,6 +210,28 @@
     _start(context, pausing.PausingEngines(2, pauses))
 
 
+@given('1 engine that sends a byte now and then after piece {piece:d}')
+def step_trickle_of_one(context: Context, piece: int) -> None:
+    _start(context, pausing.PausingEngines(1, (_trickle(piece),)))
+
+
+@given(
+    '2 engines, of which the first one asked sends a byte now and then '
+    'after piece {piece:d}'
+)
+def step_trickle(context: Context, piece: int) -> None:
+    _start(context, pausing.PausingEngines(2, (_trickle(piece),)))
+
+
+@given(
+    '2 engines, of which the first one asked sends a large event slowly '
+    'after piece {piece:d}'
+)
+def step_large(context: Context, piece: int) -> None:
+    pause = pausing.Pause(piece, _LEFT_S, trickled=512, padding=20_480)
+    _start(context, pausing.PausingEngines(2, (pause,)))
+
+
 @when('the host gets a {kind}')
 def step_send(context: Context, kind: str) -> None:
     context.outcomes = [_outcome(context, kind, _LEFT_S)]
--- a/guavadyke/adapters/backend.py
+++ b/guavadyke/adapters/backend.py
@@ -329,7 +329,7 @@
         observe_data = self._call.observe_data or _ignore_data
         try:
             for piece in self._body_pieces():
-                observe_data()
+                observe_data(len(piece))
                 yield piece
             whole = not self._cancelled
         except _TRANSPORT_ERRORS as error:
@@ -438,7 +438,7 @@
     return isinstance(connection, TunnelledConnection)
 
 
-def _ignore_data() -> None:
+def _ignore_data(_count: int) -> None:
     """Do nothing where nobody waits for signs of life."""
 
 
--- a/guavadyke/adapters/ports.py
+++ b/guavadyke/adapters/ports.py
@@ -217,7 +217,7 @@
     calls ``observe_limit`` with the requests a second that the server takes
     from all hosts, as its answer says; infinity if it names no limit. It
     calls ``observe_leaving`` for an answer in which the server says that it
-    leaves, and ``observe_data`` whenever a part of the body arrives. While
+    leaves, and ``observe_data`` with the bytes of each part of the body. While
     no byte of the answer has come in ``first_byte_timeout_s``, it calls
     ``wait_longer_s``, which returns for how many seconds more to wait, 0 to
     give the call up as silent.
@@ -239,7 +239,7 @@
     last_event_id: int = 0
     observe_limit: Callable[[float], object] | None = None
     observe_leaving: Callable[[], object] | None = None
-    observe_data: Callable[[], object] | None = None
+    observe_data: Callable[[int], object] | None = None
     wait_longer_s: Callable[[], float] | None = None
 
 
--- a/guavadyke/filters/attempt_silence.py
+++ b/guavadyke/filters/attempt_silence.py
@@ -10,6 +10,7 @@
     BackendFault,
     BackendServerError,
 )
+from guavadyke.decisions.answer_pace import AnswerPace
 from guavadyke.decisions.retries import FailedAttempt
 from guavadyke.decisions.slot import Slot
 from guavadyke.filters.backend_request import (
@@ -75,7 +76,7 @@
         self._failed: frozenset[str] = frozenset()
         self._attempts = 0
         self._answer: BackendAnswer | None = None
-        self._heard_at = float('-inf')
+        self._pace = AnswerPace(0, streamed=False)
         self._retry_at = float('-inf')
         self._left = False
         self._is_kept = False
@@ -86,15 +87,25 @@
         """Whether a slot is reserved for the next attempt."""
         return self._reserved is not None
 
-    def begin(self, slot: Slot, failed: frozenset[str], attempts: int) -> None:
+    def begin(
+        self,
+        slot: Slot,
+        failed: frozenset[str],
+        attempts: int,
+        *,
+        streamed: bool,
+    ) -> None:
         """Check the attempt on this slot from now on.
 
         Args:
             slot: slot of the attempt.
             failed: ids of the servers of earlier attempts.
             attempts: number of attempts, with this one.
+            streamed: whether its answer is a stream of events.
         """
+        now = self._tools.clock.monotonic()
         with self._lock:
+            self._pace = AnswerPace(now, streamed=streamed)
             self._slot = slot
             self._failed = failed
             self._attempts = attempts
@@ -103,13 +114,17 @@
 
     def answered(self, answer: BackendAnswer) -> None:
         """Record that the answer has begun."""
-        self.record_data()
+        self.record_event()
         with self._lock:
             self._answer = answer
 
-    def record_data(self) -> None:
-        """Record that a part of the answer has arrived."""
-        self._heard_at = self._tools.clock.monotonic()
+    def record_data(self, count: int) -> None:
+        """Record that so many bytes of the answer have arrived."""
+        self._pace.record_bytes(count, self._tools.clock.monotonic())
+
+    def record_event(self) -> None:
+        """Record that an event of the answer is whole."""
+        self._pace.record_event(self._tools.clock.monotonic())
 
     def end(self, error: BackendServerError) -> BackendServerError:
         """Check the attempt no more; return why it failed."""
@@ -150,7 +165,7 @@
         with self._lock:
             answer = self._answer
             now = self._tools.clock.monotonic()
-            silent_s = now - self._heard_at
+            silent_s = self._pace.idle_s(now)
             if answer is None or self._left:
                 return
             if silent_s < self._tools.settings.gap_timeout_s:
--- a/guavadyke/filters/attempts.py
+++ b/guavadyke/filters/attempts.py
@@ -120,7 +120,12 @@
         if self._tools.clock.monotonic() >= self._request.deadline:
             raise self._deadline_error()
         self._tools.metrics.increment('attempts')
-        self._silence.begin(slot, self._excluded, self._failed_attempts + 1)
+        self._silence.begin(
+            slot,
+            self._excluded,
+            self._failed_attempts + 1,
+            streamed=not whole,
+        )
         try:
             answer = self._tools.servers.send(call)
         except BackendServerError as error:
@@ -130,6 +135,10 @@
         self._silence.answered(answer)
         return answer
 
+    def record_event(self) -> None:
+        """Record that an event of the current attempt's answer is whole."""
+        self._silence.record_event()
+
     def _run(
         self,
         make_attempt: Callable[[Slot], Iterator[Piece]],
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -307,7 +307,7 @@
             and self._tools.clock.monotonic() < self._request.deadline
         )
 
-    def _record_data(self) -> None:
+    def _record_data(self, _count: int) -> None:
         self._heard_at = self._tools.clock.monotonic()
         self._tools.pool.others.heard(self.server_id)
 
--- a/guavadyke/filters/streaming.py
+++ b/guavadyke/filters/streaming.py
@@ -157,6 +157,7 @@
         for piece in answer.chunks():
             block = self._feed(piece)
             if block:
+                self._attempts.record_event()
                 yield block
         if not self._relay.complete:
             raise StreamFaultError('the stream ended without its end mark')
