--- a/features/builders_forward.py
+++ b/features/builders_forward.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import json
 import math
 import random
@@ -52,6 +53,7 @@
 OBJECTIVE_S = 0.3
 EVENTS = 6
 NOW = 100.0
+COUNT_VALID_S = 1.2
 
 
 class ManualClock:
@@ -98,6 +100,25 @@
     return StoredObject('servers', one.server_id, version, server_body(one))
 
 
+@dataclasses.dataclass(frozen=True)
+class AnnouncedCount:
+    """A count that a host announces for a server at a time in seconds."""
+
+    host_id: str
+    count: int
+    at: float
+
+
+def random_counts(hosts: int, seed: int) -> list[AnnouncedCount]:
+    """Return counts of hosts in order of time, some at the same time."""
+    rng = random.Random(seed)
+    delays = rng.choices((0, 0.03, 0.1, 1.3), (6, 20, 10, 1), k=1000)
+    return [
+        AnnouncedCount(f'host-{rng.randrange(hosts)}', rng.randrange(4), at)
+        for at in itertools.accumulate(delays, initial=NOW)
+    ]
+
+
 def load_balancer(host_id: str, seed: int) -> LoadBalancer:
     """Return the load balancer of a host in ``ZONE``."""
     return LoadBalancer(HostLocation(host_id, ZONE), random.Random(seed))
--- a/features/forward_decisions.feature
+++ b/features/forward_decisions.feature
@@ -215,3 +215,9 @@
     Then all hosts are told that the server fails
     When a later request is answered
     Then all hosts are told that the server answers
+
+  Scenario: counts that hosts announce add up until they expire
+    Given random counts that 20 hosts announce for a server
+    Then each sum is that of the counts of the last 1.2 seconds
+    And each count by host is the last one of this host
+    And an earlier sum is known as long as it is remembered
--- a/features/measure_experiments.feature
+++ b/features/measure_experiments.feature
@@ -27,3 +27,7 @@
     When the size of a notice is measured by its number of demands
     Then the line is fitted to at least four sizes with a small error
     And its figures are slope, intercept and their errors
+
+  Scenario: a count that a host announces costs the same in a large fleet
+    When the time to record such a count is measured in a small and a large fleet
+    Then it takes at most twice as long in the large one
--- a/features/steps/forward_decisions_steps.py
+++ b/features/steps/forward_decisions_steps.py
@@ -7,6 +7,7 @@
 import itertools
 import random
 import types
+from collections.abc import Iterable, Iterator
 
 from behave import given, then, when
 from behave.runner import Context
@@ -38,6 +39,7 @@
     split_host,
 )
 from guavadyke.decisions.load_balancing import ANY_SERVER
+from guavadyke.decisions.remote_counts import RemoteCounts
 from guavadyke.decisions.server_registry import ServerLease, ServerRegistry
 from guavadyke.decisions.server_sent_events import EventParser
 
@@ -678,6 +680,52 @@
     assert [one.failing for one in faults] == [state == 'fails'], faults
 
 
+@given('random counts that {hosts:d} hosts announce for a server')
+def step_random_counts(context: Context, hosts: int) -> None:
+    context.announced = build.random_counts(hosts, seed=1)
+
+
+@then('each sum is that of the counts of the last 1.2 seconds')
+def step_sums(context: Context) -> None:
+    for counts, valid, at in _replayed(context.announced):
+        assert counts.total('s1', at) == sum(valid.values()), at
+
+
+@then('each count by host is the last one of this host')
+def step_by_host(context: Context) -> None:
+    for counts, valid, at in _replayed(context.announced):
+        expected = {host: count for host, count in valid.items() if count}
+        assert counts.by_host('s1', at) == expected, at
+
+
+@then('an earlier sum is known as long as it is remembered')
+def step_earlier_sum(context: Context) -> None:
+    sums: list[tuple[float, int]] = []
+    for counts, valid, at in _replayed(context.announced):
+        known = (before for before in reversed(sums) if before[0] <= at - 1)
+        since, total = next(known, (at, 0))
+        expected = total if at - 1 - since <= build.COUNT_VALID_S else 0
+        assert counts.total_at('s1', at - 1) == expected, at
+        sums.append((at, sum(valid.values())))
+
+
+def _replayed(
+    announced: Iterable[build.AnnouncedCount],
+) -> Iterator[tuple[RemoteCounts, dict[str, int], float]]:
+    """Yield the counts, those that are valid, and the time of each one."""
+    counts = RemoteCounts()
+    last: dict[str, build.AnnouncedCount] = {}
+    for one in announced:
+        counts.record_count(one.host_id, 's1', one.count, one.at)
+        last[one.host_id] = one
+        valid = {
+            host_id: known.count
+            for host_id, known in last.items()
+            if one.at - known.at <= build.COUNT_VALID_S
+        }
+        yield counts, valid, one.at
+
+
 def _sample_peak(context: Context, used: int, at: float) -> None:
     context.balancer.online_peaks.sample(
         context.listed, lambda _server_id: used // 2, at
--- a/features/steps/measure_experiments_steps.py
+++ b/features/steps/measure_experiments_steps.py
@@ -167,3 +167,19 @@
         'notice.demands.intercept',
         'notice.demands.intercept_error',
     ]
+
+
+@when(
+    'the time to record such a count is measured in a small and a large fleet'
+)
+def step_received_counts(context: Context) -> None:
+    context.costs = [
+        min(notices.received_count_us(hosts, 1) for _ in range(5))
+        for hosts in (notices.HOST_SIZES[0], notices.HOST_SIZES[-1])
+    ]
+
+
+@then('it takes at most twice as long in the large one')
+def step_as_long(context: Context) -> None:
+    small, large = context.costs
+    assert large <= 2 * small, context.costs
--- a/guavadyke/measure/slopes/experiment.py
+++ b/guavadyke/measure/slopes/experiment.py
@@ -120,6 +120,13 @@
         notices.SIZES,
         notices.demands_notice_us,
     ),
+    Slope(
+        'notice.received_count',
+        'us',
+        'host',
+        notices.HOST_SIZES,
+        notices.received_count_us,
+    ),
     Slope(
         'platform.idle_reads',
         'calls/s',
--- a/guavadyke/measure/slopes/notices.py
+++ b/guavadyke/measure/slopes/notices.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import time
 
 from guavadyke.adapters.clock import SystemClock
@@ -14,10 +15,12 @@
 )
 from guavadyke.adapters.ports import LimitDemand, OnlineCount, PeerNotice
 from guavadyke.decisions.membership_protocol import PeerRecord
+from guavadyke.decisions.remote_counts import RemoteCounts
 from guavadyke.log import EventLogger
 from guavadyke.measure.slopes.costs import cpu_us
 
 SIZES = (4, 8, 16, 32)
+HOST_SIZES = (15, 60, 118, 390)
 _REPEATS = 200
 
 
@@ -47,6 +50,23 @@
     )
 
 
+def received_count_us(hosts: int, seed: int) -> float:
+    """Return the CPU time to record a count that a host announces, in us.
+
+    All hosts have announced a count for the same engine just before.
+    """
+    counts = RemoteCounts()
+    numbers = itertools.count()
+
+    def receive() -> None:
+        number = next(numbers)
+        counts.record_count(f'entry-{number % hosts}', 'engine', 1, 0)
+
+    for _ in range(hosts):
+        receive()
+    return cpu_us(receive, _REPEATS)
+
+
 def _counts_notice(engines: int) -> PeerNotice:
     return PeerNotice(
         counts=tuple(
