Look only at the items that a notice of requests concerns

A host with batch items looked at all of its items for each load notice that any host sent it, and added up the slots of all servers. Where one of its servers was too full, each notice woke its runner again until the item had ended, whatever server the notice named.

A notice can only make items yield at the servers that it names, so the host looks at these. The runner still looks at all of them at each of its ticks. Slots are added up only when a sample of the peak is due.

Evidence: the new scenario failed before; a notice of another server woke the runner a second time.

--- a/features/forward_decisions.feature
+++ b/features/forward_decisions.feature
@@ -209,6 +209,12 @@
     When another host reports 3 online requests there
     Then it looks at once which of its items to preempt
 
+  Scenario: a host is not woken again by requests where it has no items
+    Given a host whose own items fill a server
+    When another host reports 3 online requests there
+    And another host reports 3 online requests at another server
+    Then it has looked once which of its items to preempt
+
   Scenario: a failing server and its recovery are told to all hosts
     Given a host with a server that another host has filled with items
     When a request fails because the server is not reached
--- a/features/steps/forward_decisions_steps.py
+++ b/features/steps/forward_decisions_steps.py
@@ -646,6 +646,13 @@
     )
 
 
+@when('another host reports {count:d} online requests at another server')
+def step_reported_at_another(context: Context, count: int) -> None:
+    context.pool.record_notice(
+        'host-2', PeerNotice(counts=(OnlineCount('s2', count, 0),))
+    )
+
+
 @then('the other host is to be told at once')
 def step_told_at_once(context: Context) -> None:
     news = context.pool.urgent.wait(0)
@@ -657,6 +664,11 @@
     assert context.woken, context.woken
 
 
+@then('it has looked once which of its items to preempt')
+def step_looked_once(context: Context) -> None:
+    assert len(context.woken) == 1, context.woken
+
+
 @when('a request fails because the server is not reached')
 def step_not_reached(context: Context) -> None:
     lease = context.pool.acquire_online(build.SERVICE, frozenset(), 'key')
--- a/guavadyke/controllers/server_pool.py
+++ b/guavadyke/controllers/server_pool.py
@@ -22,6 +22,7 @@
 from guavadyke.controllers.mirror import MirrorSink
 from guavadyke.controllers.other_servers import OtherServers
 from guavadyke.controllers.pool_parts import PoolParts
+from guavadyke.controllers.preemption_check import PreemptionCheck
 from guavadyke.controllers.urgent_notices import UrgentNotices
 from guavadyke.controllers.wait_estimator import WaitEstimator
 from guavadyke.decisions.load_balancing import (
@@ -84,6 +85,7 @@
         self._lock = threading.Lock()
         self._server_registry = ServerRegistry()
         self._load_balancer = LoadBalancer(here, rng)
+        self._preemption_check = PreemptionCheck(self._load_balancer)
         parts = PoolParts(self._lock, self._load_balancer, self._servers, clock)
         self.wait_estimator = WaitEstimator(parts, rng)
         self.others = OtherServers(parts)
@@ -266,22 +268,10 @@
 
     def items_to_preempt(self) -> dict[str, int]:
         """Return how many of this host's items to preempt, by server id."""
-
-        def online(server_id: str) -> int:
-            return self._load_balancer.load(server_id, now).online
-
         with self._lock:
             now = self._clock.monotonic()
-            for servers in self._by_service.values():
-                self._load_balancer.online_peaks.sample(servers, online, now)
-            owed = {
-                server.server_id: self._load_balancer.preemptions_due(
-                    server, now
-                )
-                for server in self._listed_servers
-                if server.server_id in self._load_balancer.own_batch
-            }
-            return {name: count for name, count in owed.items() if count}
+            self._preemption_check.sample_peaks(self._by_service.values(), now)
+            return self._preemption_check.items_due(now)
 
     def load_notice(self) -> PeerNotice:
         """Return this host's in-flight counts as a notice to other hosts."""
@@ -311,7 +301,14 @@
     def record_notice(self, host_id: str, notice: PeerNotice) -> None:
         """Record the in-flight counts of another host."""
         self._record_counts(host_id, notice)
-        if notice.counts and self.items_to_preempt():
+        named = {count.backend_id for count in notice.counts}
+        if not named:
+            return
+        with self._lock:
+            now = self._clock.monotonic()
+            self._preemption_check.sample_peaks(self._by_service.values(), now)
+            due = self._preemption_check.items_due(now, named)
+        if due:
             self.urgent.yield_own()
 
     def _record_counts(self, host_id: str, notice: PeerNotice) -> None:
@@ -370,6 +367,7 @@
         self._listed_servers = servers
         self._on_listed(servers)
         self._by_service = group_by_service(servers)
+        self._preemption_check.list_servers(servers)
         self._load_balancer.keep_health_of(servers)
 
 
--- a/guavadyke/decisions/online_peaks.py
+++ b/guavadyke/decisions/online_peaks.py
@@ -45,16 +45,16 @@
         """Sample the load of the servers of one service, if that is due.
 
         Args:
-            servers: all servers of the service.
+            servers: all servers of the service, at least one.
             online: returns the online requests at a server by its id.
             now: current time.
         """
-        slots = sum(server.slots for server in servers)
-        if not slots:
-            return
         samples = self._samples[servers[0].service]
         if samples and now - samples[-1][0] < _SAMPLE_INTERVAL_S:
             return
+        slots = sum(server.slots for server in servers)
+        if not slots:
+            return
         used = sum(
             min(server.slots, online(server.server_id)) for server in servers
         )
