Read only the lists that a datagram holds

For each datagram a host ran a generator over each of eleven lists of which a notice usually holds one, and built an empty notice and a set of known sources to compare with.

Lists that were left out are now empty at once, and the two values are built once.

--- a/guavadyke/adapters/peer_datagram_codec.py
+++ b/guavadyke/adapters/peer_datagram_codec.py
@@ -28,6 +28,7 @@
 
 STRUCT_ERRORS = (TypeError, ValueError, AttributeError, KeyError)
 _PROTOCOL_FACTORY = TCompactProtocolAcceleratedFactory()
+_KNOWN_SOURCES = frozenset(leaving_servers.LeavingSource)
 _MAX_LIST_LENGTH = 1024
 _Struct = TypeVar('_Struct')
 
@@ -159,7 +160,6 @@
 
     Newer versions of the program may add sources.
     """
-    known = frozenset(leaving_servers.LeavingSource)
     return tuple(
         leaving_servers.LeavingMark(
             backend_id=checked_text(struct.backend_id),
@@ -168,7 +168,7 @@
             leaving=bool(struct.leaving),
         )
         for struct in structs or ()
-        if struct.source in known
+        if struct.source in _KNOWN_SOURCES
     )
 
 
--- a/guavadyke/adapters/peer_notice_codec.py
+++ b/guavadyke/adapters/peer_notice_codec.py
@@ -13,6 +13,7 @@
 
 _Parsed = TypeVar('_Parsed')
 _MAX_TEXT_LENGTH = 8192
+_NO_NOTICE = ports.PeerNotice()
 
 
 def notice_fields(notice: ports.PeerNotice) -> dict[str, Any]:
@@ -61,7 +62,7 @@
             _stream_origin_from_struct, struct.stream_queries
         ),
     )
-    return None if notice == ports.PeerNotice() else notice
+    return None if notice == _NO_NOTICE else notice
 
 
 def _demand_to_struct(demand: ports.LimitDemand) -> Any:
@@ -204,7 +205,7 @@
     structs: Iterable[Any] | None,
 ) -> tuple[_Parsed, ...]:
     """Parse all entries of a list field, which may be left out."""
-    return tuple(read(struct) for struct in structs or ())
+    return tuple(map(read, structs)) if structs else ()
 
 
 def list_or_none(structs: Iterable[Any]) -> list[Any] | None:
