--- a/features/forward_decisions.feature
+++ b/features/forward_decisions.feature
@@ -215,9 +215,29 @@
     When another host reports 100 online requests there
     Then a refused caller may return as soon as at a host where requests take 0.5 seconds
 
+  Scenario: a host is not woken again by requests where it has no items
+    Given a host whose own items fill a server
+    When another host reports 3 online requests there
+    And another host reports 3 online requests at another server
+    Then it has looked once which of its items to preempt
+
   Scenario: a failing server and its recovery are told to all hosts
     Given a host with a server that another host has filled with items
     When a request fails because the server is not reached
     Then all hosts are told that the server fails
     When a later request is answered
     Then all hosts are told that the server answers
+
+  Scenario: counts that hosts announce add up until they expire
+    Given random counts that 20 hosts announce for a server
+    Then each sum is that of the counts of the last 1.2 seconds
+    And each count by host is the last one of this host
+    And an earlier sum is known as long as it is remembered
+
+  Scenario: load notices in a large fleet reach each host that runs items
+    Given a host of a fleet of 90 hosts
+    When it starts a request and sends its counts
+    Then all hosts that run batch items are among the receivers
+    When 20 hosts leave and it starts a request and sends its counts
+    Then all hosts that run batch items are among the receivers
+    And no host that left is among them
--- a/features/steps/forward_decisions_steps.py
+++ b/features/steps/forward_decisions_steps.py
@@ -7,11 +7,13 @@
 import itertools
 import random
 import types
+from collections.abc import Iterable, Iterator
 
 from behave import given, then, when
 from behave.runner import Context
 
 from features import builders_forward as build
+from features.builders_load_notices import NoticeSending
 from guavadyke.adapters.ports import (
     BackendFault,
     BatchCount,
@@ -26,6 +28,7 @@
 from guavadyke.decisions.forward_job_items import JobItemTracker
 from guavadyke.decisions.forward_job_ownership import (
     AbsenceTracker,
+    batch_hosts,
     check_quota,
     choose_owner,
     jobs_to_take_over,
@@ -39,6 +42,7 @@
     split_host,
 )
 from guavadyke.decisions.load_balancing import ANY_SERVER
+from guavadyke.decisions.remote_counts import RemoteCounts
 from guavadyke.decisions.server_registry import ServerLease, ServerRegistry
 from guavadyke.decisions.server_sent_events import EventParser
 
@@ -680,6 +684,13 @@
     )
 
 
+@when('another host reports {count:d} online requests at another server')
+def step_reported_at_another(context: Context, count: int) -> None:
+    context.pool.record_notice(
+        'host-2', PeerNotice(counts=(OnlineCount('s2', count, 0),))
+    )
+
+
 @then('the other host is to be told at once')
 def step_told_at_once(context: Context) -> None:
     news = context.pool.urgent.wait(0)
@@ -691,6 +702,11 @@
     assert context.woken, context.woken
 
 
+@then('it has looked once which of its items to preempt')
+def step_looked_once(context: Context) -> None:
+    assert len(context.woken) == 1, context.woken
+
+
 @when('a request fails because the server is not reached')
 def step_not_reached(context: Context) -> None:
     lease = context.pool.acquire_online(build.SERVICE, frozenset(), 'key')
@@ -714,6 +730,82 @@
     assert [one.failing for one in faults] == [state == 'fails'], faults
 
 
+@given('random counts that {hosts:d} hosts announce for a server')
+def step_random_counts(context: Context, hosts: int) -> None:
+    context.announced = build.random_counts(hosts, seed=1)
+
+
+@then('each sum is that of the counts of the last 1.2 seconds')
+def step_sums(context: Context) -> None:
+    for counts, valid, at in _replayed(context.announced):
+        assert counts.total('s1', at) == sum(valid.values()), at
+
+
+@then('each count by host is the last one of this host')
+def step_by_host(context: Context) -> None:
+    for counts, valid, at in _replayed(context.announced):
+        expected = {host: count for host, count in valid.items() if count}
+        assert counts.by_host('s1', at) == expected, at
+
+
+@then('an earlier sum is known as long as it is remembered')
+def step_earlier_sum(context: Context) -> None:
+    sums: list[tuple[float, int]] = []
+    for counts, valid, at in _replayed(context.announced):
+        known = (before for before in reversed(sums) if before[0] <= at - 1)
+        since, total = next(known, (at, 0))
+        expected = total if at - 1 - since <= build.COUNT_VALID_S else 0
+        assert counts.total_at('s1', at - 1) == expected, at
+        sums.append((at, sum(valid.values())))
+
+
+def _replayed(
+    announced: Iterable[build.AnnouncedCount],
+) -> Iterator[tuple[RemoteCounts, dict[str, int], float]]:
+    """Yield the counts, those that are valid, and the time of each one."""
+    counts = RemoteCounts()
+    last: dict[str, build.AnnouncedCount] = {}
+    for one in announced:
+        counts.record_count(one.host_id, 's1', one.count, one.at)
+        last[one.host_id] = one
+        valid = {
+            host_id: known.count
+            for host_id, known in last.items()
+            if one.at - known.at <= build.COUNT_VALID_S
+        }
+        yield counts, valid, one.at
+
+
+@given('a host of a fleet of {hosts:d} hosts')
+def step_large_fleet(context: Context, hosts: int) -> None:
+    context.sending = NoticeSending(hosts)
+
+
+@when('it starts a request and sends its counts')
+def step_sends_counts(context: Context) -> None:
+    context.sending.send()
+
+
+@when('{count:d} hosts leave and it starts a request and sends its counts')
+def step_hosts_leave(context: Context, count: int) -> None:
+    context.sending.remove(count)
+    context.sending.send()
+
+
+@then('all hosts that run batch items are among the receivers')
+def step_batch_hosts_told(context: Context) -> None:
+    sending = context.sending
+    chosen = set(batch_hosts({'host-1', *sending.others})) - {'host-1'}
+    assert chosen <= sending.receivers, chosen - sending.receivers
+    assert len(sending.receivers) < len(sending.others), sending.receivers
+
+
+@then('no host that left is among them')
+def step_none_that_left(context: Context) -> None:
+    sending = context.sending
+    assert sending.receivers <= sending.others, sending.receivers
+
+
 def _sample_peak(context: Context, used: int, at: float) -> None:
     context.balancer.online_peaks.sample(
         context.listed, lambda _server_id: used // 2, at
