Count queued requests in the wait estimate before any has ended

A host that has just started behind full servers still queued all that came: its requests queue, none of them runs, so that the estimated wait stayed 0.

Cause: only requests that hold a slot counted in the estimate. Change: all requests of the host at servers count, queued ones included, with their ages.

Result: the new scenario estimated 0 s before and passes now, with at least 0.5 s asked for.

--- a/features/forward_load.feature
+++ b/features/forward_load.feature
@@ -26,6 +26,10 @@
     When it is simulated with waits of up to 1.5 seconds and with waits bounded by the objective
     Then at least 0.9 of the servable requests are answered in time
 
+  Scenario: a host whose first requests all queue estimates the wait by their age
+    Given a host with 2 requests that have queued for 0.5 seconds at a full server
+    Then the estimated wait of another request is at least 0.5 seconds
+
   Scenario: the retries of refused callers are spread out
     Given a load of a burst of 3 times capacity on 5 servers behind 10 hosts
     When it is simulated with waits of up to 1.5 seconds and with waits bounded by the objective
--- a/features/steps/forward_load_steps.py
+++ b/features/steps/forward_load_steps.py
@@ -18,6 +18,7 @@
     LoadSimulation,
     Step,
 )
+from guavadyke.adapters.ports import OnlineCount, PeerNotice
 from guavadyke.decisions.load_shedding import longest_wait_s
 
 _SEEDS = (1, 2, 3)
@@ -75,6 +76,30 @@
     context.load = _LOADS[load]
 
 
+@given(
+    'a host with {count:d} requests that have queued for {seconds:g} seconds '
+    'at a full server',
+)
+def step_queued(context: Context, count: int, seconds: float) -> None:
+    clock = build.ManualClock()
+    server = build.server('s1')
+    context.pool = build.pool((server,), clock)
+    counts = (OnlineCount(server.server_id, server.slots, 0),)
+    context.pool.record_notice('host-2', PeerNotice(counts=counts))
+    for number in range(count):
+        context.pool.acquire_online(build.SERVICE, frozenset(), str(number))
+    clock.sleep(seconds)
+    context.pool.record_notice('host-2', PeerNotice(counts=counts))
+
+
+@then('the estimated wait of another request is at least {seconds:g} seconds')
+def step_estimated_wait(context: Context, seconds: float) -> None:
+    lease = context.pool.acquire_online(build.SERVICE, frozenset(), 'next')
+    assert lease is not None
+    wait_s = context.pool.wait_estimator.estimate_wait_s(lease)
+    assert wait_s >= seconds, wait_s
+
+
 @given('a route with an objective of 0.3 seconds')
 def step_objective(context: Context) -> None:
     context.route = build.route()
--- a/guavadyke/controllers/pool_parts.py
+++ b/guavadyke/controllers/pool_parts.py
@@ -8,7 +8,7 @@
 
 from guavadyke.adapters.ports import Clock
 from guavadyke.decisions.load_balancing import LoadBalancer
-from guavadyke.decisions.running_requests import RunningRequests
+from guavadyke.decisions.requests_in_flight import RequestsInFlight
 from guavadyke.decisions.server_registry import ListedServer
 
 
@@ -16,7 +16,7 @@
 class PoolParts:
     """What a server pool shares with its parts.
 
-    ``lock`` guards ``table`` and ``running``. ``servers`` returns the servers
+    ``lock`` guards ``table`` and ``in_flight``. ``servers`` returns the servers
     of a service at a time of the monotonic clock; the lock has to be held.
     """
 
@@ -24,6 +24,6 @@
     table: LoadBalancer
     servers: Callable[[str, float], Sequence[ListedServer]]
     clock: Clock
-    running: RunningRequests = dataclasses.field(
-        default_factory=RunningRequests,
+    in_flight: RequestsInFlight = dataclasses.field(
+        default_factory=RequestsInFlight,
     )
--- a/guavadyke/controllers/server_pool.py
+++ b/guavadyke/controllers/server_pool.py
@@ -85,7 +85,7 @@
         self._server_registry = ServerRegistry()
         self._load_balancer = LoadBalancer(here, rng)
         parts = PoolParts(self._lock, self._load_balancer, self._servers, clock)
-        self._running = parts.running
+        self._in_flight = parts.in_flight
         self.wait_estimator = WaitEstimator(parts, rng)
         self.others = OtherServers(parts)
         self.urgent = UrgentNotices()
@@ -173,8 +173,8 @@
                 online_before=load.online,
                 batch_before=load.batch,
             )
-            self._running.add(lease)
-        if lease.queued:
+            self._in_flight.add(lease)
+        if load.total >= chosen.slots:
             self.urgent.add_contention(chosen.server_id, holders)
         return lease
 
@@ -227,7 +227,7 @@
             held[server_id] -= 1
             if held[server_id] <= 0:
                 held.pop(server_id)
-            self._running.remove(lease)
+            self._in_flight.remove(lease)
             health = self._load_balancer.health(lease.server)
             now = self._clock.monotonic()
             if lease.batch and fault is BackendFault.refused:
--- a/guavadyke/controllers/wait_estimator.py
+++ b/guavadyke/controllers/wait_estimator.py
@@ -8,7 +8,7 @@
 from guavadyke.controllers.pool_parts import PoolParts
 from guavadyke.decisions.load_shedding import Overload, RetryScheduler
 from guavadyke.decisions.request_queue import ServiceTimeEstimator
-from guavadyke.decisions.running_requests import SlotsInUse
+from guavadyke.decisions.requests_in_flight import InFlight
 from guavadyke.decisions.server_registry import ServerLease
 
 
@@ -60,7 +60,7 @@
                 server.service,
                 ahead - 1,
                 server.slots,
-                self._slots_in_use(server.service, now),
+                self._in_flight(server.service, now),
             )
 
     def estimate_retry_after_s(
@@ -81,19 +81,19 @@
                 service,
                 0,
                 slots,
-                self._slots_in_use(service, now),
+                self._in_flight(service, now),
             )
             own_slot_s = any_slot_s / self._table.own_share(servers, now)
             overload = Overload(excess_s, own_slot_s)
             return self._retry_times.reserve_retry_s(service, overload, now)
 
-    def _slots_in_use(self, service: str, now: float) -> SlotsInUse:
-        in_use = self._parts.running.slots_in_use(service, now)
-        if not self._service_times.needs_running(service, in_use):
-            return in_use
+    def _in_flight(self, service: str, now: float) -> InFlight:
+        in_flight = self._parts.in_flight.of_service(service, now)
+        if not self._service_times.needs_ages(service, in_flight):
+            return in_flight
         servers = self._parts.servers(service, now)
         share = self._table.own_share(servers, now)
-        return dataclasses.replace(in_use, share=share)
+        return dataclasses.replace(in_flight, share=share)
 
     def _now(self) -> float:
         return self._parts.clock.monotonic()
--- a/guavadyke/decisions/request_queue.py
+++ b/guavadyke/decisions/request_queue.py
@@ -8,11 +8,11 @@
 import itertools
 from collections.abc import Iterator
 
-from guavadyke.decisions.running_requests import SlotsInUse
+from guavadyke.decisions.requests_in_flight import InFlight
 
 _SMOOTHING_FACTOR = 0.1
 _INITIAL_MEAN_S = 0
-_NO_SLOTS = SlotsInUse()
+_NONE_IN_FLIGHT = InFlight()
 
 
 @dataclasses.dataclass(eq=False)
@@ -113,11 +113,11 @@
     """Estimates how long requests of an entry hold a slot.
 
     The estimate is an exponentially weighted moving average over the
-    requests that have ended. As long as more run than have ended, the running
-    ones count as well, since the shorter ones end first: the estimate is then
-    the time for which all of them have held slots, per request that has ended.
-    Before the first one has ended, all hosts together are taken to have had
-    one end, as each of them may send a wave of requests to the same servers.
+    requests that have ended. As long as more are in flight than have ended,
+    these count as well, since the shorter ones end first: the estimate is then
+    the time that all of them have taken, per request that has ended. Before
+    the first one has ended, all hosts together are taken to have had one end,
+    as each of them may send a wave of requests to the same servers.
     """
 
     def __init__(self) -> None:
@@ -131,31 +131,33 @@
         self._mean_s[entry_name] = previous_s + change_s
         self._ended[entry_name] += 1
 
-    def needs_running(self, entry_name: str, in_use: SlotsInUse) -> bool:
-        """Return whether more requests of an entry run than have ended."""
-        return in_use.count > self._ended[entry_name]
+    def needs_ages(self, entry_name: str, in_flight: InFlight) -> bool:
+        """Return whether more requests are in flight than have ended."""
+        return in_flight.count > self._ended[entry_name]
 
-    def mean_s(self, entry_name: str, in_use: SlotsInUse = _NO_SLOTS) -> float:
+    def mean_s(
+        self, entry_name: str, in_flight: InFlight = _NONE_IN_FLIGHT
+    ) -> float:
         """Return the mean number of seconds that a request holds a slot.
 
-        It is 0 as long as no request of the entry has ended or runs.
+        It is 0 as long as no request of the entry has ended or is in flight.
 
         Args:
             entry_name: the entry.
-            in_use: the slots that running requests of the entry hold.
+            in_flight: the requests of the entry that have not ended.
         """
         mean_s = self._mean_s.get(entry_name, _INITIAL_MEAN_S)
-        if not self.needs_running(entry_name, in_use):
+        if not self.needs_ages(entry_name, in_flight):
             return mean_s
         ended = self._ended[entry_name]
-        return (mean_s * ended + in_use.held_s) / max(in_use.share, ended)
+        return (mean_s * ended + in_flight.age_s) / max(in_flight.share, ended)
 
     def wait_s(
         self,
         entry_name: str,
         ahead: int,
         slots: int,
-        in_use: SlotsInUse = _NO_SLOTS,
+        in_flight: InFlight = _NONE_IN_FLIGHT,
     ) -> float:
         """Estimate the seconds until a new request gets a slot.
 
@@ -163,6 +165,6 @@
             entry_name: the entry that is requested.
             ahead: requests that wait before it.
             slots: slots that requests of the entry hold on this host.
-            in_use: those of them that are known to be in use since when.
+            in_flight: the requests of the entry that have not ended.
         """
-        return self.mean_s(entry_name, in_use) * (ahead + 1) / max(1, slots)
+        return self.mean_s(entry_name, in_flight) * (ahead + 1) / max(1, slots)
--- a/guavadyke/decisions/running_requests.py
+++ b/guavadyke/decisions/requests_in_flight.py
@@ -1,4 +1,4 @@
-"""Requests of this host that hold slots of backend servers now."""
+"""Ages of the online requests that this host has at backend servers."""
 
 from __future__ import annotations
 
@@ -9,23 +9,22 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class SlotsInUse:
-    """Slots that are in use, and the seconds for which they have been so.
+class InFlight:
+    """Requests of one service that have not ended.
 
-    ``held_s`` is the sum over all of them; ``share`` is what part they are
-    of the requests that all hosts have at the same servers.
+    ``count`` are this host's, ``age_s`` is the sum of their ages in seconds,
+    and ``share`` is what part they are of the requests of all hosts.
     """
 
     count: int = 0
-    held_s: float = 0
+    age_s: float = 0
     share: float = 1
 
 
-class RunningRequests:
-    """Counts the online requests that run, by service, and their ages.
+class RequestsInFlight:
+    """Online requests of this host by service, queued ones included.
 
-    Requests that queue at their server do not count. Not thread-safe: the
-    caller holds a lock.
+    Not thread-safe: the caller holds a lock.
     """
 
     def __init__(self) -> None:
@@ -40,8 +39,8 @@
         """Stop counting the request of a lease."""
         self._change(lease, -1)
 
-    def slots_in_use(self, service: str, now: float) -> SlotsInUse:
-        """Return the slots that running requests of a service hold.
+    def of_service(self, service: str, now: float) -> InFlight:
+        """Return the requests of a service.
 
         Args:
             service: the service.
@@ -49,16 +48,16 @@
         """
         count = self._counts[service]
         if not count:
-            return SlotsInUse()
-        held_s = count * now - self._sums_of_starts[service]
-        return SlotsInUse(count, max(0, held_s))
+            return InFlight()
+        age_s = count * now - self._sums_of_starts[service]
+        return InFlight(count, max(0, age_s))
 
     def _change(self, lease: ServerLease, change: int) -> None:
-        if lease.batch or lease.queued:
+        if lease.batch:
             return
         service = lease.server.service
-        self._counts[service] += change
         starts = self._sums_of_starts.get(service, 0)
+        self._counts[service] += change
         self._sums_of_starts[service] = starts + change * lease.taken_at
         if not self._counts[service]:
             self._counts.pop(service)
--- a/guavadyke/decisions/server_registry.py
+++ b/guavadyke/decisions/server_registry.py
@@ -54,11 +54,6 @@
     online_before: int = 0
     batch_before: int = 0
 
-    @property
-    def queued(self) -> bool:
-        """Whether the server had no free slot, as far as known."""
-        return self.online_before + self.batch_before >= self.server.slots
-
 
 class ServerRegistry:
     """The registered servers.
