--- a/guavadyke/controllers/server_pool.py
+++ b/guavadyke/controllers/server_pool.py
@@ -87,7 +87,7 @@
         self._load_balancer = LoadBalancer(here, rng)
         self._preemption_check = PreemptionCheck(self._load_balancer)
         parts = PoolParts(self._lock, self._load_balancer, self._servers, clock)
-        self._running = parts.running
+        self._in_flight = parts.in_flight
         self.wait_estimator = WaitEstimator(parts, rng)
         self.others = OtherServers(parts)
         self.urgent = UrgentNotices()
@@ -175,8 +175,8 @@
                 online_before=load.online,
                 batch_before=load.batch,
             )
-            self._running.add(lease)
-        if lease.queued:
+            self._in_flight.add(lease)
+        if load.total >= chosen.slots:
             self.urgent.add_contention(chosen.server_id, holders)
         return lease
 
@@ -229,7 +229,7 @@
             held[server_id] -= 1
             if held[server_id] <= 0:
                 held.pop(server_id)
-            self._running.remove(lease)
+            self._in_flight.remove(lease)
             health = self._load_balancer.health(lease.server)
             now = self._clock.monotonic()
             if lease.batch and fault is BackendFault.refused:
