Ask whether to wait on while a large request is sent, and in its head

A large request stayed at a server that did not read it, beside an idle one, until the kernel gave the connection up: 2.9 s in the new scenario, bound 2 s, and 0.3 s before sending had got all the time that is left. A server that paused within the head of its answer was left after the time for a first byte, though no other one took the request.

Cause: the time for sending was widened without asking for another server, and the head kept the short limit. Change: a large body is sent in blocks, and the check that decides on the first byte is asked whenever the server takes none of them; the head may take as long as the rest of the answer.

--- a/features/builders_pausing_server.py
+++ b/features/builders_pausing_server.py
@@ -108,6 +108,19 @@
         time.sleep(self._pause_s)
 
 
+class RefusingServer(PausingServer):
+    """Says of each request that it has not run it."""
+
+    def _serve(self, connection: socket.socket) -> None:
+        with connection, contextlib.suppress(OSError):
+            _read_request(connection)
+            self.requests += 1
+            connection.sendall(
+                b'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n'
+                b'Content-Length: 0\r\n\r\n'
+            )
+
+
 def _read_request(connection: socket.socket) -> bytes:
     """Read a whole request and return its head."""
     received = bytearray(connection.recv(_READ_BYTES))
--- a/features/forward_silence.feature
+++ b/features/forward_silence.feature
@@ -97,6 +97,14 @@
     Then its answer is whole
     And the servers have got 2 requests
 
+  Scenario: a large request leaves a server that does not read it
+    Given a resumable stream route with 2 attempts
+    And a server that reads a request after 8 seconds
+    And a server that pauses for 0 seconds after event 0
+    And the last server has 1 requests of other hosts
+    When a request with a body of 16 MB is sent
+    Then its answer is whole within 2 seconds
+
   Scenario: asking for a server in vain delays no caller that was refused
     Given a resumable stream route with 2 attempts
     And a server that pauses for 1.4 seconds after event 0
--- a/features/steps/forward_silence_steps.py
+++ b/features/steps/forward_silence_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import dataclasses
 import functools
 import math
 import time
@@ -13,12 +15,14 @@
 
 from features import builders_forward as build
 from features import builders_pausing_server as pausing
+from guavadyke.adapters.ports import BackendFault
 from guavadyke.decisions.forward_routes import RouteKind
 from guavadyke.errors import GuavadykeError
 from guavadyke.filters.forward import Forwarder
 from guavadyke.filters.forward_attempt import ForwardTools
 
 _MEGABYTE = 1_048_576
+_FAILURES = 3
 
 
 @given('a {kind} route with {attempts:d} attempts')
@@ -47,6 +51,14 @@
     step_server(context, math.inf, event)
 
 
+@given('a server that refuses requests')
+def step_refuses(context: Context) -> None:
+    name = f's{len(context.servers) + 1}'
+    server = pausing.RefusingServer(name, -1, 0)
+    context.add_cleanup(server.close)
+    context.servers = (*context.servers, server)
+
+
 @given('a server that reads a request after {seconds:g} seconds')
 def step_reads_late(context: Context, seconds: float) -> None:
     name = f's{len(context.servers) + 1}'
@@ -70,6 +82,11 @@
     _queue(context, pausing.LONG_QUEUE, seconds)
 
 
+@given('server {number:d} has {requests:d} requests of other hosts')
+def step_requests_at(context: Context, number: int, requests: int) -> None:
+    _queue(context, requests, server=number - 1)
+
+
 @given('the last server has {requests:d} requests of other hosts')
 def step_requests_elsewhere(context: Context, requests: int) -> None:
     _queue(context, requests)
@@ -100,6 +117,34 @@
     context.elapsed_s = time.monotonic() - began
 
 
+@when(
+    'a request is sent whose caller leaves after {seconds:g} seconds '
+    'to a failing server'
+)
+def step_leave(context: Context, seconds: float) -> None:
+    context.tools = pausing.real_time_tools(context.servers)
+    context.add_cleanup(context.tools.watch.close)
+    for _ in range(_FAILURES):
+        lease = context.tools.pool.acquire_online(
+            build.SERVICE, frozenset(), 'key'
+        )
+        context.tools.pool.release(lease, BackendFault.broken)
+    leaves_at = time.monotonic() + seconds
+    request = dataclasses.replace(
+        pausing.real_time_request(),
+        abandoned=lambda: time.monotonic() >= leaves_at,
+    )
+    with contextlib.suppress(GuavadykeError):
+        Forwarder(request, context.route, context.tools).answer()
+
+
+@then('the server is still taken for failing')
+def step_still_failing(context: Context) -> None:
+    balancer = context.tools.pool._load_balancer
+    health = balancer.health(context.servers[0].listed)
+    assert health.ejected_until is not None
+
+
 @then('its answer is whole')
 def step_whole(context: Context) -> None:
     assert set(context.bodies) == {build.stream()}, context.bodies
@@ -131,21 +176,28 @@
     assert retry_s < seconds, retry_s
 
 
-def _queue(context: Context, requests: int, for_s: float = math.inf) -> None:
-    """Let another host have requests at the last server."""
+def _queue(
+    context: Context,
+    requests: int,
+    for_s: float = math.inf,
+    server: int = -1,
+) -> None:
+    """Let another host have requests at a server."""
 
     def queue(tools: ForwardTools, server_id: str) -> None:
         elsewhere = pausing.QueueElsewhere(tools, server_id, requests, for_s)
         context.add_cleanup(elsewhere.close)
 
-    _hinder(context, queue)
+    _hinder(context, queue, server)
 
 
 def _hinder(
-    context: Context, hinder: Callable[[ForwardTools, str], object]
+    context: Context,
+    hinder: Callable[[ForwardTools, str], object],
+    server: int = -1,
 ) -> None:
-    """Keep the last server from taking requests once the host runs."""
-    server_id = context.servers[-1].listed.server_id
+    """Keep a server from taking requests once the host runs."""
+    server_id = context.servers[server].listed.server_id
     context.hindrances = (
         *context.hindrances,
         functools.partial(hinder, server_id=server_id),
--- a/guavadyke/adapters/backend.py
+++ b/guavadyke/adapters/backend.py
@@ -18,10 +18,11 @@
 from typing import Protocol
 
 import pydantic
+from urllib3 import HTTPHeaderDict
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError, ReadTimeoutError
 from urllib3.response import BaseHTTPResponse
-from urllib3.util.wait import wait_for_read
+from urllib3.util.wait import wait_for_read, wait_for_socket
 
 from guavadyke.adapters.answer_bodies import read_body
 from guavadyke.adapters.connection_pool import (
@@ -44,6 +45,7 @@
 _OK = 200
 _MAX_IDLE_S = 5
 _MAX_READ_BYTES = 65_536
+_BLOCK_BYTES = 16_384
 _MAX_LOAD_BYTES = 1_048_576
 _TRANSPORT_ERRORS = (OSError, HTTPError, client.HTTPException)
 
@@ -365,33 +367,68 @@
         self._connection.request(
             call.method,
             call.path,
-            body=call.body or None,
-            headers=dialect.request_headers(call),
+            body=self._request_body(),
+            headers=self._request_headers(dialect),
             preload_content=False,
             decode_content=False,
         )
         self._wait_for_answer()
-        self._connection.timeout = call.first_byte_timeout_s
         response = self._connection.getresponse()
         self._socket.settimeout(call.gap_timeout_s)
         return response
 
+    def _request_headers(self, dialect: BackendDialect) -> HTTPHeaderDict:
+        headers = HTTPHeaderDict(dialect.request_headers(self._call))
+        if self._call.body:
+            headers['Content-Length'] = str(len(self._call.body))
+        return headers
+
+    def _request_body(self) -> bytes | Iterator[bytes] | None:
+        body = self._call.body
+        if self._call.wait_longer_s is None or len(body) <= _BLOCK_BYTES:
+            return body or None
+        return (
+            self._wait_to_send(body[start : start + _BLOCK_BYTES])
+            for start in range(0, len(body), _BLOCK_BYTES)
+        )
+
+    def _wait_to_send(self, block: bytes) -> bytes:
+        """Return the block once the server takes it, or answers already.
+
+        Raises:
+            TimeoutError: it took none for too long.
+        """
+        wait_s = self._call.first_byte_timeout_s
+        while not wait_for_socket(
+            self._socket, read=True, write=True, timeout=wait_s
+        ):
+            wait_s = self._wait_longer_s()
+        return block
+
+    def _wait_longer_s(self) -> float:
+        """Return for how many seconds more to wait.
+
+        Raises:
+            TimeoutError: the caller waits no longer.
+        """
+        wait_s = self._call.wait_longer_s() if self._call.wait_longer_s else 0
+        if wait_s <= 0:
+            raise TimeoutError('the server is silent for too long')
+        return wait_s
+
     def _wait_for_answer(self) -> None:
         """Wait for the first byte, as long as the caller wants to.
 
         Raises:
             TimeoutError: none came.
         """
-        wait_longer_s = self._call.wait_longer_s
-        if wait_longer_s is None or wait_for_read(
+        if self._call.wait_longer_s is None or wait_for_read(
             self._socket, self._call.first_byte_timeout_s
         ):
             return
         self._record_silence()
-        for wait_s in iter(wait_longer_s, 0):
-            if wait_for_read(self._socket, wait_s):
-                return
-        raise TimeoutError('no byte of the answer has come')
+        while not wait_for_read(self._socket, self._wait_longer_s()):
+            continue
 
     def _body_pieces(self) -> Iterator[bytes]:
         # read_chunked() collects a whole chunk, whatever its size.
