Draw no conclusion on a server's health from calls that were cut short

A server that hung counted as answering again, for all hosts, once a caller had left it; and a sound server counted as unreachable if a request came to it with less than the usual time for a first byte.

Cause: a cancelled call was released like a successful one, though the comment said that it tells nothing. An attempt that could not move counted as one that had all its time.

Change: a call that was not finished changes no health record. A server counts as unreachable only if the call had at least the usual time.

Result: the new scenario on a caller who leaves failed before and passes.

--- a/features/forward_silence.feature
+++ b/features/forward_silence.feature
@@ -105,6 +105,12 @@
     When a request with a body of 16 MB is sent
     Then its answer is whole within 2 seconds
 
+  Scenario: a caller who leaves says nothing of its server's health
+    Given a resumable stream route with 1 attempts
+    And a server that pauses for 9 seconds after event 0
+    When a request is sent whose caller leaves after 0.5 seconds to a failing server
+    Then the server is still taken for failing
+
   Scenario: asking for a server in vain delays no caller that was refused
     Given a resumable stream route with 2 attempts
     And a server that pauses for 1.4 seconds after event 0
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -153,6 +153,11 @@
         """Version of the server's software."""
         return self._lease.server.software
 
+    @property
+    def left_silent(self) -> bool:
+        """Whether it ended only because its server was silent."""
+        return self._left_silent
+
     @property
     def has_answer(self) -> bool:
         """Whether its answer has begun."""
@@ -271,13 +276,22 @@
 
     def failed(self, error: BackendServerError) -> None:
         """Release the lease after a failure."""
-        self._release_lease(error)
+        if (
+            self._holds_lease
+            and error.disconnected
+            and not self._cancellation.cancelled
+        ):
+            self._guarded.disconnected(self._lease.server.incarnation)
+        self._release_lease(self._fault_of(error))
 
     def close(self) -> None:
-        """Cancel an unfinished call and release the lease."""
+        """Cancel an unfinished call and release the lease.
+
+        An unfinished call tells nothing about the health of the server.
+        """
         if self._answer is not None:
             self._answer.cancel()
-        self._release_lease(None)
+        self._release_lease(BackendFault.refused)
 
     def _first_byte_timeout_s(self, remaining_s: float) -> float:
         """Return the timeout for the first byte in seconds.
@@ -291,36 +305,39 @@
             or self._tools.pool.wait_estimator.queued_requests(self._lease)
         ):
             return remaining_s
+        return min(remaining_s, self._patience_s() or remaining_s)
+
+    def _patience_s(self) -> float:
+        """Return the usual time for a first byte in seconds, 0 if unknown."""
         share = self._tools.settings.patience_share
         target_s = self._route.target_latency_s
-        if not target_s:
-            return remaining_s
-        patience_s = self._tools.first_event_times.patience_s(
+        return target_s and self._tools.first_event_times.patience_s(
             self._route.name, share * target_s
         )
-        return min(remaining_s, patience_s)
 
     def _had_short_time(self) -> bool:
-        """Return whether the call was given less than the time that is left."""
-        return self._left_silent or (
-            self._may_fail_over
-            and self._tools.clock.monotonic() < self._request.deadline
+        """Return whether a sound server may not have answered in its time."""
+        now = self._tools.clock.monotonic()
+        return (
+            self._left_silent
+            or now - self._lease.taken_at < self._patience_s()
+            or (self._may_fail_over and now < self._request.deadline)
         )
 
     def _record_data(self, _count: int) -> None:
         self._heard_at = self._tools.clock.monotonic()
         self._tools.pool.others.heard(self.server_id)
 
-    def _release_lease(self, error: BackendServerError | None) -> None:
-        if not self._holds_lease:
-            return
-        self._holds_lease = False
-        # A cancelled call tells nothing about the health of the server.
-        is_server_fault = error is not None and not self._cancellation.cancelled
-        fault = error.fault if error is not None and is_server_fault else None
-        if fault is BackendFault.silent and self._had_short_time():
+    def _fault_of(self, error: BackendServerError) -> BackendFault:
+        """Return what a failure tells of the health of the server."""
+        if self._cancellation.cancelled:
+            return BackendFault.refused
+        if error.fault is BackendFault.silent and self._had_short_time():
             # The server may only be busy.
-            fault = BackendFault.broken
-        if is_server_fault and error is not None and error.disconnected:
-            self._guarded.disconnected(self._lease.server.incarnation)
-        self._tools.pool.release(self._lease, fault)
+            return BackendFault.broken
+        return error.fault
+
+    def _release_lease(self, fault: BackendFault | None) -> None:
+        if self._holds_lease:
+            self._holds_lease = False
+            self._tools.pool.release(self._lease, fault)
