Bound the watch that learns of ended jobs

Cause: the owner of a job learns of its end by its mirror of progress, whose watch waited 10 s for a change whatever depends on it. On a silent connection it was given up after 10.4 s.

Change: the time in which a cancelled job has to stop is a setting, job_end_s, read from the deployment's bounds. The watch of progress waits for half of it, 1.5 s of 3 s, as the watches of routes and servers do with theirs. Its silence is thus known in time, and a list follows.

--- a/features/builders_forward_processes.py
+++ b/features/builders_forward_processes.py
@@ -170,13 +170,15 @@
         for daemon in self.daemons:
             assert wait_until(daemon.is_ready, START_S), daemon.log
 
-    def submit(self, items: int) -> None:
-        """Submit a job at the first daemon."""
+    def submit(
+        self, items: int, job_id: str = 'job-1', prefix: str = 'item'
+    ) -> None:
+        """Submit a job at the first daemon; ids of items have the prefix."""
         answer = self.daemons[0].call(
             'POST',
             f'{users.JOB_PREFIX}1',
-            body=json.dumps(users.job_document(items)).encode(),
-            headers={'Request-Id': 'job-1'},
+            body=json.dumps(users.job_document(items, prefix)).encode(),
+            headers={'Request-Id': job_id},
         )
         assert answer.status == 202, answer.data
 
--- a/features/builders_users_platform.py
+++ b/features/builders_users_platform.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable, Mapping
 
 from guavadyke.standins.http import (
+    Connection,
     StandinAnswer,
     StandinRequest,
     StandinServer,
@@ -108,6 +109,8 @@
         self.rejected_hosts: frozenset[str] = frozenset()
         # Hosts whose calls get no answer; their connections stay open.
         self.silent_hosts: frozenset[str] = frozenset()
+        self._connections: dict[str, Connection] = {}
+        self._silent_connections: frozenset[str] = frozenset()
         self._raw_specs: dict[str, str] = {}
         # Number of next writes that take effect without an answer.
         self.lost_answers = 0
@@ -135,16 +138,30 @@
         page = self.table.page(kind, '', '', 500)
         return [state.name for state in page.objects]
 
+    def silence_open_connections(self) -> int:
+        """Answer no more on the connections open now; return their number.
+
+        Calls on them still take effect, and later connections work.
+        """
+        self._silent_connections = frozenset(
+            name
+            for name, connection in tuple(self._connections.items())
+            if not connection.is_disconnected
+        )
+        return len(self._silent_connections)
+
     def close(self) -> None:
         self._server.close()
 
     def _answer(self, request: StandinRequest) -> StandinAnswer:
         self.calls[request.method] += 1
+        self._connections[request.connection.name] = request.connection
         host = request.headers.get('guavadyke-host')
         if host in self.rejected_hosts:
             return json_answer({}, 503)
         answer = self._with_raw_specs(self._result(request))
-        if host in self.silent_hosts:
+        is_silent = request.connection.name in self._silent_connections
+        if host in self.silent_hosts or is_silent:
             request.connection.hang(bool)
         return answer
 
@@ -343,12 +360,12 @@
             time.sleep(self.script.pause_s)
 
 
-def job_document(items: int = 3) -> dict[str, object]:
-    """Return the body of a job submission."""
+def job_document(items: int = 3, prefix: str = 'item') -> dict[str, object]:
+    """Return the body of a job submission; ids of items have the prefix."""
     return {
         'Items': [
             {
-                'Id': f'item-{number}',
+                'Id': f'{prefix}-{number}',
                 'Path': f'{JOB_PREFIX}3/{number}',
                 'Headers': {'Model': 'm', 'Token-Counts': '540,400'},
                 'Body': base64.b64encode(b'text').decode(),
--- a/guavadyke/controllers/mirror.py
+++ b/guavadyke/controllers/mirror.py
@@ -27,6 +27,8 @@
 LONGEST_RETRY_S = 0.8
 _BACKOFF_FACTOR = 2
 _MAX_DOUBLINGS = 8
+# Collects changes of several jobs in one watch; jobs are due much later.
+_JOB_WATCH_DELAY_S = 0.3
 # Time that a step may take beyond the wait of its watch before it is logged.
 _SLOW_STEP_S = 0.5
 # A server writes its entry three times in the time in which it expires, and
@@ -113,6 +115,22 @@
     )
 
 
+def job_mirror(kind: str, settings: PlatformSettings) -> MirrorSettings:
+    """Return how to mirror a kind whose changes may be learned late."""
+    return MirrorSettings(
+        kind, settings.watch_wait_s, _JOB_WATCH_DELAY_S, by_names=True
+    )
+
+
+def job_end_mirror(kind: str, settings: PlatformSettings) -> MirrorSettings:
+    """Return how to mirror the kind that tells of cancelled jobs."""
+    wait_s = watch_times(settings.job_end_s).wait_s
+    return dataclasses.replace(
+        job_mirror(kind, settings),
+        watch_wait_s=min(wait_s, settings.watch_wait_s),
+    )
+
+
 class Mirror:
     """Keeps a sink in sync with the platform, in a thread of its own.
 
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -31,6 +31,8 @@
     MirrorSettings,
     MirrorSink,
     WatchableStore,
+    job_end_mirror,
+    job_mirror,
     urgent_mirror,
 )
 from guavadyke.controllers.retirement_controller import (
@@ -60,8 +62,6 @@
 
 _ALIVE_STATE = 'alive'
 _REASSIGNMENT_S = 1.0
-# Collects changes of several jobs in one watch; jobs are due much later.
-_JOB_WATCH_DELAY_S = 0.3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -339,24 +339,20 @@
         mirrors = (
             self._create_mirror(table, peers, routes),
             self._create_mirror(servers, peers, self.pool),
-            self._job_mirror(JOB_KIND, jobs, self.registry.jobs),
-            self._job_mirror(PROGRESS_KIND, jobs, self.registry.progress),
+            self._create_mirror(
+                job_mirror(JOB_KIND, self.settings.platform),
+                jobs,
+                self.registry.jobs,
+            ),
+            self._create_mirror(
+                job_end_mirror(PROGRESS_KIND, self.settings.platform),
+                jobs,
+                self.registry.progress,
+            ),
             *learned,
         )
         return (retirements, *mirrors) if self._is_drainable else mirrors
 
-    def _job_mirror(
-        self,
-        kind: str,
-        store: WatchableStore,
-        sink: MirrorSink,
-    ) -> Mirror:
-        wait_s = self.settings.platform.watch_wait_s
-        settings = MirrorSettings(
-            kind, wait_s, _JOB_WATCH_DELAY_S, by_names=True
-        )
-        return self._create_mirror(settings, store, sink)
-
     def _create_mirror(
         self,
         settings: MirrorSettings,
--- a/guavadyke/platform/settings_file.py
+++ b/guavadyke/platform/settings_file.py
@@ -34,6 +34,7 @@
 _WATCH_WAIT_S = 10.0
 _RATE_SHARE = 0.8
 _DEFAULT_BOUND_MS = 2000
+_DEFAULT_CANCEL_MS = 3000
 _DEFAULT_HEARTBEAT_MS = 1200
 _HEARTBEATS_TO_EXPIRY = 3
 _MS_PER_S = 1000
@@ -123,6 +124,10 @@
                 call_timeout_s=_CALL_TIMEOUT_S,
                 watch_wait_s=_WATCH_WAIT_S,
                 freshness_s=_freshness_s(settings_file),
+                job_end_s=settings_file.number(
+                    'Bounds.CancelMs', _DEFAULT_CANCEL_MS
+                )
+                / _MS_PER_S,
                 entry_expiry_s=_HEARTBEATS_TO_EXPIRY
                 * settings_file.number('HeartbeatMs', _DEFAULT_HEARTBEAT_MS)
                 / _MS_PER_S,
--- a/guavadyke/settings.py
+++ b/guavadyke/settings.py
@@ -174,6 +174,12 @@
         'configuration or a leaving backend server, whichever of its ways '
         'to the platform has failed.',
     )
+    job_end_s: Positive = pydantic.Field(
+        default=3,
+        description='Seconds within which a host has to learn that a batch '
+        'job has been cancelled, whichever of its ways to the platform has '
+        'failed.',
+    )
     entry_expiry_s: Positive = pydantic.Field(
         default=3.6,
         description='Seconds without a heartbeat after which the platform '
