Close idle connections after the limit of the configuration

Callers' idle connections stayed open for 120 to 150 s, whatever the limit of the configuration and however it changed.

Cause: the limit was decoded and used by nothing; the HTTP server had a fixed one, and looked every 30 s. Change: the server asks for the limit of the routes in force at each look, once a second. A connection is idle from the end of its last answer on; one that is within a request or an answer is not, and stalls only after 120 s as before. A connection with bytes to read is not closed.

The scenarios also show which settings a request under way follows when the configuration changes: those it began with, for a shorter and a longer timeout, another service and a route that is gone, of each kind. That was so before.

Of 40 connections used again around the limit, some are closed, and no request that an engine got is without its whole answer.

--- a/features/builders_kept_connections.py
+++ b/features/builders_kept_connections.py
@@ -7,6 +7,8 @@
 from collections.abc import Mapping
 from http import client
 
+from urllib3.util.wait import wait_for_read
+
 _TIMEOUT_S = 10.0
 
 
@@ -44,7 +46,13 @@
     @property
     def closed_by_host(self) -> bool:
         """Whether the host has closed the connection."""
+        return self.is_closed_by_host(_TIMEOUT_S)
+
+    def is_closed_by_host(self, within_s: float) -> bool:
+        """Return whether the host closes the connection in that time."""
         opened = self._connection.sock
+        if not wait_for_read(opened, within_s):
+            return False
         opened.settimeout(_TIMEOUT_S)
         return not opened.recv(1, socket.MSG_PEEK)
 
--- a/guavadyke/http_server.py
+++ b/guavadyke/http_server.py
@@ -8,6 +8,7 @@
 import socket
 import threading
 import uuid
+from collections.abc import Callable
 from typing import Any
 
 from urllib3.util.wait import wait_for_read
@@ -25,7 +26,8 @@
 )
 from guavadyke.settings import ListenSettings
 
-_IDLE_CHANNEL_TIMEOUT_S = 120
+_INACTIVE_CHANNEL_TIMEOUT_S = 120
+_INACTIVE_CHECK_INTERVAL_S = 1
 _IDLE_POLL_INTERVAL_S = 0.02
 _THREAD_JOIN_TIMEOUT_S = 5.0
 
@@ -109,6 +111,11 @@
     body_memory_bytes: int = 1_048_576
 
 
+def _default_idle_timeout_s() -> float:
+    """Return the seconds after which an idle connection is closed."""
+    return _INACTIVE_CHANNEL_TIMEOUT_S
+
+
 class HttpServer:
     """Serves an application on one port, from a background thread.
 
@@ -117,6 +124,8 @@
     Args:
         application: WSGI application.
         settings: address, threads and sizes.
+        idle_timeout_s: returns the seconds after which a connection without
+            a request is closed; asked again for each check.
 
     Raises:
         GuavadykeError: ``address_in_use``, the port cannot be bound.
@@ -126,10 +135,14 @@
         self,
         application: HttpApplication,
         settings: HttpServerSettings,
+        idle_timeout_s: Callable[[], float] = _default_idle_timeout_s,
     ) -> None:
         self._application = application
         self._channels: dict[int, Any] = {}
         self._server = _bind_server(application, settings, self._channels)
+        self._server.maintenance = functools.partial(
+            _close_inactive_channels, self._server, idle_timeout_s
+        )
         self._thread = threading.Thread(
             target=self._server.run,
             name=f'http-{self.port}',
@@ -218,6 +231,32 @@
             channel.handle_close()
 
 
+def _close_inactive_channels(
+    server: Any, idle_timeout_s: Callable[[], float], now: float
+) -> None:
+    """Close idle and stalled connections, within the loop's thread.
+
+    A connection is idle from the end of its last answer on. One that stalls
+    within a request or an answer has a limit of its own.
+    """
+    idle_s = idle_timeout_s()
+    for channel in tuple(server.active_channels.values()):
+        inactive_s = now - channel.last_activity
+        if _is_out_of_time(channel, inactive_s, idle_s):
+            channel.will_close = True
+
+
+def _is_out_of_time(channel: Any, inactive_s: float, idle_s: float) -> bool:
+    """Return whether a connection is inactive for too long."""
+    if channel.requests or inactive_s <= min(
+        idle_s, _INACTIVE_CHANNEL_TIMEOUT_S
+    ):
+        return False
+    if _is_idle(channel):
+        return inactive_s > idle_s
+    return inactive_s > _INACTIVE_CHANNEL_TIMEOUT_S
+
+
 def _is_idle(channel: Any) -> bool:
     """Return whether a connection has neither a request nor an answer."""
     received = channel.requests or channel.request is not None
@@ -255,7 +294,7 @@
             port=listen.port,
             threads=settings.threads,
             connection_limit=settings.connections,
-            channel_timeout=_IDLE_CHANNEL_TIMEOUT_S,
+            cleanup_interval=_INACTIVE_CHECK_INTERVAL_S,
             channel_request_lookahead=1,
             max_request_body_size=settings.max_body_bytes,
             inbuf_overflow=settings.body_memory_bytes,
--- a/guavadyke/platform/daemon.py
+++ b/guavadyke/platform/daemon.py
@@ -137,6 +137,7 @@
                         max_body_bytes=_MAX_BODY_BYTES,
                         stream_buffer_bytes=caller.stream_buffer_bytes,
                     ),
+                    self._idle_timeout_s,
                 ),
             )
         if self._settings.readiness is not None:
@@ -152,6 +153,9 @@
             )
         return servers
 
+    def _idle_timeout_s(self) -> float:
+        return self._host.table.current.limits.idle_timeout_s
+
     def _application(
         self,
         port: CallerPort | ReadinessPort,
