Leave a silent server with an item only for a slot at another one

A pause of the servers just over 3 s ended the runs of all items of all hosts at the same moment. Each item lost its place, and the run that had gone on was cut and repeated.

Cause: the call of an item had 3 s as its limit for the first byte and between two pieces, with no look at other servers. Change: the runner looks at the silent runs. It leaves one after `forward.item_silence_s`, now 5 s, once it has leased a slot at another server at which the item can go on, and not while all servers with its items are silent, nor for half that time after. The item takes that slot without a delay. A run without an event for 12 s is given up as before. Online requests preempt silent runs as others.

Items at a server that never goes on end elsewhere within 12 s, and a silent item gives way to online requests within 1 s, before and after.

--- a/features/builders_forward_runner.py
+++ b/features/builders_forward_runner.py
@@ -14,6 +14,7 @@
     BackendAnswer,
     BackendCall,
     BackendFault,
+    BackendServers,
     PeerNotice,
 )
 from guavadyke.controllers.actors import tell_function
@@ -29,6 +30,7 @@
     JobProgress,
     listings,
 )
+from guavadyke.decisions.server_registry import ListedServer
 from guavadyke.log import EventLogger
 from guavadyke.settings import ForwardHostSettings
 from guavadyke.snapshots import FleetSnapshot, PeerView, SnapshotCell
@@ -87,14 +89,18 @@
     """A running job runner with its dependencies; stopped by ``close``."""
 
     def __init__(
-        self, item_workers: int = 32, prompts: PromptGuard | None = None
+        self,
+        item_workers: int = 32,
+        prompts: PromptGuard | None = None,
+        listed: tuple[ListedServer, ...] | None = None,
+        backends: BackendServers | None = None,
     ) -> None:
         self.platform = MemoryPlatform()
         self.host = build.job_host(self.platform, ME)
         self.servers = HeldServers()
         self.route = build.route()
         self.pool = build.pool(
-            (build.server('s1'), build.server('s2')),
+            listed or (build.server('s1'), build.server('s2')),
             SystemClock(),
         )
         self.fleet = SnapshotCell(FleetSnapshot())
@@ -107,7 +113,7 @@
                 self.pool,
                 prompts or build.prompt_guard(),
                 build.server_limits(),
-                self.servers,
+                backends or self.servers,
                 SnapshotCell(build.table(self.route)),
                 self.fleet,
                 lambda: True,
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -4,8 +4,9 @@
 
 import dataclasses
 import functools
+import math
 import threading
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
@@ -27,6 +28,7 @@
 from guavadyke.controllers.prompt_guard import PromptGuard
 from guavadyke.controllers.server_limits import ServerLimits
 from guavadyke.controllers.server_pool import ServerPool
+from guavadyke.controllers.silent_items import SilentItems
 from guavadyke.decisions.forward_job_items import JobItemTracker
 from guavadyke.decisions.forward_job_ownership import (
     due_at,
@@ -136,6 +138,9 @@
         self._run_tools = ItemRunTools(
             parts.pool, parts.prompts, parts.limits, parts.clock
         )
+        self._silent_items = SilentItems(
+            parts.pool, parts.settings.forward.item_silence_s
+        )
         self._stopping = False
         self._workers = ThreadPoolExecutor(
             parts.settings.forward.item_workers,
@@ -188,9 +193,19 @@
             reason=outcome.reason,
         )
         work = self._works.get(run.job_id)
+        reserved = self._silent_items.take(run)
         if work is not None:
             self._partials[item_id] = outcome.partial
             self._apply_outcome(work, item_id, outcome)
+            goes_on = not self._stopping and _may_go_on(
+                work, run, outcome, self._parts.prompts
+            )
+            if reserved is not None and goes_on:
+                self._start_run(work, run.item, reserved)
+                reserved = None
+        if reserved is not None:
+            self._silent_items.give_back(reserved)
+        if work is not None:
             self.tick()
 
     def step_ended(
@@ -311,30 +326,26 @@
                 self._parts.settings.forward.item_workers,
             ),
         )
-        publish_backlog(self._waiting_count())
+        silent = self._silent_items.due(self._runs.values(), now)
+        publish_backlog(
+            _waiting_for_slot(self._parts, self._works, self._runs)
+            + len(silent)
+        )
+        self._silent_items.leave(
+            silent,
+            functools.partial(_lease_elsewhere, self._parts, self._works),
+        )
         full_services: set[str] = set()
         for work in _sorted_by_due(self._works.values(), table):
             route = table.route_by_name(work.job.route)
             items = () if route is None else work.startable_items(now)
             for item in items:
                 service = route.service_of(item.item_id) if route else ''
-                started = service not in full_services and self._start_item(
+                if service in full_services or not self._start_item(
                     work, item, service
-                )
-                if not started:
+                ):
                     full_services.add(service)
-        publish_backlog(self._waiting_count())
-
-    def _waiting_count(self) -> int:
-        """Return how many items wait for a slot that this host can use.
-
-        Items beyond its own limit of runs do not count, because other hosts
-        leave slots free for those that do.
-        """
-        max_runs = self._parts.settings.forward.item_workers
-        return min(
-            _waiting_items(self._works.values()), max_runs - len(self._runs)
-        )
+        publish_backlog(_waiting_for_slot(self._parts, self._works, self._runs))
 
     def _start_item(
         self, work: JobItemTracker, item: ForwardItem, service: str
@@ -346,11 +357,17 @@
         lease = _lease_slot(self._parts, service, partial)
         if lease is None:
             return False
+        self._start_run(work, item, lease)
+        return True
+
+    def _start_run(
+        self, work: JobItemTracker, item: ForwardItem, lease: ServerLease
+    ) -> None:
+        partial = self._partials.get(item.item_id, PartialText())
         run = ItemRun(work.job, item, lease, partial, self._run_tools)
         self._runs[item.item_id] = run
         work.started(item.item_id)
         self._workers.submit(self._run_item, run)
-        return True
 
     def _run_item(self, run: ItemRun) -> None:
         try:
@@ -382,6 +399,37 @@
     return resuming or acquire()
 
 
+def _lease_elsewhere(
+    parts: RunnerParts, works: Mapping[str, JobItemTracker], run: ItemRun
+) -> ServerLease | None:
+    """Lease a slot at another server at which a silent item can go on."""
+    work = works.get(run.job_id)
+    table = parts.table.current
+    route = table.route_by_name(work.job.route) if work else None
+    if route is None:
+        return None
+    exhausted = parts.limits.exhausted(batch=True)
+    return parts.pool.acquire_batch(
+        route.service_of(run.item.item_id),
+        frozenset((*exhausted, run.lease.server.server_id)),
+        run.resumes_at,
+    )
+
+
+def _may_go_on(
+    work: JobItemTracker,
+    run: ItemRun,
+    outcome: RunOutcome,
+    prompts: PromptGuard,
+) -> bool:
+    """Return whether the item of a run that was left goes on at once."""
+    return (
+        outcome.end is RunEnd.broken
+        and run.item in work.startable_items(math.inf)
+        and prompts.check(run.item.prompt_parts) is None
+    )
+
+
 class RunnerTicker:
     """Sends ticks to a runner, periodically and after each change.
 
@@ -494,6 +542,20 @@
     )
 
 
+def _waiting_for_slot(
+    parts: RunnerParts,
+    works: Mapping[str, JobItemTracker],
+    runs: Collection[str],
+) -> int:
+    """Return how many items wait for a slot that this host can use.
+
+    Items beyond its own limit of runs do not count, because other hosts
+    leave slots free for those that do.
+    """
+    max_runs = parts.settings.forward.item_workers
+    return min(_waiting_items(works.values()), max_runs - len(runs))
+
+
 def _waiting_items(works: Iterable[JobItemTracker]) -> int:
     return sum(work.counts()['waiting'] for work in works)
 
--- a/guavadyke/controllers/item_run.py
+++ b/guavadyke/controllers/item_run.py
@@ -131,7 +131,9 @@
             tools.prompts, item.prompt_parts, tools.clock
         )
         self._progress_at = lease.taken_at
+        self._heard_at = lease.taken_at
         self._stalled = False
+        self._left_silent = False
 
     def stop_if_stalled(self, now: float) -> None:
         """Cancel the run if its server has sent no event for too long.
@@ -142,6 +144,20 @@
             self._stalled = True
             self.cancellation.cancel()
 
+    @property
+    def resumes_at(self) -> str | None:
+        """The software version at which it can go on, None for any."""
+        return self._software if self._event_parser.last_id else None
+
+    def silent_s(self, now: float) -> float:
+        """Return for how long its server has sent nothing."""
+        return now - self._heard_at
+
+    def leave_silent(self) -> None:
+        """Cancel the run, so that the item goes on at another server."""
+        self._left_silent = True
+        self.cancellation.cancel()
+
     def perform(
         self,
         servers: BackendServers,
@@ -169,6 +185,7 @@
         settings: ForwardSettings,
     ) -> RunOutcome:
         answer = servers.send(self._backend_call(settings))
+        self._record_data()
         if answer.status != _STATUS_OK:
             _drain(answer)
             return self._outcome(
@@ -204,18 +221,30 @@
         """Release the slot and record what the run says of its prompt.
 
         A run that this host has cancelled says nothing of its server, unless
-        the server had stalled.
+        the server had stalled or fallen silent.
         """
         cancelled = self.cancellation.cancelled
-        if failure is None or (cancelled and not self._stalled):
+        if failure is None or (cancelled and not self._is_server_fault):
             self._tools.pool.release(self.lease)
             return
         self._tools.pool.release(self.lease, failure.fault)
         if failure.disconnected and not cancelled:
             self._guarded.disconnected(self.lease.server.incarnation)
 
+    @property
+    def _is_server_fault(self) -> bool:
+        """Whether the run was cancelled because of its server."""
+        return self._stalled or self._left_silent
+
+    def _record_data(self) -> None:
+        self._heard_at = self._tools.clock.monotonic()
+
+    def _wait_longer_s(self) -> float:
+        """Return for how long to wait on for the first byte of an answer."""
+        return _STALLED_S - self.silent_s(self._tools.clock.monotonic())
+
     def _end_of_error(self, error: BackendServerError) -> RunEnd:
-        if self._stalled:
+        if self._is_server_fault:
             return RunEnd.broken
         if self.cancellation.cancelled:
             return RunEnd.preempted
@@ -237,7 +266,7 @@
             body=self.item.body,
             connect_timeout_s=settings.connect_timeout_s,
             first_byte_timeout_s=settings.item_silence_s,
-            gap_timeout_s=settings.item_silence_s,
+            gap_timeout_s=_STALLED_S,
             cancellation=self.cancellation,
             server_id=self.lease.server.server_id,
             last_event_id=self._partial.last_id,
@@ -245,6 +274,8 @@
             observe_leaving=functools.partial(
                 self._tools.pool.said_leaving, self.lease.server
             ),
+            observe_data=self._record_data,
+            wait_longer_s=self._wait_longer_s,
         )
 
 
--- a/guavadyke/settings.py
+++ b/guavadyke/settings.py
@@ -367,9 +367,9 @@
         description='Maximum batch items in flight on this host.',
     )
     item_silence_s: Positive = pydantic.Field(
-        default=3,
+        default=5,
         description='Seconds without data after which a batch item moves '
-        'to another backend server.',
+        'to another backend server that has a free slot for it.',
     )
     result_retention_s: Positive = pydantic.Field(
         default=120,
