Don't take the pause of an online caller for silence of its engine

A stream whose caller reads slowly went to another engine, or ended after its deadline, although its own engine had sent on.

Cause: since an answer is left by a check beside the reading thread, the time in which that thread hands an event to the caller counted as silence.

Change: nothing is checked while the caller takes an event, and its time counts from then.

Result: a caller that pauses 1.2 s while a large event arrives had its stream moved (2 requests) before; its engine gets the only one now.

--- a/features/online_silence.feature
+++ b/features/online_silence.feature
@@ -131,3 +131,10 @@
     When the host gets a streamed chat
     Then each answer is whole
     And the engines have got 1 request
+
+  # Guards against a caller's pause that is taken for silence of its engine.
+  Scenario: a stream of a slow caller stays at its engine
+    Given 2 engines, of which the first one asked sends a large event slowly after piece 3
+    When the host gets a streamed chat of a slow caller
+    Then each answer is whole
+    And the engines have got 1 request
--- a/features/steps/online_silence_steps.py
+++ b/features/steps/online_silence_steps.py
@@ -65,10 +65,11 @@
     left_s: float,
     *,
     headers: Mapping[str, str] = _NO_HEADERS,
+    pause_s: float = 0,
     **changes: object,
 ) -> str:
     exchange = _exchange(_CHAT, online.chat(**changes), left_s, headers)
-    body = online.body_of(_handler(service, _CHAT)(exchange))
+    body = _read(_handler(service, _CHAT)(exchange), pause_s)
     if 'stream' not in changes:
         return str(json.loads(body)['choices'][0]['message']['content'])
     documents = list(event_documents(body))
@@ -79,6 +80,16 @@
     return ''.join(choice_text(one['choices'][0]) for one in documents)
 
 
+def _read(answer: Answer, pause_s: float) -> bytes:
+    """Return the whole body, with a pause after its first piece."""
+    if not pause_s:
+        return online.body_of(answer)
+    pieces = iter(answer.body)
+    first = next(pieces)
+    time.sleep(pause_s)
+    return b''.join((first, *pieces))
+
+
 def _service_call(service: OnlineService, left_s: float) -> str:
     exchange = _exchange(_SERVICE, {}, left_s, _NO_HEADERS)
     exchange.path_parts = {'entry': pausing.SERVICE, 'path': 'rooms'}
@@ -115,6 +126,7 @@
         _STREAMED, headers=_RUN_ONCE
     ),
     'streamed chat of several choices': functools.partial(_STREAMED, n=2),
+    'streamed chat of a slow caller': functools.partial(_STREAMED, pause_s=1.2),
     'whole chat': _chat,
     'whole chat that must run once': functools.partial(
         _chat, headers=_RUN_ONCE
--- a/guavadyke/filters/attempt_silence.py
+++ b/guavadyke/filters/attempt_silence.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import threading
+from collections.abc import Generator
 from typing import Protocol
 
 from guavadyke.adapters.ports import (
@@ -78,6 +80,7 @@
         self._answer: BackendAnswer | None = None
         self._pace = AnswerPace(0, streamed=False)
         self._retry_at = float('-inf')
+        self._is_held = False
         self._left = False
         self._is_kept = False
         self._reserved: Slot | None = None
@@ -109,6 +112,7 @@
             self._slot = slot
             self._failed = failed
             self._attempts = attempts
+            self._is_held = False
             self._left = False
             self._is_kept = False
 
@@ -123,9 +127,19 @@
         self._pace.record_bytes(count, self._tools.clock.monotonic())
 
     def record_event(self) -> None:
-        """Record that an event of the answer is whole."""
+        """Record that the answer has begun or an event has become whole."""
         self._pace.record_event(self._tools.clock.monotonic())
 
+    @contextlib.contextmanager
+    def hold(self) -> Generator[None]:
+        """Don't count the time in which the caller takes an event."""
+        self._is_held = True
+        try:
+            yield
+        finally:
+            self.record_event()
+            self._is_held = False
+
     def end(self, error: BackendServerError) -> BackendServerError:
         """Check the attempt no more; return why it failed."""
         with self._lock:
@@ -166,7 +180,7 @@
             answer = self._answer
             now = self._tools.clock.monotonic()
             silent_s = self._pace.idle_s(now)
-            if answer is None or self._left:
+            if answer is None or self._left or self._is_held:
                 return
             if silent_s < self._tools.settings.gap_timeout_s:
                 return
--- a/guavadyke/filters/attempts.py
+++ b/guavadyke/filters/attempts.py
@@ -135,9 +135,12 @@
         self._silence.answered(answer)
         return answer
 
-    def record_event(self) -> None:
-        """Record that an event of the current attempt's answer is whole."""
-        self._silence.record_event()
+    def hold(self) -> AbstractContextManager[None]:
+        """Don't take the time in the block for silence of the server.
+
+        In it the caller takes an event, which has become whole.
+        """
+        return self._silence.hold()
 
     def _run(
         self,
--- a/guavadyke/filters/streaming.py
+++ b/guavadyke/filters/streaming.py
@@ -157,8 +157,8 @@
         for piece in answer.chunks():
             block = self._feed(piece)
             if block:
-                self._attempts.record_event()
-                yield block
+                with self._attempts.hold():
+                    yield block
         if not self._relay.complete:
             raise StreamFaultError('the stream ended without its end mark')
 
