Take whole events for progress of a forwarded stream, not single bytes

A forwarded stream whose server sends a byte now and then, and completes no event, stayed there until its deadline though another server was idle and a further attempt was allowed.

Cause: SilenceCheck measured silence from the last byte.

Change: ForwardAttempt uses AnswerPace. Of a streamed route a whole event is progress, or a KiB of one that is not whole; on other routes each byte is, as before. An attempt is left only as for silence.

--- a/features/forward_silence.feature
+++ b/features/forward_silence.feature
@@ -86,3 +86,27 @@
     Then its answer is whole
     # 81 requests of 1 s at 16 slots, half of which are for those who return.
     And a caller that is refused may return within 10.2 seconds
+
+  # Guards against a server that is taken for alive as long as bytes come.
+  Scenario: a stream leaves a server that completes no event
+    Given a resumable stream route with 2 attempts
+    And a server that sends a byte now and then after event 2
+    And a server that pauses for 0 seconds after event 2
+    When a request is sent
+    Then its answer is whole within 3 seconds
+    And the servers have got 2 requests
+
+  Scenario: a stream stays at a server whose large event takes long
+    Given a resumable stream route with 2 attempts
+    And a server that sends a large event slowly after event 2
+    And a server that pauses for 0 seconds after event 2
+    When a request is sent
+    Then its last event is whole
+    And the servers have got 1 request
+
+  Scenario: a stream stays at its only server, which completes no event
+    Given a resumable stream route with 2 attempts
+    And a server that sends a byte now and then after event 2
+    When a request is sent
+    Then its last event is whole
+    And the servers have got 1 request
--- a/features/steps/forward_silence_steps.py
+++ b/features/steps/forward_silence_steps.py
@@ -13,6 +13,7 @@
 
 from features import builders_forward as build
 from features import builders_pausing_server as pausing
+from features.builders_trickling_server import TricklingServer
 from guavadyke.decisions.forward_routes import RouteKind
 from guavadyke.errors import GuavadykeError
 from guavadyke.filters.forward import Forwarder
@@ -39,6 +40,16 @@
     context.servers = (*context.servers, server)
 
 
+@given('a server that sends a byte now and then after event {event:d}')
+def step_trickle(context: Context, event: int) -> None:
+    _add_trickling(context, event, 1, 60)
+
+
+@given('a server that sends a large event slowly after event {event:d}')
+def step_large(context: Context, event: int) -> None:
+    _add_trickling(context, event, 512, 20_480)
+
+
 @given('the last server has a limit in force')
 def step_limit(context: Context) -> None:
     _hinder(context, pausing.exhaust_limit)
@@ -82,6 +93,12 @@
     assert set(context.bodies) == {build.stream()}, context.bodies
 
 
+@then('its last event is whole')
+def step_last_event(context: Context) -> None:
+    last = build.event(build.EVENTS)
+    assert all(body.endswith(last) for body in context.bodies), context.bodies
+
+
 @then('its answer is whole within {seconds:g} seconds')
 def step_whole_within(context: Context, seconds: float) -> None:
     step_whole(context)
@@ -108,6 +125,15 @@
     assert retry_s < seconds, retry_s
 
 
+def _add_trickling(
+    context: Context, event: int, part_bytes: int, padding: int
+) -> None:
+    name = f's{len(context.servers) + 1}'
+    server = TricklingServer(name, event, part_bytes, padding)
+    context.add_cleanup(server.close)
+    context.servers = (*context.servers, server)
+
+
 def _hinder(
     context: Context, hinder: Callable[[ForwardTools, str], object]
 ) -> None:
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -19,8 +19,9 @@
 from guavadyke.controllers.server_limits import ServerLimits
 from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.controllers.stream_origins import StreamOrigins
+from guavadyke.decisions.answer_pace import AnswerPace
 from guavadyke.decisions.first_event_times import FirstEventTimes
-from guavadyke.decisions.forward_routes import ForwardRoute
+from guavadyke.decisions.forward_routes import ForwardRoute, RouteKind
 from guavadyke.decisions.prompt_quarantine import whole_request
 from guavadyke.decisions.server_registry import ServerLease
 from guavadyke.filters.caller_watch import CallerWatch
@@ -140,7 +141,9 @@
         self._service_began_at = None if queued else lease.taken_at
         self._answer: BackendAnswer | None = None
         self._resumed_after = 0
-        self._heard_at = lease.taken_at
+        self._pace = AnswerPace(
+            lease.taken_at, streamed=route.kind is RouteKind.streamed
+        )
         self._left_silent = False
 
     @property
@@ -199,13 +202,13 @@
                 wait_longer_s=wait_longer_s,
             ),
         )
-        self._heard_at = self._tools.clock.monotonic()
+        self._pace.record_event(self._tools.clock.monotonic())
         self._answer = answer
         return answer
 
     def silent_s(self, now: float) -> float:
-        """Return for how long an answer that has begun brings no data."""
-        return 0 if self._answer is None else now - self._heard_at
+        """Return for how long an answer that has begun makes no progress."""
+        return 0 if self._answer is None else self._pace.idle_s(now)
 
     def leave_silent(self) -> None:
         """Cancel the call, so that the request goes on at another server.
@@ -220,10 +223,11 @@
     def record_event(self) -> None:
         """Record an event of the answer; the first one shows the start."""
         self._guarded.progressed()
+        now = self._tools.clock.monotonic()
+        self._pace.record_event(now)
         if self._started:
             return
         self._started = True
-        now = self._tools.clock.monotonic()
         if self._service_began_at is None:
             self._service_began_at = now
         first_event_s = now - self._lease.taken_at
@@ -307,8 +311,8 @@
             and self._tools.clock.monotonic() < self._request.deadline
         )
 
-    def _record_data(self, _count: int) -> None:
-        self._heard_at = self._tools.clock.monotonic()
+    def _record_data(self, count: int) -> None:
+        self._pace.record_bytes(count, self._tools.clock.monotonic())
         self._tools.pool.others.heard(self.server_id)
 
     def _release_lease(self, error: BackendServerError | None) -> None:
