Don't take the pause of a forwarded caller for silence of its server

A forwarded stream whose caller reads slowly was moved to another server, which cost it an attempt and another server's place, although its own server had sent on.

Cause: SilenceCheck counted the time since the last data was read. While the host hands an event to the caller it reads nothing.

Change: AnswerPace counts no time while an event is handed on; the product's own interface uses the same.

Result: a stream whose caller pauses 1.7 s while a large event arrives had 2 requests before, and has 1.

--- a/features/forward_silence.feature
+++ b/features/forward_silence.feature
@@ -110,3 +110,13 @@
     When a request is sent
     Then its last event is whole
     And the servers have got 1 request
+
+  # Guards against a caller's pause that is taken for silence of its server.
+  Scenario: a stream of a slow caller stays at its server
+    Given a resumable stream route with 2 attempts
+    And a server that sends a large event slowly after event 2
+    And a server that pauses for 0 seconds after event 2
+    And a caller that pauses for 1.7 seconds after the first event
+    When a request is sent
+    Then its last event is whole
+    And the servers have got 1 request
--- a/features/steps/forward_silence_steps.py
+++ b/features/steps/forward_silence_steps.py
@@ -30,6 +30,7 @@
     )
     context.servers = ()
     context.hindrances = ()
+    context.caller_pause_s = 0
 
 
 @given('a server that pauses for {seconds:g} seconds after event {event:d}')
@@ -69,6 +70,11 @@
     _hinder(context, queue)
 
 
+@given('a caller that pauses for {seconds:g} seconds after the first event')
+def step_slow_caller(context: Context, seconds: float) -> None:
+    context.caller_pause_s = seconds
+
+
 @when('a request is sent')
 def step_send(context: Context) -> None:
     step_send_many(context, 1)
@@ -155,6 +161,8 @@
         if isinstance(answer.body, bytes):
             return answer.body
         for event in answer.body:
+            if not body:
+                time.sleep(context.caller_pause_s)
             body = b''.join((body, event))
     except GuavadykeError as error:
         return b'%b, then %b' % (body, str(error.code).encode())
--- a/guavadyke/decisions/answer_pace.py
+++ b/guavadyke/decisions/answer_pace.py
@@ -22,10 +22,11 @@
         self._streamed = streamed
         self._progress_at = now
         self._part_bytes = 0
+        self._is_held = False
 
     def idle_s(self, now: float) -> float:
         """Return for how many seconds there has been no progress."""
-        return now - self._progress_at
+        return 0 if self._is_held else now - self._progress_at
 
     def record_bytes(self, count: int, now: float) -> None:
         """Record that so many bytes have arrived."""
@@ -33,7 +34,12 @@
         if not self._streamed or self._part_bytes >= _PART_BYTES:
             self.record_event(now)
 
+    def hold(self) -> None:
+        """Count no time until ``record_event``, as the caller is waited for."""
+        self._is_held = True
+
     def record_event(self, now: float) -> None:
         """Record that the answer has begun or an event has become whole."""
+        self._is_held = False
         self._part_bytes = 0
         self._progress_at = now
--- a/guavadyke/filters/attempt_silence.py
+++ b/guavadyke/filters/attempt_silence.py
@@ -80,7 +80,6 @@
         self._answer: BackendAnswer | None = None
         self._pace = AnswerPace(0, streamed=False)
         self._retry_at = float('-inf')
-        self._is_held = False
         self._left = False
         self._is_kept = False
         self._reserved: Slot | None = None
@@ -112,7 +111,6 @@
             self._slot = slot
             self._failed = failed
             self._attempts = attempts
-            self._is_held = False
             self._left = False
             self._is_kept = False
 
@@ -133,12 +131,11 @@
     @contextlib.contextmanager
     def hold(self) -> Generator[None]:
         """Don't count the time in which the caller takes an event."""
-        self._is_held = True
+        self._pace.hold()
         try:
             yield
         finally:
             self.record_event()
-            self._is_held = False
 
     def end(self, error: BackendServerError) -> BackendServerError:
         """Check the attempt no more; return why it failed."""
@@ -180,7 +177,7 @@
             answer = self._answer
             now = self._tools.clock.monotonic()
             silent_s = self._pace.idle_s(now)
-            if answer is None or self._left or self._is_held:
+            if answer is None or self._left:
                 return
             if silent_s < self._tools.settings.gap_timeout_s:
                 return
--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -174,8 +174,10 @@
         _check_stream_resumed(answer)
         for event in _parse_events(answer, self._event_parser):
             attempt.record_event()
+            attempt.pace.hold()
             yield from self._yield_head_once(answer, attempt)
             yield event
+            attempt.pace.record_event(self._tools.clock.monotonic())
         _check_has_event(self._event_parser)
         if self._request.deadline - self._tools.clock.monotonic() <= (
             _DEADLINE_PRECISION_S
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -113,6 +113,9 @@
         tools: settings, clock and services that all requests share.
         may_fail_over: whether another server may be tried after this one,
             and there is one.
+
+    Attributes:
+        pace: tells since when its answer makes no progress.
     """
 
     def __init__(
@@ -141,7 +144,7 @@
         self._service_began_at = None if queued else lease.taken_at
         self._answer: BackendAnswer | None = None
         self._resumed_after = 0
-        self._pace = AnswerPace(
+        self.pace = AnswerPace(
             lease.taken_at, streamed=route.kind is RouteKind.streamed
         )
         self._left_silent = False
@@ -202,13 +205,13 @@
                 wait_longer_s=wait_longer_s,
             ),
         )
-        self._pace.record_event(self._tools.clock.monotonic())
+        self.pace.record_event(self._tools.clock.monotonic())
         self._answer = answer
         return answer
 
     def silent_s(self, now: float) -> float:
         """Return for how long an answer that has begun makes no progress."""
-        return 0 if self._answer is None else self._pace.idle_s(now)
+        return 0 if self._answer is None else self.pace.idle_s(now)
 
     def leave_silent(self) -> None:
         """Cancel the call, so that the request goes on at another server.
@@ -224,7 +227,7 @@
         """Record an event of the answer; the first one shows the start."""
         self._guarded.progressed()
         now = self._tools.clock.monotonic()
-        self._pace.record_event(now)
+        self.pace.record_event(now)
         if self._started:
             return
         self._started = True
@@ -312,7 +315,7 @@
         )
 
     def _record_data(self, count: int) -> None:
-        self._pace.record_bytes(count, self._tools.clock.monotonic())
+        self.pace.record_bytes(count, self._tools.clock.monotonic())
         self._tools.pool.others.heard(self.server_id)
 
     def _release_lease(self, error: BackendServerError | None) -> None:
