--- a/features/steps/forward_silence_steps.py
+++ b/features/steps/forward_silence_steps.py
@@ -15,6 +15,7 @@
 
 from features import builders_forward as build
 from features import builders_pausing_server as pausing
+from features.builders_trickling_server import TricklingServer
 from guavadyke.adapters.ports import BackendFault
 from guavadyke.decisions.forward_routes import RouteKind
 from guavadyke.errors import GuavadykeError
@@ -36,6 +37,7 @@
     context.servers = ()
     context.body_bytes = 4
     context.hindrances = ()
+    context.caller_pause_s = 0
 
 
 @given('a server that pauses for {seconds:g} seconds after event {event:d}')
@@ -67,6 +69,16 @@
     context.servers = (*context.servers, server)
 
 
+@given('a server that sends a byte now and then after event {event:d}')
+def step_trickle(context: Context, event: int) -> None:
+    _add_trickling(context, event, 1, 60)
+
+
+@given('a server that sends a large event slowly after event {event:d}')
+def step_large(context: Context, event: int) -> None:
+    _add_trickling(context, event, 512, 20_480)
+
+
 @given('the last server has a limit in force')
 def step_limit(context: Context) -> None:
     _hinder(context, pausing.exhaust_limit)
@@ -98,6 +110,11 @@
     step_send_many(context, 1)
 
 
+@given('a caller that pauses for {seconds:g} seconds after the first event')
+def step_slow_caller(context: Context, seconds: float) -> None:
+    context.caller_pause_s = seconds
+
+
 @when('a request is sent')
 def step_send(context: Context) -> None:
     step_send_many(context, 1)
@@ -150,6 +167,12 @@
     assert set(context.bodies) == {build.stream()}, context.bodies
 
 
+@then('its last event is whole')
+def step_last_event(context: Context) -> None:
+    last = build.event(build.EVENTS)
+    assert all(body.endswith(last) for body in context.bodies), context.bodies
+
+
 @then('its answer is whole within {seconds:g} seconds')
 def step_whole_within(context: Context, seconds: float) -> None:
     step_whole(context)
@@ -176,6 +199,15 @@
     assert retry_s < seconds, retry_s
 
 
+def _add_trickling(
+    context: Context, event: int, part_bytes: int, padding: int
+) -> None:
+    name = f's{len(context.servers) + 1}'
+    server = TricklingServer(name, event, part_bytes, padding)
+    context.add_cleanup(server.close)
+    context.servers = (*context.servers, server)
+
+
 def _queue(
     context: Context,
     requests: int,
@@ -216,6 +248,8 @@
         if isinstance(answer.body, bytes):
             return answer.body
         for event in answer.body:
+            if not body:
+                time.sleep(context.caller_pause_s)
             body = b''.join((body, event))
     except GuavadykeError as error:
         return b'%b, then %b' % (body, str(error.code).encode())
--- a/guavadyke/adapters/backend.py
+++ b/guavadyke/adapters/backend.py
@@ -427,8 +427,9 @@
         ):
             return
         self._record_silence()
-        while not wait_for_read(self._socket, self._wait_longer_s()):
-            continue
+        wait_s = self._wait_longer_s()
+        while not wait_for_read(self._socket, wait_s):
+            wait_s = self._wait_longer_s()
 
     def _body_pieces(self) -> Iterator[bytes]:
         # read_chunked() collects a whole chunk, whatever its size.
--- a/guavadyke/controllers/item_run.py
+++ b/guavadyke/controllers/item_run.py
@@ -185,7 +185,7 @@
         settings: ForwardSettings,
     ) -> RunOutcome:
         answer = servers.send(self._backend_call(settings))
-        self._record_data()
+        self._record_data(0)
         if answer.status != _STATUS_OK:
             _drain(answer)
             return self._outcome(
@@ -236,7 +236,7 @@
         """Whether the run was cancelled because of its server."""
         return self._stalled or self._left_silent
 
-    def _record_data(self) -> None:
+    def _record_data(self, _count: int) -> None:
         self._heard_at = self._tools.clock.monotonic()
 
     def _wait_longer_s(self) -> float:
--- a/guavadyke/filters/attempt_silence.py
+++ b/guavadyke/filters/attempt_silence.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import threading
+from collections.abc import Generator
 from typing import Protocol
 
 from guavadyke.adapters.ports import (
@@ -123,9 +125,18 @@
         self._pace.record_bytes(count, self._tools.clock.monotonic())
 
     def record_event(self) -> None:
-        """Record that an event of the answer is whole."""
+        """Record that the answer has begun or an event has become whole."""
         self._pace.record_event(self._tools.clock.monotonic())
 
+    @contextlib.contextmanager
+    def hold(self) -> Generator[None]:
+        """Don't count the time in which the caller takes an event."""
+        self._pace.hold()
+        try:
+            yield
+        finally:
+            self.record_event()
+
     def end(self, error: BackendServerError) -> BackendServerError:
         """Check the attempt no more; return why it failed."""
         with self._lock:
--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -174,8 +174,10 @@
         _check_stream_resumed(answer)
         for event in _parse_events(answer, self._event_parser):
             attempt.record_event()
+            attempt.pace.hold()
             yield from self._yield_head_once(answer, attempt)
             yield event
+            attempt.pace.record_event(self._tools.clock.monotonic())
         _check_has_event(self._event_parser)
         if self._request.deadline - self._tools.clock.monotonic() <= (
             _DEADLINE_PRECISION_S
@@ -229,13 +231,17 @@
         remaining_s = self._check_time_left()
         lease = self._silence.take_reserved() or self._acquire(remaining_s)
         self._check_time_left(lease)
+        attempts = self._request_attempts
         attempt = ForwardAttempt(
             self._request,
             self._route,
             lease,
             self._cancellation,
             self._tools,
-            may_fail_over=self._may_leave(lease),
+            may_fail_over=attempts.may_retry_running
+            and self._admission.has_any(
+                attempts.failed | {lease.server.server_id}
+            ),
         )
         self._silence.watch(attempt)
         return attempt
@@ -265,36 +271,17 @@
                 server is too long.
         """
         attempts = self._request_attempts
-        if attempts.left_silent:
-            with contextlib.suppress(AdmissionRefusedError):
-                return self._reserve(remaining_s)
-            attempts.return_to_silent()
         try:
-            return self._reserve(remaining_s)
+            return self._admission.acquire_next(
+                attempts,
+                remaining_s,
+                may_be_refused=not (self._started or attempts.possible_runs),
+            )
         except AdmissionRefusedError as refusal:
             raise self._give_up(
                 refusal.code, refusal.message, refusal.estimate_retry_s()
             ) from refusal
 
-    def _reserve(self, remaining_s: float) -> ServerLease:
-        """Reserve a server.
-
-        Raises:
-            AdmissionRefusedError: no server takes the request.
-        """
-        attempts = self._request_attempts
-        return self._admission.acquire(
-            attempts.failed,
-            remaining_s,
-            may_be_refused=not (self._started or attempts.possible_runs),
-        )
-
-    def _may_leave(self, lease: ServerLease) -> bool:
-        """Return whether the request may go on at another server."""
-        failed = self._request_attempts.failed | {lease.server.server_id}
-        may_retry = self._request_attempts.may_retry_running
-        return may_retry and self._admission.has_any(failed)
-
     def _handle_failure(
         self,
         attempt: ForwardAttempt,
--- a/guavadyke/filters/forward_admission.py
+++ b/guavadyke/filters/forward_admission.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Callable
 
 from guavadyke.adapters.ports import BackendFault
 from guavadyke.decisions.forward_routes import ForwardRoute
 from guavadyke.decisions.load_shedding import longest_wait_s
 from guavadyke.decisions.prompt_quarantine import is_whole_request
+from guavadyke.decisions.request_attempts import RequestAttempts
 from guavadyke.decisions.server_registry import ServerLease
 from guavadyke.errors import ErrorCode
 from guavadyke.filters.forward_attempt import ForwardRequest, ForwardTools
@@ -103,6 +105,33 @@
             self._tools.pool.release(lease, BackendFault.refused)
             excluded |= {lease.server.server_id}
 
+    def acquire_next(
+        self,
+        attempts: RequestAttempts,
+        remaining_s: float,
+        *,
+        may_be_refused: bool,
+    ) -> ServerLease:
+        """Reserve a server that has not failed, or was left for its silence.
+
+        Args:
+            attempts: the failed attempts.
+            remaining_s: seconds until the request's deadline.
+            may_be_refused: whether the request surely has not run.
+
+        Raises:
+            AdmissionRefusedError: there is none.
+        """
+        if attempts.left_silent:
+            with contextlib.suppress(AdmissionRefusedError):
+                return self.acquire(
+                    attempts.failed, remaining_s, may_be_refused=may_be_refused
+                )
+            attempts.return_to_silent()
+        return self.acquire(
+            attempts.failed, remaining_s, may_be_refused=may_be_refused
+        )
+
     def has_any(self, failed: frozenset[str]) -> bool:
         """Return whether any server but the failed ones is listed."""
         return self._tools.pool.others.has_any(
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -19,8 +19,9 @@
 from guavadyke.controllers.server_limits import ServerLimits
 from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.controllers.stream_origins import StreamOrigins
+from guavadyke.decisions.answer_pace import AnswerPace
 from guavadyke.decisions.first_event_times import FirstEventTimes
-from guavadyke.decisions.forward_routes import ForwardRoute
+from guavadyke.decisions.forward_routes import ForwardRoute, RouteKind
 from guavadyke.decisions.prompt_quarantine import whole_request
 from guavadyke.decisions.server_registry import ServerLease
 from guavadyke.filters.caller_watch import CallerWatch
@@ -104,6 +105,8 @@
 class ForwardAttempt:
     """One attempt, which holds a lease of a server until it ends.
 
+    ``left_silent`` is whether it ended only because its server was silent.
+
     Args:
         request: the request.
         route: the route of the request.
@@ -112,6 +115,9 @@
         tools: settings, clock and services that all requests share.
         may_fail_over: whether another server may be tried after this one,
             and there is one.
+
+    Attributes:
+        pace: tells since when its answer makes no progress.
     """
 
     def __init__(
@@ -140,8 +146,10 @@
         self._service_began_at = None if queued else lease.taken_at
         self._answer: BackendAnswer | None = None
         self._resumed_after = 0
-        self._heard_at = lease.taken_at
-        self._left_silent = False
+        self.pace = AnswerPace(
+            lease.taken_at, streamed=route.kind is RouteKind.streamed
+        )
+        self.left_silent = False
 
     @property
     def server_id(self) -> str:
@@ -153,16 +161,6 @@
         """Version of the server's software."""
         return self._lease.server.software
 
-    @property
-    def left_silent(self) -> bool:
-        """Whether it ended only because its server was silent."""
-        return self._left_silent
-
-    @property
-    def has_answer(self) -> bool:
-        """Whether its answer has begun."""
-        return self._answer is not None
-
     def send(
         self, wait_longer_s: Callable[[], float], last_event_id: int = 0
     ) -> BackendAnswer:
@@ -204,20 +202,20 @@
                 wait_longer_s=wait_longer_s,
             ),
         )
-        self._heard_at = self._tools.clock.monotonic()
+        self.pace.record_event(self._tools.clock.monotonic())
         self._answer = answer
         return answer
 
     def silent_s(self, now: float) -> float:
-        """Return for how long an answer that has begun brings no data."""
-        return 0 if self._answer is None else now - self._heard_at
+        """Return for how long an answer that has begun makes no progress."""
+        return 0 if self._answer is None else self.pace.idle_s(now)
 
     def leave_silent(self) -> None:
         """Cancel the call, so that the request goes on at another server.
 
         A call without an answer ends by what ``wait_longer_s`` returns.
         """
-        self._left_silent = True
+        self.left_silent = True
         answer = self._answer
         if answer is not None:
             answer.cancel()
@@ -225,10 +223,11 @@
     def record_event(self) -> None:
         """Record an event of the answer; the first one shows the start."""
         self._guarded.progressed()
+        now = self._tools.clock.monotonic()
+        self.pace.record_event(now)
         if self._started:
             return
         self._started = True
-        now = self._tools.clock.monotonic()
         if self._service_began_at is None:
             self._service_began_at = now
         first_event_s = now - self._lease.taken_at
@@ -266,7 +265,7 @@
 
     def cause(self, error: BackendServerError) -> BackendServerError:
         """Return why the attempt failed, given how its call has ended."""
-        if not self._left_silent:
+        if not self.left_silent:
             return error
         return BackendServerError(
             BackendFault.silent,
@@ -315,24 +314,21 @@
             self._route.name, share * target_s
         )
 
-    def _had_short_time(self) -> bool:
-        """Return whether a sound server may not have answered in its time."""
-        now = self._tools.clock.monotonic()
-        return (
-            self._left_silent
-            or now - self._lease.taken_at < self._patience_s()
-            or (self._may_fail_over and now < self._request.deadline)
-        )
-
-    def _record_data(self, _count: int) -> None:
-        self._heard_at = self._tools.clock.monotonic()
+    def _record_data(self, count: int) -> None:
+        self.pace.record_bytes(count, self._tools.clock.monotonic())
         self._tools.pool.others.heard(self.server_id)
 
     def _fault_of(self, error: BackendServerError) -> BackendFault:
         """Return what a failure tells of the health of the server."""
         if self._cancellation.cancelled:
             return BackendFault.refused
-        if error.fault is BackendFault.silent and self._had_short_time():
+        now = self._tools.clock.monotonic()
+        had_short_time = (
+            self.left_silent
+            or now - self._lease.taken_at < self._patience_s()
+            or (self._may_fail_over and now < self._request.deadline)
+        )
+        if error.fault is BackendFault.silent and had_short_time:
             # The server may only be busy.
             return BackendFault.broken
         return error.fault
--- a/guavadyke/filters/silence_check.py
+++ b/guavadyke/filters/silence_check.py
@@ -131,7 +131,9 @@
             'silent_server_kept',
             request_id=self._request.request_id,
             backend_server=attempt.server_id,
-            answer_has_begun=attempt.has_answer,
+            silent_in_answer_s=round(
+                attempt.silent_s(self._tools.clock.monotonic()), 3
+            ),
             reason=reason,
         )
 
