Share one listening server and reader of requests among the test builders

One copy, in PausingServer, went round without end once the peer had closed in the middle of a body, and so kept a core busy for the rest of a run of the suite.

LoopbackServer, requests and send_chunk serve all of them now; the end of a connection ends the reader. No step and no assertion has changed.

--- a/features/builders_endless.py
+++ b/features/builders_endless.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import contextlib
 import itertools
 import socket
 import threading
 import types
 
-from features import builders_forward as build
-from guavadyke.decisions.server_registry import ListedServer
+from features.builders_loopback_server import LoopbackServer
 
 _HEAD = b'HTTP/1.1 200 OK\r\n\r\n'
 _CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
@@ -35,7 +33,7 @@
 _CLOSE_TIMEOUT_S = 20
 
 
-class EndlessServer:
+class EndlessServer(LoopbackServer):
     """Answers each connection with one of the shapes.
 
     Args:
@@ -44,37 +42,14 @@
 
     def __init__(self, shape: str) -> None:
         self._shape = _SHAPES[shape]
-        self._socket = socket.create_server((build.LOOPBACK, 0))
         self._closed_by_caller = threading.Event()
-        threading.Thread(target=self._run, daemon=True).start()
-
-    @property
-    def address(self) -> str:
-        """IP:PORT of the server."""
-        ip, port = self._socket.getsockname()
-        return f'{ip}:{port}'
-
-    @property
-    def listed(self) -> ListedServer:
-        """The server as it is listed."""
-        return ListedServer('s1', build.SERVICE, self.address, build.ZONE, 8)
-
-    def close(self) -> None:
-        """Accept no more connections."""
-        self._socket.close()
+        super().__init__('s1')
 
     def wait_until_closed(self) -> bool:
         """Return whether a caller has closed its connection."""
         return self._closed_by_caller.wait(_CLOSE_TIMEOUT_S)
 
-    def _run(self) -> None:
-        with contextlib.suppress(OSError):
-            for connection, _address in iter(self._socket.accept, None):
-                threading.Thread(
-                    target=self._send, args=(connection,), daemon=True
-                ).start()
-
-    def _send(self, connection: socket.socket) -> None:
+    def _serve(self, connection: socket.socket) -> None:
         pieces = itertools.chain(
             self._shape[:1], itertools.repeat(self._shape[1])
         )
--- a/features/builders_framed_server.py
+++ b/features/builders_framed_server.py
@@ -6,13 +6,11 @@
 import contextlib
 import socket
 import struct
-import threading
 import time
 import types
 from collections.abc import Iterable
 
-from features import builders_forward as build
-from guavadyke.decisions.server_registry import ListedServer
+from features.builders_loopback_server import LoopbackServer
 
 _MAX_REQUEST_BYTES = 65_536
 _TAKEN_S = 0.2
@@ -89,7 +87,7 @@
     )
 
 
-class FramedServer:
+class FramedServer(LoopbackServer):
     """Sends one given answer on each connection, then ends it.
 
     Args:
@@ -101,35 +99,21 @@
     def __init__(
         self, name: str, answers: Iterable[bytes], *, reset: bool = False
     ) -> None:
-        self.name = name
         self.requests: list[bytes] = []
         self._answers = iter(answers)
         self._reset = reset
-        self._socket = socket.create_server((build.LOOPBACK, 0))
-        threading.Thread(target=self._run, daemon=True).start()
-
-    @property
-    def listed(self) -> ListedServer:
-        """The server as hosts list it."""
-        ip, port = self._socket.getsockname()
-        return ListedServer(
-            self.name, build.SERVICE, f'{ip}:{port}', build.ZONE, 8
-        )
-
-    def close(self) -> None:
-        """Stop listening."""
-        self._socket.close()
+        super().__init__(name)
 
     def _run(self) -> None:
         with contextlib.suppress(OSError):
             for answer in self._answers:
-                connection, _address = self._socket.accept()
-                self._serve(connection, answer)
+                self._answer = answer
+                self._serve(self._socket.accept()[0])
 
-    def _serve(self, connection: socket.socket, answer: bytes) -> None:
+    def _serve(self, connection: socket.socket) -> None:
         with connection:
             self.requests.append(connection.recv(_MAX_REQUEST_BYTES))
-            connection.sendall(answer)
+            connection.sendall(self._answer)
             if self._reset:
                 # A reset discards what the caller has not taken yet.
                 time.sleep(_TAKEN_S)
--- a/features/builders_online_pauses.py
+++ b/features/builders_online_pauses.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterator
 
 from features import builders_online as online
+from features.builders_loopback_server import requests, send_chunk
 from guavadyke.adapters.ports import BackendCall
 from guavadyke.catalogue import parse_entry
 from guavadyke.decisions.answer_stream import encode_event, event_documents
@@ -109,11 +110,11 @@
 
     def _serve(self, connection: socket.socket) -> None:
         with connection, contextlib.suppress(OSError):
-            path, body = _read_request(connection)
-            if path == '/load':
+            request = next(requests(connection))
+            if request.path == '/load':
                 return
             pause = self._next_pause()
-            content_type, pieces = _answer(path, body)
+            content_type, pieces = _answer(request.path, request.body)
             if pause.after == 0:
                 time.sleep(pause.seconds)
             connection.sendall(_HEAD % content_type)
@@ -121,7 +122,7 @@
                 rest = piece
                 if number == pause.after + 1 and pause.after:
                     rest = _stand_still(connection, piece, pause)
-                _send_chunk(connection, rest)
+                send_chunk(connection, rest)
                 time.sleep(_EVENT_S)
             connection.sendall(b'0\r\n\r\n')
 
@@ -144,28 +145,12 @@
     piece = b': %b\n%b' % (b'x' * pause.padding, piece)
     ends_at = time.monotonic() + pause.seconds
     while len(piece) > pause.trickled and time.monotonic() < ends_at:
-        _send_chunk(connection, piece[: pause.trickled])
+        send_chunk(connection, piece[: pause.trickled])
         piece = piece[pause.trickled :]
         time.sleep(_TRICKLE_S)
     return piece
 
 
-def _send_chunk(connection: socket.socket, piece: bytes) -> None:
-    connection.sendall(b'%x\r\n%b\r\n' % (len(piece), piece))
-
-
-def _read_request(connection: socket.socket) -> tuple[str, bytes]:
-    """Return path and body."""
-    reader = connection.makefile('rb')
-    path = reader.readline().split()[1].decode()
-    length = 0
-    for line in iter(reader.readline, b'\r\n'):
-        name, _colon, text = line.partition(b':')
-        if name.lower() == b'content-length':
-            length = int(text)
-    return path, reader.read(length)
-
-
 def _answer(path: str, body: bytes) -> tuple[bytes, list[bytes]]:
     """Return the content type and the pieces of an answer."""
     if not path.startswith('/v1/'):
--- a/features/builders_pausing_server.py
+++ b/features/builders_pausing_server.py
@@ -6,40 +6,39 @@
 import dataclasses
 import itertools
 import math
-import re
 import socket
 import threading
 import time
 
 from features import builders_forward as build
+from features.builders_loopback_server import (
+    LoopbackServer,
+    requests,
+    send_chunk,
+)
 from guavadyke.adapters.backend import HttpBackendServers
 from guavadyke.adapters.clock import SystemClock
 from guavadyke.adapters.ports import OnlineCount, PeerNotice
 from guavadyke.decisions.request_permits import Permit
 from guavadyke.decisions.server_limits import ServerLimit
-from guavadyke.decisions.server_registry import ListedServer
 from guavadyke.filters.caller_watch import CallerWatch
 from guavadyke.filters.forward_attempt import ForwardRequest, ForwardTools
 from guavadyke.platform.engine_adapter import EngineDialect
 
-_HEAD = (
+STREAM_HEAD = (
     b'HTTP/1.1 200 OK\r\n'
     b'Content-Type: text/event-stream\r\n'
     b'Response-Signature: 3e1b\r\n'
     b'Transfer-Encoding: chunked\r\n\r\n'
 )
 _EVENT_S = 0.02
-_AFTER_HEADER = b'last-event-id:'
 _SLOTS = 8
-_READ_BYTES = 65_536
-_END_OF_HEAD = b'\r\n\r\n'
-_LENGTH = re.compile(rb'content-length: *(\d+)', re.IGNORECASE)
 LONG_QUEUE = 10 * _SLOTS
 _ANNOUNCED_EVERY_S = 0.2
 _OTHER_HOST = 'host-2'
 
 
-class PausingServer:
+class PausingServer(LoopbackServer):
     """Sends a stream whose event follows 20 ms after the one before.
 
     Args:
@@ -58,44 +57,21 @@
         reads_after_s: float = 0,
     ) -> None:
         self.requests = 0
-        self._name = name
         self._pause_after = pause_after
         self._pause_s = pause_s
         self._reads_after_s = reads_after_s
-        self._socket = socket.create_server((build.LOOPBACK, 0))
-        threading.Thread(target=self._run, daemon=True).start()
-
-    @property
-    def listed(self) -> ListedServer:
-        """The server as hosts list it."""
-        ip, port = self._socket.getsockname()
-        return ListedServer(
-            self._name, build.SERVICE, f'{ip}:{port}', build.ZONE, _SLOTS
-        )
-
-    def close(self) -> None:
-        """Stop listening."""
-        self._socket.close()
-
-    def _run(self) -> None:
-        with contextlib.suppress(OSError):
-            for connection, _address in iter(self._socket.accept, None):
-                threading.Thread(
-                    target=self._serve, args=(connection,), daemon=True
-                ).start()
+        super().__init__(name, _SLOTS)
 
     def _serve(self, connection: socket.socket) -> None:
         with connection, contextlib.suppress(OSError):
             self.requests += 1
             time.sleep(self._reads_after_s)
-            head = _read_request(connection).lower()
-            _before, _name, after = head.partition(_AFTER_HEADER)
-            first = int(after.split()[0]) + 1 if after else 1
+            request = next(requests(connection))
+            first = int(request.headers.get('last-event-id', '0')) + 1
             self._pause_at(0)
-            connection.sendall(_HEAD)
+            connection.sendall(STREAM_HEAD)
             for number in range(first, build.EVENTS + 1):
-                event = build.event(number)
-                connection.sendall(b'%x\r\n%b\r\n' % (len(event), event))
+                send_chunk(connection, build.event(number))
                 time.sleep(_EVENT_S)
                 self._pause_at(number)
             connection.sendall(b'0\r\n\r\n')
@@ -113,7 +89,7 @@
 
     def _serve(self, connection: socket.socket) -> None:
         with connection, contextlib.suppress(OSError):
-            _read_request(connection)
+            next(requests(connection))
             self.requests += 1
             connection.sendall(
                 b'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n'
@@ -121,18 +97,6 @@
             )
 
 
-def _read_request(connection: socket.socket) -> bytes:
-    """Read a whole request and return its head."""
-    received = bytearray(connection.recv(_READ_BYTES))
-    head, _blank, _body = bytes(received).partition(_END_OF_HEAD)
-    found = _LENGTH.search(head)
-    missing = int(found[1]) if found else 0
-    missing -= len(received) - len(head) - len(_END_OF_HEAD)
-    while missing > 0:
-        missing -= len(connection.recv(_READ_BYTES))
-    return head
-
-
 class QueueElsewhere:
     """Another host that announces more requests than a server has slots.
 
--- a/features/builders_repeated_refusals.py
+++ b/features/builders_repeated_refusals.py
@@ -3,14 +3,11 @@
 from __future__ import annotations
 
 import contextlib
-import functools
 import re
 import socket
-import threading
-from collections.abc import Iterator
 
 from features import builders_forward as build
-from guavadyke.decisions.server_registry import ListedServer
+from features.builders_loopback_server import LoopbackServer, requests
 
 _MAX_REQUEST_BYTES = 65_536
 _REQUEST_ID = re.compile(rb'(?i)request-id: (\S+)')
@@ -18,7 +15,7 @@
 _EARLIER_ID = b'request-of-another'
 
 
-class RepeatingServer:
+class RepeatingServer(LoopbackServer):
     """Keeps connections and refuses each request on one but the first.
 
     The refusals are copies of an earlier one; by then the server runs the
@@ -31,36 +28,15 @@
     """
 
     def __init__(self, name: str, *, names_request: bool, whole: int) -> None:
-        self.name = name
         self.run_ids: list[bytes] = []
         self._names_request = names_request
         self._whole = whole
-        self._socket = socket.create_server((build.LOOPBACK, 0))
-        threading.Thread(target=self._run, daemon=True).start()
-
-    @property
-    def listed(self) -> ListedServer:
-        """The server as hosts list it."""
-        ip, port = self._socket.getsockname()
-        return ListedServer(
-            self.name, build.SERVICE, f'{ip}:{port}', build.ZONE, 8
-        )
-
-    def close(self) -> None:
-        """Stop listening."""
-        self._socket.close()
-
-    def _run(self) -> None:
-        with contextlib.suppress(OSError):
-            for connection, _address in iter(self._socket.accept, None):
-                threading.Thread(
-                    target=self._serve, args=(connection,), daemon=True
-                ).start()
+        super().__init__(name)
 
     def _serve(self, connection: socket.socket) -> None:
         with connection, contextlib.suppress(OSError):
-            for number, request in enumerate(_requests(connection)):
-                request_id = _REQUEST_ID.search(request)[1]
+            for number, request in enumerate(requests(connection)):
+                request_id = request.headers['request-id'].encode()
                 self.run_ids.append(request_id)
                 if number < self._whole:
                     connection.sendall(_answer(request_id))
@@ -69,17 +45,6 @@
                     connection.sendall(_refusal(earlier))
 
 
-def _requests(connection: socket.socket) -> Iterator[bytes]:
-    """Yield the requests of a connection, whose bodies are all the same."""
-    received = b''
-    receive = functools.partial(connection.recv, _MAX_REQUEST_BYTES)
-    for piece in iter(receive, b''):
-        received += piece
-        if received.endswith(_BODY):
-            yield received
-            received = b''
-
-
 def _answer(request_id: bytes) -> bytes:
     return (
         b'HTTP/1.1 200 OK\r\n'
--- a/features/builders_silenced_connections.py
+++ b/features/builders_silenced_connections.py
@@ -10,13 +10,11 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Iterator
-from http import client
 
 from features import builders_forward as build
 from features import builders_outside as outside
+from features.builders_loopback_server import LoopbackServer, requests
 from guavadyke.adapters.ports import BackendServerError, BackendServers
-from guavadyke.decisions.server_registry import ListedServer
 
 BODY = b'whole'
 _SILENT_S = 0.02
@@ -25,7 +23,7 @@
 _NO_LINGER = struct.pack('ii', 1, 0)
 
 
-class KeepingServer:
+class KeepingServer(LoopbackServer):
     """Answers requests on kept connections after up to 4 ms.
 
     Args:
@@ -36,36 +34,17 @@
     def __init__(self, name: str, *, resets: bool = False) -> None:
         self.runs: Counter[str] = Counter()
         self.connections = 0
-        self._name = name
         self._resets = resets
         self._lock = threading.Lock()
-        self._socket = socket.create_server((build.LOOPBACK, 0))
-        threading.Thread(target=self._run, daemon=True).start()
-
-    @property
-    def listed(self) -> ListedServer:
-        """The server as hosts list it."""
-        ip, port = self._socket.getsockname()
-        return ListedServer(
-            self._name, build.SERVICE, f'{ip}:{port}', build.ZONE, _SLOTS
-        )
-
-    def close(self) -> None:
-        """Stop listening."""
-        self._socket.close()
-
-    def _run(self) -> None:
-        with contextlib.suppress(OSError):
-            for connection, _address in iter(self._socket.accept, None):
-                self.connections += 1
-                threading.Thread(
-                    target=self._serve, args=(connection,), daemon=True
-                ).start()
+        super().__init__(name, _SLOTS)
 
     def _serve(self, connection: socket.socket) -> None:
-        rng = random.Random(self.connections)
+        with self._lock:
+            self.connections += 1
+            rng = random.Random(self.connections)
         with connection, contextlib.suppress(OSError):
-            for number, request_id in enumerate(_request_ids(connection)):
+            for number, request in enumerate(requests(connection)):
+                request_id = request.headers['request-id']
                 with self._lock:
                     self.runs[request_id] += 1
                 if number and self._resets:
@@ -119,12 +98,3 @@
         while not self._closed.is_set():
             with contextlib.suppress(BackendServerError):
                 self._servers.send(call)
-
-
-def _request_ids(connection: socket.socket) -> Iterator[str]:
-    """Yield the id of each request, after its body."""
-    with connection.makefile('rb') as received:
-        while received.readline():
-            headers = client.parse_headers(received)
-            received.read(int(headers.get('content-length', '0')))
-            yield headers['request-id']
