Share the memory of a common pause and the making of a waiting request

SilenceCheck and SilentItems each kept the moment at which all servers were silent and the time that they get after it; CommonPause does so for both. SlotPool made the same waiting request in two places. The event silent_server_kept had another field on each of the two paths; both say silent_in_answer_s now.

--- a/guavadyke/controllers/silent_items.py
+++ b/guavadyke/controllers/silent_items.py
@@ -7,6 +7,7 @@
 from guavadyke.adapters.ports import BackendFault
 from guavadyke.controllers.item_run import ItemRun
 from guavadyke.controllers.server_pool import ServerPool
+from guavadyke.decisions.common_pause import CommonPause
 from guavadyke.decisions.server_registry import ServerLease
 
 LeaseForRun = Callable[[ItemRun], ServerLease | None]
@@ -27,19 +28,17 @@
         self._pool = pool
         self._silence_s = silence_s
         self._reserved: dict[str, ServerLease] = {}
-        self._paused_at = float('-inf')
+        self._pause = CommonPause(silence_s / 2)
 
     def due(self, runs: Collection[ItemRun], now: float) -> list[ItemRun]:
         """Return the runs to leave as soon as there is another slot.
 
         There are none while all servers that run items are silent: then the
-        whole service may pause, and a move gains nothing. After that all get
-        some time, because they do not go on at the same moment.
+        whole service may pause, and a move gains nothing.
         """
         silent = [run for run in runs if self._is_silent(run, now)]
-        if any(self._all_pause(run, runs, now) for run in silent):
-            self._paused_at = now
-        return silent if now - self._paused_at >= self._silence_s / 2 else []
+        all_silent = any(self._all_pause(run, runs, now) for run in silent)
+        return silent if self._pause.is_over(now, all_silent=all_silent) else []
 
     def leave(self, due: Iterable[ItemRun], lease_for: LeaseForRun) -> None:
         """Reserve a slot for each run, and leave those that have got one."""
--- a/guavadyke/filters/attempt_silence.py
+++ b/guavadyke/filters/attempt_silence.py
@@ -229,13 +229,15 @@
         if self._is_kept:
             return
         self._is_kept = True
+        now = self._tools.clock.monotonic()
+        silent_s = self._pace.idle_s(now) if self._answer else 0
         with self._tools.capacity.locked() as scheduler:
-            scheduler.report_silence(slot, self._tools.clock.monotonic())
+            scheduler.report_silence(slot, now)
         self._tools.logger.info(
             'silent_server_kept',
             request_id=self._request.request_id,
             backend_server=slot.view.server_id,
-            answer_has_begun=self._answer is not None,
+            silent_in_answer_s=round(silent_s, 3),
         )
 
     def _forget_attempt(self) -> None:
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -105,8 +105,6 @@
 class ForwardAttempt:
     """One attempt, which holds a lease of a server until it ends.
 
-    ``left_silent`` is whether it ended only because its server was silent.
-
     Args:
         request: the request.
         route: the route of the request.
@@ -118,6 +116,7 @@
 
     Attributes:
         pace: tells since when its answer makes no progress.
+        left_silent: whether it ended only because its server was silent.
     """
 
     def __init__(
--- a/guavadyke/filters/silence_check.py
+++ b/guavadyke/filters/silence_check.py
@@ -5,6 +5,7 @@
 import threading
 
 from guavadyke.adapters.ports import BackendFault
+from guavadyke.decisions.common_pause import CommonPause
 from guavadyke.decisions.request_attempts import RequestAttempts
 from guavadyke.decisions.server_registry import ServerLease
 from guavadyke.filters.forward_admission import (
@@ -54,7 +55,7 @@
         self._attempt: ForwardAttempt | None = None
         self._reserved: ServerLease | None = None
         self._retry_at = float('-inf')
-        self._paused_at = float('-inf')
+        self._pause = CommonPause(tools.settings.silence_s / 2)
         self._kept_is_logged = False
 
     def watch(self, attempt: ForwardAttempt) -> None:
@@ -151,7 +152,9 @@
             return False
         if silent_s >= _PAUSE_FACTOR * silence_s:
             return True
-        if self._tools.pool.others.all_silent(attempt.server_id, silence_s / 2):
-            self._paused_at = now
-        # Servers that pause together do not all go on at the same moment.
-        return now - self._paused_at >= silence_s / 2
+        return self._pause.is_over(
+            now,
+            all_silent=self._tools.pool.others.all_silent(
+                attempt.server_id, silence_s / 2
+            ),
+        )
--- a/guavadyke/filters/slot_pool.py
+++ b/guavadyke/filters/slot_pool.py
@@ -54,6 +54,16 @@
     queue: int | None = None
 
 
+def _waiting_request(request: SlotRequest) -> _WaitingRequest:
+    return _WaitingRequest(
+        entry_name=request.entry_name,
+        key=request.key,
+        deadline=request.deadline,
+        excluded=request.excluded,
+        queue=request.queue,
+    )
+
+
 class SlotPool:
     """Allocates slots to online requests and to batch items.
 
@@ -105,13 +115,7 @@
             GuavadykeError: no slot became free before the deadline, or the
                 queue is full; the attempt was not sent.
         """
-        waiting = _WaitingRequest(
-            entry_name=request.entry_name,
-            key=request.key,
-            deadline=request.deadline,
-            excluded=request.excluded,
-            queue=request.queue,
-        )
+        waiting = _waiting_request(request)
         with self._lock:
             slot = self._scheduler.request(waiting, self._refresh_scheduler())
             self._grant_and_preempt()
@@ -125,12 +129,7 @@
 
         It doesn't wait, and takes no slot that a waiting request needs.
         """
-        wanted = PendingRequest(
-            entry_name=request.entry_name,
-            key=request.key,
-            deadline=request.deadline,
-            excluded=request.excluded,
-        )
+        wanted = _waiting_request(request)
         with self._lock:
             slot = self._scheduler.reserve(wanted, self._refresh_scheduler())
             self._grant_and_preempt()
