Log why items of a job wait, and errors that end its steps or its runner

An error that is not the project's is logged where it ends a storage step or the runner. The logic is unchanged; starting items has moved to a module of its own.

A scenario holds the line for held items.

--- a/features/builders_forward.py
+++ b/features/builders_forward.py
@@ -263,6 +263,27 @@
     )
 
 
+class RecordingLogger(EventLogger):
+    """Keeps the events instead of writing them."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.events: list[tuple[str, dict[str, object]]] = []
+
+    def info(self, event: str, **fields: object) -> None:
+        self.events.append((event, fields))
+
+    def warning(self, event: str, **fields: object) -> None:
+        self.events.append((event, fields))
+
+    def error(self, event: str, **fields: object) -> None:
+        self.events.append((event, fields))
+
+    def named(self, event: str) -> list[dict[str, object]]:
+        """Return the fields of the events of one name."""
+        return [fields for name, fields in self.events if name == event]
+
+
 class SilentMessenger:
     """A messenger whose notices reach nobody."""
 
--- a/features/builders_forward_runner.py
+++ b/features/builders_forward_runner.py
@@ -32,6 +32,7 @@
 )
 from guavadyke.decisions.server_registry import ListedServer
 from guavadyke.log import EventLogger
+from guavadyke.metrics import HostMetrics
 from guavadyke.settings import ForwardHostSettings
 from guavadyke.snapshots import FleetSnapshot, PeerView, SnapshotCell
 
@@ -94,7 +95,9 @@
         prompts: PromptGuard | None = None,
         listed: tuple[ListedServer, ...] | None = None,
         backends: BackendServers | None = None,
+        logger: EventLogger | None = None,
     ) -> None:
+        self.logger = logger or EventLogger()
         self.platform = MemoryPlatform()
         self.host = build.job_host(self.platform, ME)
         self.servers = HeldServers()
@@ -119,7 +122,8 @@
                 lambda: True,
                 busy,
                 SystemClock(),
-                EventLogger(),
+                self.logger,
+                HostMetrics(),
             ),
         )
         self._ticker = RunnerTicker(tell_function(self._runner), busy)
--- a/features/forward_prompts.feature
+++ b/features/forward_prompts.feature
@@ -204,3 +204,8 @@
     When the job is run
     Then the 2 other items complete and none of the held ones is sent
     And the host reports no items that wait for a slot
+
+  Scenario: a job whose items are held says so in the log
+    Given a job of 1 items of which 1 have a quarantined part
+    When the job is run
+    Then the log says that 1 items of the job are held for the part
--- a/features/steps/forward_prompts_steps.py
+++ b/features/steps/forward_prompts_steps.py
@@ -337,7 +337,10 @@
 
 @given('a job of {items:d} items of which {held:d} have a quarantined part')
 def step_job(context: Context, items: int, held: int) -> None:
-    context.bench = runner.RunnerBench(prompts=_quarantining_guard())
+    context.logger = build.RecordingLogger()
+    context.bench = runner.RunnerBench(
+        prompts=_quarantining_guard(), logger=context.logger
+    )
     context.add_cleanup(context.bench.close)
     context.held = held
     context.items = items
@@ -363,3 +366,11 @@
 @then('the host reports no items that wait for a slot')
 def step_no_backlog(context: Context) -> None:
     assert not context.bench.in_flight().batch_counts
+
+
+@then('the log says that {count:d} items of the job are held for the part')
+def step_reported(context: Context, count: int) -> None:
+    assert wait_until(lambda: context.logger.named('job_waits'), _RESULTS_S)
+    report = context.logger.named('job_waits')[0]
+    assert report['held'] == count, report
+    assert report['held_parts'] == _PARTS[-1], report
--- a/guavadyke/controllers/actors.py
+++ b/guavadyke/controllers/actors.py
@@ -3,11 +3,39 @@
 from __future__ import annotations
 
 import queue
+import types
 from collections.abc import Callable
 from typing import Any, cast
 
 import pykka
 
+from guavadyke.log import EventLogger
+
+
+class FailureLoggingActor(pykka.ThreadingActor):
+    """Actor that logs the error which stops it.
+
+    Args:
+        logger: logs the error.
+    """
+
+    def __init__(self, logger: EventLogger) -> None:
+        super().__init__()
+        self._failure_logger = logger
+
+    def on_failure(
+        self,
+        _exception_type: type[BaseException] | None,
+        exception_value: BaseException | None,
+        _traceback: types.TracebackType | None,
+    ) -> None:
+        """Log the error."""
+        self._failure_logger.error(
+            'actor_failed',
+            actor=type(self).__name__,
+            reason=repr(exception_value),
+        )
+
 
 def ask_function(actor: pykka.ActorRef[Any]) -> Callable[[object], Any]:
     """Return a function that sends a message and waits for the reply.
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -10,10 +10,8 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-import pykka
-
 from guavadyke.adapters.ports import BackendServers, Clock
-from guavadyke.controllers.actors import tell_function
+from guavadyke.controllers.actors import FailureLoggingActor, tell_function
 from guavadyke.controllers.forward_job_maintenance import JobMaintenance
 from guavadyke.controllers.forward_job_registry import JobRegistry
 from guavadyke.controllers.forward_job_store import JobStore
@@ -25,13 +23,17 @@
     RunEnd,
     RunOutcome,
 )
+from guavadyke.controllers.item_starts import StartRefusal, start_items
 from guavadyke.controllers.prompt_guard import PromptGuard
 from guavadyke.controllers.server_limits import ServerLimits
 from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.controllers.silent_items import SilentItems
-from guavadyke.decisions.forward_job_items import JobItemTracker
+from guavadyke.controllers.waiting_jobs import WaitingJobs
+from guavadyke.decisions.forward_job_items import (
+    JobItemTracker,
+    count_items,
+)
 from guavadyke.decisions.forward_job_ownership import (
-    due_at,
     due_order,
     is_pressing,
 )
@@ -43,6 +45,7 @@
 from guavadyke.decisions.forward_routes import RouteTable
 from guavadyke.decisions.server_registry import ServerLease
 from guavadyke.log import EventLogger
+from guavadyke.metrics import HostMetrics
 from guavadyke.settings import ForwardHostSettings
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
@@ -74,6 +77,7 @@
     busy: SnapshotCell[bool]
     clock: Clock
     logger: EventLogger
+    metrics: HostMetrics
 
 
 @dataclasses.dataclass(frozen=True)
@@ -108,7 +112,7 @@
     leave: bool
 
 
-class JobRunner(pykka.ThreadingActor):
+class JobRunner(FailureLoggingActor):
     """Runs items on servers with free slots and stores their results.
 
     Args:
@@ -118,7 +122,7 @@
     use_daemon_thread = True
 
     def __init__(self, parts: RunnerParts) -> None:
-        super().__init__()
+        super().__init__(parts.logger)
         self._parts = parts
         self._me = parts.settings.host_id
         self._works: dict[str, JobItemTracker] = {}
@@ -141,6 +145,7 @@
         self._silent_items = SilentItems(
             parts.pool, parts.settings.forward.item_silence_s
         )
+        self._waiting_jobs = WaitingJobs(parts.logger, parts.metrics)
         self._stopping = False
         self._workers = ThreadPoolExecutor(
             parts.settings.forward.item_workers,
@@ -270,7 +275,9 @@
             run = self._runs.get(item.item_id)
             if run is not None:
                 run.cancellation.cancel()
-        self._parts.logger.info('job_dropped', job_id=job_id, **work.counts())
+        self._parts.logger.info(
+            'job_dropped', job_id=job_id, **count_items(work)
+        )
 
     def _apply_outcome(
         self,
@@ -335,30 +342,27 @@
             silent,
             functools.partial(_lease_elsewhere, self._parts, self._works),
         )
-        full_services: set[str] = set()
-        for work in _sorted_by_due(self._works.values(), table):
-            route = table.route_by_name(work.job.route)
-            items = () if route is None else work.startable_items(now)
-            for item in items:
-                service = route.service_of(item.item_id) if route else ''
-                if service in full_services or not self._start_item(
-                    work, item, service
-                ):
-                    full_services.add(service)
+        refusals = start_items(
+            self._works.values(), table, now, self._start_item
+        )
         publish_backlog(_waiting_for_slot(self._parts, self._works, self._runs))
+        self._waiting_jobs.report_due(self._works, refusals, now)
 
     def _start_item(
         self, work: JobItemTracker, item: ForwardItem, service: str
-    ) -> bool:
+    ) -> StartRefusal | None:
+        """Start an item, or return why it does not start."""
         max_runs = self._parts.settings.forward.item_workers
-        if len(self._runs) >= max_runs or item.item_id in self._runs:
-            return False
+        if len(self._runs) >= max_runs:
+            return StartRefusal.run_limit
+        if item.item_id in self._runs:
+            return StartRefusal.earlier_run
         partial = self._partials.get(item.item_id, PartialText())
         lease = _lease_slot(self._parts, service, partial)
         if lease is None:
-            return False
+            return StartRefusal.no_server
         self._start_run(work, item, lease)
-        return True
+        return None
 
     def _start_run(
         self, work: JobItemTracker, item: ForwardItem, lease: ServerLease
@@ -499,12 +503,6 @@
     return runner.hand_over(leave=message.leave)
 
 
-def _sorted_by_due(
-    works: Iterable[JobItemTracker], table: RouteTable
-) -> list[JobItemTracker]:
-    return sorted(works, key=lambda work: due_at(work.job, table))
-
-
 def _hold_items(works: Iterable[JobItemTracker], prompts: PromptGuard) -> None:
     """Hold the items that would crash the servers that run them."""
 
@@ -537,7 +535,7 @@
     That is so where more of them wait than this host runs at once.
     """
     return _waiting_items(works) > max_runs or any(
-        work.counts()['waiting'] and is_pressing(work.job, table, wall)
+        count_items(work)['waiting'] and is_pressing(work.job, table, wall)
         for work in works
     )
 
@@ -557,7 +555,7 @@
 
 
 def _waiting_items(works: Iterable[JobItemTracker]) -> int:
-    return sum(work.counts()['waiting'] for work in works)
+    return sum(count_items(work)['waiting'] for work in works)
 
 
 def _taken_at(run: ItemRun) -> float:
--- a/guavadyke/controllers/forward_job_writer.py
+++ b/guavadyke/controllers/forward_job_writer.py
@@ -140,6 +140,14 @@
                 reason=error.message,
             )
             self._clock.sleep(_RETRY_DELAY_S)
+        except Exception as error:
+            self._logger.error(
+                'job_step_crashed',
+                job_id=job_id,
+                step=step.__name__.removeprefix('_'),
+                reason=repr(error),
+            )
+            raise
         self._report(job_id, pages)
 
     def _load(self, job_id: str) -> Pages:
--- a/guavadyke/decisions/forward_job_items.py
+++ b/guavadyke/decisions/forward_job_items.py
@@ -75,6 +75,11 @@
         """Whether the results of all items are stored."""
         return self.loaded and not self._states and not self._unstored
 
+    @property
+    def open_items(self) -> tuple[ItemRunState, ...]:
+        """The items without a result."""
+        return tuple(self._states.values())
+
     @property
     def unstored_results(self) -> tuple[ForwardItemResult, ...]:
         """Results that are not stored yet, in the order of arrival."""
@@ -169,20 +174,6 @@
         if now - self._route_missing_since >= _ROUTE_MISSING_GRACE_S:
             self._give_up_all()
 
-    def counts(self) -> collections.Counter[str]:
-        """Return the counts of running, waiting, held and unlisted items.
-
-        Unlisted items have a result that is not stored yet.
-        """
-        running = sum(state.running for state in self._states.values())
-        held = sum(state.held for state in self._states.values())
-        return collections.Counter(
-            running=running,
-            waiting=len(self._states) - running - held,
-            held=held,
-            unlisted=len(self._unstored),
-        )
-
     def _give_up_all(self) -> None:
         for item_id, state in tuple(self._states.items()):
             if not state.running:
@@ -191,3 +182,18 @@
     def _add_result(self, listing: ForwardItemResult) -> None:
         if self._states.pop(listing.item_id, None) is not None:
             self._unstored[listing.item_id] = listing
+
+
+def count_items(work: JobItemTracker) -> collections.Counter[str]:
+    """Return the counts of running, waiting, held and unlisted items of a job.
+
+    Unlisted items have a result that is not stored yet.
+    """
+    running = sum(state.running for state in work.open_items)
+    held = sum(state.held for state in work.open_items)
+    return collections.Counter(
+        running=running,
+        waiting=len(work.open_items) - running - held,
+        held=held,
+        unlisted=len(work.unstored_results),
+    )
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -209,6 +209,7 @@
                 busy,
                 self.clock,
                 logger,
+                self.metrics,
             ),
         )
         self._ticker = RunnerTicker(tell_function(self._runner), busy)
