Let any host that has a request with a quarantined part try it

Items of jobs stayed neither completed nor given up: their prompt part was in quarantine, and only the host that rendezvous hashing elected for the part ever let a request through, while an item is run by the owner of its job alone.

Asking spent the right to try as well, whether or not the item then started.

Cause: a duty was given to one elected member which may have nothing to do it with, and the question whether it may be done claimed it.

Now a trial is claimed by whichever host has such a request, by replacing an object on the platform under a condition, so that one host at a time has it, and the claim is spent only once the request has a server. An unspent claim lapses after 5 s. While the platform is away nobody tries. The claims are objects of the kind of the reports, which the last version reads as empty reports.

The first trial comes 5 s after the last crash instead of 30 s, and still doubles: a sound part that was blamed costs its items seconds. The scenarios that held 30 s hold 5 s now and are as strict on both sides of it; a part that goes on crashing engines costs one at 5, 15, 35 and 75 s. A request with several quarantined parts waits for the last one.

--- a/features/builders_prompt_guards.py
+++ b/features/builders_prompt_guards.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Collection
+
+import pydantic
 
 from features import builders_forward as build
 from features.builders_batch_platform import MemoryPlatform, MemoryStore
@@ -36,6 +39,15 @@
     return PeerView(host_id, build.ZONE, 'south', '127.0.0.2:1', 'alive', 1, 0)
 
 
+class LastReportDocument(pydantic.BaseModel):
+    """The body of a report as hosts of the last version read it."""
+
+    incarnation: str = ''
+    suspects: tuple[dict[str, object], ...] = ()
+    completed: tuple[str, ...] = ()
+    at: float
+
+
 class GuardedFleet:
     """Hosts with a prompt guard each; reports pass when ``exchange`` is called.
 
@@ -118,6 +130,28 @@
         """Let the time pass in which hosts wait for further breaks."""
         self.clock.sleep(SETTLED_S)
 
-    def refusing(self, *parts: str) -> int:
-        """Return how many hosts refuse requests with these parts."""
-        return sum(guard.check(parts) is not None for guard in self.guards)
+    def refusing(
+        self, *parts: str, hosts: Collection[str] | None = None
+    ) -> int:
+        """Return how many hosts refuse a request with these parts.
+
+        Each of them gets one at the same moment, and none gets another.
+
+        Args:
+            parts: the parts.
+            hosts: ids of the hosts that get one; None for all.
+        """
+        asked = [self.hosts[name].guard for name in hosts or self.hosts]
+        for one in asked:
+            one.trials.allows(one.check(parts))
+        self.claim()
+        return sum(
+            not guard.trials.begins(guard.check(parts)) for guard in asked
+        )
+
+    def claim(self) -> None:
+        """Claim the trials that are wanted and let every host read them."""
+        for host in self.hosts.values():
+            host.claimer.claim_wanted()
+        for mirror in self._mirrors.values():
+            mirror.step()
--- a/features/forward_prompts.feature
+++ b/features/forward_prompts.feature
@@ -130,27 +130,65 @@
   Scenario: one request of the whole fleet tries a quarantined part after a while
     Given 20 hosts where requests with the part "shared" have completed
     When 3 servers end under a prompt of "shared,bad"
-    And 29 seconds pass
+    And 4 seconds pass
     Then all hosts refuse a prompt of "shared,bad"
     When 2 seconds pass
     Then all hosts but one refuse a prompt of "shared,bad"
     And all hosts refuse a prompt of "shared,bad"
 
+  Scenario: a quarantined part is tried by whichever host has a request with it
+    Given 24 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    And 8 seconds pass
+    Then each host would try "shared,bad" if it alone had a request with it
+
+  Scenario: no host tries a quarantined part while the platform is away
+    Given 20 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    And the platform stops taking writes
+    And 8 seconds pass
+    Then all hosts refuse a prompt of "shared,bad"
+    When the platform takes writes again
+    And 1 seconds pass
+    Then all hosts but one refuse a prompt of "shared,bad"
+
+  Scenario: another host tries a part when a claim to try it has not been used
+    Given 20 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    And 8 seconds pass
+    And "host-3" claims a trial of "shared,bad" and starts anew
+    And 4 seconds pass
+    Then all hosts refuse a prompt of "shared,bad"
+    When 2 seconds pass
+    Then all hosts but one refuse a prompt of "shared,bad"
+
+  Scenario: a request with two quarantined parts waits until both may be tried
+    Given 20 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad,request/1"
+    And 1 server ends under a prompt of "shared,bad,request/2"
+    And 30 seconds pass
+    Then all hosts refuse a prompt of "shared,bad,request/1"
+    And all hosts but one refuse a prompt of "shared,bad,request/2"
+
+  Scenario: hosts of the last version read a claim as an empty report
+    Given the claim of a host to try a part
+    Then a host of the last version reads nothing from it
+
   Scenario: a part whose trial completes is released at all hosts
     Given 20 hosts where requests with the part "shared" have completed
     When 3 servers end under a prompt of "shared,bad"
-    And 31 seconds pass
+    And 6 seconds pass
     And a request with "shared,bad" completes at the host that tries it
     Then no host refuses a prompt of "shared,bad"
 
   Scenario: the time between trials doubles
     Given 20 hosts where requests with the part "shared" have completed
     When 3 servers end under a prompt of "shared,bad"
-    And 31 seconds pass
+    And 6 seconds pass
     And 1 server ends under a prompt of "shared,bad"
-    And 58 seconds pass
+    And 9 seconds pass
     Then all hosts refuse a prompt of "shared,bad"
-    When 4 seconds pass
+    When 3 seconds pass
     Then all hosts but one refuse a prompt of "shared,bad"
 
   Scenario: the reports of a large fleet are few, whatever happens to its servers
@@ -197,7 +235,7 @@
     Given a part of a prompt that is quarantined
     When a request with the part is forwarded
     Then it ends with prompt_quarantined after 0 attempts
-    And the error has a retry time of about 30 seconds
+    And the error has a retry time of about 5 seconds
 
   Scenario: items with a quarantined part wait and hold up no others
     Given a job of 4 items of which 2 have a quarantined part
@@ -209,3 +247,16 @@
     Given a job of 1 items of which 1 have a quarantined part
     When the job is run
     Then the log says that 1 items of the job are held for the part
+
+  Scenario Outline: items of a job whose owner does not rank first for their quarantined part are run
+    Given 24 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,<part>"
+    And the host that ranks last for "<part>" owns a job whose items have "shared,<part>"
+    And 8 seconds pass
+    Then its items complete
+    And no host refuses a prompt of "shared,<part>"
+
+    Examples:
+      | part  |
+      | bad   |
+      | other |
--- a/features/steps/forward_prompts_steps.py
+++ b/features/steps/forward_prompts_steps.py
@@ -16,15 +16,20 @@
 from features.builders_processes import wait_until
 from guavadyke.adapters.ports import BackendFault
 from guavadyke.controllers.prompt_guard import GuardedRun, PromptGuard
+from guavadyke.controllers.prompt_trials import TrialClaim
 from guavadyke.decisions.forward_routes import RouteKind
 from guavadyke.decisions.prompt_reports import PromptReport
+from guavadyke.decisions.rendezvous_hashing import rank_names
 from guavadyke.errors import GuavadykeError
 from guavadyke.filters.forward import Forwarder
+from guavadyke.prompt_report_documents import encode_claim
 
 _PARTS = ('shared', 'bad')
 _RESULTS_S = 10.0
 _HELD_S = 0.3
 _AT_ONCE_S = 0.01
+# Longer than a host may wait until it uses its claim to try a part.
+_CLAIM_LAPSES_S = 6.0
 _SCRIPTS = types.MappingProxyType({
     'a closed connection': build.Scripted(
         fault=BackendFault.broken, disconnected=True, sent=1
@@ -208,10 +213,85 @@
 @when('a request with "{prompt}" completes at the host that tries it')
 def step_trial(context: Context, prompt: str) -> None:
     parts = _split(prompt)
-    trying = [one for one in context.guarded.guards if one.check(parts) is None]
+    fleet = context.guarded
+    for guard in fleet.guards:
+        guard.trials.allows(guard.check(parts))
+    fleet.claim()
+    trying = [
+        one for one in fleet.guards if one.trials.begins(one.check(parts))
+    ]
     assert len(trying) == 1, len(trying)
     trying[0].completed(parts)
-    context.guarded.exchange()
+    fleet.exchange()
+
+
+@then('each host would try "{prompt}" if it alone had a request with it')
+def step_each_tries(context: Context, prompt: str) -> None:
+    fleet = context.guarded
+    for host_id in fleet.hosts:
+        assert not fleet.refusing(*_split(prompt), hosts=[host_id]), host_id
+        fleet.clock.sleep(_CLAIM_LAPSES_S)
+
+
+@when('the platform stops taking writes')
+def step_no_writes(context: Context) -> None:
+    for link in context.guarded.links.values():
+        link.faults.cut_writes = True
+
+
+@when('the platform takes writes again')
+def step_writes(context: Context) -> None:
+    for link in context.guarded.links.values():
+        link.faults.clear_faults()
+
+
+@when('"{host_id}" claims a trial of "{prompt}" and starts anew')
+def step_claim(context: Context, host_id: str, prompt: str) -> None:
+    fleet = context.guarded
+    guard = fleet.hosts[host_id].guard
+    guard.trials.allows(guard.check(_split(prompt)))
+    fleet.claim()
+    assert guard.trials.allows(guard.check(_split(prompt)))
+    fleet.start(host_id)
+
+
+@given('the claim of a host to try a part')
+def step_claim_body(context: Context) -> None:
+    context.body = encode_claim(TrialClaim('bad', 'host-1', build.NOW))
+
+
+@then('a host of the last version reads nothing from it')
+def step_read_by_last(context: Context) -> None:
+    report = guards.LastReportDocument.model_validate_json(context.body)
+    assert not (report.incarnation or report.suspects or report.completed)
+    assert report.at == build.NOW
+
+
+@when(
+    'the host that ranks last for "{part}" owns a job whose items have '
+    '"{prompt}"'
+)
+def step_owned(context: Context, part: str, prompt: str) -> None:
+    fleet = context.guarded
+    owner = rank_names(part, fleet.hosts)[-1]
+    context.bench = runner.RunnerBench(prompts=fleet.hosts[owner].guard)
+    context.add_cleanup(context.bench.close)
+    context.items = 2
+    context.bench.accept(
+        context.items,
+        parts_by_number=dict.fromkeys(range(context.items), _split(prompt)),
+    )
+
+
+@then('its items complete')
+def step_items_complete(context: Context) -> None:
+    def completed() -> bool:
+        context.guarded.clock.sleep(0.1)
+        context.guarded.claim()
+        context.guarded.exchange()
+        return len(context.bench.listed()) == context.items
+
+    assert wait_until(completed, _RESULTS_S), context.bench.listed()
 
 
 @when('all hosts learn that "{prompt}" completed {seconds:d} seconds ago')
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -10,7 +10,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-from guavadyke.adapters.ports import BackendServers, Clock
+from guavadyke.adapters.ports import BackendFault, BackendServers, Clock
 from guavadyke.controllers.actors import FailureLoggingActor, tell_function
 from guavadyke.controllers.forward_job_maintenance import JobMaintenance
 from guavadyke.controllers.forward_job_registry import JobRegistry
@@ -361,6 +361,10 @@
         lease = _lease_slot(self._parts, service, partial)
         if lease is None:
             return StartRefusal.no_server
+        prompts = self._parts.prompts
+        if not prompts.trials.begins(prompts.check(item.prompt_parts)):
+            self._parts.pool.release(lease, BackendFault.refused)
+            return StartRefusal.quarantined
         self._start_run(work, item, lease)
         return None
 
@@ -504,10 +508,10 @@
 
 
 def _hold_items(works: Iterable[JobItemTracker], prompts: PromptGuard) -> None:
-    """Hold the items that would crash the servers that run them."""
+    """Hold the items that might crash the servers that run them."""
 
     def is_held(item: ForwardItem) -> bool:
-        return prompts.check(item.prompt_parts) is not None
+        return not prompts.trials.allows(prompts.check(item.prompt_parts))
 
     for work in works:
         work.hold(is_held)
--- a/guavadyke/controllers/item_starts.py
+++ b/guavadyke/controllers/item_starts.py
@@ -16,12 +16,14 @@
     """Why an item that was ready has not been started.
 
     ``earlier_run``: a run of the item from before its job was dropped and
-    taken again has not ended yet.
+    taken again has not ended yet. ``quarantined``: the claim to try a part of
+    its prompt was spent on another item.
     """
 
     run_limit = 'run_limit'
     no_server = 'no_server'
     earlier_run = 'earlier_run'
+    quarantined = 'quarantined'
 
 
 # Starts an item at a server of a service.
--- a/guavadyke/controllers/prompt_guard.py
+++ b/guavadyke/controllers/prompt_guard.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Sequence
 
 from guavadyke.adapters.ports import Clock
+from guavadyke.controllers.prompt_trials import PromptTrials
 from guavadyke.decisions import rendezvous_hashing
 from guavadyke.decisions.prompt_quarantine import (
     MIN_CRASHES,
@@ -17,8 +18,6 @@
 from guavadyke.log import EventLogger
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
-# Time in which a request that tries a quarantined part has to begin or fail.
-_TRIAL_S = 5.0
 # A host that trusts a part which another one suspects says so after its rank
 # among the hosts times this, unless one before it has.
 _ANSWER_SPACING_S = 0.05
@@ -66,11 +65,11 @@
         self._fleet = fleet
         self._clock = clock
         self._logger = logger
+        self.trials = PromptTrials(host_id, fleet, clock, logger)
         self._lock = threading.Lock()
         self._quarantine = PromptQuarantine()
         self._queue = ReportQueue()
         self._found = threading.Event()
-        self._trial_until: dict[str, float] = {}
         self._answer_due: dict[str, float] = {}
         self._breaks: list[_Break] = []
 
@@ -87,7 +86,7 @@
     def check(self, parts: Sequence[str]) -> Quarantine | None:
         """Return why a request must not be sent, None if it may be.
 
-        From time to time one host of the fleet lets one request through, to
+        From time to time ``trials`` lets one request through all the same, to
         find out whether the part still crashes servers.
 
         Args:
@@ -102,10 +101,7 @@
             if found is None:
                 ended = _ended_under(parts, self._breaks)
                 return self._quarantine.expect(parts, ended)
-            if not self._starts_trial(found, now):
-                return found
-        self._logger.info('prompt_part_tried', part=found.part)
-        return None
+            return found
 
     def crashed(
         self, parts: Sequence[str], incarnation: str, began_at: float
@@ -232,22 +228,6 @@
             wall = self._clock.wall() - (now - completed_at)
             self._queue.add(PromptReport(wall, completed=trusted))
 
-    def _starts_trial(self, found: Quarantine, now: float) -> bool:
-        """Return whether a request starts a trial of its part here and now."""
-        if found.trial_in_s or self._trial_until.get(found.part, 0) > now:
-            return False
-        hosts = {peer.host_id for peer in self._fleet.current.alive}
-        hosts.add(self._host_id)
-        if rendezvous_hashing.rendezvous(found.part, hosts) != self._host_id:
-            return False
-        running = {
-            part: until
-            for part, until in self._trial_until.items()
-            if until > now
-        }
-        self._trial_until = {**running, found.part: now + _TRIAL_S}
-        return True
-
     def _log_changes(self, before: frozenset[str]) -> None:
         after = self.quarantined
         if after == before:
--- a/guavadyke/controllers/prompt_report_sink.py
+++ b/guavadyke/controllers/prompt_report_sink.py
@@ -1,4 +1,4 @@
-"""Applies reports of prompts from the platform."""
+"""Applies reports of prompts and claims of trials from the platform."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 from guavadyke.adapters.ports import StoredObject
 from guavadyke.controllers.mirror import MirrorSink
 from guavadyke.controllers.prompt_guard import PromptGuard
+from guavadyke.controllers.prompt_trials import TrialClaim
 from guavadyke.errors import GuavadykeError
 from guavadyke.log import EventLogger
 
@@ -63,10 +64,14 @@
             return
         with self._lock:
             self._dates[stored] = report.at
-        self._guard.apply(report)
+        if isinstance(report, TrialClaim):
+            self._guard.trials.learn(report, stored)
+        else:
+            self._guard.apply(report)
 
     def remove(self, name: str) -> None:
-        """Forget a report; what it said still holds."""
+        """Forget a report or a claim; what a report said still holds."""
+        self._guard.trials.forget(name)
         with self._lock:
             self._dates = {
                 stored: at
--- /dev/null
+++ b/guavadyke/controllers/prompt_trial_claimer.py
@@ -0,0 +1,94 @@
+"""Claims trials of quarantined parts of prompts on the platform."""
+
+from __future__ import annotations
+
+import threading
+
+from guavadyke import prompt_report_documents as documents
+from guavadyke.adapters.ports import Clock, StoredObject
+from guavadyke.adapters.write_confirmation import WriteConfirmingStore
+from guavadyke.controllers.prompt_trials import (
+    PromptTrials,
+    TrialClaim,
+    WantedTrial,
+)
+from guavadyke.errors import GuavadykeError, ObjectConflictError
+from guavadyke.log import EventLogger
+
+_IDLE_S = 1.0
+
+
+class PromptTrialClaimer:
+    """Writes the claims of this host from a thread.
+
+    Args:
+        host_id: the id of this host.
+        trials: knows the trials that this host wants.
+        store: the platform.
+        clock: dates the claims.
+        logger: logs claims, and those that could not be written.
+    """
+
+    def __init__(
+        self,
+        host_id: str,
+        trials: PromptTrials,
+        store: WriteConfirmingStore,
+        clock: Clock,
+        logger: EventLogger,
+    ) -> None:
+        self._host_id = host_id
+        self._trials = trials
+        self._store = store
+        self._clock = clock
+        self._logger = logger
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name='prompt-trials', daemon=True
+        )
+
+    def start(self) -> None:
+        """Start claiming in the background."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop claiming, without waiting for the thread."""
+        self._stopped.set()
+
+    def claim_wanted(self) -> None:
+        """Claim the trials that this host wants now."""
+        for wanted in iter(self._trials.next_wanted, None):
+            self._claim(wanted)
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            self._trials.wait(_IDLE_S)
+            self.claim_wanted()
+
+    def _claim(self, wanted: WantedTrial) -> None:
+        began_at = self._clock.monotonic()
+        try:
+            stored = self._write(wanted)
+        except ObjectConflictError:
+            self._logger.info('prompt_trial_claimed_before', part=wanted.part)
+            self._trials.not_claimed(wanted.part)
+        except GuavadykeError as error:
+            self._logger.warning(
+                'prompt_trial_not_claimed',
+                part=wanted.part,
+                reason=error.message,
+            )
+            self._trials.not_claimed(wanted.part)
+        else:
+            self._logger.info('prompt_trial_claimed', part=wanted.part)
+            self._trials.claimed(wanted.part, stored, began_at)
+
+    def _write(self, wanted: WantedTrial) -> StoredObject:
+        body = documents.encode_claim(
+            TrialClaim(wanted.part, self._host_id, self._clock.wall())
+        )
+        if wanted.previous is None:
+            return self._store.create(
+                documents.REPORT_KIND, documents.claim_name(wanted.part), body
+            )
+        return self._store.update(wanted.previous, body)
--- /dev/null
+++ b/guavadyke/controllers/prompt_trials.py
@@ -0,0 +1,222 @@
+"""Which host may send a request with a quarantined part of prompts."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+
+from guavadyke.adapters.ports import Clock, StoredObject
+from guavadyke.decisions import rendezvous_hashing
+from guavadyke.decisions.prompt_quarantine import Quarantine
+from guavadyke.log import EventLogger
+from guavadyke.snapshots import FleetSnapshot, SnapshotCell
+
+# Time in which a request that tries a part has to begin. Other hosts count it
+# from when they learn of the claim, so that clocks need not agree.
+_TRIAL_S = 5.0
+# Items ask for a trial again at each tick of their runner.
+_DEMAND_S = 1.0
+_RETRY_DELAY_S = 0.5
+# Hosts claim a trial that has just become due one after another, so that most
+# of them learn of the first claim before they write their own.
+_CLAIM_SPACING_S = 0.05
+_LONGEST_CLAIM_DELAY_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class TrialClaim:
+    """A host's claim to try a part; ``at`` is in seconds since the epoch."""
+
+    part: str
+    host_id: str
+    at: float
+
+
+@dataclasses.dataclass(frozen=True)
+class WantedTrial:
+    """A trial to claim; ``previous`` is the last claim of its part."""
+
+    part: str
+    previous: StoredObject | None
+
+
+@dataclasses.dataclass(frozen=True)
+class _KnownClaim:
+    """A claim of any host, which no other host may replace before ``until``."""
+
+    stored: StoredObject | None
+    until: float
+
+
+class PromptTrials:
+    """Trials of quarantined parts, of which a claim allows one. Thread-safe.
+
+    Every host that has a request with the part may claim the trial. A claim
+    replaces the last one on the platform under a condition, so that only one
+    of several hosts succeeds. It is spent when the request is sent; one that
+    is not spent lapses.
+
+    Args:
+        host_id: the id of this host.
+        fleet: the other hosts.
+        clock: dates claims.
+        logger: logs parts that are tried.
+    """
+
+    def __init__(
+        self,
+        host_id: str,
+        fleet: SnapshotCell[FleetSnapshot],
+        clock: Clock,
+        logger: EventLogger,
+    ) -> None:
+        self._host_id = host_id
+        self._fleet = fleet
+        self._clock = clock
+        self._logger = logger
+        self._changed = threading.Condition()
+        self._wanted = threading.Event()
+        self._wanted_until: dict[str, float] = {}
+        self._known: dict[str, _KnownClaim] = {}
+        self._unspent_until: dict[str, float] = {}
+
+    def allows(self, found: Quarantine | None) -> bool:
+        """Return whether a request may start; ask for a trial if it is due.
+
+        Args:
+            found: the quarantine of the request, None if it is in none.
+        """
+        if found is None:
+            return True
+        if found.trial_in_s:
+            return False
+        with self._changed:
+            now = self._clock.monotonic()
+            self._want(found, now)
+            return self._holds(found.part, now)
+
+    def await_claim(self, found: Quarantine, longest_s: float) -> bool:
+        """Return whether a request may start, after a wait for the platform.
+
+        There is no wait if the trial is not due or another host has it.
+
+        Args:
+            found: the quarantine of the request.
+            longest_s: longest wait in seconds.
+        """
+        if self.allows(found):
+            return True
+        with self._changed:
+            if found.part in self._wanted_until:
+                self._changed.wait_for(
+                    lambda: found.part not in self._wanted_until, longest_s
+                )
+            self._wanted_until.pop(found.part, None)
+            return self._holds(found.part, self._clock.monotonic())
+
+    def begins(self, found: Quarantine | None) -> bool:
+        """Return whether a request may be sent now, and spend its claim.
+
+        Args:
+            found: the quarantine of the request, None if it is in none.
+        """
+        if found is None:
+            return True
+        with self._changed:
+            now = self._clock.monotonic()
+            if found.trial_in_s or not self._holds(found.part, now):
+                return False
+            self._unspent_until.pop(found.part)
+        self._logger.info('prompt_part_tried', part=found.part)
+        return True
+
+    def wait(self, timeout_s: float) -> None:
+        """Wait for a trial to claim; there may be none after the timeout."""
+        self._wanted.wait(timeout_s)
+        self._wanted.clear()
+
+    def next_wanted(self) -> WantedTrial | None:
+        """Return a trial to claim now, None if there is none."""
+        with self._changed:
+            now = self._clock.monotonic()
+            self._wanted_until = {
+                part: until
+                for part, until in self._wanted_until.items()
+                if until > now
+            }
+            for part in self._wanted_until:
+                known = self._known.get(part)
+                return WantedTrial(part, known.stored if known else None)
+        return None
+
+    def claimed(self, part: str, stored: StoredObject, began_at: float) -> None:
+        """Record that this host has claimed a trial.
+
+        Args:
+            part: the part to try.
+            stored: the claim on the platform.
+            began_at: when its write began, in seconds of the monotonic clock.
+        """
+        with self._changed:
+            self._known[part] = _KnownClaim(
+                stored, self._clock.monotonic() + _TRIAL_S
+            )
+            self._unspent_until[part] = began_at + _TRIAL_S
+            self._wanted_until.pop(part, None)
+            self._changed.notify_all()
+
+    def not_claimed(self, part: str) -> None:
+        """Record that another host was first, or that the write failed."""
+        with self._changed:
+            known = self._known.get(part)
+            self._known[part] = _KnownClaim(
+                known.stored if known else None,
+                self._clock.monotonic() + _RETRY_DELAY_S,
+            )
+            self._wanted_until.pop(part, None)
+            self._changed.notify_all()
+
+    def learn(self, claim: TrialClaim, stored: StoredObject) -> None:
+        """Record a claim of any host, as the platform holds it."""
+        with self._changed:
+            known = self._known.get(claim.part)
+            if (
+                known
+                and known.stored
+                and known.stored.version >= stored.version
+            ):
+                return
+            self._known[claim.part] = _KnownClaim(
+                stored, self._clock.monotonic() + _TRIAL_S
+            )
+            if claim.host_id != self._host_id:
+                self._wanted_until.pop(claim.part, None)
+                self._changed.notify_all()
+
+    def forget(self, name: str) -> None:
+        """Forget a claim that is no longer on the platform."""
+        with self._changed:
+            self._known = {
+                part: known
+                for part, known in self._known.items()
+                if known.stored is None or known.stored.name != name
+            }
+
+    def _holds(self, part: str, now: float) -> bool:
+        return self._unspent_until.get(part, 0) > now
+
+    def _want(self, found: Quarantine, now: float) -> None:
+        """Ask for a claim, unless one is held or it is not this host's turn."""
+        known = self._known.get(found.part)
+        if self._holds(found.part, now) or (known and known.until > now):
+            return
+        if found.overdue_s >= self._claim_delay_s(found.part):
+            self._wanted_until[found.part] = now + _DEMAND_S
+            self._wanted.set()
+
+    def _claim_delay_s(self, part: str) -> float:
+        peers = tuple(peer.host_id for peer in self._fleet.current.alive)
+        spacing_s = min(
+            _CLAIM_SPACING_S, _LONGEST_CLAIM_DELAY_S / (1 + len(peers))
+        )
+        return spacing_s * rendezvous_hashing.place(part, self._host_id, peers)
--- a/guavadyke/decisions/prompt_quarantine.py
+++ b/guavadyke/decisions/prompt_quarantine.py
@@ -21,7 +21,7 @@
 _TRUSTED_S = 30.0
 # Time after which one request with a quarantined part is let through. It
 # doubles with each server that ends under such a request.
-_FIRST_TRIAL_S = 30.0
+_FIRST_TRIAL_S = 5.0
 # A whole request waits longer: only its own caller is refused meanwhile, and a
 # trial may cost a server.
 _FIRST_WHOLE_TRIAL_S = 600.0
@@ -66,13 +66,14 @@
 class Quarantine:
     """Why requests with a part are refused.
 
-    ``trial_in_s`` is the time until one of them is let through; 0 if it is
-    due.
+    ``trial_in_s`` is the time until one of them may be let through; it is 0
+    once that has been due for ``overdue_s``.
     """
 
     part: str
     crashes: int
     trial_in_s: float
+    overdue_s: float = 0
 
 
 @dataclasses.dataclass
@@ -196,20 +197,22 @@
         return doubtful
 
     def find(self, parts: Iterable[str], now: float) -> Quarantine | None:
-        """Return the quarantine of the first of some parts that is in one."""
-        found = next((one for one in parts if one in self._quarantined), None)
-        if found is None:
+        """Return the quarantine of a request with some parts.
+
+        If several of them are in quarantine, it is the one that is tried last.
+        """
+        due_by_part = {
+            part: _trial_due(self._crash_times(part), _first_wait_s(part))
+            for part in parts
+            if part in self._quarantined
+        }
+        if not due_by_part:
             return None
-        times = sorted(
-            crash.at
-            for crash in self._crashes.values()
-            if found in crash.depths
-        )
-        first_wait_s = (
-            _FIRST_WHOLE_TRIAL_S if is_whole_request(found) else _FIRST_TRIAL_S
+        last = max(due_by_part, key=due_by_part.__getitem__)
+        due_in_s = due_by_part[last] - now
+        return Quarantine(
+            last, self._counts[last], max(0, due_in_s), max(0, -due_in_s)
         )
-        due = _trial_due(times, first_wait_s)
-        return Quarantine(found, len(times), max(0, due - now))
 
     def expect(
         self, parts: Iterable[str], ended: Set[str]
@@ -226,6 +229,11 @@
                 return Quarantine(part, crashes, _FIRST_WHOLE_TRIAL_S)
         return None
 
+    def _crash_times(self, part: str) -> list[float]:
+        return sorted(
+            crash.at for crash in self._crashes.values() if part in crash.depths
+        )
+
     def _is_doubtful(self, part: str) -> bool:
         """Return whether one more crash or none may make hosts blame a part."""
         return not is_whole_request(part) or self._counts[part] > 1
@@ -338,6 +346,10 @@
     return sum(case.crashes for case in cases if part in case.depths)
 
 
+def _first_wait_s(part: str) -> float:
+    return _FIRST_WHOLE_TRIAL_S if is_whole_request(part) else _FIRST_TRIAL_S
+
+
 def _trial_due(crash_times: Iterable[float], first_wait_s: float) -> float:
     """Return when to let a request through, from ascending crash times.
 
--- a/guavadyke/filters/forward_admission.py
+++ b/guavadyke/filters/forward_admission.py
@@ -8,12 +8,16 @@
 from guavadyke.adapters.ports import BackendFault
 from guavadyke.decisions.forward_routes import ForwardRoute
 from guavadyke.decisions.load_shedding import longest_wait_s
-from guavadyke.decisions.prompt_quarantine import is_whole_request
+from guavadyke.decisions.prompt_quarantine import Quarantine, is_whole_request
 from guavadyke.decisions.request_attempts import RequestAttempts
 from guavadyke.decisions.server_registry import ServerLease
 from guavadyke.errors import ErrorCode
 from guavadyke.filters.forward_attempt import ForwardRequest, ForwardTools
 
+# Longest wait of a request for the platform to confirm its claim to try a
+# quarantined part. It takes one write, and later callers are not held up.
+_LONGEST_CLAIM_S = 0.25
+
 
 def _no_estimate() -> None:
     """Return that nothing is known of when a caller should retry."""
@@ -101,6 +105,7 @@
                 else remaining_s,
             )
             if self._tools.limits.admit(lease.server):
+                self._begin(lease)
                 return lease
             self._tools.pool.release(lease, BackendFault.refused)
             excluded |= {lease.server.server_id}
@@ -122,6 +127,7 @@
         Raises:
             AdmissionRefusedError: there is none.
         """
+        self._await_trial(remaining_s)
         if attempts.left_silent:
             with contextlib.suppress(AdmissionRefusedError):
                 return self.acquire(
@@ -139,21 +145,39 @@
         )
 
     def _check_prompt(self) -> None:
-        """Refuse a prompt that has crashed servers.
+        """Refuse a prompt that has crashed servers, unless it may be tried.
 
         Raises:
             AdmissionRefusedError: ``prompt_quarantined``, with the time after
                 which a part of the prompt is tried again.
         """
-        found = self._tools.prompts.check(self._request.suspect_parts)
+        prompts = self._tools.prompts
+        found = prompts.check(self._request.suspect_parts)
+        if found is not None and not prompts.trials.allows(found):
+            raise _quarantine_error(found)
+
+    def _await_trial(self, remaining_s: float) -> None:
+        """Wait for a claim to try the prompt, if a trial of it is due."""
+        prompts = self._tools.prompts
+        found = prompts.check(self._request.suspect_parts)
         if found is not None:
-            raise AdmissionRefusedError(
-                ErrorCode.prompt_quarantined,
-                f'{found.crashes} backend servers have ended under '
-                f'{_describe(found.part)}',
-                lambda: found.trial_in_s,
+            prompts.trials.await_claim(
+                found, min(_LONGEST_CLAIM_S, remaining_s)
             )
 
+    def _begin(self, lease: ServerLease) -> None:
+        """Spend the claim to try a quarantined part.
+
+        Raises:
+            AdmissionRefusedError: ``prompt_quarantined``, another request has
+                spent it; the lease has been released.
+        """
+        prompts = self._tools.prompts
+        found = prompts.check(self._request.suspect_parts)
+        if found is not None and not prompts.trials.begins(found):
+            self._tools.pool.release(lease, BackendFault.refused)
+            raise _quarantine_error(found)
+
     def _longest_wait_s(self, remaining_s: float) -> float:
         return longest_wait_s(
             self._route,
@@ -203,6 +227,15 @@
         )
 
 
+def _quarantine_error(found: Quarantine) -> AdmissionRefusedError:
+    return AdmissionRefusedError(
+        ErrorCode.prompt_quarantined,
+        f'{found.crashes} backend servers have ended under '
+        f'{_describe(found.part)}',
+        lambda: found.trial_in_s,
+    )
+
+
 def _describe_version(software: str | None) -> str:
     return '' if software is None else f'with version {software} '
 
--- a/guavadyke/forward_prompts.py
+++ b/guavadyke/forward_prompts.py
@@ -8,6 +8,7 @@
 from guavadyke.controllers.prompt_guard import PromptGuard
 from guavadyke.controllers.prompt_report_sender import PromptReportSender
 from guavadyke.controllers.prompt_report_sink import PromptReportSink
+from guavadyke.controllers.prompt_trial_claimer import PromptTrialClaimer
 from guavadyke.log import EventLogger
 from guavadyke.prompt_report_documents import REPORT_KIND
 from guavadyke.settings import HostSettings
@@ -20,8 +21,9 @@
 class ForwardPrompts:
     """The prompt guard of a host and its reports on the platform.
 
-    ``guard`` decides which requests may be sent; ``sender`` writes its reports;
-    ``sink`` gets those of all hosts, mirrored as ``mirror_settings`` say.
+    ``guard`` decides which requests may be sent; ``sender`` writes its reports
+    and ``claimer`` its claims to try quarantined parts; ``sink`` gets those of
+    all hosts, mirrored as ``mirror_settings`` say.
 
     Args:
         settings: the id of the host and the waits of its watches.
@@ -48,10 +50,16 @@
             settings.host_id, self.guard, self.sink, store, fleet, logger
         )
 
+        self.claimer = PromptTrialClaimer(
+            settings.host_id, self.guard.trials, store, clock, logger
+        )
+
     def start(self) -> None:
-        """Start to report in the background."""
+        """Start to report and to claim in the background."""
         self.sender.start()
+        self.claimer.start()
 
     def close(self) -> None:
-        """Stop reporting."""
+        """Stop reporting and claiming."""
         self.sender.close()
+        self.claimer.close()
