Send an item under which servers end ever more rarely

An item that crashes the engine which runs it was sent to one engine every 1 to 6 s until its job gave it up: its retry delay is 2 s at most, and items had no fingerprint, on the assumption that they cannot crash engines by themselves.

Items now have one, over host, path and body, reported like those of requests. After three engines the item waits for a trial, which any owner of it may claim: 10 s after the last crash, and twice as long after each that follows. It is not listed as given up before its time.

The scenario fails on the code before at 'it is not sent for 9 seconds'.

--- a/features/builders_forward_runner.py
+++ b/features/builders_forward_runner.py
@@ -15,6 +15,7 @@
     BackendCall,
     BackendFault,
     BackendServers,
+    Clock,
     PeerNotice,
 )
 from guavadyke.controllers.actors import tell_function
@@ -96,7 +97,9 @@
         listed: tuple[ListedServer, ...] | None = None,
         backends: BackendServers | None = None,
         logger: EventLogger | None = None,
+        clock: Clock | None = None,
     ) -> None:
+        clock = clock or SystemClock()
         self.logger = logger or EventLogger()
         self.platform = MemoryPlatform()
         self.host = build.job_host(self.platform, ME)
@@ -104,7 +107,7 @@
         self.route = build.route()
         self.pool = build.pool(
             listed or (build.server('s1'), build.server('s2')),
-            SystemClock(),
+            clock,
         )
         self.fleet = SnapshotCell(FleetSnapshot())
         busy = SnapshotCell(initial=False)
@@ -121,7 +124,7 @@
                 self.fleet,
                 lambda: True,
                 busy,
-                SystemClock(),
+                clock,
                 self.logger,
                 HostMetrics(),
             ),
--- a/features/builders_prompt_guards.py
+++ b/features/builders_prompt_guards.py
@@ -9,8 +9,15 @@
 
 from features import builders_forward as build
 from features.builders_batch_platform import MemoryPlatform, MemoryStore
+from guavadyke.adapters.ports import (
+    BackendAnswer,
+    BackendCall,
+    BackendFault,
+    BackendServerError,
+)
 from guavadyke.controllers.mirror import Mirror, MirrorSettings
 from guavadyke.controllers.prompt_guard import GuardedRun, PromptGuard
+from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.forward_prompts import ForwardPrompts
 from guavadyke.log import EventLogger
 from guavadyke.prompt_report_documents import REPORT_KIND
@@ -39,6 +46,22 @@
     return PeerView(host_id, build.ZONE, 'south', '127.0.0.2:1', 'alive', 1, 0)
 
 
+class CrashingServers(build.FakeServers):
+    """Servers that end for good as soon as they begin to answer.
+
+    ``pool`` lists them.
+    """
+
+    pool: ServerPool
+
+    def send(self, call: BackendCall) -> BackendAnswer:
+        self.calls.append(call)
+        self.pool.remove(call.server_id)
+        raise BackendServerError(
+            BackendFault.broken, 'ended', not_run=False, disconnected=True
+        )
+
+
 class LastReportDocument(pydantic.BaseModel):
     """The body of a report as hosts of the last version read it."""
 
--- a/features/forward_prompts.feature
+++ b/features/forward_prompts.feature
@@ -260,3 +260,11 @@
       | part  |
       | bad   |
       | other |
+
+  Scenario: an item under which servers end again and again is sent ever more rarely
+    Given 3 hosts, one of which owns a job of 1 item that crashes servers
+    When 3 servers have ended under it
+    Then it is not sent for 9 seconds
+    When 1 server more has ended under it
+    Then it is not sent for 18 seconds
+    And it has no result
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -38,6 +38,7 @@
     is_pressing,
 )
 from guavadyke.decisions.forward_job_records import (
+    AcceptedJob,
     ForwardItem,
     JobView,
     ResultPage,
@@ -192,7 +193,7 @@
             job_id=run.job_id,
             item_id=item_id,
             backend_server=run.lease.server.server_id,
-            prompt_parts=','.join(run.item.prompt_parts),
+            prompt_parts=','.join(run.suspect_parts),
             end=outcome.end.value,
             events=outcome.partial.last_id,
             reason=outcome.reason,
@@ -362,7 +363,8 @@
         if lease is None:
             return StartRefusal.no_server
         prompts = self._parts.prompts
-        if not prompts.trials.begins(prompts.check(item.prompt_parts)):
+        found = prompts.check(work.job.suspect_parts(item))
+        if not prompts.trials.begins(found):
             self._parts.pool.release(lease, BackendFault.refused)
             return StartRefusal.quarantined
         self._start_run(work, item, lease)
@@ -434,7 +436,7 @@
     return (
         outcome.end is RunEnd.broken
         and run.item in work.startable_items(math.inf)
-        and prompts.check(run.item.prompt_parts) is None
+        and prompts.check(work.job.suspect_parts(run.item)) is None
     )
 
 
@@ -509,12 +511,13 @@
 
 def _hold_items(works: Iterable[JobItemTracker], prompts: PromptGuard) -> None:
     """Hold the items that might crash the servers that run them."""
+    for work in works:
+        work.hold(functools.partial(_is_held, prompts, work.job))
 
-    def is_held(item: ForwardItem) -> bool:
-        return not prompts.trials.allows(prompts.check(item.prompt_parts))
 
-    for work in works:
-        work.hold(is_held)
+def _is_held(prompts: PromptGuard, job: AcceptedJob, item: ForwardItem) -> bool:
+    found = prompts.check(job.suspect_parts(item))
+    return not prompts.trials.allows(found)
 
 
 def newest_to_cancel(runs: list[ItemRun], count: int) -> list[ItemRun]:
--- a/guavadyke/controllers/item_run.py
+++ b/guavadyke/controllers/item_run.py
@@ -127,8 +127,9 @@
         self._pieces = list(partial.pieces)
         self._event_parser = EventParser(partial.last_id)
         self._tools = tools
+        self.suspect_parts = job.suspect_parts(item)
         self._guarded = GuardedRun(
-            tools.prompts, item.prompt_parts, tools.clock
+            tools.prompts, self.suspect_parts, tools.clock
         )
         self._progress_at = lease.taken_at
         self._heard_at = lease.taken_at
--- a/guavadyke/controllers/waiting_jobs.py
+++ b/guavadyke/controllers/waiting_jobs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 from collections.abc import Mapping
 
 from guavadyke.controllers.item_starts import StartRefusal
@@ -87,10 +88,10 @@
 
 
 def _held_parts(work: JobItemTracker) -> tuple[str, ...]:
-    """Return the last shared prompt parts of held items, each once."""
-    parts = (
-        state.item.prompt_parts[-1]
+    """Return the deepest prompt parts of held items, each once."""
+    parts = itertools.chain.from_iterable(
+        work.job.suspect_parts(state.item)[-2:]
         for state in work.open_items
-        if state.held and state.item.prompt_parts
+        if state.held
     )
     return tuple(dict.fromkeys(parts))
--- a/guavadyke/decisions/forward_job_records.py
+++ b/guavadyke/decisions/forward_job_records.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import itertools
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 
+from guavadyke.decisions.prompt_quarantine import whole_item
+from guavadyke.decisions.request_fingerprint import RequestIdentity, fingerprint
+
 # A result page of this size is full. Appending a result rewrites its whole
 # page, so this bounds the bytes written again for each result.
 PAGE_BYTES = 49_152
@@ -48,11 +52,31 @@
         """Total tokens of all items."""
         return sum(item.tokens for item in self.items)
 
+    def suspect_parts(self, item: ForwardItem) -> tuple[str, ...]:
+        """Return the parts of an item's prompt that may crash servers.
+
+        The last one stands for the item as a whole.
+        """
+        return (
+            *item.prompt_parts,
+            whole_item(self._fingerprints[item.item_id]),
+        )
+
     def item(self, item_id: str) -> ForwardItem | None:
         """Return an item by its id, None if the job has no such item."""
         found = (item for item in self.items if item.item_id == item_id)
         return next(found, None)
 
+    @functools.cached_property
+    def _fingerprints(self) -> Mapping[str, str]:
+        """The fingerprints of all items by item id."""
+        return {
+            item.item_id: fingerprint(
+                RequestIdentity(self.host, 'POST', item.path, '', item.body)
+            )
+            for item in self.items
+        }
+
 
 @dataclasses.dataclass(frozen=True)
 class JobProgress:
--- a/guavadyke/decisions/prompt_quarantine.py
+++ b/guavadyke/decisions/prompt_quarantine.py
@@ -23,15 +23,17 @@
 # doubles with each server that ends under such a request.
 _FIRST_TRIAL_S = 5.0
 # A whole request waits longer: only its own caller is refused meanwhile, and a
-# trial may cost a server.
-_FIRST_WHOLE_TRIAL_S = 600.0
+# trial may cost a server. An item is owed a result, which nobody else asks for.
+_FIRST_REQUEST_TRIAL_S = 600.0
+_FIRST_ITEM_TRIAL_S = 10.0
 _LONGEST_TRIAL_S = 1800.0
 _MAX_CRASHES = 256
 _MAX_TRUSTED = 8192
 _MAX_SUSPECTS = 64
 # A part that is shared by requests is not blamed for one request alone.
 _MIN_CASES = 2
-_WHOLE_PREFIX = 'request/'
+_REQUEST_PREFIX = 'request/'
+_ITEM_PREFIX = 'item/'
 # No request shares more of its prompt than itself.
 _WHOLE_DEPTH = 1_000_000
 
@@ -42,12 +44,21 @@
     Args:
         request_fingerprint: the same whenever the request comes again.
     """
-    return f'{_WHOLE_PREFIX}{request_fingerprint}'
+    return f'{_REQUEST_PREFIX}{request_fingerprint}'
+
+
+def whole_item(item_fingerprint: str) -> str:
+    """Return the name of the part that stands for a whole item of a job.
+
+    Args:
+        item_fingerprint: the same whenever the item is sent.
+    """
+    return f'{_ITEM_PREFIX}{item_fingerprint}'
 
 
 def is_whole_request(part: str) -> bool:
-    """Return whether a part stands for a whole request."""
-    return part.startswith(_WHOLE_PREFIX)
+    """Return whether a part stands for a whole request or item."""
+    return part.startswith((_REQUEST_PREFIX, _ITEM_PREFIX))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -226,7 +237,7 @@
         for part in filter(is_whole_request, parts):
             crashes = self._counts[part] + len(ended - self._crashes.keys())
             if ended and crashes >= MIN_CRASHES:
-                return Quarantine(part, crashes, _FIRST_WHOLE_TRIAL_S)
+                return Quarantine(part, crashes, _first_wait_s(part))
         return None
 
     def _crash_times(self, part: str) -> list[float]:
@@ -347,7 +358,9 @@
 
 
 def _first_wait_s(part: str) -> float:
-    return _FIRST_WHOLE_TRIAL_S if is_whole_request(part) else _FIRST_TRIAL_S
+    if part.startswith(_REQUEST_PREFIX):
+        return _FIRST_REQUEST_TRIAL_S
+    return _FIRST_ITEM_TRIAL_S if is_whole_request(part) else _FIRST_TRIAL_S
 
 
 def _trial_due(crash_times: Iterable[float], first_wait_s: float) -> float:
