Reproduce items that no owner may try, with daemons and engines as processes

A part of a prompt is quarantined, its engines are sound again, and a job whose items have the part is submitted to each of three daemons.

The other scenario holds the price: while engines go on crashing, the items of all owners together reach 2 engines at most in 20 s.

--- a/features/builders_forward_processes.py
+++ b/features/builders_forward_processes.py
@@ -194,9 +194,11 @@
         self._folder.cleanup()
 
 
-def results(daemon: DaemonProcess, after: int = 0) -> list[dict[str, str]]:
-    """Read the results of the job from a position."""
-    answer = daemon.call('GET', f'/api/lots/job-1?After={after}')
+def results(
+    daemon: DaemonProcess, after: int = 0, job_id: str = 'job-1'
+) -> list[dict[str, str]]:
+    """Read the results of a job from a position."""
+    answer = daemon.call('GET', f'/api/lots/{job_id}?After={after}')
     if answer.status != 200:
         return []
     return list(answer.json()['Results'])
--- a/features/builders_prompt_crashes.py
+++ b/features/builders_prompt_crashes.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import itertools
+import json
 import threading
 
 import urllib3
 
 from features import builders_users_platform as users
-from features.builders_forward_processes import DaemonProcess, UsersFleet
+from features.builders_forward_processes import (
+    DaemonProcess,
+    UsersFleet,
+    results,
+)
 from guavadyke.standins.http import StandinAnswer, StandinRequest
 
 SHARED_PART = 'aa01'
@@ -21,7 +26,8 @@
 class CrashingEngine(users.UsersEngine):
     """An engine that ends when it begins to answer on one prompt part or body.
 
-    It is back at once under another id.
+    It is back at once under another id. It answers all requests once
+    ``crashing`` is false.
 
     Args:
         number: number of the engine in its fleet.
@@ -30,6 +36,7 @@
 
     def __init__(self, number: int, store: users.UsersStore) -> None:
         self.crashes = 0
+        self.crashing = True
         self._number = number
         self._store = store
         self._ended = threading.Event()
@@ -43,7 +50,7 @@
 
     def _answer(self, request: StandinRequest) -> StandinAnswer | None:
         served = request.headers.get('expect-instance') == self.name
-        if served and _crashes(request):
+        if served and self.crashing and _crashes(request):
             self.requests.append(request)
             self._crash(request)
         return super()._answer(request)
@@ -105,6 +112,31 @@
             },
         )
 
+    def submit_to_each(self, items: int, *parts: str) -> None:
+        """Submit a job to each daemon whose items have these prompt parts."""
+        prefix = ','.join(f'{part}:100' for part in (*parts, 'own0f'))
+        for number, daemon in enumerate(self.daemons):
+            document = users.job_document(items, f'crash-{number}')
+            for one in document['Items']:
+                one['Headers']['Prompt-Prefix'] = prefix
+            answer = daemon.call(
+                'POST',
+                f'{users.JOB_PREFIX}1',
+                body=json.dumps(document).encode(),
+                headers={'Request-Id': f'crash-job-{number}'},
+            )
+            assert answer.status == 202, answer.data
+
+    def completed(self) -> list[int]:
+        """Return how many items of the job of each daemon are completed."""
+        return [
+            sum(
+                listed['State'] == 'completed'
+                for listed in results(daemon, job_id=f'crash-job-{number}')
+            )
+            for number, daemon in enumerate(self.daemons)
+        ]
+
     def send_to_each(
         self, count: int, *parts: str, body: bytes = SOUND_BODY
     ) -> list[int]:
--- a/features/forward_prompt_crashes.feature
+++ b/features/forward_prompt_crashes.feature
@@ -46,3 +46,21 @@
     Then at most 3 of these requests have reached engines
     And the sound requests of the session were served
     And sound requests with the same first part are served by every daemon
+
+  Scenario: items with a sound prompt part that was blamed complete at every owner
+    Given 3 daemons with 5 engines that crash on a prompt part
+    When 9 sound requests are sent to the daemons in turn
+    And 12 requests with the crashing part are sent to the daemons in turn
+    And the engines crash no more
+    And a job of 2 items with the crashing part is submitted to each daemon
+    Then all items complete within 20 seconds
+
+  Scenario: items with a prompt part that crashes engines cost one engine a trial at all owners together
+    Given 3 daemons with 5 engines that crash on a prompt part
+    When 9 sound requests are sent to the daemons in turn
+    And 12 requests with the crashing part are sent to the daemons in turn
+    And 3 seconds have passed
+    And a job of 2 items with the crashing part is submitted to each daemon
+    And 20 seconds have passed
+    Then at most 2 of the items have reached engines
+    And no item has a result
--- a/features/steps/forward_prompt_crashes_steps.py
+++ b/features/steps/forward_prompt_crashes_steps.py
@@ -11,6 +11,7 @@
 
 from features import builders_forward_processes as processes
 from features import builders_prompt_crashes as build
+from features.builders_processes import wait_until
 
 _HTTP_OK = 200
 
@@ -75,6 +76,40 @@
     context.fleet.wait_ready()
 
 
+@when('the engines crash no more')
+def step_sound_engines(context: Context) -> None:
+    for engine in context.fleet.engines:
+        engine.crashing = False
+
+
+@when(
+    'a job of {items:d} items with the crashing part is submitted to each '
+    'daemon'
+)
+def step_submit(context: Context, items: int) -> None:
+    context.items = items
+    context.reached_before = context.fleet.crashing_requests
+    context.fleet.submit_to_each(items, build.SHARED_PART, build.CRASHING_PART)
+
+
+@then('all items complete within {seconds:d} seconds')
+def step_items_complete(context: Context, seconds: int) -> None:
+    wanted = [context.items for _ in context.fleet.daemons]
+    assert wait_until(lambda: context.fleet.completed() == wanted, seconds), (
+        context.fleet.completed()
+    )
+
+
+@then('at most {count:d} of the items have reached engines')
+def step_items_reached(context: Context, count: int) -> None:
+    step_reached(context, count)
+
+
+@then('no item has a result')
+def step_no_item(context: Context) -> None:
+    assert not any(context.fleet.completed()), context.fleet.completed()
+
+
 @when('{seconds:g} seconds have passed')
 def step_wait(_context: Context, seconds: float) -> None:
     time.sleep(seconds)
