Keep the time of another host's claim after a write that came second

Two hosts tried the same quarantined part in one trial, so that a part which crashes engines cost two.

A host whose claim met a conflict took the part for free after 0.5 s, also where its watch had told it of the other host's claim before the answer came; it then replaced that claim while the other host could still use it.

It now keeps the later of both times.

--- a/features/builders_prompt_guards.py
+++ b/features/builders_prompt_guards.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 import pydantic
 
@@ -14,6 +14,7 @@
     BackendCall,
     BackendFault,
     BackendServerError,
+    StoredObject,
 )
 from guavadyke.controllers.mirror import Mirror, MirrorSettings
 from guavadyke.controllers.prompt_guard import GuardedRun, PromptGuard
@@ -71,6 +72,42 @@
     at: float
 
 
+def _do_nothing() -> None:
+    """Do nothing."""
+
+
+class InterruptedStore(MemoryStore):
+    """A link to the platform whose next write something may come before.
+
+    ``before_write`` is called once, when the write is on its way, and
+    ``after_write`` once, when its answer is.
+    """
+
+    def __init__(self, platform: MemoryPlatform) -> None:
+        super().__init__(platform)
+        self.before_write: Callable[[], None] = _do_nothing
+        self.after_write: Callable[[], None] = _do_nothing
+
+    def create(self, kind: str, name: str, body: bytes) -> StoredObject:
+        self._interrupt('before_write')
+        stored = super().create(kind, name, body)
+        self._interrupt('after_write')
+        return stored
+
+    def update(
+        self, kind: str, name: str, body: bytes, version: int
+    ) -> StoredObject:
+        self._interrupt('before_write')
+        stored = super().update(kind, name, body, version)
+        self._interrupt('after_write')
+        return stored
+
+    def _interrupt(self, moment: str) -> None:
+        act = getattr(self, moment)
+        setattr(self, moment, _do_nothing)
+        act()
+
+
 class GuardedFleet:
     """Hosts with a prompt guard each; reports pass when ``exchange`` is called.
 
@@ -82,7 +119,7 @@
         self.clock = build.ManualClock()
         self.platform = MemoryPlatform()
         self.hosts: dict[str, ForwardPrompts] = {}
-        self.links: dict[str, MemoryStore] = {}
+        self.links: dict[str, InterruptedStore] = {}
         self._mirrors: dict[str, Mirror] = {}
         self._names = [f'host-{number}' for number in range(size)]
         for name in self._names:
@@ -100,7 +137,7 @@
 
     def start(self, name: str) -> None:
         """Start a host, which forgets what it knew."""
-        link = MemoryStore(self.platform)
+        link = InterruptedStore(self.platform)
         link.faults.waits = False
         self.links[name] = link
         store = build.settled(link)
@@ -172,9 +209,17 @@
             not guard.trials.begins(guard.check(parts)) for guard in asked
         )
 
-    def claim(self) -> None:
-        """Claim the trials that are wanted and let every host read them."""
-        for host in self.hosts.values():
-            host.claimer.claim_wanted()
+    def claim(self, hosts: Collection[str] | None = None) -> None:
+        """Claim the trials that are wanted and let every host read them.
+
+        Args:
+            hosts: ids of the hosts that claim; None for all.
+        """
+        for name in hosts or self.hosts:
+            self.hosts[name].claimer.claim_wanted()
+        self.read()
+
+    def read(self) -> None:
+        """Let every host read what is on the platform."""
         for mirror in self._mirrors.values():
             mirror.step()
--- a/features/forward_prompts.feature
+++ b/features/forward_prompts.feature
@@ -162,6 +162,16 @@
     When 2 seconds pass
     Then all hosts but one refuse a prompt of "shared,bad"
 
+  Scenario: a host whose claim came second leaves the first one time to begin
+    Given 3 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    And 8 seconds pass
+    And "host-1" learns of a claim of "host-0" for "shared,bad" while it writes its own
+    And 4 seconds pass
+    Then "host-1" does not try "shared,bad"
+    When 2 seconds pass
+    Then "host-1" tries "shared,bad"
+
   Scenario: a request with two quarantined parts waits until both may be tried
     Given 20 hosts where requests with the part "shared" have completed
     When 3 servers end under a prompt of "shared,bad,request/1"
--- a/features/steps/forward_prompts_steps.py
+++ b/features/steps/forward_prompts_steps.py
@@ -257,6 +257,33 @@
     fleet.start(host_id)
 
 
+@when(
+    '"{second}" learns of a claim of "{first}" for "{prompt}" while it writes '
+    'its own'
+)
+def step_overtaken(
+    context: Context, second: str, first: str, prompt: str
+) -> None:
+    fleet = context.guarded
+    parts = _split(prompt)
+    for host_id in (first, second):
+        guard = fleet.hosts[host_id].guard
+        assert not guard.trials.allows(guard.check(parts))
+    fleet.links[second].before_write = lambda: fleet.claim([first])
+    fleet.claim([second])
+    assert not fleet.refusing(*parts, hosts=[first])
+
+
+@then('"{host_id}" tries "{prompt}"')
+def step_tries(context: Context, host_id: str, prompt: str) -> None:
+    assert not context.guarded.refusing(*_split(prompt), hosts=[host_id])
+
+
+@then('"{host_id}" does not try "{prompt}"')
+def step_does_not_try(context: Context, host_id: str, prompt: str) -> None:
+    assert context.guarded.refusing(*_split(prompt), hosts=[host_id])
+
+
 @given('the claim of a host to try a part')
 def step_claim_body(context: Context) -> None:
     context.body = encode_claim(TrialClaim('bad', 'host-1', build.NOW))
--- a/guavadyke/controllers/prompt_trials.py
+++ b/guavadyke/controllers/prompt_trials.py
@@ -168,10 +168,10 @@
     def not_claimed(self, part: str) -> None:
         """Record that another host was first, or that the write failed."""
         with self._changed:
-            known = self._known.get(part)
+            known = self._known.get(part, _KnownClaim(None, 0))
+            retry_at = self._clock.monotonic() + _RETRY_DELAY_S
             self._known[part] = _KnownClaim(
-                known.stored if known else None,
-                self._clock.monotonic() + _RETRY_DELAY_S,
+                known.stored, max(known.until, retry_at)
             )
             self._wanted_until.pop(part, None)
             self._changed.notify_all()
