Read a claim back that another one has come before

A host that had lost track of the last claim of a quarantined part never tried the part again: each write of its own met a conflict, and no watch told it of a claim that it had heard of before. Items that it alone owns waited until their job gave them up.

Shown on the code before, each by a case of the new scenario that failed at 'that host alone tries': the claim was removed while the watch was lost; the host removed old reports, of which an earlier version of the claim was one; the answer to its own claim came after the claim of another host, which the older one then replaced in its memory.

--- a/features/builders_batch_platform.py
+++ b/features/builders_batch_platform.py
@@ -56,6 +56,11 @@
         self.objects.pop((kind, name))
         self._publish(kind, ObjectEvent(name, self.revision, None))
 
+    def take(self, kind: str, name: str) -> None:
+        """Remove an object as another client would."""
+        with self.changed:
+            self.remove(kind, name)
+
     def of_kind(self, kind: str) -> list[StoredObject]:
         with self.changed:
             return [
--- a/features/builders_prompt_guards.py
+++ b/features/builders_prompt_guards.py
@@ -19,6 +19,7 @@
 from guavadyke.controllers.mirror import Mirror, MirrorSettings
 from guavadyke.controllers.prompt_guard import GuardedRun, PromptGuard
 from guavadyke.controllers.server_pool import ServerPool
+from guavadyke.errors import PlatformUnavailableError
 from guavadyke.forward_prompts import ForwardPrompts
 from guavadyke.log import EventLogger
 from guavadyke.prompt_report_documents import REPORT_KIND
@@ -209,6 +210,19 @@
             not guard.trials.begins(guard.check(parts)) for guard in asked
         )
 
+    def refusing_after(
+        self, seconds: float, *parts: str, hosts: Collection[str]
+    ) -> int:
+        """Return ``refusing`` once some seconds have passed."""
+        self.clock.sleep(seconds)
+        return self.refusing(*parts, hosts=hosts)
+
+    def list_again(self) -> None:
+        """Let every host lose its watch and read a full list."""
+        for mirror in self._mirrors.values():
+            mirror.record_failure(PlatformUnavailableError('away'))
+            mirror.step()
+
     def claim(self, hosts: Collection[str] | None = None) -> None:
         """Claim the trials that are wanted and let every host read them.
 
--- a/features/forward_prompts.feature
+++ b/features/forward_prompts.feature
@@ -172,6 +172,19 @@
     When 2 seconds pass
     Then "host-1" tries "shared,bad"
 
+  Scenario Outline: a host tries a part although <event>
+    Given 4 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    And 8 seconds pass
+    And a host claims a trial of "shared,bad" and <event>
+    Then that host alone tries "shared,bad" within 8 seconds
+
+    Examples:
+      | event                                             |
+      | its claim is removed, of which no watch tells     |
+      | it removes old reports after it claimed another   |
+      | the answer comes after the claim of another host  |
+
   Scenario: a request with two quarantined parts waits until both may be tried
     Given 20 hosts where requests with the part "shared" have completed
     When 3 servers end under a prompt of "shared,bad,request/1"
--- a/features/steps/forward_prompts_steps.py
+++ b/features/steps/forward_prompts_steps.py
@@ -19,10 +19,14 @@
 from guavadyke.controllers.prompt_trials import TrialClaim
 from guavadyke.decisions.forward_routes import RouteKind
 from guavadyke.decisions.prompt_reports import PromptReport
-from guavadyke.decisions.rendezvous_hashing import rank_names
+from guavadyke.decisions.rendezvous_hashing import rank_names, rendezvous
 from guavadyke.errors import GuavadykeError
 from guavadyke.filters.forward import Forwarder
-from guavadyke.prompt_report_documents import encode_claim
+from guavadyke.prompt_report_documents import (
+    REPORT_KIND,
+    claim_name,
+    encode_claim,
+)
 
 _PARTS = ('shared', 'bad')
 _RESULTS_S = 10.0
@@ -32,6 +36,7 @@
 _TICKS_S = 0.06
 # Longer than a host may wait until it uses its claim to try a part.
 _CLAIM_LAPSES_S = 6.0
+_HOUR_PARTS_S = (3000, 700)
 _SCRIPTS = types.MappingProxyType({
     'a closed connection': build.Scripted(
         fault=BackendFault.broken, disconnected=True, sent=1
@@ -274,6 +279,63 @@
     assert not fleet.refusing(*parts, hosts=[first])
 
 
+@when(
+    'a host claims a trial of "{prompt}" and its claim is removed, of which '
+    'no watch tells'
+)
+def step_claim_lost(context: Context, prompt: str) -> None:
+    fleet = context.guarded
+    parts = _split(prompt)
+    context.asking = 'host-3'
+    assert not fleet.refusing(*parts, hosts=[context.asking])
+    fleet.platform.take(REPORT_KIND, claim_name(parts[-1]))
+    fleet.list_again()
+    fleet.clock.sleep(_CLAIM_LAPSES_S)
+
+
+@when(
+    'a host claims a trial of "{prompt}" and it removes old reports after it '
+    'claimed another'
+)
+def step_claim_old(context: Context, prompt: str) -> None:
+    fleet = context.guarded
+    parts = _split(prompt)
+    context.asking = rendezvous(claim_name(parts[-1]), fleet.hosts)
+    for seconds in _HOUR_PARTS_S:
+        assert not fleet.refusing(*parts, hosts=[context.asking])
+        fleet.clock.sleep(seconds)
+    step_remove_old(context)
+    fleet.read()
+
+
+@when(
+    'a host claims a trial of "{prompt}" and the answer comes after the claim '
+    'of another host'
+)
+def step_claim_late(context: Context, prompt: str) -> None:
+    fleet = context.guarded
+    parts = _split(prompt)
+    context.asking = 'host-3'
+
+    def claim_of_other() -> None:
+        fleet.read()
+        fleet.clock.sleep(_CLAIM_LAPSES_S)
+        assert not fleet.refusing(*parts, hosts=['host-0'])
+
+    fleet.links[context.asking].after_write = claim_of_other
+    assert fleet.refusing(*parts, hosts=[context.asking])
+    fleet.clock.sleep(_CLAIM_LAPSES_S)
+
+
+@then('that host alone tries "{prompt}" within {seconds:d} seconds')
+def step_tries_within(context: Context, prompt: str, seconds: int) -> None:
+    fleet = context.guarded
+    assert any(
+        not fleet.refusing_after(1, *_split(prompt), hosts=[context.asking])
+        for _ in range(seconds)
+    )
+
+
 @then('"{host_id}" tries "{prompt}"')
 def step_tries(context: Context, host_id: str, prompt: str) -> None:
     assert not context.guarded.refusing(*_split(prompt), hosts=[host_id])
--- a/guavadyke/controllers/prompt_trial_claimer.py
+++ b/guavadyke/controllers/prompt_trial_claimer.py
@@ -72,17 +72,35 @@
         except ObjectConflictError:
             self._logger.info('prompt_trial_claimed_before', part=wanted.part)
             self._trials.not_claimed(wanted.part)
+            self._read_back(wanted)
         except GuavadykeError as error:
-            self._logger.warning(
-                'prompt_trial_not_claimed',
-                part=wanted.part,
-                reason=error.message,
-            )
+            self._log_failure(wanted, error)
             self._trials.not_claimed(wanted.part)
         else:
             self._logger.info('prompt_trial_claimed', part=wanted.part)
             self._trials.claimed(wanted.part, stored, began_at)
 
+    def _read_back(self, wanted: WantedTrial) -> None:
+        """Learn the claim that stands, of which no watch may tell again."""
+        name = documents.claim_name(wanted.part)
+        try:
+            stored = self._store.read(documents.REPORT_KIND, name)
+            claim = stored and documents.decode_report(name, stored.body)
+        except GuavadykeError as error:
+            self._log_failure(wanted, error)
+            return
+        if stored is None:
+            self._trials.forget(name)
+        elif isinstance(claim, TrialClaim):
+            self._trials.learn(claim, stored)
+
+    def _log_failure(self, wanted: WantedTrial, error: GuavadykeError) -> None:
+        self._logger.warning(
+            'prompt_trial_not_claimed',
+            part=wanted.part,
+            reason=error.message,
+        )
+
     def _write(self, wanted: WantedTrial) -> StoredObject:
         body = documents.encode_claim(
             TrialClaim(wanted.part, self._host_id, self._clock.wall())
--- a/guavadyke/controllers/prompt_trials.py
+++ b/guavadyke/controllers/prompt_trials.py
@@ -158,10 +158,9 @@
             began_at: when its write began, in seconds of the monotonic clock.
         """
         with self._changed:
-            self._known[part] = _KnownClaim(
-                stored, self._clock.monotonic() + _TRIAL_S
-            )
             self._unspent_until[part] = began_at + _TRIAL_S
+            if self._is_newer(part, stored):
+                self._know(part, stored)
             self._wanted_until.pop(part, None)
             self._changed.notify_all()
 
@@ -179,16 +178,9 @@
     def learn(self, claim: TrialClaim, stored: StoredObject) -> None:
         """Record a claim of any host, as the platform holds it."""
         with self._changed:
-            known = self._known.get(claim.part)
-            if (
-                known
-                and known.stored
-                and known.stored.version >= stored.version
-            ):
+            if not self._is_newer(claim.part, stored):
                 return
-            self._known[claim.part] = _KnownClaim(
-                stored, self._clock.monotonic() + _TRIAL_S
-            )
+            self._know(claim.part, stored)
             if claim.host_id != self._host_id:
                 self._wanted_until.pop(claim.part, None)
                 self._changed.notify_all()
@@ -202,6 +194,16 @@
                 if known.stored is None or known.stored.name != name
             }
 
+    def _is_newer(self, part: str, stored: StoredObject) -> bool:
+        known = self._known.get(part)
+        before = known.stored if known else None
+        return before is None or before.version < stored.version
+
+    def _know(self, part: str, stored: StoredObject) -> None:
+        self._known[part] = _KnownClaim(
+            stored, self._clock.monotonic() + _TRIAL_S
+        )
+
     def _holds(self, part: str, now: float) -> bool:
         return self._unspent_until.get(part, 0) > now
 
