Rank the hosts once for all items that wait for the same trial

A host now ranks the hosts for a part once a membership, asks not at all for a part that it wants already, and works the time of a part's trial out when the part is blamed instead of at each question.

--- a/features/forward_prompts.feature
+++ b/features/forward_prompts.feature
@@ -185,6 +185,13 @@
       | it removes old reports after it claimed another   |
       | the answer comes after the claim of another host  |
 
+  Scenario: items that wait for a claim while the platform is away keep no processor busy
+    Given 390 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    And the platform stops taking writes
+    And 8 seconds pass
+    Then a look at 2000 items with "shared,bad" takes a host under 200 ms of processor time
+
   Scenario: a request with two quarantined parts waits until both may be tried
     Given 20 hosts where requests with the part "shared" have completed
     When 3 servers end under a prompt of "shared,bad,request/1"
--- a/features/steps/forward_prompts_steps.py
+++ b/features/steps/forward_prompts_steps.py
@@ -18,6 +18,7 @@
 from guavadyke.controllers.prompt_guard import GuardedRun, PromptGuard
 from guavadyke.controllers.prompt_trials import TrialClaim
 from guavadyke.decisions.forward_routes import RouteKind
+from guavadyke.decisions.prompt_quarantine import whole_item
 from guavadyke.decisions.prompt_reports import PromptReport
 from guavadyke.decisions.rendezvous_hashing import rank_names, rendezvous
 from guavadyke.errors import GuavadykeError
@@ -37,6 +38,7 @@
 # Longer than a host may wait until it uses its claim to try a part.
 _CLAIM_LAPSES_S = 6.0
 _HOUR_PARTS_S = (3000, 700)
+_MS_PER_S = 1000
 _SCRIPTS = types.MappingProxyType({
     'a closed connection': build.Scripted(
         fault=BackendFault.broken, disconnected=True, sent=1
@@ -336,6 +338,22 @@
     )
 
 
+@then(
+    'a look at {count:d} items with "{prompt}" takes a host under {limit_ms:d} '
+    'ms of processor time'
+)
+def step_look_at_items(
+    context: Context, count: int, prompt: str, limit_ms: int
+) -> None:
+    guard = context.guarded.guards[0]
+    prompts = [(*_split(prompt), whole_item(str(no))) for no in range(count)]
+    began_s = time.thread_time()
+    allowed = [guard.trials.allows(guard.check(parts)) for parts in prompts]
+    took_ms = _MS_PER_S * (time.thread_time() - began_s)
+    assert not any(allowed)
+    assert took_ms < limit_ms, took_ms
+
+
 @then('"{host_id}" tries "{prompt}"')
 def step_tries(context: Context, host_id: str, prompt: str) -> None:
     assert not context.guarded.refusing(*_split(prompt), hosts=[host_id])
--- a/guavadyke/controllers/prompt_trials.py
+++ b/guavadyke/controllers/prompt_trials.py
@@ -79,6 +79,8 @@
         self._wanted_until: dict[str, float] = {}
         self._known: dict[str, _KnownClaim] = {}
         self._unspent_until: dict[str, float] = {}
+        self._ranked_fleet = fleet.current
+        self._delay_s: dict[str, float] = {}
 
     def allows(self, found: Quarantine | None) -> bool:
         """Return whether a request may start; ask for a trial if it is due.
@@ -212,12 +214,22 @@
         known = self._known.get(found.part)
         if self._holds(found.part, now) or (known and known.until > now):
             return
-        if found.overdue_s >= self._claim_delay_s(found.part):
+        wanted = self._wanted_until.get(found.part, 0) > now
+        if wanted or found.overdue_s >= self._claim_delay_s(found.part):
             self._wanted_until[found.part] = now + _DEMAND_S
             self._wanted.set()
 
     def _claim_delay_s(self, part: str) -> float:
-        peers = tuple(peer.host_id for peer in self._fleet.current.alive)
+        fleet = self._fleet.current
+        if fleet is not self._ranked_fleet:
+            self._ranked_fleet = fleet
+            self._delay_s = {}
+        if part not in self._delay_s:
+            self._delay_s[part] = self._find_delay_s(part, fleet)
+        return self._delay_s[part]
+
+    def _find_delay_s(self, part: str, fleet: FleetSnapshot) -> float:
+        peers = tuple(peer.host_id for peer in fleet.alive)
         spacing_s = min(
             _CLAIM_SPACING_S, _LONGEST_CLAIM_DELAY_S / (1 + len(peers))
         )
--- a/guavadyke/decisions/prompt_quarantine.py
+++ b/guavadyke/decisions/prompt_quarantine.py
@@ -122,6 +122,7 @@
         )
         self._counts: collections.Counter[str] = collections.Counter()
         self._quarantined: frozenset[str] = frozenset()
+        self._trial_due: dict[str, float] = {}
 
     @property
     def quarantined(self) -> frozenset[str]:
@@ -213,9 +214,9 @@
         If several of them are in quarantine, it is the one that is tried last.
         """
         due_by_part = {
-            part: _trial_due(self._crash_times(part), _first_wait_s(part))
+            part: self._trial_due[part]
             for part in parts
-            if part in self._quarantined
+            if part in self._trial_due
         }
         if not due_by_part:
             return None
@@ -283,6 +284,10 @@
             blamed |= parts
             cases = [case for case in cases if parts.isdisjoint(case.depths)]
         self._quarantined = blamed
+        self._trial_due = {
+            part: _trial_due(self._crash_times(part), _first_wait_s(part))
+            for part in blamed
+        }
 
     def _drop_surplus(self) -> None:
         """Forget the oldest crash that explains no quarantine."""
