Do not pause a server because another item tries a quarantined part

Of several items that might try a quarantined part, the first one used the claim and the next one had already leased a slot: its lease was given back as if the server had refused it. Items then went to that server only 0.4 s later, and all later items of the service were held up for that tick, also those without the part.

--- a/features/forward_prompts.feature
+++ b/features/forward_prompts.feature
@@ -297,6 +297,13 @@
       | bad   |
       | other |
 
+  Scenario: an item whose part another item tries holds up no others
+    Given 1 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    And 8 seconds pass
+    And the host may try "shared,bad" and runs a job of 4 items, 2 of them with it
+    Then 1 of these and the 2 others are sent to the only server
+
   Scenario: an item under which servers end again and again is sent ever more rarely
     Given 3 hosts, one of which owns a job of 1 item that crashes servers
     When 3 servers have ended under it
--- a/features/steps/forward_prompts_steps.py
+++ b/features/steps/forward_prompts_steps.py
@@ -40,6 +40,7 @@
 _HOUR_PARTS_S = (3000, 700)
 _MS_PER_S = 1000
 _LOOK_S = 0.05
+_SENT_S = 5.0
 _SCRIPTS = types.MappingProxyType({
     'a closed connection': build.Scripted(
         fault=BackendFault.broken, disconnected=True, sent=1
@@ -588,6 +589,43 @@
     assert _PARTS[-1] in str(report['held_parts']), report
 
 
+@when(
+    'the host may try "{prompt}" and runs a job of {items:d} items, {tried:d} '
+    'of them with it'
+)
+def step_tried_items(
+    context: Context, prompt: str, items: int, tried: int
+) -> None:
+    fleet = context.guarded
+    parts = _split(prompt)
+    guard = fleet.guards[0]
+    assert not guard.trials.allows(guard.check(parts))
+    fleet.claim()
+    context.bench = runner.RunnerBench(
+        prompts=guard, listed=(build.server('s1'),), clock=fleet.clock
+    )
+    context.add_cleanup(context.bench.close)
+    context.bench.servers.released.clear()
+    context.add_cleanup(context.bench.servers.released.set)
+    context.bench.accept(
+        items, parts_by_number=dict.fromkeys(range(tried), parts)
+    )
+
+
+@then(
+    '{tried:d} of these and the {others:d} others are sent to the only server'
+)
+def step_tried_sent(context: Context, tried: int, others: int) -> None:
+    def sent() -> set[str]:
+        return {call.request_id for call in context.bench.servers.calls}
+
+    wait_until(lambda: len(sent()) == tried + others, _SENT_S)
+    time.sleep(_HELD_S)
+    untried = {f'item-{number}' for number in range(2, 2 + others)}
+    assert untried <= sent(), sent()
+    assert len(sent()) == tried + others, sent()
+
+
 @given(
     '{size:d} hosts, one of which owns a job of {items:d} item that crashes '
     'servers'
--- a/guavadyke/controllers/item_starts.py
+++ b/guavadyke/controllers/item_starts.py
@@ -40,6 +40,8 @@
 ) -> dict[str, StartRefusal]:
     """Start the items that are ready, until each service refuses one.
 
+    An item that is refused for its prompt holds up no others.
+
     Args:
         works: the jobs.
         table: the routes.
@@ -53,8 +55,9 @@
     by_job: dict[str, StartRefusal] = {}
     for work, item, service in _ready_items(works, table, now):
         refusal = by_service.get(service) or start(work, item, service)
-        if refusal is not None:
+        if refusal not in {None, StartRefusal.quarantined}:
             by_service[service] = refusal
+        if refusal is not None:
             by_job[work.job.job_id] = refusal
     return by_job
 
