--- a/features/forward_prompts.feature
+++ b/features/forward_prompts.feature
@@ -162,6 +162,42 @@
     When 2 seconds pass
     Then all hosts but one refuse a prompt of "shared,bad"
 
+  Scenario: a host whose claim came second leaves the first one time to begin
+    Given 3 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    And 8 seconds pass
+    And "host-1" learns of a claim of "host-0" for "shared,bad" while it writes its own
+    And 4 seconds pass
+    Then "host-1" does not try "shared,bad"
+    When 2 seconds pass
+    Then "host-1" tries "shared,bad"
+
+  Scenario Outline: a host tries a part although <event>
+    Given 4 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    And 8 seconds pass
+    And a host claims a trial of "shared,bad" and <event>
+    Then that host alone tries "shared,bad" within 8 seconds
+
+    Examples:
+      | event                                             |
+      | its claim is removed, of which no watch tells     |
+      | it removes old reports after it claimed another   |
+      | the answer comes after the claim of another host  |
+
+  Scenario: hosts that all have a part claim its next trial one after another too
+    Given 100 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    And all hosts ask for "shared,bad" for 20 seconds
+    Then there are 2 to 4 trials and at most 20 claims are written
+
+  Scenario: items that wait for a claim while the platform is away keep no processor busy
+    Given 390 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    And the platform stops taking writes
+    And 8 seconds pass
+    Then a look at 2000 items with "shared,bad" takes a host under 200 ms of processor time
+
   Scenario: a request with two quarantined parts waits until both may be tried
     Given 20 hosts where requests with the part "shared" have completed
     When 3 servers end under a prompt of "shared,bad,request/1"
@@ -261,6 +297,13 @@
       | bad   |
       | other |
 
+  Scenario: an item whose part another item tries holds up no others
+    Given 1 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    And 8 seconds pass
+    And the host may try "shared,bad" and runs a job of 4 items, 2 of them with it
+    Then 1 of these and the 2 others are sent to the only server
+
   Scenario: an item under which servers end again and again is sent ever more rarely
     Given 3 hosts, one of which owns a job of 1 item that crashes servers
     When 3 servers have ended under it
--- a/features/steps/forward_prompts_steps.py
+++ b/features/steps/forward_prompts_steps.py
@@ -18,11 +18,16 @@
 from guavadyke.controllers.prompt_guard import GuardedRun, PromptGuard
 from guavadyke.controllers.prompt_trials import TrialClaim
 from guavadyke.decisions.forward_routes import RouteKind
+from guavadyke.decisions.prompt_quarantine import whole_item
 from guavadyke.decisions.prompt_reports import PromptReport
-from guavadyke.decisions.rendezvous_hashing import rank_names
+from guavadyke.decisions.rendezvous_hashing import rank_names, rendezvous
 from guavadyke.errors import GuavadykeError
 from guavadyke.filters.forward import Forwarder
-from guavadyke.prompt_report_documents import encode_claim
+from guavadyke.prompt_report_documents import (
+    REPORT_KIND,
+    claim_name,
+    encode_claim,
+)
 
 _PARTS = ('shared', 'bad')
 _RESULTS_S = 10.0
@@ -32,6 +37,10 @@
 _TICKS_S = 0.06
 # Longer than a host may wait until it uses its claim to try a part.
 _CLAIM_LAPSES_S = 6.0
+_HOUR_PARTS_S = (3000, 700)
+_MS_PER_S = 1000
+_LOOK_S = 0.05
+_SENT_S = 5.0
 _SCRIPTS = types.MappingProxyType({
     'a closed connection': build.Scripted(
         fault=BackendFault.broken, disconnected=True, sent=1
@@ -257,6 +266,128 @@
     fleet.start(host_id)
 
 
+@when(
+    '"{second}" learns of a claim of "{first}" for "{prompt}" while it writes '
+    'its own'
+)
+def step_overtaken(
+    context: Context, second: str, first: str, prompt: str
+) -> None:
+    fleet = context.guarded
+    parts = _split(prompt)
+    for host_id in (first, second):
+        guard = fleet.hosts[host_id].guard
+        assert not guard.trials.allows(guard.check(parts))
+    fleet.links[second].before_write = lambda: fleet.claim([first])
+    fleet.claim([second])
+    assert not fleet.refusing(*parts, hosts=[first])
+
+
+@when(
+    'a host claims a trial of "{prompt}" and its claim is removed, of which '
+    'no watch tells'
+)
+def step_claim_lost(context: Context, prompt: str) -> None:
+    fleet = context.guarded
+    parts = _split(prompt)
+    context.asking = 'host-3'
+    assert not fleet.refusing(*parts, hosts=[context.asking])
+    fleet.platform.take(REPORT_KIND, claim_name(parts[-1]))
+    fleet.list_again()
+    fleet.clock.sleep(_CLAIM_LAPSES_S)
+
+
+@when(
+    'a host claims a trial of "{prompt}" and it removes old reports after it '
+    'claimed another'
+)
+def step_claim_old(context: Context, prompt: str) -> None:
+    fleet = context.guarded
+    parts = _split(prompt)
+    context.asking = rendezvous(claim_name(parts[-1]), fleet.hosts)
+    for seconds in _HOUR_PARTS_S:
+        assert not fleet.refusing(*parts, hosts=[context.asking])
+        fleet.clock.sleep(seconds)
+    step_remove_old(context)
+    fleet.read()
+
+
+@when(
+    'a host claims a trial of "{prompt}" and the answer comes after the claim '
+    'of another host'
+)
+def step_claim_late(context: Context, prompt: str) -> None:
+    fleet = context.guarded
+    parts = _split(prompt)
+    context.asking = 'host-3'
+
+    def claim_of_other() -> None:
+        fleet.read()
+        fleet.clock.sleep(_CLAIM_LAPSES_S)
+        assert not fleet.refusing(*parts, hosts=['host-0'])
+
+    fleet.links[context.asking].after_write = claim_of_other
+    assert fleet.refusing(*parts, hosts=[context.asking])
+    fleet.clock.sleep(_CLAIM_LAPSES_S)
+
+
+@then('that host alone tries "{prompt}" within {seconds:d} seconds')
+def step_tries_within(context: Context, prompt: str, seconds: int) -> None:
+    fleet = context.guarded
+    assert any(
+        not fleet.refusing_after(1, *_split(prompt), hosts=[context.asking])
+        for _ in range(seconds)
+    )
+
+
+@then(
+    'a look at {count:d} items with "{prompt}" takes a host under {limit_ms:d} '
+    'ms of processor time'
+)
+def step_look_at_items(
+    context: Context, count: int, prompt: str, limit_ms: int
+) -> None:
+    guard = context.guarded.guards[0]
+    prompts = [(*_split(prompt), whole_item(str(no))) for no in range(count)]
+    began_s = time.thread_time()
+    allowed = [guard.trials.allows(guard.check(parts)) for parts in prompts]
+    took_ms = _MS_PER_S * (time.thread_time() - began_s)
+    assert not any(allowed)
+    assert took_ms < limit_ms, took_ms
+
+
+@when('all hosts ask for "{prompt}" for {seconds:d} seconds')
+def step_ask(context: Context, prompt: str, seconds: int) -> None:
+    fleet = context.guarded
+    before = fleet.writes
+    context.trials = 0
+    for _ in range(round(seconds / _LOOK_S)):
+        fleet.clock.sleep(_LOOK_S)
+        context.trials += len(fleet.hosts) - fleet.refusing(*_split(prompt))
+    context.writes = fleet.writes - before
+
+
+@then(
+    'there are {least:d} to {most:d} trials and at most {writes:d} claims are '
+    'written'
+)
+def step_claim_writes(
+    context: Context, least: int, most: int, writes: int
+) -> None:
+    assert least <= context.trials <= most, context.trials
+    assert context.writes <= writes, context.writes
+
+
+@then('"{host_id}" tries "{prompt}"')
+def step_tries(context: Context, host_id: str, prompt: str) -> None:
+    assert not context.guarded.refusing(*_split(prompt), hosts=[host_id])
+
+
+@then('"{host_id}" does not try "{prompt}"')
+def step_does_not_try(context: Context, host_id: str, prompt: str) -> None:
+    assert context.guarded.refusing(*_split(prompt), hosts=[host_id])
+
+
 @given('the claim of a host to try a part')
 def step_claim_body(context: Context) -> None:
     context.body = encode_claim(TrialClaim('bad', 'host-1', build.NOW))
@@ -458,6 +589,43 @@
     assert _PARTS[-1] in str(report['held_parts']), report
 
 
+@when(
+    'the host may try "{prompt}" and runs a job of {items:d} items, {tried:d} '
+    'of them with it'
+)
+def step_tried_items(
+    context: Context, prompt: str, items: int, tried: int
+) -> None:
+    fleet = context.guarded
+    parts = _split(prompt)
+    guard = fleet.guards[0]
+    assert not guard.trials.allows(guard.check(parts))
+    fleet.claim()
+    context.bench = runner.RunnerBench(
+        prompts=guard, listed=(build.server('s1'),), clock=fleet.clock
+    )
+    context.add_cleanup(context.bench.close)
+    context.bench.servers.released.clear()
+    context.add_cleanup(context.bench.servers.released.set)
+    context.bench.accept(
+        items, parts_by_number=dict.fromkeys(range(tried), parts)
+    )
+
+
+@then(
+    '{tried:d} of these and the {others:d} others are sent to the only server'
+)
+def step_tried_sent(context: Context, tried: int, others: int) -> None:
+    def sent() -> set[str]:
+        return {call.request_id for call in context.bench.servers.calls}
+
+    wait_until(lambda: len(sent()) == tried + others, _SENT_S)
+    time.sleep(_HELD_S)
+    untried = {f'item-{number}' for number in range(2, 2 + others)}
+    assert untried <= sent(), sent()
+    assert len(sent()) == tried + others, sent()
+
+
 @given(
     '{size:d} hosts, one of which owns a job of {items:d} item that crashes '
     'servers'
--- a/guavadyke/controllers/prompt_trials.py
+++ b/guavadyke/controllers/prompt_trials.py
@@ -21,6 +21,8 @@
 # of them learn of the first claim before they write their own.
 _CLAIM_SPACING_S = 0.05
 _LONGEST_CLAIM_DELAY_S = 2.0
+# The same for a trial whose claim has lapsed, for which hosts wait already.
+_LAPSE_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -48,6 +50,38 @@
     until: float
 
 
+class _ClaimDelays:
+    """After which time this host claims trials that the others want too.
+
+    The hosts are ranked once a part and membership. Not safe for threads.
+    """
+
+    def __init__(
+        self, host_id: str, fleet: SnapshotCell[FleetSnapshot]
+    ) -> None:
+        self._host_id = host_id
+        self._fleet = fleet
+        self._ranked_fleet = fleet.current
+        self._delay_s: dict[str, float] = {}
+
+    def find(self, part: str) -> float:
+        """Return the seconds by which this host comes after the first one."""
+        fleet = self._fleet.current
+        if fleet is not self._ranked_fleet:
+            self._ranked_fleet = fleet
+            self._delay_s = {}
+        if part not in self._delay_s:
+            self._delay_s[part] = self._rank(part, fleet)
+        return self._delay_s[part]
+
+    def _rank(self, part: str, fleet: FleetSnapshot) -> float:
+        peers = tuple(peer.host_id for peer in fleet.alive)
+        spacing_s = min(
+            _CLAIM_SPACING_S, _LONGEST_CLAIM_DELAY_S / (1 + len(peers))
+        )
+        return spacing_s * rendezvous_hashing.place(part, self._host_id, peers)
+
+
 class PromptTrials:
     """Trials of quarantined parts, of which a claim allows one. Thread-safe.
 
@@ -71,7 +105,6 @@
         logger: EventLogger,
     ) -> None:
         self._host_id = host_id
-        self._fleet = fleet
         self._clock = clock
         self._logger = logger
         self._changed = threading.Condition()
@@ -79,6 +112,7 @@
         self._wanted_until: dict[str, float] = {}
         self._known: dict[str, _KnownClaim] = {}
         self._unspent_until: dict[str, float] = {}
+        self._delays = _ClaimDelays(host_id, fleet)
 
     def allows(self, found: Quarantine | None) -> bool:
         """Return whether a request may start; ask for a trial if it is due.
@@ -158,20 +192,19 @@
             began_at: when its write began, in seconds of the monotonic clock.
         """
         with self._changed:
-            self._known[part] = _KnownClaim(
-                stored, self._clock.monotonic() + _TRIAL_S
-            )
             self._unspent_until[part] = began_at + _TRIAL_S
+            if self._is_newer(part, stored):
+                self._know(part, stored)
             self._wanted_until.pop(part, None)
             self._changed.notify_all()
 
     def not_claimed(self, part: str) -> None:
         """Record that another host was first, or that the write failed."""
         with self._changed:
-            known = self._known.get(part)
+            known = self._known.get(part, _KnownClaim(None, 0))
+            retry_at = self._clock.monotonic() + _RETRY_DELAY_S
             self._known[part] = _KnownClaim(
-                known.stored if known else None,
-                self._clock.monotonic() + _RETRY_DELAY_S,
+                known.stored, max(known.until, retry_at)
             )
             self._wanted_until.pop(part, None)
             self._changed.notify_all()
@@ -179,16 +212,9 @@
     def learn(self, claim: TrialClaim, stored: StoredObject) -> None:
         """Record a claim of any host, as the platform holds it."""
         with self._changed:
-            known = self._known.get(claim.part)
-            if (
-                known
-                and known.stored
-                and known.stored.version >= stored.version
-            ):
+            if not self._is_newer(claim.part, stored):
                 return
-            self._known[claim.part] = _KnownClaim(
-                stored, self._clock.monotonic() + _TRIAL_S
-            )
+            self._know(claim.part, stored)
             if claim.host_id != self._host_id:
                 self._wanted_until.pop(claim.part, None)
                 self._changed.notify_all()
@@ -202,21 +228,32 @@
                 if known.stored is None or known.stored.name != name
             }
 
+    def _is_newer(self, part: str, stored: StoredObject) -> bool:
+        known = self._known.get(part)
+        before = known.stored if known else None
+        return before is None or before.version < stored.version
+
+    def _know(self, part: str, stored: StoredObject) -> None:
+        self._known[part] = _KnownClaim(
+            stored, self._clock.monotonic() + _TRIAL_S
+        )
+
     def _holds(self, part: str, now: float) -> bool:
         return self._unspent_until.get(part, 0) > now
 
     def _want(self, found: Quarantine, now: float) -> None:
         """Ask for a claim, unless one is held or it is not this host's turn."""
-        known = self._known.get(found.part)
-        if self._holds(found.part, now) or (known and known.until > now):
+        known = self._known.get(found.part, _KnownClaim(None, 0))
+        if self._holds(found.part, now) or known.until > now:
             return
-        if found.overdue_s >= self._claim_delay_s(found.part):
+        wanted = self._wanted_until.get(found.part, 0) > now
+        if wanted or self._is_own_turn(found, known, now):
             self._wanted_until[found.part] = now + _DEMAND_S
             self._wanted.set()
 
-    def _claim_delay_s(self, part: str) -> float:
-        peers = tuple(peer.host_id for peer in self._fleet.current.alive)
-        spacing_s = min(
-            _CLAIM_SPACING_S, _LONGEST_CLAIM_DELAY_S / (1 + len(peers))
-        )
-        return spacing_s * rendezvous_hashing.place(part, self._host_id, peers)
+    def _is_own_turn(
+        self, found: Quarantine, known: _KnownClaim, now: float
+    ) -> bool:
+        delay_s = self._delays.find(found.part)
+        lapsed_s = now - known.until
+        return found.overdue_s >= delay_s and lapsed_s >= _LAPSE_SHARE * delay_s
