Let an item that may not start hold up no other item

Callers saw items of jobs start late or not at all while servers had free slots.

Cause: one refusal of any kind ended the start of all later items of the service in that tick, at each tick again. Two kinds concern one item alone: a run of the item from before its job was dropped and taken again has not ended, and the claim to try a part of its prompt was spent on another item.

Now only a service without a free server, and the host's limit of runs, end the starts of a service. A quarantined item is refused before it leases a slot: one that is given back pauses its server for the items of all others.

The scenario of the two refusals fails on the code before: of 4 items the first was asked for and no other. With the change the 3 others start. forward_item_starts, forward_runner and forward_prompts pass: 4, 16 and 44 scenarios.

--- /dev/null
+++ b/features/steps/forward_item_starts_steps.py
@@ -0,0 +1,83 @@
+"""Steps of forward_item_starts.feature."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features import builders_forward as build
+from guavadyke.controllers.item_starts import StartRefusal, start_items
+from guavadyke.decisions.forward_job_items import JobItemTracker
+from guavadyke.decisions.forward_job_records import ForwardItem
+
+_JOB_IDS = ('job-1', 'job-2')
+_FIRST = (_JOB_IDS[0], 'item-0')
+
+
+@given('2 jobs of {items:d} items each at one service')
+def step_jobs(context: Context, items: int) -> None:
+    context.works = [
+        JobItemTracker(
+            build.job(job_id, items=items, accepted_at=build.NOW + number)
+        )
+        for number, job_id in enumerate(_JOB_IDS)
+    ]
+    for work in context.works:
+        work.drop_stored(())
+    context.asked = []
+
+
+@when('items start and item 0 of the first job is refused as {refusal}')
+def step_first_refused(context: Context, refusal: str) -> None:
+    _start(context, StartRefusal(refusal), refused=(_FIRST,))
+
+
+@when('items start and every item is refused as {refusal}')
+def step_all_refused(context: Context, refusal: str) -> None:
+    everything = [
+        (work.job.job_id, item.item_id)
+        for work in context.works
+        for item in work.job.items
+    ]
+    _start(context, StartRefusal(refusal), refused=tuple(everything))
+
+
+@then('the {count:d} other items start')
+def step_others_start(context: Context, count: int) -> None:
+    started = [asked for asked in context.asked if asked != _FIRST]
+    assert len(started) == count, context.asked
+
+
+@then('{count:d} item has been asked for')
+def step_asked(context: Context, count: int) -> None:
+    assert len(context.asked) == count, context.asked
+
+
+@then('the first job alone reports {refusal}')
+def step_first_reports(context: Context, refusal: str) -> None:
+    assert context.refusals == {_JOB_IDS[0]: StartRefusal(refusal)}
+
+
+@then('both jobs report {refusal}')
+def step_both_report(context: Context, refusal: str) -> None:
+    assert context.refusals == dict.fromkeys(_JOB_IDS, StartRefusal(refusal))
+
+
+def _start(
+    context: Context,
+    refusal: StartRefusal,
+    refused: tuple[tuple[str, str], ...],
+) -> None:
+    def start(
+        work: JobItemTracker, item: ForwardItem, _service: str
+    ) -> StartRefusal | None:
+        asked = (work.job.job_id, item.item_id)
+        context.asked.append(asked)
+        if asked in refused:
+            return refusal
+        work.started(item.item_id)
+        return None
+
+    context.refusals = start_items(
+        context.works, build.table(build.route()), build.NOW, start
+    )
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -358,12 +358,15 @@
             return StartRefusal.run_limit
         if item.item_id in self._runs:
             return StartRefusal.earlier_run
+        prompts = self._parts.prompts
+        found = prompts.check(work.job.suspect_parts(item))
+        # A slot that is given back pauses its server for all other items.
+        if not prompts.trials.allows(found):
+            return StartRefusal.quarantined
         partial = self._partials.get(item.item_id, PartialText())
         lease = _lease_slot(self._parts, service, partial)
         if lease is None:
             return StartRefusal.no_server
-        prompts = self._parts.prompts
-        found = prompts.check(work.job.suspect_parts(item))
         if not prompts.trials.begins(found):
             self._parts.pool.release(lease, BackendFault.refused)
             return StartRefusal.quarantined
--- a/guavadyke/controllers/item_starts.py
+++ b/guavadyke/controllers/item_starts.py
@@ -26,6 +26,9 @@
     quarantined = 'quarantined'
 
 
+# Refusals that say nothing of the other items of the service.
+_OF_ONE_ITEM = frozenset((StartRefusal.earlier_run, StartRefusal.quarantined))
+
 # Starts an item at a server of a service.
 StartItem: TypeAlias = Callable[
     [JobItemTracker, ForwardItem, str], StartRefusal | None
@@ -38,7 +41,7 @@
     now: float,
     start: StartItem,
 ) -> dict[str, StartRefusal]:
-    """Start the items that are ready, until each service refuses one.
+    """Start the items that are ready, until each service takes no more.
 
     Args:
         works: the jobs.
@@ -54,8 +57,9 @@
     for work, item, service in _ready_items(works, table, now):
         refusal = by_service.get(service) or start(work, item, service)
         if refusal is not None:
-            by_service[service] = refusal
             by_job[work.job.job_id] = refusal
+            if refusal not in _OF_ONE_ITEM:
+                by_service[service] = refusal
     return by_job
 
 
