Keep the runs of items apart by their jobs

Callers saw an item wait while an item of another job with the same id ran, and its run end when the other job was cancelled; after a break it could go on from the other item's text.

Cause: a host kept runs, partial texts and reserved slots by the item's id alone. Now it keeps them by the ids of job and item.

--- a/features/builders_forward_runner.py
+++ b/features/builders_forward_runner.py
@@ -137,6 +137,7 @@
         items: int,
         owner: str = ME,
         parts_by_number: Mapping[int, tuple[str, ...]] | None = None,
+        job_id: str = 'job-1',
     ) -> AcceptedJob:
         """Store a job and add it to this host's registry.
 
@@ -144,9 +145,12 @@
             items: number of its items.
             owner: the host that runs it.
             parts_by_number: shared prompt parts of some items.
+            job_id: its id; items of all jobs have the same ids.
         """
         parts = parts_by_number or {}
-        job = build.job(items=items, owner=owner, accepted_at=time.time())
+        job = build.job(
+            job_id, items=items, owner=owner, accepted_at=time.time()
+        )
         job = dataclasses.replace(
             job,
             items=tuple(
@@ -178,10 +182,10 @@
             self.host.store.merge_progress('job-1', progress),
         )
 
-    def listed(self) -> tuple[ForwardItemResult, ...]:
-        """Return the results as another host reads them."""
+    def listed(self, job_id: str = 'job-1') -> tuple[ForwardItemResult, ...]:
+        """Return the results of a job as another host reads them."""
         fresh = build.job_host(self.platform, 'reader')
-        return tuple(listings(fresh.store.pages('job-1')))
+        return tuple(listings(fresh.store.pages(job_id)))
 
     def in_flight(self) -> PeerNotice:
         """Return this host's in-flight counts."""
--- a/features/forward_item_starts.feature
+++ b/features/forward_item_starts.feature
@@ -21,3 +21,28 @@
       | refusal   |
       | run_limit |
       | no_server |
+
+  Scenario: items of two jobs with the same ids run at the same time
+    Given a host that works on jobs, with two servers
+    And the servers do not answer yet
+    When job-1 and job-2 are accepted with 3 items each
+    Then 6 runs begin
+    When the servers answer
+    Then job-1 and job-2 have 3 whole results each
+
+  Scenario: an item does not go on where another job's item of the same id stopped
+    Given a host that runs 1 items at a time, with two servers
+    And the servers do not answer yet
+    And runs end as broken after 2, whole, whole
+    When job-1 and job-2 are accepted with 1 items each
+    And the servers answer
+    Then job-1 and job-2 have 1 whole results each
+    And the runs resumed after events 0, 0 and 2
+
+  Scenario: the runs of a job go on when another with the same item ids is cancelled
+    Given a host that works on jobs, with two servers
+    And the servers do not answer yet
+    When job-1 and job-2 are accepted with 3 items each
+    Then 6 runs begin
+    When job-1 is cancelled
+    Then the runs of job-2 are not cancelled
--- a/features/steps/forward_item_starts_steps.py
+++ b/features/steps/forward_item_starts_steps.py
@@ -6,10 +6,12 @@
 from behave.runner import Context
 
 from features import builders_forward as build
+from features.builders_processes import wait_until
 from guavadyke.controllers.item_starts import StartRefusal, start_items
 from guavadyke.decisions.forward_job_items import JobItemTracker
-from guavadyke.decisions.forward_job_records import ForwardItem
+from guavadyke.decisions.forward_job_records import ForwardItem, JobProgress
 
+_WAIT_S = 5.0
 _JOB_IDS = ('job-1', 'job-2')
 _FIRST = (_JOB_IDS[0], 'item-0')
 
@@ -63,6 +65,45 @@
     assert context.refusals == dict.fromkeys(_JOB_IDS, StartRefusal(refusal))
 
 
+@when('job-1 and job-2 are accepted with {items:d} items each')
+def step_accept_both(context: Context, items: int) -> None:
+    for job_id in _JOB_IDS:
+        context.bench.accept(items, job_id=job_id)
+
+
+@when('job-1 is cancelled')
+def step_cancel(context: Context) -> None:
+    context.bench.write_progress(JobProgress(cancelled=True))
+    assert wait_until(lambda: _cancelled_runs(context) >= 3, _WAIT_S)
+
+
+@then('{count:d} runs begin')
+def step_runs_begin(context: Context, count: int) -> None:
+    calls = context.bench.servers.calls
+    assert wait_until(lambda: len(calls) == count, _WAIT_S), len(calls)
+
+
+@then('job-1 and job-2 have {count:d} whole results each')
+def step_whole(context: Context, count: int) -> None:
+    def listed() -> list[int]:
+        return [
+            sum(one.completed for one in context.bench.listed(job_id))
+            for job_id in _JOB_IDS
+        ]
+
+    assert wait_until(lambda: listed() == [count, count], _WAIT_S), listed()
+
+
+@then('the runs of job-2 are not cancelled')
+def step_go_on(context: Context) -> None:
+    assert _cancelled_runs(context) == 3, _cancelled_runs(context)
+
+
+def _cancelled_runs(context: Context) -> int:
+    calls = context.bench.servers.calls
+    return sum(call.cancellation.cancelled for call in calls)
+
+
 def _start(
     context: Context,
     refusal: StartRefusal,
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -17,6 +17,7 @@
 from guavadyke.controllers.forward_job_store import JobStore
 from guavadyke.controllers.forward_job_writer import JobWriter
 from guavadyke.controllers.item_run import (
+    ItemKey,
     ItemRun,
     ItemRunTools,
     PartialText,
@@ -127,8 +128,8 @@
         self._parts = parts
         self._me = parts.settings.host_id
         self._works: dict[str, JobItemTracker] = {}
-        self._runs: dict[str, ItemRun] = {}
-        self._partials: dict[str, PartialText] = {}
+        self._runs: dict[ItemKey, ItemRun] = {}
+        self._partials: dict[ItemKey, PartialText] = {}
         self._tell = tell_function(self.actor_ref)
         self._writer = JobWriter(
             parts.store,
@@ -187,7 +188,7 @@
     def ended(self, run: ItemRun, outcome: RunOutcome) -> None:
         """Handle the end of a run."""
         item_id = run.item.item_id
-        self._runs.pop(item_id, None)
+        self._runs.pop(run.key, None)
         self._parts.logger.info(
             'item_run_ended',
             job_id=run.job_id,
@@ -201,7 +202,7 @@
         work = self._works.get(run.job_id)
         reserved = self._silent_items.take(run)
         if work is not None:
-            self._partials[item_id] = outcome.partial
+            self._partials[run.key] = outcome.partial
             self._apply_outcome(work, item_id, outcome)
             goes_on = not self._stopping and _may_go_on(
                 work, run, outcome, self._parts.prompts
@@ -272,8 +273,9 @@
         """Stop working on a job that has ended or has another owner."""
         work = self._works.pop(job_id)
         for item in work.job.items:
-            self._partials.pop(item.item_id, None)
-            run = self._runs.get(item.item_id)
+            key = (job_id, item.item_id)
+            self._partials.pop(key, None)
+            run = self._runs.get(key)
             if run is not None:
                 run.cancellation.cancel()
         self._parts.logger.info(
@@ -356,14 +358,15 @@
         max_runs = self._parts.settings.forward.item_workers
         if len(self._runs) >= max_runs:
             return StartRefusal.run_limit
-        if item.item_id in self._runs:
+        key = (work.job.job_id, item.item_id)
+        if key in self._runs:
             return StartRefusal.earlier_run
         prompts = self._parts.prompts
         found = prompts.check(work.job.suspect_parts(item))
         # A slot that is given back pauses its server for all other items.
         if not prompts.trials.allows(found):
             return StartRefusal.quarantined
-        partial = self._partials.get(item.item_id, PartialText())
+        partial = self._partials.get(key, PartialText())
         lease = _lease_slot(self._parts, service, partial)
         if lease is None:
             return StartRefusal.no_server
@@ -376,9 +379,10 @@
     def _start_run(
         self, work: JobItemTracker, item: ForwardItem, lease: ServerLease
     ) -> None:
-        partial = self._partials.get(item.item_id, PartialText())
+        key = (work.job.job_id, item.item_id)
+        partial = self._partials.get(key, PartialText())
         run = ItemRun(work.job, item, lease, partial, self._run_tools)
-        self._runs[item.item_id] = run
+        self._runs[run.key] = run
         work.started(item.item_id)
         self._workers.submit(self._run_item, run)
 
@@ -553,7 +557,7 @@
 def _waiting_for_slot(
     parts: RunnerParts,
     works: Mapping[str, JobItemTracker],
-    runs: Collection[str],
+    runs: Collection[ItemKey],
 ) -> int:
     """Return how many items wait for a slot that this host can use.
 
--- a/guavadyke/controllers/item_run.py
+++ b/guavadyke/controllers/item_run.py
@@ -7,6 +7,7 @@
 import functools
 import itertools
 import types
+from typing import TypeAlias
 
 from guavadyke.adapters.cancellation import CallCancellation
 from guavadyke.adapters.ports import (
@@ -34,6 +35,9 @@
 _STATUS_REJECTED = 422
 _STATUS_FAILED = 500
 
+# Ids of a job and an item; items of two jobs may have the same id.
+ItemKey: TypeAlias = tuple[str, str]
+
 
 class RunEnd(enum.Enum):
     """How a run ended.
@@ -145,6 +149,11 @@
             self._stalled = True
             self.cancellation.cancel()
 
+    @property
+    def key(self) -> ItemKey:
+        """Ids of its job and its item."""
+        return (self.job_id, self.item.item_id)
+
     @property
     def resumes_at(self) -> str | None:
         """The software version at which it can go on, None for any."""
--- a/guavadyke/controllers/silent_items.py
+++ b/guavadyke/controllers/silent_items.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Collection, Iterable
 
 from guavadyke.adapters.ports import BackendFault
-from guavadyke.controllers.item_run import ItemRun
+from guavadyke.controllers.item_run import ItemKey, ItemRun
 from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.decisions.common_pause import CommonPause
 from guavadyke.decisions.server_registry import ServerLease
@@ -27,7 +27,7 @@
     def __init__(self, pool: ServerPool, silence_s: float) -> None:
         self._pool = pool
         self._silence_s = silence_s
-        self._reserved: dict[str, ServerLease] = {}
+        self._reserved: dict[ItemKey, ServerLease] = {}
         self._pause = CommonPause(silence_s / 2)
 
     def due(self, runs: Collection[ItemRun], now: float) -> list[ItemRun]:
@@ -45,12 +45,12 @@
         for run in due:
             lease = lease_for(run)
             if lease is not None:
-                self._reserved[run.item.item_id] = lease
+                self._reserved[run.key] = lease
                 run.leave_silent()
 
     def take(self, run: ItemRun) -> ServerLease | None:
         """Return the slot reserved for the item of a run that has ended."""
-        return self._reserved.pop(run.item.item_id, None)
+        return self._reserved.pop(run.key, None)
 
     def give_back(self, lease: ServerLease) -> None:
         """Release a slot that is not needed."""
