Take free slots that the host with the earliest due job leaves unused

Items of jobs waited although servers had free slots, and their owner logged no_server: shown by two balancers, one of which tells of 40 waiting items and starts none. In 5 s the other, with 5 items, started 0; so did the last of 16 hosts in 10 s, and of two hosts that each take the other for the first neither started one.

Cause: free slots are left to the host whose job is due first, by the number of its waiting items. That host may have nothing to use them for: its items are of another service (waiting items are told for all services together), wait for a retry or for the platform, or have no server at that host. Where hosts know different jobs, each may take the other for the first.

Now a slot that has been free at every look for half a second is taken out of turn, by one waiting host after the other at a distance of 0.25 s. A slot that the first host takes within 0.3 s stays its own. Nothing that hosts tell each other changes.

--- a/guavadyke/decisions/load_balancing.py
+++ b/guavadyke/decisions/load_balancing.py
@@ -22,6 +22,7 @@
 from guavadyke.decisions.rendezvous_hashing import rank_names
 from guavadyke.decisions.server_registry import ListedServer
 from guavadyke.decisions.slot import HostLocation
+from guavadyke.decisions.unused_slots import UnusedSlots
 
 # A server of another availability zone is chosen only if its load, as a share
 # of its slots, is lower by this than that of a server in this host's zone.
@@ -66,6 +67,7 @@
         self._here = here
         self._rng = rng
         self._paused_until: dict[str, float] = {}
+        self._unused_slots = UnusedSlots(here.host_id, rng)
         self.own_online: collections.Counter[str] = collections.Counter()
         self.own_batch: collections.Counter[str] = collections.Counter()
         self.own_waiting = 0
@@ -176,7 +178,8 @@
         """Return a server for a batch item, None if there is no free slot.
 
         Of the servers where this host may start the most items one is drawn
-        at random.
+        at random. Free slots that the hosts before this one leave unused are
+        taken out of turn after a while.
         """
         usable = {
             server.server_id: server
@@ -185,12 +188,14 @@
             and self._paused_until.get(server.server_id, 0) <= now
         }
         free = self._free_slots(usable.values(), now)
+        self._unused_slots.update(usable, free, now)
         # Skip the costly part in the usual case that no slot is free.
         demands = self._backlogs(free, now) if free else {}
         allocation = allocate_batch_slots(free, demands, self._here.host_id)
         best = max(allocation.values(), default=0)
         if best <= 0:
-            return None
+            waiting = self.batch_elsewhere.by_host(ANY_SERVER, now)
+            return usable.get(self._unused_slots.take(free, waiting, now))
         return usable[
             self._rng.choice([
                 name for name, starts in allocation.items() if starts == best
