Leave a job to the host that has claimed it first

Two hosts could each take a lost host's job over and run its items twice: a claim replaced the owner on the platform, whoever that was by then.

Cause: the claim was merged like any other progress, so that the last one won, and its host did not learn that another one was at work.

Now a claim names the owner that the job is taken from, and changes nothing if the platform holds another owner, which the host then knows at once and logs as job_claimed_before.

The scenario of two claims fails on the code before: host-1 and host-2 both take themselves for the owner. forward_job_owners, forward_jobs and forward_runner pass: 2, 12 and 16 scenarios.

--- a/features/builders_forward_runner.py
+++ b/features/builders_forward_runner.py
@@ -73,10 +73,10 @@
         return answer
 
 
-def host_settings(item_workers: int) -> ForwardHostSettings:
-    """Return the settings of this host."""
+def host_settings(item_workers: int, host_id: str = ME) -> ForwardHostSettings:
+    """Return the settings of a host."""
     return ForwardHostSettings.model_validate({
-        'host_id': ME,
+        'host_id': host_id,
         'zone': build.ZONE,
         'peer': {
             'listen': {'ip': '127.0.0.1', 'port': 0},
--- /dev/null
+++ b/features/steps/forward_job_owners_steps.py
@@ -0,0 +1,60 @@
+"""Steps of forward_job_owners.feature."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features import builders_job_owners as owners
+
+_OWNER = 'host-0'
+
+
+@given('{count:d} hosts, of which host-0 owns a job')
+def step_hosts(context: Context, count: int) -> None:
+    names = [f'host-{number}' for number in range(count)]
+    context.fleet = owners.OwnerFleet(names)
+    context.states = dict.fromkeys(names, 'alive')
+    context.fleet.see(context.states)
+    context.fleet.accept(_OWNER)
+    context.first = owners.first_taker(names[1:])
+    context.fleet.run(1)
+
+
+@when('host-0 is lost for {seconds:d} seconds')
+def step_lost(context: Context, seconds: int) -> None:
+    context.fleet.see({**context.states, _OWNER: 'dead'})
+    context.fleet.run(seconds, lost=(_OWNER,))
+
+
+@when(
+    'host-0 is lost, and host-1 claims its job before host-2, which has not '
+    'learned of it'
+)
+def step_both_claim(context: Context) -> None:
+    for name in ('host-1', 'host-2'):
+        context.fleet.hosts[name].claim(owners.JOB, _OWNER)
+
+
+@then('host-1 owns the job and host-2 knows it')
+def step_first_keeps(context: Context) -> None:
+    assert context.fleet.owners() == [_OWNER, 'host-1']
+    known = context.fleet.hosts['host-2'].owner_of(owners.JOB)
+    assert known == 'host-1', known
+    context.fleet.catch_up()
+    assert context.fleet.owners() == ['host-1']
+
+
+@then('the host that comes first owns the job')
+def step_first_owns(context: Context) -> None:
+    assert context.fleet.owners() == [context.first]
+
+
+@then('the job has been taken over once')
+def step_once(context: Context) -> None:
+    taken = [
+        event
+        for host in context.fleet.hosts.values()
+        for event in host.logger.named('job_taken_over')
+    ]
+    assert len(taken) == 1, taken
--- a/guavadyke/controllers/forward_job_store.py
+++ b/guavadyke/controllers/forward_job_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Callable
 
 from guavadyke import forward_job_documents as objects
 from guavadyke.adapters.ports import StoredObject
@@ -74,15 +75,28 @@
         Raises:
             GuavadykeError: the write failed, or its outcome is unknown.
         """
-        attempts = (
-            self._try_merge(job_id, change) for _attempt in range(_MAX_ATTEMPTS)
+        return self._merge(job_id, lambda _known: change)
+
+    def claim(self, job_id: str, me: str, owner_before: str) -> JobProgress:
+        """Make a host the owner of a job, unless the owner has changed.
+
+        Args:
+            job_id: the job.
+            me: the host that claims it.
+            owner_before: the owner that it takes the job over from.
+
+        Returns:
+            The progress, whose owner may be another host.
+
+        Raises:
+            GuavadykeError: the write failed, or its outcome is unknown.
+        """
+        return self._merge(
+            job_id,
+            lambda known: JobProgress(
+                owner=me if known.owner in {'', owner_before} else ''
+            ),
         )
-        joined = next(filter(None, attempts), None)
-        if joined is None:
-            raise PlatformUnavailableError(
-                f'{job_id}: too many conflicts with other hosts',
-            )
-        return joined
 
     def pages(self, job_id: str) -> tuple[ResultPage, ...]:
         """Read the pages of a job from the platform and return all of them.
@@ -154,15 +168,29 @@
             if left is not None:
                 self._delete(left)
 
+    def _merge(
+        self, job_id: str, change_of: Callable[[JobProgress], JobProgress]
+    ) -> JobProgress:
+        attempts = (
+            self._try_merge(job_id, change_of)
+            for _attempt in range(_MAX_ATTEMPTS)
+        )
+        joined = next(filter(None, attempts), None)
+        if joined is None:
+            raise PlatformUnavailableError(
+                f'{job_id}: too many conflicts with other hosts',
+            )
+        return joined
+
     def _try_merge(
-        self, job_id: str, change: JobProgress
+        self, job_id: str, change_of: Callable[[JobProgress], JobProgress]
     ) -> JobProgress | None:
         """Try one merge; return None if another host wrote in between."""
         stored = self._store.read(objects.PROGRESS_KIND, job_id)
         known = JobProgress()
         if stored is not None:
             known = objects.decode_progress(job_id, stored.body)
-        joined = known.merged(change)
+        joined = known.merged(change_of(known))
         if stored is not None and joined == known:
             return joined
         try:
--- a/guavadyke/controllers/forward_job_writer.py
+++ b/guavadyke/controllers/forward_job_writer.py
@@ -85,7 +85,7 @@
             self._start(job_id, self._finish, work.job.tokens)
 
     def claim(self, job_id: str, me: str, owner_before: str) -> None:
-        """Write that this host takes a job over."""
+        """Write that this host takes a job over, unless another one has."""
         self._start(job_id, self._claim, me, owner_before)
 
     def remove(self, job_id: str) -> None:
@@ -169,10 +169,11 @@
         self._registry.progress_written(job_id, progress)
 
     def _claim(self, job_id: str, me: str, owner_before: str) -> None:
-        progress = self._store.merge_progress(job_id, JobProgress(owner=me))
+        progress = self._store.claim(job_id, me, owner_before)
         self._logger.info(
-            'job_taken_over',
+            'job_taken_over' if progress.owner == me else 'job_claimed_before',
             job_id=job_id,
+            owner=progress.owner,
             owner_before=owner_before,
         )
         self._registry.progress_written(job_id, progress)
