Let further hosts take a job over where the first one does not

A job of a lost host stayed with nobody for as long as the one host that rendezvous hashing elects for it did not act: cut off from the platform, on its way out, without knowledge of the job, or with a view in which the owner lives.

Cause: a duty was given to one elected member which may have no means for it.

Now the batch hosts take a job over in the order of their ranks, a second apart; a claim that comes second changes nothing. The first still takes it over after 1.5 s.

--- a/features/forward_job_owners.feature
+++ b/features/forward_job_owners.feature
@@ -1,5 +1,18 @@
 Feature: Which host runs a job whose owner is lost
 
+  Scenario Outline: a job is taken over although the host that comes first <fault>
+    Given 5 hosts, of which host-0 owns a job
+    And the host that takes it over first <fault>
+    When host-0 is lost for 4 seconds
+    Then one other host than the first owns the job
+
+    Examples:
+      | fault                         |
+      | is cut off from the platform  |
+      | is stopping                   |
+      | does not know of the job      |
+      | takes host-0 for alive        |
+
   Scenario: a job of a lost host is taken over once and by the host that comes first
     Given 5 hosts, of which host-0 owns a job
     When host-0 is lost for 30 seconds
--- a/features/steps/forward_job_owners_steps.py
+++ b/features/steps/forward_job_owners_steps.py
@@ -21,9 +21,31 @@
     context.fleet.run(1)
 
 
+@given('the host that takes it over first is cut off from the platform')
+def step_cut(context: Context) -> None:
+    context.fleet.hosts[context.first].cut_off()
+
+
+@given('the host that takes it over first is stopping')
+def step_stopping(context: Context) -> None:
+    context.fleet.hosts[context.first].stopping = True
+
+
+@given('the host that takes it over first does not know of the job')
+def step_deaf(context: Context) -> None:
+    context.fleet.hosts[context.first].go_deaf()
+
+
+@given('the host that takes it over first takes host-0 for alive')
+def step_sees_alive(context: Context) -> None:
+    context.sees_alive = True
+
+
 @when('host-0 is lost for {seconds:d} seconds')
 def step_lost(context: Context, seconds: int) -> None:
     context.fleet.see({**context.states, _OWNER: 'dead'})
+    if 'sees_alive' in context:
+        context.fleet.hosts[context.first].see(context.states)
     context.fleet.run(seconds, lost=(_OWNER,))
 
 
@@ -45,6 +67,13 @@
     assert context.fleet.owners() == ['host-1']
 
 
+@then('one other host than the first owns the job')
+def step_other_owns(context: Context) -> None:
+    found = context.fleet.owners()
+    assert len(found) == 1, found
+    assert found[0] not in (_OWNER, context.first), found
+
+
 @then('the host that comes first owns the job')
 def step_first_owns(context: Context) -> None:
     assert context.fleet.owners() == [context.first]
--- a/guavadyke/decisions/forward_job_ownership.py
+++ b/guavadyke/decisions/forward_job_ownership.py
@@ -8,12 +8,14 @@
 
 from guavadyke.decisions.forward_job_records import AcceptedJob, JobView
 from guavadyke.decisions.forward_routes import RouteTable
-from guavadyke.decisions.rendezvous_hashing import rank_names, rendezvous
+from guavadyke.decisions.rendezvous_hashing import place, rank_names
 
 # Time for which a job's owner has to be unknown or dead before another host
 # takes the job over. Longer than a restart, after which the owner goes on.
 _TAKE_OVER_AFTER_S = 1.5
-
+# The hosts that may take a job over do so one after the other at this distance,
+# as those before may be unable to. Longer than hosts need to learn of a claim.
+_TAKE_OVER_SPACING_S = 1.0
 
 # Share of the time until a job is due after which its items no longer leave
 # room for the next peak of online requests.
@@ -100,7 +102,7 @@
         owners: Collection[str],
         alive: Collection[str],
         now: float,
-    ) -> frozenset[str]:
+    ) -> dict[str, float]:
         """Update the absences and return the owners that are lost.
 
         Args:
@@ -109,34 +111,45 @@
             now: seconds of the monotonic clock.
 
         Returns:
-            Owners absent for at least ``_TAKE_OVER_AFTER_S``.
+            Owners absent for at least ``_TAKE_OVER_AFTER_S``, each with the
+            seconds since then.
         """
         absent = set(owners) - set(alive)
         self._since = {owner: self._since.get(owner, now) for owner in absent}
-        return frozenset(
-            owner
+        return {
+            owner: now - since - _TAKE_OVER_AFTER_S
             for owner, since in self._since.items()
             if now - since >= _TAKE_OVER_AFTER_S
-        )
+        }
 
 
 def jobs_to_take_over(
     jobs: Iterable[JobView],
-    lost: Collection[str],
+    lost: Mapping[str, float],
     me: str,
     alive: Collection[str],
 ) -> list[JobView]:
-    """Return the open jobs of lost hosts that this host takes over.
+    """Return the open jobs of lost hosts that this host takes over now.
+
+    Rendezvous hashing ranks the batch hosts for each job. The first takes it
+    over at once, each of the others a while after the one before it.
 
-    Rendezvous hashing over the batch hosts assigns each job to one of them.
+    Args:
+        jobs: all known jobs.
+        lost: seconds since when the owners of jobs are lost.
+        me: id of this host.
+        alive: ids of the other live hosts.
     """
     hosts = batch_hosts({me, *alive})
+    if me not in hosts:
+        return []
     return [
         view
         for view in jobs
         if view.open
         and view.owner in lost
-        and rendezvous(view.job.job_id, hosts) == me
+        and place(view.job.job_id, me, hosts) * _TAKE_OVER_SPACING_S
+        <= lost[view.owner]
     ]
 
 
