Take the newer of two known owners of a job

A host that had taken a job over from one that had taken it over itself dropped it again, and cancelled its runs, whenever its mirrors delivered any other object before its claim. A host whose claim was replaced at once went on for as long as no further change came: two hosts ran the job.

Cause: what a host has written is kept beside what its mirrors show until they have caught up, and neither the comparison nor the choice between the two looked at the owner, or at which of them is newer.

Now both carry the version of the platform's object, and the newer one counts. The objects are unchanged.

--- a/features/builders_job_owners.py
+++ b/features/builders_job_owners.py
@@ -7,10 +7,12 @@
 from features import builders_forward as build
 from features.builders_batch_platform import MemoryPlatform
 from features.builders_forward_runner import host_settings
+from guavadyke.adapters.ports import StoredObject
 from guavadyke.controllers.forward_job_maintenance import JobMaintenance
 from guavadyke.controllers.forward_job_writer import JobWriter
 from guavadyke.decisions.forward_job_ownership import batch_hosts
 from guavadyke.decisions.rendezvous_hashing import rank_names
+from guavadyke.forward_job_documents import JOB_KIND, encode_job
 from guavadyke.snapshots import FleetSnapshot, PeerView, SnapshotCell
 
 _TICK_S = 0.5
@@ -99,6 +101,11 @@
         self.deaf = True
         self.host.registry.jobs.replace((), after_outage=False)
 
+    def learn_of_job(self, job_id: str) -> None:
+        """Let the mirror of jobs alone deliver a job."""
+        body = encode_job(build.job(job_id))
+        self.host.registry.jobs.put(StoredObject(JOB_KIND, job_id, 1, body))
+
     def owner_of(self, job_id: str) -> str:
         """Return the owner of an open job as it knows it, empty if none."""
         view = self.host.registry.view(job_id)
--- a/features/forward_job_owners.feature
+++ b/features/forward_job_owners.feature
@@ -23,3 +23,14 @@
     Given 5 hosts, of which host-0 owns a job
     When host-0 is lost, and host-1 claims its job before host-2, which has not learned of it
     Then host-1 owns the job and host-2 knows it
+
+  Scenario: a host keeps a job that it has taken over until its mirrors show that
+    Given 5 hosts, of which host-0 owns a job
+    When host-1 and then host-2 take it over
+    And host-2 learns of another job before its mirrors show its claim
+    Then host-2 takes itself for the owner
+
+  Scenario: a host that has lost a job again gives it up though it learns so before its own claim
+    Given 5 hosts, of which host-0 owns a job
+    When host-1 takes it over, and host-2 from it before host-1 has recorded its claim
+    Then host-1 takes host-2 for the owner
--- a/features/steps/forward_job_owners_steps.py
+++ b/features/steps/forward_job_owners_steps.py
@@ -67,6 +67,42 @@
     assert context.fleet.owners() == ['host-1']
 
 
+@when('host-1 and then host-2 take it over')
+def step_twice(context: Context) -> None:
+    hosts = context.fleet.hosts
+    hosts['host-1'].claim(owners.JOB, _OWNER)
+    context.fleet.catch_up()
+    hosts['host-2'].claim(owners.JOB, 'host-1')
+
+
+@when('host-2 learns of another job before its mirrors show its claim')
+def step_other_job(context: Context) -> None:
+    context.fleet.hosts['host-2'].learn_of_job('job-2')
+
+
+@when(
+    'host-1 takes it over, and host-2 from it before host-1 has recorded its '
+    'claim'
+)
+def step_late_record(context: Context) -> None:
+    first, second = (context.fleet.hosts[f'host-{n}'] for n in (1, 2))
+    claimed = first.host.store.claim(owners.JOB, 'host-1', _OWNER)
+    second.claim(owners.JOB, 'host-1')
+    first.catch_up()
+    first.host.registry.progress_written(owners.JOB, claimed)
+
+
+@then('{host_id} takes itself for the owner')
+def step_takes_itself(context: Context, host_id: str) -> None:
+    assert context.fleet.hosts[host_id].owns(owners.JOB)
+
+
+@then('host-1 takes host-2 for the owner')
+def step_takes_other(context: Context) -> None:
+    known = context.fleet.hosts['host-1'].owner_of(owners.JOB)
+    assert known == 'host-2', known
+
+
 @then('one other host than the first owns the job')
 def step_other_owns(context: Context) -> None:
     found = context.fleet.owners()
--- a/guavadyke/controllers/forward_job_registry.py
+++ b/guavadyke/controllers/forward_job_registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import threading
 from collections.abc import Callable, Iterable, Mapping
 from typing import Generic, TypeVar
@@ -26,14 +27,14 @@
     Objects that cannot be decoded are logged and left out.
 
     Args:
-        decode: decodes an object from its name and body.
+        decode: decodes an object.
         changed: called after each change, from the mirror's thread.
         logger: logs objects that cannot be decoded.
     """
 
     def __init__(
         self,
-        decode: Callable[[str, bytes], Decoded],
+        decode: Callable[[StoredObject], Decoded],
         changed: Callable[[], None],
         logger: EventLogger,
     ) -> None:
@@ -80,7 +81,7 @@
     ) -> Iterable[tuple[str, Decoded]]:
         for stored in objects:
             try:
-                yield stored.name, self._decode(stored.name, stored.body)
+                yield stored.name, self._decode(stored)
             except GuavadykeError as error:
                 self._logger.error(
                     'object_unreadable',
@@ -111,12 +112,12 @@
         self._own_jobs: dict[str, AcceptedJob] = {}
         self._own_progress: dict[str, JobProgress] = {}
         self.jobs: DecodingSink[AcceptedJob] = DecodingSink(
-            decode_job,
+            lambda stored: decode_job(stored.name, stored.body),
             self._drop_mirrored,
             logger,
         )
         self.progress: DecodingSink[JobProgress] = DecodingSink(
-            decode_progress,
+            _versioned_progress,
             self._drop_mirrored,
             logger,
         )
@@ -177,23 +178,30 @@
         self._changed()
 
 
+def _versioned_progress(stored: StoredObject) -> JobProgress:
+    return dataclasses.replace(
+        decode_progress(stored.name, stored.body), version=stored.version
+    )
+
+
 def _merged(
     mirrored: Mapping[str, JobProgress],
     own: Mapping[str, JobProgress],
     job_id: str,
 ) -> JobProgress:
-    """Return mirrored progress merged with this host's own writes."""
+    """Return mirrored progress merged with this host's own writes.
+
+    The owner is that of the newer of both.
+    """
     known = mirrored.get(job_id, JobProgress())
     written = own.get(job_id)
-    return known if written is None else known.merged(written)
+    if written is None:
+        return known
+    if written.version < known.version:
+        return written.merged(known)
+    return known.merged(written)
 
 
 def _covers(mirrored: JobProgress | None, own: JobProgress) -> bool:
-    """Return whether mirrored progress includes an own write."""
-    if mirrored is None:
-        return False
-    return (
-        mirrored.listed_tokens >= own.listed_tokens
-        and mirrored.finished >= own.finished
-        and mirrored.cancelled >= own.cancelled
-    )
+    """Return whether mirrored progress is as new as an own write."""
+    return mirrored is not None and mirrored.version >= own.version
--- a/guavadyke/controllers/forward_job_store.py
+++ b/guavadyke/controllers/forward_job_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import threading
 from collections.abc import Callable
 
@@ -192,12 +193,12 @@
             known = objects.decode_progress(job_id, stored.body)
         joined = known.merged(change_of(known))
         if stored is not None and joined == known:
-            return joined
+            return dataclasses.replace(joined, version=stored.version)
         try:
-            self._write_progress(job_id, stored, joined)
+            written = self._write_progress(job_id, stored, joined)
         except ObjectConflictError:
             return None
-        return joined
+        return dataclasses.replace(joined, version=written.version)
 
     def _append_page(
         self,
@@ -253,12 +254,11 @@
         job_id: str,
         stored: StoredObject | None,
         progress: JobProgress,
-    ) -> None:
+    ) -> StoredObject:
         body = objects.encode_progress(progress)
         if stored is None:
-            self._store.create(objects.PROGRESS_KIND, job_id, body)
-        else:
-            self._store.update(stored, body)
+            return self._store.create(objects.PROGRESS_KIND, job_id, body)
+        return self._store.update(stored, body)
 
 
 def _recency_key(
--- a/guavadyke/decisions/forward_job_records.py
+++ b/guavadyke/decisions/forward_job_records.py
@@ -84,13 +84,15 @@
 
     ``owner`` is the host that has taken the job over, empty while the first
     owner runs it. ``listed_tokens`` counts the tokens of the items whose
-    results are stored.
+    results are stored. ``version`` is that of the platform's object, 0 where
+    it is not known.
     """
 
     owner: str = ''
     cancelled: bool = False
     finished: bool = False
     listed_tokens: int = 0
+    version: int = dataclasses.field(default=0, compare=False)
 
     def merged(self, other: JobProgress) -> JobProgress:
         """Return the merge of this state with a later one.
@@ -103,6 +105,7 @@
             cancelled=self.cancelled or other.cancelled,
             finished=self.finished or other.finished,
             listed_tokens=max(self.listed_tokens, other.listed_tokens),
+            version=max(self.version, other.version),
         )
 
 
