Check that each job has one owner soon after the views of hosts agree

A state machine gives hosts any views of each other, cuts links, stops mirrors, loses and delays writes and ends hosts. 6.5 s after views agree and links work, each open job has exactly one live owner.

--- a/features/builders_job_owners.py
+++ b/features/builders_job_owners.py
@@ -76,6 +76,18 @@
             )
         )
 
+    def see_one(self, host_id: str, state: str) -> None:
+        """Change the view of one other host."""
+        states = {
+            peer.host_id: peer.state for peer in self._fleet.current.peers
+        }
+        self.see({**states, host_id: state})
+
+    def heal(self) -> None:
+        """End all faults of this host's link and mirrors."""
+        self.host.link.faults.clear_faults()
+        self.deaf = False
+
     def catch_up(self) -> None:
         """Let the mirrors of this host catch up with the platform."""
         if not (self.deaf or self.host.link.faults.cut):
@@ -120,8 +132,10 @@
     """Hosts on one platform."""
 
     def __init__(self, host_ids: Iterable[str]) -> None:
-        platform = MemoryPlatform()
-        self.hosts = {name: OwnerHost(name, platform) for name in host_ids}
+        self.platform = MemoryPlatform()
+        self.hosts = {
+            name: OwnerHost(name, self.platform) for name in host_ids
+        }
         self.now = build.NOW
 
     def accept(self, owner: str, job_id: str = JOB) -> None:
@@ -135,6 +149,13 @@
         for host in self.hosts.values():
             host.see(states)
 
+    def heal(self) -> None:
+        """End all faults, and let all writes that were delayed take effect."""
+        for host in self.hosts.values():
+            host.heal()
+        self.platform.apply_late_writes()
+        self.catch_up()
+
     def catch_up(self) -> None:
         """Let the mirrors of all hosts catch up."""
         for host in self.hosts.values():
--- a/features/forward_job_owners.feature
+++ b/features/forward_job_owners.feature
@@ -34,3 +34,7 @@
     Given 5 hosts, of which host-0 owns a job
     When host-1 takes it over, and host-2 from it before host-1 has recorded its claim
     Then host-1 takes host-2 for the owner
+
+  Scenario: each job has one owner soon after views agree, whatever hosts saw before
+    When hosts own jobs in any sequence of views and faults
+    Then each open job has had one owner within 6.5 seconds of healing
--- a/features/steps/forward_job_owners_steps.py
+++ b/features/steps/forward_job_owners_steps.py
@@ -4,10 +4,15 @@
 
 from behave import given, then, when
 from behave.runner import Context
+from hypothesis import settings
+from hypothesis.stateful import run_state_machine_as_test
 
 from features import builders_job_owners as owners
+from features.machines.job_owners import JobOwnersMachine
 
 _OWNER = 'host-0'
+_EXAMPLES = 60
+_STEPS = 30
 
 
 @given('{count:d} hosts, of which host-0 owns a job')
@@ -123,3 +128,21 @@
         for event in host.logger.named('job_taken_over')
     ]
     assert len(taken) == 1, taken
+
+
+@when('hosts own jobs in any sequence of views and faults')
+def step_any_sequence(context: Context) -> None:
+    run_state_machine_as_test(
+        JobOwnersMachine,
+        settings=settings(
+            max_examples=_EXAMPLES,
+            stateful_step_count=_STEPS,
+            deadline=None,
+            derandomize=True,
+        ),
+    )
+
+
+@then('each open job has had one owner within 6.5 seconds of healing')
+def step_one_owner(context: Context) -> None:
+    """The machine checks it after each sequence."""
