Use a server that has started again before its last start's permits

A server that had named a limit and started again under its id got no request and no item for up to 30 s: a new start has no limit, but the time until which its last one took nothing was kept by the id.

Now a host forgets what it holds of a server's permits once the server is listed with another start than the one that named the limit.

The scenario fails on the code before with limits of 0 and of 3 requests a second: the host goes on leaving the server out.

--- a/features/builders_job_owners.py
+++ b/features/builders_job_owners.py
@@ -133,9 +133,7 @@
 
     def __init__(self, host_ids: Iterable[str]) -> None:
         self.platform = MemoryPlatform()
-        self.hosts = {
-            name: OwnerHost(name, self.platform) for name in host_ids
-        }
+        self.hosts = {name: OwnerHost(name, self.platform) for name in host_ids}
         self.now = build.NOW
 
     def accept(self, owner: str, job_id: str = JOB) -> None:
--- a/features/forward_permits.feature
+++ b/features/forward_permits.feature
@@ -62,6 +62,25 @@
     When the first host gets an answer that names 3 requests a second
     Then its next incarnation has no limit
 
+  Scenario Outline: a server that has started again is not left out for its last start's permits
+    Given 20 hosts that know no limit
+    When the first host gets an answer that names <limit> requests a second
+    And it may send no request now, with an item or without
+    And the server is listed with a later start
+    Then the first host leaves out no server
+
+    Examples:
+      | limit |
+      | 0     |
+      | 3     |
+
+  Scenario: a server that goes on is left out until there may be a permit
+    Given 20 hosts that know no limit
+    When the first host gets an answer that names 0 requests a second
+    And it may send no request now, with an item or without
+    And the server is listed again
+    Then the first host leaves out the server
+
   Scenario: a limit that changes a little is not written again
     Given 20 hosts that know no limit
     When the first host gets answers that name 3, 3.1 and 2.9 requests a second
--- a/features/steps/forward_permits_steps.py
+++ b/features/steps/forward_permits_steps.py
@@ -221,6 +221,40 @@
     assert context.fleet.limits('host-0').admit(reborn)
 
 
+@when('it may send no request now, with an item or without')
+def step_closed(context: Context) -> None:
+    known = context.fleet.limits('host-0')
+    for batch in (False, True):
+        while known.admit(limits.SERVER, batch=batch):
+            """Use the permits up."""
+        assert known.exhausted(batch=batch)
+
+
+@when('the server is listed with a later start')
+def step_listed_reborn(context: Context) -> None:
+    reborn = dataclasses.replace(limits.SERVER, born_ms=7)
+    context.fleet.limits('host-0').servers_listed((reborn,))
+
+
+@when('the server is listed again')
+def step_listed(context: Context) -> None:
+    context.fleet.limits('host-0').servers_listed((limits.SERVER,))
+
+
+@then('the first host leaves out no server')
+def step_leaves_out_none(context: Context) -> None:
+    known = context.fleet.limits('host-0')
+    assert not known.exhausted(batch=False)
+    assert not known.exhausted(batch=True)
+
+
+@then('the first host leaves out the server')
+def step_leaves_out(context: Context) -> None:
+    known = context.fleet.limits('host-0')
+    assert known.exhausted(batch=False)
+    assert known.exhausted(batch=True)
+
+
 @then('the limit was written once')
 def step_once(context: Context) -> None:
     stored = context.fleet.platform.of_kind(LIMIT_KIND)
--- a/guavadyke/controllers/server_limits.py
+++ b/guavadyke/controllers/server_limits.py
@@ -5,7 +5,7 @@
 import functools
 import math
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from guavadyke.adapters.ports import Clock, PeerMessenger, PeerNotice
 from guavadyke.decisions.rendezvous_hashing import rendezvous
@@ -106,6 +106,16 @@
                 self._stock.closed(self._clock.monotonic(), batch=batch)
             )
 
+    def servers_listed(self, servers: Iterable[ListedServer]) -> None:
+        """Forget the permits of servers that have started again."""
+        if not self._known:
+            return
+        with self._changed:
+            for server in servers:
+                known = self._known.find(server.server_id)
+                if known is not None and not known.is_of(server):
+                    self._stock.drop(server.server_id)
+
     def receive(self, host_id: str, notice: PeerNotice) -> None:
         """Answer another host's requests, and take its permits."""
         if not notice.permit_requests and not notice.permits:
@@ -130,7 +140,7 @@
             if limit.is_like(before):
                 return
             self._stock.drop(limit.server_id)
-        self._log_named(limit)
+        _log_named(self._logger, limit)
 
     def withdraw(self, server_id: str) -> None:
         """Forget a limit that has ended, as another host has told."""
@@ -177,7 +187,7 @@
             self._stock.drop(server.server_id)
             self._untold.add(server.server_id)
             self._found.set()
-        self._log_named(limit)
+        _log_named(self._logger, limit)
 
     def _end(self, server: ListedServer, sent_at: float) -> None:
         if not self._known:
@@ -220,9 +230,10 @@
         hosts = {peer.host_id for peer in self._fleet.current.alive}
         return rendezvous(f'permits/{server_id}', {self._host_id, *hosts})
 
-    def _log_named(self, limit: ServerLimit) -> None:
-        self._logger.info(
-            'server_limit_named',
-            backend_server=limit.server_id,
-            requests_per_s=limit.per_s,
-        )
+
+def _log_named(logger: EventLogger, limit: ServerLimit) -> None:
+    logger.info(
+        'server_limit_named',
+        backend_server=limit.server_id,
+        requests_per_s=limit.per_s,
+    )
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -146,6 +146,7 @@
             self._live_hosts,
             tell_each(
                 self._learning.streams.origins.servers_listed,
+                self._learning.limits.limits.servers_listed,
                 self._peers.tunnel_relay.servers_listed,
             ),
         )
