--- /dev/null
+++ b/features/forward_job_owners.feature
@@ -0,0 +1,40 @@
+Feature: Which host runs a job whose owner is lost
+
+  Scenario Outline: a job is taken over although the host that comes first <fault>
+    Given 5 hosts, of which host-0 owns a job
+    And the host that takes it over first <fault>
+    When host-0 is lost for 4 seconds
+    Then one other host than the first owns the job
+
+    Examples:
+      | fault                         |
+      | is cut off from the platform  |
+      | is stopping                   |
+      | does not know of the job      |
+      | takes host-0 for alive        |
+
+  Scenario: a job of a lost host is taken over once and by the host that comes first
+    Given 5 hosts, of which host-0 owns a job
+    When host-0 is lost for 30 seconds
+    Then the host that comes first owns the job
+    And the job has been taken over once
+
+  Scenario: a host that claims a job after another one leaves it to that host
+    Given 5 hosts, of which host-0 owns a job
+    When host-0 is lost, and host-1 claims its job before host-2, which has not learned of it
+    Then host-1 owns the job and host-2 knows it
+
+  Scenario: a host keeps a job that it has taken over until its mirrors show that
+    Given 5 hosts, of which host-0 owns a job
+    When host-1 and then host-2 take it over
+    And host-2 learns of another job before its mirrors show its claim
+    Then host-2 takes itself for the owner
+
+  Scenario: a host that has lost a job again gives it up though it learns so before its own claim
+    Given 5 hosts, of which host-0 owns a job
+    When host-1 takes it over, and host-2 from it before host-1 has recorded its claim
+    Then host-1 takes host-2 for the owner
+
+  Scenario: each job has one owner soon after views agree, whatever hosts saw before
+    When hosts own jobs in any sequence of views and faults
+    Then each open job has had one owner within 6.5 seconds of healing
--- /dev/null
+++ b/features/steps/forward_job_owners_steps.py
@@ -0,0 +1,148 @@
+"""Steps of forward_job_owners.feature."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from behave.runner import Context
+from hypothesis import settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from features import builders_job_owners as owners
+from features.machines.job_owners import JobOwnersMachine
+
+_OWNER = 'host-0'
+_EXAMPLES = 60
+_STEPS = 30
+
+
+@given('{count:d} hosts, of which host-0 owns a job')
+def step_hosts(context: Context, count: int) -> None:
+    names = [f'host-{number}' for number in range(count)]
+    context.fleet = owners.OwnerFleet(names)
+    context.states = dict.fromkeys(names, 'alive')
+    context.fleet.see(context.states)
+    context.fleet.accept(_OWNER)
+    context.first = owners.first_taker(names[1:])
+    context.fleet.run(1)
+
+
+@given('the host that takes it over first is cut off from the platform')
+def step_cut(context: Context) -> None:
+    context.fleet.hosts[context.first].cut_off()
+
+
+@given('the host that takes it over first is stopping')
+def step_stopping(context: Context) -> None:
+    context.fleet.hosts[context.first].stopping = True
+
+
+@given('the host that takes it over first does not know of the job')
+def step_deaf(context: Context) -> None:
+    context.fleet.hosts[context.first].go_deaf()
+
+
+@given('the host that takes it over first takes host-0 for alive')
+def step_sees_alive(context: Context) -> None:
+    context.sees_alive = True
+
+
+@when('host-0 is lost for {seconds:d} seconds')
+def step_lost(context: Context, seconds: int) -> None:
+    context.fleet.see({**context.states, _OWNER: 'dead'})
+    if 'sees_alive' in context:
+        context.fleet.hosts[context.first].see(context.states)
+    context.fleet.run(seconds, lost=(_OWNER,))
+
+
+@when(
+    'host-0 is lost, and host-1 claims its job before host-2, which has not '
+    'learned of it'
+)
+def step_both_claim(context: Context) -> None:
+    for name in ('host-1', 'host-2'):
+        context.fleet.hosts[name].claim(owners.JOB, _OWNER)
+
+
+@then('host-1 owns the job and host-2 knows it')
+def step_first_keeps(context: Context) -> None:
+    assert context.fleet.owners() == [_OWNER, 'host-1']
+    known = context.fleet.hosts['host-2'].owner_of(owners.JOB)
+    assert known == 'host-1', known
+    context.fleet.catch_up()
+    assert context.fleet.owners() == ['host-1']
+
+
+@when('host-1 and then host-2 take it over')
+def step_twice(context: Context) -> None:
+    hosts = context.fleet.hosts
+    hosts['host-1'].claim(owners.JOB, _OWNER)
+    context.fleet.catch_up()
+    hosts['host-2'].claim(owners.JOB, 'host-1')
+
+
+@when('host-2 learns of another job before its mirrors show its claim')
+def step_other_job(context: Context) -> None:
+    context.fleet.hosts['host-2'].learn_of_job('job-2')
+
+
+@when(
+    'host-1 takes it over, and host-2 from it before host-1 has recorded its '
+    'claim'
+)
+def step_late_record(context: Context) -> None:
+    first, second = (context.fleet.hosts[f'host-{n}'] for n in (1, 2))
+    claimed = first.host.store.claim(owners.JOB, 'host-1', _OWNER)
+    second.claim(owners.JOB, 'host-1')
+    first.catch_up()
+    first.host.registry.progress_written(owners.JOB, claimed)
+
+
+@then('{host_id} takes itself for the owner')
+def step_takes_itself(context: Context, host_id: str) -> None:
+    assert context.fleet.hosts[host_id].owns(owners.JOB)
+
+
+@then('host-1 takes host-2 for the owner')
+def step_takes_other(context: Context) -> None:
+    known = context.fleet.hosts['host-1'].owner_of(owners.JOB)
+    assert known == 'host-2', known
+
+
+@then('one other host than the first owns the job')
+def step_other_owns(context: Context) -> None:
+    found = context.fleet.owners()
+    assert len(found) == 1, found
+    assert found[0] not in (_OWNER, context.first), found
+
+
+@then('the host that comes first owns the job')
+def step_first_owns(context: Context) -> None:
+    assert context.fleet.owners() == [context.first]
+
+
+@then('the job has been taken over once')
+def step_once(context: Context) -> None:
+    taken = [
+        event
+        for host in context.fleet.hosts.values()
+        for event in host.logger.named('job_taken_over')
+    ]
+    assert len(taken) == 1, taken
+
+
+@when('hosts own jobs in any sequence of views and faults')
+def step_any_sequence(context: Context) -> None:
+    run_state_machine_as_test(
+        JobOwnersMachine,
+        settings=settings(
+            max_examples=_EXAMPLES,
+            stateful_step_count=_STEPS,
+            deadline=None,
+            derandomize=True,
+        ),
+    )
+
+
+@then('each open job has had one owner within 6.5 seconds of healing')
+def step_one_owner(context: Context) -> None:
+    """The machine checks it after each sequence."""
