Try a job's storage step again whatever error ended it

Items of a job stayed neither completed nor given up after one storage step of their job had ended by an error that is not the project's.

Cause: the end of such a step was not reported, so that the job stayed busy and was never loaded, listed, claimed or finished by this host again.

Now the end is reported whatever the error. The step is due again after 0.1 s, twice as long after each further failure up to 5 s, for each job on its own, and no thread of the pool waits for it. Measured: the job is completed after its three failures; with six jobs that always fail, another one is completed within 3 s and each of the six has been read 3 to 6 times by then.

--- /dev/null
+++ b/features/builders_unexpected_errors.py
@@ -0,0 +1,68 @@
+"""Parts of a host that raise errors which are not the project's."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import itertools
+import time
+from collections.abc import Callable
+from typing import Any
+
+from features import builders_forward as build
+from features.builders_forward_runner import RunnerBench
+from guavadyke.decisions.forward_job_records import listings
+
+
+class UnexpectedError(ValueError):
+    """An error that no part of the project expects."""
+
+
+def raising(
+    function: Callable[..., Any], failing: Callable[..., bool]
+) -> Callable[..., Any]:
+    """Return a function that raises an error where ``failing`` holds."""
+
+    @functools.wraps(function)
+    def call(*args: Any, **named: Any) -> Any:
+        if failing(*args, **named):
+            raise UnexpectedError('broken by the test')
+        return function(*args, **named)
+
+    return call
+
+
+def first_calls(count: int) -> Callable[..., bool]:
+    """Return a condition that holds for the first calls."""
+    calls = itertools.count(1)
+    return lambda *_args, **_named: next(calls) <= count
+
+
+def break_reads(
+    bench: RunnerBench, failing: Callable[..., bool]
+) -> build.RecordingLogger:
+    """Let reads of results fail where ``failing`` holds; return the log."""
+    store: Any = bench.host.store
+    store.pages = raising(store.pages, failing)
+    assert isinstance(bench.logger, build.RecordingLogger)
+    return bench.logger
+
+
+def accept_named(bench: RunnerBench, job_id: str, items: int) -> None:
+    """Let a bench accept a job whose items have its id in their names."""
+    plain = build.job(job_id, items=items, accepted_at=time.time())
+    job = dataclasses.replace(
+        plain,
+        items=tuple(
+            dataclasses.replace(item, item_id=f'{job_id}-{item.item_id}')
+            for item in plain.items
+        ),
+    )
+    bench.host.store.create(job)
+    bench.host.registry.accepted(job)
+
+
+def completed(bench: RunnerBench, job_id: str) -> int:
+    """Return the number of items of a job that are stored as completed."""
+    fresh = build.job_host(bench.platform, 'reader')
+    return sum(one.completed for one in listings(fresh.store.pages(job_id)))
--- /dev/null
+++ b/features/forward_unexpected_errors.feature
@@ -0,0 +1,16 @@
+Feature: Errors that no part of the project expects
+
+  Scenario: a job whose first read raises an unexpected error is completed
+    Given a host that works on jobs and keeps its log
+    And the first 3 reads of results raise an unexpected error
+    When job job-1 of 2 items is accepted for it
+    Then the 2 items of job-1 are completed
+    And the log names 3 crashed steps of job-1
+
+  Scenario: jobs whose reads always raise an unexpected error hold up no other
+    Given a host that works on jobs and keeps its log
+    And reads of results of the jobs bad-1 to bad-6 raise an unexpected error
+    When the jobs bad-1 to bad-6 of 1 items are accepted for it
+    And job job-1 of 2 items is accepted for it
+    Then the 2 items of job-1 are completed within 3 seconds
+    And after 3 seconds each of them was read 3 to 6 times
--- /dev/null
+++ b/features/steps/forward_unexpected_errors_steps.py
@@ -0,0 +1,93 @@
+"""Steps of forward_unexpected_errors.feature."""
+
+from __future__ import annotations
+
+import collections
+import time
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features import builders_forward as build
+from features import builders_unexpected_errors as errors
+from features.builders_forward_runner import RunnerBench
+from features.builders_processes import wait_until
+
+_WAIT_S = 15.0
+
+
+@given('a host that works on jobs and keeps its log')
+def step_host(context: Context) -> None:
+    context.log = build.RecordingLogger()
+    context.bench = RunnerBench(logger=context.log)
+    context.add_cleanup(context.bench.close)
+
+
+@given('the first {count:d} reads of results raise an unexpected error')
+def step_first_reads(context: Context, count: int) -> None:
+    errors.break_reads(context.bench, errors.first_calls(count))
+
+
+@given(
+    'reads of results of the jobs bad-1 to bad-{last:d} raise an unexpected '
+    'error'
+)
+def step_bad_reads(context: Context, last: int) -> None:
+    context.reads = collections.Counter()
+
+    def failing(job_id: str) -> bool:
+        context.reads[job_id] += 1
+        return job_id.startswith('bad-')
+
+    errors.break_reads(context.bench, failing)
+
+
+@when('the jobs bad-1 to bad-{last:d} of {items:d} items are accepted for it')
+def step_bad_jobs(context: Context, last: int, items: int) -> None:
+    context.bad = [f'bad-{number}' for number in range(1, last + 1)]
+    for job_id in context.bad:
+        errors.accept_named(context.bench, job_id, items)
+
+
+@when('job {job_id} of {items:d} items is accepted for it')
+def step_job(context: Context, job_id: str, items: int) -> None:
+    context.accepted_at = time.monotonic()
+    errors.accept_named(context.bench, job_id, items)
+
+
+@then('the {count:d} items of {job_id} are completed')
+def step_completed(context: Context, count: int, job_id: str) -> None:
+    _assert_completed(context, job_id, count, _WAIT_S)
+
+
+@then('the {count:d} items of {job_id} are completed within {limit:d} seconds')
+def step_completed_within(
+    context: Context, count: int, job_id: str, limit: int
+) -> None:
+    _assert_completed(context, job_id, count, limit)
+
+
+@then('the log names {count:d} crashed steps of {job_id}')
+def step_crashed(context: Context, count: int, job_id: str) -> None:
+    crashed = context.log.named('job_step_crashed')
+    assert len(crashed) == count, crashed
+    assert {one['job_id'] for one in crashed} == {job_id}
+    assert all('UnexpectedError' in str(one['reason']) for one in crashed)
+
+
+@then(
+    'after {wait:d} seconds each of them was read {least:d} to {most:d} times'
+)
+def step_read(context: Context, wait: int, least: int, most: int) -> None:
+    time.sleep(max(0, context.accepted_at + wait - time.monotonic()))
+    reads = {job_id: context.reads[job_id] for job_id in context.bad}
+    assert all(least <= count <= most for count in reads.values()), reads
+
+
+def _assert_completed(
+    context: Context, job_id: str, count: int, limit_s: float
+) -> None:
+    found = wait_until(
+        lambda: errors.completed(context.bench, job_id) == count, limit_s
+    )
+    assert found, errors.completed(context.bench, job_id)
--- a/guavadyke/controllers/forward_job_writer.py
+++ b/guavadyke/controllers/forward_job_writer.py
@@ -15,6 +15,7 @@
     JobProgress,
     ResultPage,
 )
+from guavadyke.decisions.growing_delays import GrowingDelays
 from guavadyke.errors import GuavadykeError
 from guavadyke.log import EventLogger
 
@@ -22,6 +23,8 @@
 _WRITER_THREADS = 4
 # Delay after a failed write before the next one of the same job.
 _RETRY_DELAY_S = 0.1
+# After unexpected errors, which may come at each try.
+_LONGEST_RETRY_DELAY_S = 5.0
 
 Pages: TypeAlias = 'tuple[ResultPage, ...] | None'
 
@@ -57,6 +60,7 @@
         self._logger = logger
         self._report = report
         self._busy: set[str] = set()
+        self._delays = GrowingDelays(_RETRY_DELAY_S, _LONGEST_RETRY_DELAY_S)
         self._finish_written: set[str] = set()
         self._writers = ThreadPoolExecutor(
             _WRITER_THREADS,
@@ -113,7 +117,9 @@
         step: Callable[..., Pages],
         *args: object,
     ) -> None:
-        if job_id not in self._busy:
+        if job_id in self._busy:
+            return
+        if self._delays.is_due(job_id, self._clock.monotonic()):
             self._busy.add(job_id)
             self._writers.submit(self._run_step, job_id, step, *args)
 
@@ -126,7 +132,8 @@
         """Run a step and report its end.
 
         A failure is logged. The step is due again at a later tick, except
-        a reassignment, which is tried once.
+        a reassignment, which is tried once. After unexpected errors the delay
+        of the job grows, without a thread that waits for it.
         """
         pages: Pages = None
         try:
@@ -141,13 +148,16 @@
             )
             self._clock.sleep(_RETRY_DELAY_S)
         except Exception as error:
+            failures = self._delays.failed(job_id, self._clock.monotonic())
             self._logger.error(
                 'job_step_crashed',
                 job_id=job_id,
                 step=step.__name__.removeprefix('_'),
+                failures=failures.count,
                 reason=repr(error),
             )
-            raise
+        else:
+            self._delays.succeeded(job_id)
         self._report(job_id, pages)
 
     def _load(self, job_id: str) -> Pages:
