Keep actors alive after a message that raises an unexpected error

A host whose job runner had met one unexpected error did nothing more for its jobs and stayed in the fleet, so that nobody took them over. The same held for membership, the catalogue and the loops of batch work.

Shown on the code before: after three ticks of the runner that raise, no item of an accepted job is completed within 15 s; the controllers of the catalogue and of membership answer nothing after a message that they cannot handle; a batch loop whose first run returns no delay never runs again.

Cause: pykka stops an actor for good when a message that nobody waits for raises, and messages to a stopped actor are dropped.

Now all four log the error as part_failed, count failures in a row for each type of message, and handle the next message. Where a caller waits for the reply, the error is raised there as before.

--- a/features/builders_unexpected_errors.py
+++ b/features/builders_unexpected_errors.py
@@ -8,10 +8,23 @@
 import time
 from collections.abc import Callable
 from typing import Any
+from unittest import mock
+
+import pykka
 
 from features import builders_forward as build
 from features.builders_forward_runner import RunnerBench
+from guavadyke.controllers.catalogue import (
+    CatalogueController,
+    CatalogueState,
+    DifferingVersionsQuery,
+)
+from guavadyke.controllers.membership import MembershipController
+from guavadyke.controllers.membership_messages import FleetStateQuery
 from guavadyke.decisions.forward_job_records import listings
+from guavadyke.log import EventLogger
+from guavadyke.part_health import PartHealth
+from guavadyke.snapshots import CatalogueSnapshot, SnapshotCell
 
 
 class UnexpectedError(ValueError):
@@ -66,3 +79,37 @@
     """Return the number of items of a job that are stored as completed."""
     fresh = build.job_host(bench.platform, 'reader')
     return sum(one.completed for one in listings(fresh.store.pages(job_id)))
+
+
+@dataclasses.dataclass(frozen=True)
+class NoMessage:
+    """A message that no actor knows."""
+
+
+def break_ticks(bench: RunnerBench, failing: Callable[..., bool]) -> None:
+    """Let ticks of the runner fail where ``failing`` holds."""
+    registry: Any = bench.host.registry
+    registry.views = raising(registry.views, failing)
+
+
+def catalogue_actor(
+    logger: EventLogger,
+) -> tuple[pykka.ActorRef[Any], object]:
+    """Return a catalogue controller and a question that it can answer."""
+    actor = CatalogueController.start(
+        SnapshotCell(CatalogueSnapshot()),
+        SnapshotCell(CatalogueState()),
+        logger,
+        lambda _offered: None,
+    )
+    return actor, DifferingVersionsQuery(())
+
+
+def membership_actor(
+    logger: EventLogger,
+) -> tuple[pykka.ActorRef[Any], object]:
+    """Return a membership controller and a question that it can answer."""
+    deps: Any = mock.MagicMock()
+    deps.health = PartHealth('membership', logger)
+    deps.membership.member_list.members = {}
+    return MembershipController.start(deps), FleetStateQuery()
--- a/features/forward_unexpected_errors.feature
+++ b/features/forward_unexpected_errors.feature
@@ -14,3 +14,26 @@
     And job job-1 of 2 items is accepted for it
     Then the 2 items of job-1 are completed within 3 seconds
     And after 3 seconds each of them was read 3 to 6 times
+
+  Scenario: items are completed after ticks of the runner that raise errors
+    Given a host that works on jobs and keeps its log
+    And 3 ticks of its runner raise an unexpected error
+    When job job-1 of 2 items is accepted for it
+    Then the 2 items of job-1 are completed
+    And the log names failures 1 and 2 of Tick of job-runner
+
+  Scenario Outline: the <actor> actor goes on after a message that raises
+    Given a <actor> actor that keeps its log
+    When it is told something that it cannot handle
+    Then it answers the next message
+    And asking it the same raises the error
+    And the log names failures 1 and 2 of NoMessage of <actor>
+
+    Examples:
+      | actor      |
+      | catalogue  |
+      | membership |
+
+  Scenario: a batch loop goes on after a run that returns no delay
+    Given a batch loop whose first run returns no delay
+    Then it runs again within 3 seconds
--- a/features/steps/forward_unexpected_errors_steps.py
+++ b/features/steps/forward_unexpected_errors_steps.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import collections
+import random
+import threading
 import time
+from typing import Any
 
 from behave import given, then, when
 from behave.runner import Context
@@ -12,6 +15,8 @@
 from features import builders_unexpected_errors as errors
 from features.builders_forward_runner import RunnerBench
 from features.builders_processes import wait_until
+from guavadyke.controllers.actors import ask_function, tell_function
+from guavadyke.controllers.batch_loops import LoopActor, LoopSettings
 
 _WAIT_S = 15.0
 
@@ -91,3 +96,72 @@
         lambda: errors.completed(context.bench, job_id) == count, limit_s
     )
     assert found, errors.completed(context.bench, job_id)
+
+
+@given('{count:d} ticks of its runner raise an unexpected error')
+def step_ticks(context: Context, count: int) -> None:
+    errors.break_ticks(context.bench, errors.first_calls(count))
+
+
+@then('the log names failures {first:d} and {second:d} of {task} of {part}')
+def step_part_failed(
+    context: Context, first: int, second: int, task: str, part: str
+) -> None:
+    failed = context.log.named('part_failed')
+    found = [(one['part'], one['task'], one['failures']) for one in failed]
+    assert found == [(part, task, first), (part, task, second)], found
+
+
+@given('a {name} actor that keeps its log')
+def step_actor(context: Context, name: str) -> None:
+    starts = {
+        'catalogue': errors.catalogue_actor,
+        'membership': errors.membership_actor,
+    }
+    context.log = build.RecordingLogger()
+    actor, question = starts[name](context.log)
+    context.actor = actor
+    context.question = question
+    context.add_cleanup(context.actor.stop)
+
+
+@when('it is told something that it cannot handle')
+def step_told(context: Context) -> None:
+    tell_function(context.actor)(errors.NoMessage())
+
+
+@then('it answers the next message')
+def step_answers(context: Context) -> None:
+    assert ask_function(context.actor)(context.question) is not None
+
+
+@then('asking it the same raises the error')
+def step_raises(context: Context) -> None:
+    try:
+        ask_function(context.actor)(errors.NoMessage())
+    except TypeError:
+        return
+    raise AssertionError('no error was raised')
+
+
+@given('a batch loop whose first run returns no delay')
+def step_loop(context: Context) -> None:
+    context.runs = []
+    context.log = build.RecordingLogger()
+
+    def run_once() -> float:
+        context.runs.append(time.monotonic())
+        delay: Any = 0.1 if len(context.runs) > 1 else 'soon'
+        return delay
+
+    closed = threading.Event()
+    settings = LoopSettings('lease', run_once, random.Random(1), context.log)
+    actor = LoopActor.start(settings, closed)
+    context.add_cleanup(actor.stop)
+    context.add_cleanup(closed.set)
+
+
+@then('it runs again within {limit:d} seconds')
+def step_runs_again(context: Context, limit: int) -> None:
+    assert wait_until(lambda: len(context.runs) > 1, limit), context.runs
+    assert len(context.log.named('batch_loop_failed')) == 1
--- a/guavadyke/controllers/actors.py
+++ b/guavadyke/controllers/actors.py
@@ -1,53 +1,72 @@
-"""Sends messages to actors that may already have stopped."""
+"""Actors that outlive unexpected errors, and messages to them."""
 
 from __future__ import annotations
 
+import abc
+import dataclasses
 import queue
-import types
 from collections.abc import Callable
 from typing import Any, cast
 
 import pykka
 
-from guavadyke.log import EventLogger
+from guavadyke.part_health import PartHealth
 
 
-class FailureLoggingActor(pykka.ThreadingActor):
-    """Actor that logs the error which stops it.
+@dataclasses.dataclass(frozen=True)
+class _Failure:
+    """The reply to a message that could not be handled."""
+
+    error: Exception
+
+
+class GuardedActor(pykka.ThreadingActor):
+    """Actor that goes on with the next message after an unexpected error.
+
+    An error while a message is handled is logged. It is raised again where
+    ``ask_function`` waits for the reply.
 
     Args:
-        logger: logs the error.
+        health: logs and counts the errors, by type of message.
     """
 
-    def __init__(self, logger: EventLogger) -> None:
+    use_daemon_thread = True
+
+    def __init__(self, health: PartHealth) -> None:
         super().__init__()
-        self._failure_logger = logger
-
-    def on_failure(
-        self,
-        _exception_type: type[BaseException] | None,
-        exception_value: BaseException | None,
-        _traceback: types.TracebackType | None,
-    ) -> None:
-        """Log the error."""
-        self._failure_logger.error(
-            'actor_failed',
-            actor=type(self).__name__,
-            reason=repr(exception_value),
-        )
+        self._health = health
+
+    def on_receive(self, message: Any) -> Any:
+        """Handle a message; return its reply, or the error."""
+        task = type(message).__name__
+        try:
+            reply = self.handle(message)
+        except Exception as error:
+            self._health.failed(task, error)
+            return _Failure(error)
+        self._health.succeeded(task)
+        return reply
+
+    @abc.abstractmethod
+    def handle(self, message: Any) -> Any:
+        """Handle a message; the type of the reply depends on the message."""
 
 
 def ask_function(actor: pykka.ActorRef[Any]) -> Callable[[object], Any]:
     """Return a function that sends a message and waits for the reply.
 
-    The function returns None once the actor has stopped.
+    The function returns None once the actor has stopped, and raises the error
+    by which a guarded actor could not handle the message.
     """
 
     def ask(message: object) -> Any:
         try:
-            return actor.ask(message)
+            reply = actor.ask(message)
         except pykka.ActorDeadError:
             return None
+        if isinstance(reply, _Failure):
+            raise reply.error
+        return reply
 
     return ask
 
@@ -55,7 +74,8 @@
 def tell_function(actor: pykka.ActorRef[Any]) -> Callable[[object], None]:
     """Return a function that sends a message without waiting for a reply.
 
-    Messages to an actor that has stopped are dropped.
+    Messages to an actor that has been stopped are dropped. Errors do not stop
+    guarded actors.
     """
 
     def tell(message: object) -> None:
--- a/guavadyke/controllers/batch_loops.py
+++ b/guavadyke/controllers/batch_loops.py
@@ -9,6 +9,7 @@
 
 import pykka
 
+from guavadyke.controllers.actors import GuardedActor
 from guavadyke.controllers.batch_cleaning import Cleaner
 from guavadyke.controllers.batch_held_chunks import HeldChunkRegistry
 from guavadyke.controllers.batch_job_scan import JobScanner
@@ -17,6 +18,7 @@
 from guavadyke.controllers.batch_lease import LeaseManager
 from guavadyke.errors import GuavadykeError
 from guavadyke.log import EventLogger
+from guavadyke.part_health import PartHealth
 from guavadyke.settings import EntrySettings
 
 _SCAN_INTERVAL_S = 0.2
@@ -47,7 +49,7 @@
     max_retry_delay_s: float = _MAX_RETRY_DELAY_S
 
 
-class LoopActor(pykka.ThreadingActor):
+class LoopActor(GuardedActor):
     """Runs a loop until it is stopped, with backoff after failures.
 
     Args:
@@ -55,10 +57,8 @@
         closed: event that ends the loop.
     """
 
-    use_daemon_thread = True
-
     def __init__(self, loop: LoopSettings, closed: threading.Event) -> None:
-        super().__init__()
+        super().__init__(PartHealth(f'batch-{loop.name}', loop.logger))
         self._loop = loop
         self._closed = closed
         self._failures = 0
@@ -67,7 +67,7 @@
         """Trigger the first run."""
         self.actor_ref.tell(Tick())
 
-    def on_receive(self, message: object) -> None:
+    def handle(self, message: object) -> None:
         """Run once, wait, and trigger the next run."""
         if self._closed.is_set() or not isinstance(message, Tick):
             return
@@ -77,7 +77,7 @@
 
     def _run_once(self) -> float:
         try:
-            delay_s = self._loop.run_once()
+            delay_s = float(self._loop.run_once())
         except Exception as error:
             return self._retry_delay_s(error)
         self._failures = 0
--- a/guavadyke/controllers/catalogue.py
+++ b/guavadyke/controllers/catalogue.py
@@ -7,9 +7,8 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-import pykka
-
 from guavadyke.catalogue_objects import CatalogueObject
+from guavadyke.controllers.actors import GuardedActor
 from guavadyke.controllers.catalogue_snapshot import build_snapshot
 from guavadyke.decisions.object_versions import (
     CatalogueMark,
@@ -18,6 +17,7 @@
     VersionedObjects,
 )
 from guavadyke.log import EventLogger
+from guavadyke.part_health import PartHealth
 from guavadyke.snapshots import CatalogueSnapshot, SnapshotCell
 
 
@@ -77,7 +77,7 @@
 DISK = 'disk'
 
 
-class CatalogueController(pykka.ThreadingActor):
+class CatalogueController(GuardedActor):
     """Owns the catalogue in force on this host.
 
     Of the copies of an object the one with the highest version is in
@@ -90,8 +90,6 @@
         on_change: called with the copies that came into force.
     """
 
-    use_daemon_thread = True
-
     def __init__(
         self,
         snapshot_cell: SnapshotCell[CatalogueSnapshot],
@@ -99,7 +97,7 @@
         logger: EventLogger,
         on_change: Callable[[OfferedObjects], None],
     ) -> None:
-        super().__init__()
+        super().__init__(PartHealth('catalogue', logger))
         self._snapshot_cell = snapshot_cell
         self._state = state
         self._logger = logger
@@ -108,7 +106,7 @@
         self._faults: dict[str, str] = {}
         self._revision = 0
 
-    def on_receive(self, message: Any) -> Any:
+    def handle(self, message: Any) -> Any:
         """Handle a message; the type of the reply depends on the message."""
         return _handle(message, self)
 
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from guavadyke.adapters.ports import BackendFault, BackendServers, Clock
-from guavadyke.controllers.actors import FailureLoggingActor, tell_function
+from guavadyke.controllers.actors import GuardedActor, tell_function
 from guavadyke.controllers.forward_job_maintenance import JobMaintenance
 from guavadyke.controllers.forward_job_registry import JobRegistry
 from guavadyke.controllers.forward_job_store import JobStore
@@ -47,6 +47,7 @@
 from guavadyke.decisions.server_registry import ServerLease
 from guavadyke.log import EventLogger
 from guavadyke.metrics import HostMetrics
+from guavadyke.part_health import PartHealth
 from guavadyke.settings import ForwardHostSettings
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
@@ -55,6 +56,8 @@
 _TICK_S = 0.05
 # Interval of a host without jobs; new jobs wake it at once.
 _IDLE_TICK_S = 0.5
+# The runner in logs of its failures.
+RUNNER_PART = 'job-runner'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -62,7 +65,8 @@
     """Dependencies of ``JobRunner``.
 
     ``connected`` returns whether this host reaches the platform; the runner
-    publishes to ``busy`` whether this host has jobs.
+    publishes to ``busy`` whether this host has jobs, and records its failures
+    in ``health``.
     """
 
     settings: ForwardHostSettings
@@ -79,6 +83,7 @@
     clock: Clock
     logger: EventLogger
     metrics: HostMetrics
+    health: PartHealth | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -113,17 +118,15 @@
     leave: bool
 
 
-class JobRunner(FailureLoggingActor):
+class JobRunner(GuardedActor):
     """Runs items on servers with free slots and stores their results.
 
     Args:
         parts: its dependencies.
     """
 
-    use_daemon_thread = True
-
     def __init__(self, parts: RunnerParts) -> None:
-        super().__init__(parts.logger)
+        super().__init__(parts.health or PartHealth(RUNNER_PART, parts.logger))
         self._parts = parts
         self._me = parts.settings.host_id
         self._works: dict[str, JobItemTracker] = {}
@@ -153,7 +156,7 @@
             thread_name_prefix='item',
         )
 
-    def on_receive(self, message: Any) -> Any:
+    def handle(self, message: Any) -> Any:
         """Handle a message."""
         return _handle(message, self)
 
--- a/guavadyke/controllers/membership.py
+++ b/guavadyke/controllers/membership.py
@@ -7,18 +7,18 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-import pykka
-
 from guavadyke.adapters.peer_datagram_codec import PeerDatagram
 from guavadyke.adapters.peer_datagrams import LocalStatus
 from guavadyke.adapters.ports import Clock
 from guavadyke.controllers import membership_messages as messages
+from guavadyke.controllers.actors import GuardedActor
 from guavadyke.controllers.membership_gossip import GossipSender
 from guavadyke.decisions.leaving_servers import LeavingMark, LeavingRegistry
 from guavadyke.decisions.member_list import Member
 from guavadyke.decisions.membership import Membership
 from guavadyke.decisions.membership_protocol import PeerState
 from guavadyke.log import EventLogger
+from guavadyke.part_health import PartHealth
 from guavadyke.snapshots import (
     CatalogueSnapshot,
     FleetSnapshot,
@@ -71,19 +71,18 @@
     events: PeerEvents
     clock: Clock
     logger: EventLogger
+    health: PartHealth | None = None
 
 
-class MembershipController(pykka.ThreadingActor):
+class MembershipController(GuardedActor):
     """Runs the failure detector and gossip, and publishes the fleet.
 
     Args:
         deps: membership state, transport, cells and callbacks.
     """
 
-    use_daemon_thread = True
-
     def __init__(self, deps: MembershipDependencies) -> None:
-        super().__init__()
+        super().__init__(deps.health or PartHealth('membership', deps.logger))
         self._deps = deps
         self._membership = deps.membership
         self._member_list = deps.membership.member_list
@@ -91,7 +90,7 @@
         self._publish_due: float = 0
         self._forget_due: float = 0
 
-    def on_receive(self, message: Any) -> Any:
+    def handle(self, message: Any) -> Any:
         """Handle a message; the type of the reply depends on the message."""
         return _handle(message, self)
 
--- a/guavadyke/decisions/growing_delays.py
+++ b/guavadyke/decisions/growing_delays.py
@@ -10,9 +10,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Failures:
-    """Failures in a row: their number, and when the next try is due."""
+    """Failures in a row: their number, the times of the first and the last.
+
+    The next try is due at ``due_at``.
+    """
 
     count: int
+    since: float
+    last_at: float
     due_at: float
 
 
@@ -39,13 +44,21 @@
 
     def failed(self, key: str, now: float) -> Failures:
         """Record a failure and return all failures in a row."""
-        known = self._failures.get(key)
-        count = known.count if known else 0
-        delay_s = self._first_s * _FACTOR ** min(count, _MAX_DOUBLINGS)
-        failures = Failures(count + 1, now + min(self._longest_s, delay_s))
+        known = self._failures.get(key) or Failures(0, now, now, now)
+        delay_s = self._first_s * _FACTOR ** min(known.count, _MAX_DOUBLINGS)
+        failures = Failures(
+            known.count + 1,
+            known.since,
+            now,
+            now + min(self._longest_s, delay_s),
+        )
         self._failures[key] = failures
         return failures
 
+    def in_a_row(self) -> dict[str, Failures]:
+        """Return the failures of the tasks that have failed last."""
+        return self._failures.copy()
+
     def succeeded(self, key: str) -> None:
         """Record a success, or that a task is no more."""
         self._failures.pop(key, None)
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -15,7 +15,7 @@
     StoredObject,
 )
 from guavadyke.adapters.write_confirmation import WriteConfirmingStore
-from guavadyke.controllers.actors import tell_function
+from guavadyke.controllers.actors import ask_function, tell_function
 from guavadyke.controllers.forward_job_api import JobApi, JobApiParts
 from guavadyke.controllers.forward_job_registry import JobRegistry
 from guavadyke.controllers.forward_job_runner import (
@@ -252,11 +252,12 @@
         Items in flight may finish for up to ``longest_s`` seconds.
         """
         until = self.clock.monotonic() + longest_s
-        while self._runner.ask(HandOver(leave=False)):
+        ask = ask_function(self._runner)
+        while ask(HandOver(leave=False)):
             if self.clock.monotonic() >= until:
                 break
             self.clock.sleep(_REASSIGNMENT_S / 10)
-        if self._runner.ask(HandOver(leave=True)):
+        if ask(HandOver(leave=True)):
             self.clock.sleep(_REASSIGNMENT_S)
         self._peers.leave()
 
