Set a job aside whose work raises, and go on with the others

One job whose work raised an unexpected error kept all jobs of its host from starting items, at each tick.

An item whose completion raised once was never run again.

Cause: the runner's tick went through all jobs in one go.

Now each piece of work is done for each job alone. Starts, which go over all jobs in the order of their due times, are repeated job by job after an error. A run whose end cannot be recorded counts as broken, so that its item runs again.

--- a/features/builders_unexpected_errors.py
+++ b/features/builders_unexpected_errors.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import functools
+import inspect
 import itertools
 import time
 from collections.abc import Callable
@@ -21,6 +22,7 @@
 )
 from guavadyke.controllers.membership import MembershipController
 from guavadyke.controllers.membership_messages import FleetStateQuery
+from guavadyke.decisions.forward_job_items import JobItemTracker
 from guavadyke.decisions.forward_job_records import listings
 from guavadyke.log import EventLogger
 from guavadyke.part_health import PartHealth
@@ -113,3 +115,21 @@
     deps.health = PartHealth('membership', logger)
     deps.membership.member_list.members = {}
     return MembershipController.start(deps), FleetStateQuery()
+
+
+def break_tracker(
+    name: str, failing: Callable[..., bool]
+) -> Callable[[], None]:
+    """Let a member of all jobs' trackers raise where ``failing`` holds.
+
+    Returns:
+        A function that mends it again.
+    """
+    plain = inspect.getattr_static(JobItemTracker, name)
+    getter = plain.fget if isinstance(plain, property) else plain
+    broken: Any = raising(getter, failing)
+    if isinstance(plain, property):
+        broken = property(broken)
+    patch = mock.patch.object(JobItemTracker, name, broken)
+    patch.start()
+    return patch.stop
--- a/features/forward_unexpected_errors.feature
+++ b/features/forward_unexpected_errors.feature
@@ -37,3 +37,32 @@
   Scenario: a batch loop goes on after a run that returns no delay
     Given a batch loop whose first run returns no delay
     Then it runs again within 3 seconds
+
+  Scenario Outline: a job that raises when <work> holds up no other job
+    Given a host that works on jobs and keeps its log
+    And <work> of the job bad-1 raises an unexpected error
+    When the jobs bad-1 to bad-1 of 1 items are accepted for it
+    And job job-1 of 2 items is accepted for it
+    Then the 2 items of job-1 are completed within 5 seconds
+    And the log names bad-1 as failed, at most 5 times in 3 seconds
+
+    Examples:
+      | work                 |
+      | hold                 |
+      | give_up_overdue      |
+      | startable_items      |
+      | drop_stored          |
+      | unstored_results     |
+
+  Scenario: a runner all of whose jobs fail counts as failing itself
+    Given a host that works on jobs and keeps its log
+    And hold of the jobs bad-1 to bad-3 raises an unexpected error
+    When the jobs bad-1 to bad-3 of 1 items are accepted for it
+    Then the log names Tick of job-runner as failing again and again
+
+  Scenario: an item whose end of run could not be recorded runs again
+    Given a host that works on jobs and keeps its log
+    And the first completed item of a job raises an unexpected error
+    When job job-1 of 2 items is accepted for it
+    Then the 2 items of job-1 are completed
+    And the log names job-1 as failed
--- a/features/steps/forward_unexpected_errors_steps.py
+++ b/features/steps/forward_unexpected_errors_steps.py
@@ -165,3 +165,58 @@
 def step_runs_again(context: Context, limit: int) -> None:
     assert wait_until(lambda: len(context.runs) > 1, limit), context.runs
     assert len(context.log.named('batch_loop_failed')) == 1
+
+
+@given('{member} of the job {job_id} raises an unexpected error')
+def step_bad_tracker(context: Context, member: str, job_id: str) -> None:
+    mend = errors.break_tracker(
+        member, lambda work, *_args: work.job.job_id == job_id
+    )
+    context.add_cleanup(mend)
+
+
+@given('the first completed item of a job raises an unexpected error')
+def step_bad_end(context: Context) -> None:
+    context.add_cleanup(
+        errors.break_tracker('completed', errors.first_calls(1))
+    )
+
+
+@then('the log names {job_id} as failed')
+def step_job_failed(context: Context, job_id: str) -> None:
+    failed = context.log.named('job_failed')
+    assert [one['job_id'] for one in failed] == [job_id], failed
+
+
+@then(
+    'the log names {job_id} as failed, at most {most:d} times in {wait:d} '
+    'seconds'
+)
+def step_job_failures(
+    context: Context, job_id: str, most: int, wait: int
+) -> None:
+    time.sleep(max(0, context.accepted_at + wait - time.monotonic()))
+    failed = context.log.named('job_failed')
+    assert {one['job_id'] for one in failed} == {job_id}, failed
+    assert len(failed) <= most, failed
+
+
+@given('{member} of the jobs bad-1 to bad-{last:d} raises an unexpected error')
+def step_bad_trackers(context: Context, member: str, last: int) -> None:
+    bad = {f'bad-{number}' for number in range(1, last + 1)}
+    mend = errors.break_tracker(
+        member, lambda work, *_args: work.job.job_id in bad
+    )
+    context.add_cleanup(mend)
+
+
+@then('the log names {task} of {part} as failing again and again')
+def step_part_fails(context: Context, task: str, part: str) -> None:
+    def failures() -> list[object]:
+        return [
+            one['failures']
+            for one in context.log.named('part_failed')
+            if (one['part'], one['task']) == (part, task)
+        ]
+
+    assert wait_until(lambda: 8 in failures(), _WAIT_S), failures()
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -12,6 +12,7 @@
 
 from guavadyke.adapters.ports import BackendFault, BackendServers, Clock
 from guavadyke.controllers.actors import GuardedActor, tell_function
+from guavadyke.controllers.failing_jobs import FailingJobs
 from guavadyke.controllers.forward_job_maintenance import JobMaintenance
 from guavadyke.controllers.forward_job_registry import JobRegistry
 from guavadyke.controllers.forward_job_store import JobStore
@@ -150,6 +151,7 @@
             parts.pool, parts.settings.forward.item_silence_s
         )
         self._waiting_jobs = WaitingJobs(parts.logger, parts.metrics)
+        self._failing_jobs = FailingJobs(parts.clock, parts.logger)
         self._stopping = False
         self._workers = ThreadPoolExecutor(
             parts.settings.forward.item_workers,
@@ -174,18 +176,29 @@
         self._sync_works(views)
         self._parts.busy.publish(bool(self._works))
         self._preempt_surplus()
-        for run in tuple(self._runs.values()):
-            run.stop_if_stalled(now)
-        self._give_up_overdue(now)
+        works = self._failing_jobs.sound(self._works)
+        self._failing_jobs.each(
+            [(run.job_id, run) for run in self._runs.values()],
+            lambda run: run.stop_if_stalled(now),
+        )
+        self._failing_jobs.each(
+            works.items(), functools.partial(self._give_up_overdue, now)
+        )
         if not self._stopping:
-            _hold_items(self._works.values(), self._parts.prompts)
-            self._start_items(now, views.values())
+            self._failing_jobs.each(
+                works.items(),
+                functools.partial(_hold_items, self._parts.prompts),
+            )
+            self._failing_jobs.together(
+                works,
+                functools.partial(self._start_items, now, views.values()),
+            )
             if self._parts.connected():
                 self._maintenance.run_if_due(
                     views, now, self._parts.clock.wall()
                 )
-        for job_id, work in self._works.items():
-            self._writer.advance(job_id, work)
+        self._failing_jobs.each(works.items(), self._writer.advance)
+        self._failing_jobs.raise_if_all_fail(self._works)
 
     def ended(self, run: ItemRun, outcome: RunOutcome) -> None:
         """Handle the end of a run."""
@@ -205,7 +218,12 @@
         reserved = self._silent_items.take(run)
         if work is not None:
             self._partials[item_id] = outcome.partial
-            self._apply_outcome(work, item_id, outcome)
+            recorded = self._failing_jobs.each(
+                ((run.job_id, work),),
+                functools.partial(self._apply_outcome, item_id, outcome),
+            )
+            if not recorded:
+                work.broken(item_id, self._parts.clock.monotonic())
             goes_on = not self._stopping and _may_go_on(
                 work, run, outcome, self._parts.prompts
             )
@@ -226,7 +244,10 @@
         self._writer.ended(job_id)
         work = self._works.get(job_id)
         if work is not None and pages is not None:
-            work.drop_stored(pages)
+            self._failing_jobs.each(
+                ((job_id, work),),
+                lambda loaded: loaded.drop_stored(pages),
+            )
             self.tick()
 
     def hand_over(self, *, leave: bool) -> int:
@@ -285,9 +306,9 @@
 
     def _apply_outcome(
         self,
-        work: JobItemTracker,
         item_id: str,
         outcome: RunOutcome,
+        work: JobItemTracker,
     ) -> None:
         now = self._parts.clock.monotonic()
         route = self._parts.table.current.route_by_name(work.job.route)
@@ -314,24 +335,25 @@
             for run in newest_to_cancel(runs, count):
                 run.cancellation.cancel()
 
-    def _give_up_overdue(self, now: float) -> None:
+    def _give_up_overdue(self, now: float, work: JobItemTracker) -> None:
         table = self._parts.table.current
-        if not table.configured:
-            return
-        wall = self._parts.clock.wall()
-        for work in self._works.values():
-            if work.loaded:
-                route = table.route_by_name(work.job.route)
-                work.give_up_overdue(route, now, wall)
-
-    def _start_items(self, now: float, views: Iterable[JobView]) -> None:
+        if table.configured and work.loaded:
+            route = table.route_by_name(work.job.route)
+            work.give_up_overdue(route, now, self._parts.clock.wall())
+
+    def _start_items(
+        self,
+        now: float,
+        views: Iterable[JobView],
+        works: Mapping[str, JobItemTracker],
+    ) -> None:
         """Start items while servers have free slots, earliest job first."""
         table = self._parts.table.current
         publish_backlog = functools.partial(
             self._parts.pool.set_batch_backlog,
             due_order=due_order(views, table),
             pressing=_any_pressing(
-                self._works.values(),
+                works.values(),
                 table,
                 self._parts.clock.wall(),
                 self._parts.settings.forward.item_workers,
@@ -339,18 +361,15 @@
         )
         silent = self._silent_items.due(self._runs.values(), now)
         publish_backlog(
-            _waiting_for_slot(self._parts, self._works, self._runs)
-            + len(silent)
+            _waiting_for_slot(self._parts, works, self._runs) + len(silent)
         )
         self._silent_items.leave(
             silent,
             functools.partial(_lease_elsewhere, self._parts, self._works),
         )
-        refusals = start_items(
-            self._works.values(), table, now, self._start_item
-        )
-        publish_backlog(_waiting_for_slot(self._parts, self._works, self._runs))
-        self._waiting_jobs.report_due(self._works, refusals, now)
+        refusals = start_items(works.values(), table, now, self._start_item)
+        publish_backlog(_waiting_for_slot(self._parts, works, self._runs))
+        self._waiting_jobs.report_due(works, refusals, now)
 
     def _start_item(
         self, work: JobItemTracker, item: ForwardItem, service: str
@@ -512,10 +531,9 @@
     return runner.hand_over(leave=message.leave)
 
 
-def _hold_items(works: Iterable[JobItemTracker], prompts: PromptGuard) -> None:
+def _hold_items(prompts: PromptGuard, work: JobItemTracker) -> None:
     """Hold the items that might crash the servers that run them."""
-    for work in works:
-        work.hold(functools.partial(_is_held, prompts, work.job))
+    work.hold(functools.partial(_is_held, prompts, work.job))
 
 
 def _is_held(prompts: PromptGuard, job: AcceptedJob, item: ForwardItem) -> bool:
--- a/guavadyke/controllers/forward_job_writer.py
+++ b/guavadyke/controllers/forward_job_writer.py
@@ -79,8 +79,9 @@
         """Allow the next step of a job, after ``report`` was called."""
         self._busy.discard(job_id)
 
-    def advance(self, job_id: str, work: JobItemTracker) -> None:
+    def advance(self, work: JobItemTracker) -> None:
         """Start the next step of a job, if one is due and none runs."""
+        job_id = work.job.job_id
         if not work.loaded:
             self._start(job_id, self._load)
         elif work.unstored_results:
