Report the outcome of a trial ahead of other reports

A wave of ending servers uses up what each host may report: 20 reports a second for the whole fleet, so that one of 390 hosts sends one in 20 s, oldest first. The crash of a trial waited behind all others, and the next host tried the part again after 5 s instead of 10 s or more; so did the word that a trial had completed, and every host had to try a sound part itself, one of them in 5 s.

Both now go first and may be sent in advance of the allowance, like reports of whole requests that crash servers repeatedly.

--- a/features/forward_prompts.feature
+++ b/features/forward_prompts.feature
@@ -240,6 +240,23 @@
     Then all hosts refuse a prompt of "request/1"
     And there are at most 1210 reports on the platform
 
+  Scenario: hosts with many reports to send tell first of a crash in a trial
+    Given 100 hosts that have served nothing yet
+    When 3 servers end under a prompt of "bad"
+    And every host sees 10 servers end under prompts of their own in 2 seconds
+    And 5 seconds pass
+    And 1 servers end under a request of "bad" at "host-0"
+    And 7 seconds pass
+    Then all hosts refuse a prompt of "bad"
+
+  Scenario: hosts with many reports to send tell first of a trial that completed
+    Given 100 hosts that have served nothing yet
+    When 3 servers end under a prompt of "sound"
+    And every host sees 10 servers end under prompts of their own in 2 seconds
+    And 6 seconds pass
+    And a request with "sound" completes at the host that tries it
+    Then no host refuses a prompt of "sound"
+
   Scenario: reports that the platform does not take are sent later
     Given 20 hosts where requests with the part "shared" have completed
     When the platform is away while 3 servers end under a prompt of "shared,bad"
--- a/guavadyke/controllers/prompt_guard.py
+++ b/guavadyke/controllers/prompt_guard.py
@@ -72,6 +72,8 @@
         self._found = threading.Event()
         self._answer_due: dict[str, float] = {}
         self._breaks: list[_Break] = []
+        # Parts that this host has released, which no report has told yet.
+        self._released: frozenset[str] = frozenset()
 
     @property
     def quarantined(self) -> frozenset[str]:
@@ -126,6 +128,7 @@
         with self._lock:
             before = self.quarantined
             cleared = self._quarantine.completed(parts, self._clock.monotonic())
+            self._released |= (before - self.quarantined).intersection(cleared)
             if cleared:
                 self._queue.add(
                     PromptReport(self._clock.wall(), completed=cleared)
@@ -145,16 +148,16 @@
             self._settle(now)
             self._answer_suspicions(now)
             live_hosts = 1 + len(self._fleet.current.alive)
-            return self._queue.take(
-                live_hosts,
-                now,
-                lambda report: self._quarantine.nears_blame(report.suspects),
-            )
+            report = self._queue.take(live_hosts, now, self._is_urgent)
+            if report is not None:
+                self._released -= frozenset(report.completed)
+            return report
 
     def send_again(self, report: PromptReport) -> None:
         """Take a report back that could not be sent."""
         with self._lock:
             self._queue.add(report)
+            self._released |= frozenset(report.completed)
 
     def apply(self, report: PromptReport) -> None:
         """Apply a report of any host."""
@@ -170,6 +173,11 @@
                 self._answer_due.pop(completed_part, None)
         self._log_changes(before)
 
+    def _is_urgent(self, report: PromptReport) -> bool:
+        """Return whether hosts refuse too much or too little without it."""
+        releases = not self._released.isdisjoint(report.completed)
+        return releases or self._quarantine.nears_blame(report.suspects)
+
     def _settle(self, now: float) -> None:
         """Take breaks for ends of servers, unless too many come at once."""
         while self._breaks and self._breaks[0].at <= now - _SETTLE_S:
--- a/guavadyke/decisions/prompt_quarantine.py
+++ b/guavadyke/decisions/prompt_quarantine.py
@@ -130,11 +130,18 @@
         return self._quarantined
 
     def nears_blame(self, suspects: Iterable[Suspect]) -> bool:
-        """Return whether a whole request among these has crashed repeatedly."""
+        """Return whether hosts need to know at once that these are suspected.
+
+        That is so if a whole request among them has crashed repeatedly, or if
+        a part is in quarantine, whose next trial has to wait longer.
+        """
         return any(
-            self._counts[suspect.part] > 1
+            suspect.part in self._quarantined
+            or (
+                self._counts[suspect.part] > 1
+                and is_whole_request(suspect.part)
+            )
             for suspect in suspects
-            if is_whole_request(suspect.part)
         )
 
     def trusts(self, part: str, at: float) -> bool:
