Let callers of a quarantined part wait for a slow platform only once

Each online request with a quarantined part that was due to be tried waited up to 0.25 s for the claim, one after another for as long as a write took.

--- a/features/forward_prompts.feature
+++ b/features/forward_prompts.feature
@@ -198,6 +198,13 @@
     And 8 seconds pass
     Then a look at 2000 items with "shared,bad" takes a host under 200 ms of processor time
 
+  Scenario: callers of a part do not each wait for a platform that is slow
+    Given 3 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    And 8 seconds pass
+    Then 8 callers of "shared,bad" wait 0.1 seconds in all for a slow platform
+    And the next one may try it once the claim is written
+
   Scenario: a request with two quarantined parts waits until both may be tried
     Given 20 hosts where requests with the part "shared" have completed
     When 3 servers end under a prompt of "shared,bad,request/1"
--- a/features/steps/forward_prompts_steps.py
+++ b/features/steps/forward_prompts_steps.py
@@ -378,6 +378,29 @@
     assert context.writes <= writes, context.writes
 
 
+@then(
+    '{count:d} callers of "{prompt}" wait {seconds:g} seconds in all for a '
+    'slow platform'
+)
+def step_callers_wait(
+    context: Context, count: int, prompt: str, seconds: float
+) -> None:
+    guard = context.guarded.guards[0]
+    context.parts = _split(prompt)
+    began_s = time.monotonic()
+    for _ in range(count):
+        found = guard.check(context.parts)
+        assert found and not guard.trials.await_claim(found, seconds)
+    waited_s = time.monotonic() - began_s
+    assert seconds <= waited_s < 3 * seconds, waited_s
+
+
+@then('the next one may try it once the claim is written')
+def step_next_tries(context: Context) -> None:
+    first = next(iter(context.guarded.hosts))
+    assert not context.guarded.refusing(*context.parts, hosts=[first])
+
+
 @then('"{host_id}" tries "{prompt}"')
 def step_tries(context: Context, host_id: str, prompt: str) -> None:
     assert not context.guarded.refusing(*_split(prompt), hosts=[host_id])
--- a/guavadyke/controllers/prompt_trials.py
+++ b/guavadyke/controllers/prompt_trials.py
@@ -112,6 +112,7 @@
         self._wanted_until: dict[str, float] = {}
         self._known: dict[str, _KnownClaim] = {}
         self._unspent_until: dict[str, float] = {}
+        self._slow_until: dict[str, float] = {}
         self._delays = _ClaimDelays(host_id, fleet)
 
     def allows(self, found: Quarantine | None) -> bool:
@@ -132,7 +133,8 @@
     def await_claim(self, found: Quarantine, longest_s: float) -> bool:
         """Return whether a request may start, after a wait for the platform.
 
-        There is no wait if the trial is not due or another host has it.
+        There is no wait if the trial is not due, another host has it, or the
+        platform was too slow for an earlier request.
 
         Args:
             found: the quarantine of the request.
@@ -141,10 +143,14 @@
         if self.allows(found):
             return True
         with self._changed:
-            if found.part in self._wanted_until:
-                self._changed.wait_for(
-                    lambda: found.part not in self._wanted_until, longest_s
-                )
+            now = self._clock.monotonic()
+            if self._slow_until.get(found.part, 0) > now:
+                return self._holds(found.part, now)
+            answered = self._changed.wait_for(
+                lambda: found.part not in self._wanted_until, longest_s
+            )
+            if not answered:
+                self._slow_until[found.part] = now + _TRIAL_S
             self._wanted_until.pop(found.part, None)
             return self._holds(found.part, self._clock.monotonic())
 
@@ -193,6 +199,7 @@
         """
         with self._changed:
             self._unspent_until[part] = began_at + _TRIAL_S
+            self._slow_until.pop(part, None)
             if self._is_newer(part, stored):
                 self._know(part, stored)
             self._wanted_until.pop(part, None)
