Give a slot back when its run crashes before it is sent

An error that is not the project's, raised while a run asks whether its server takes it, left the slot taken for good: this host and all others counted an item that does not exist, and with each retry one more, until no server had a free slot for items.

Now the slot is given back unless the request is sent.

The scenario fails on the code before: one item stays in flight at s1.

--- a/features/forward_item_starts.feature
+++ b/features/forward_item_starts.feature
@@ -46,3 +46,9 @@
     Then 6 runs begin
     When job-1 is cancelled
     Then the runs of job-2 are not cancelled
+
+  Scenario: a run that crashes before it asks its server gives its slot back
+    Given a run of an item whose check of limits raises an error
+    When it is performed
+    Then it raises the error
+    And its host has no item in flight and reports no failure of the server
--- a/features/steps/forward_item_starts_steps.py
+++ b/features/steps/forward_item_starts_steps.py
@@ -2,20 +2,37 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from behave import given, then, when
 from behave.runner import Context
 
 from features import builders_forward as build
 from features.builders_processes import wait_until
+from guavadyke.controllers.item_run import ItemRun, PartialText
 from guavadyke.controllers.item_starts import StartRefusal, start_items
 from guavadyke.decisions.forward_job_items import JobItemTracker
 from guavadyke.decisions.forward_job_records import ForwardItem, JobProgress
+from guavadyke.decisions.server_registry import ListedServer
+from guavadyke.settings import ForwardSettings
 
 _WAIT_S = 5.0
 _JOB_IDS = ('job-1', 'job-2')
 _FIRST = (_JOB_IDS[0], 'item-0')
 
 
+class _RaisingLimits:
+    """Limits of servers whose check raises an unexpected error."""
+
+    def admit(self, _server: ListedServer, *, batch: bool = False) -> bool:
+        """Raise the error.
+
+        Raises:
+            LookupError: always.
+        """
+        raise LookupError(batch)
+
+
 @given('2 jobs of {items:d} items each at one service')
 def step_jobs(context: Context, items: int) -> None:
     context.works = [
@@ -65,6 +82,39 @@
     assert context.refusals == dict.fromkeys(_JOB_IDS, StartRefusal(refusal))
 
 
+@given('a run of an item whose check of limits raises an error')
+def step_crashing_run(context: Context) -> None:
+    one = build.server('s1')
+    context.pool = build.pool((one,))
+    job = build.job()
+    tools = dataclasses.replace(
+        build.item_run_tools(context.pool), limits=_RaisingLimits()
+    )
+    lease = context.pool.acquire_batch(build.SERVICE, frozenset())
+    context.run = ItemRun(job, job.items[0], lease, PartialText(), tools)
+
+
+@when('it is performed')
+def step_performed(context: Context) -> None:
+    context.error = None
+    try:
+        context.run.perform(build.FakeServers(), ForwardSettings())
+    except LookupError as error:
+        context.error = error
+
+
+@then('it raises the error')
+def step_raises(context: Context) -> None:
+    assert context.error is not None
+
+
+@then('its host has no item in flight and reports no failure of the server')
+def step_no_item(context: Context) -> None:
+    held = context.pool.load_notice().batch_counts
+    assert not held, held
+    assert not context.pool.urgent.wait(0).faults
+
+
 @when('job-1 and job-2 are accepted with {items:d} items each')
 def step_accept_both(context: Context, items: int) -> None:
     for job_id in _JOB_IDS:
--- a/guavadyke/controllers/item_run.py
+++ b/guavadyke/controllers/item_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import enum
 import functools
@@ -177,9 +178,13 @@
 
         A server that takes no more requests now preempts it.
         """
-        if not self._tools.limits.admit(self.lease.server, batch=True):
-            self._tools.pool.release(self.lease, BackendFault.refused)
-            return self._outcome(RunEnd.preempted, 'limit of the server')
+        with contextlib.ExitStack() as unless_sent:
+            unless_sent.callback(
+                self._tools.pool.release, self.lease, BackendFault.refused
+            )
+            if not self._tools.limits.admit(self.lease.server, batch=True):
+                return self._outcome(RunEnd.preempted, 'limit of the server')
+            unless_sent.pop_all()
         failure = None
         try:
             return self._send_and_read(servers, settings)
