Claim no slots for jobs whose results are not read yet

Items of other hosts waited for slots that a host kept for items which it could not start: those of jobs whose results it could not read from the platform.

Cause: these items counted as waiting, by which hosts divide free slots among them, earliest job first.

--- a/features/forward_item_starts.feature
+++ b/features/forward_item_starts.feature
@@ -52,3 +52,12 @@
     When it is performed
     Then it raises the error
     And its host has no item in flight and reports no failure of the server
+
+  Scenario: a host claims no free slots for a job whose results it cannot read yet
+    Given a host that works on jobs, with its log
+    And its link to the platform ends once the next job is stored
+    When a job of 3 items is accepted for it
+    Then reading its results fails
+    And the host tells others of no item that waits for a slot
+    When the link to the platform is back
+    Then all 3 items are listed as completed with their whole text
--- a/features/steps/forward_item_starts_steps.py
+++ b/features/steps/forward_item_starts_steps.py
@@ -3,20 +3,24 @@
 from __future__ import annotations
 
 import dataclasses
+import time
 
 from behave import given, then, when
 from behave.runner import Context
 
 from features import builders_forward as build
+from features.builders_forward_runner import RunnerBench
 from features.builders_processes import wait_until
 from guavadyke.controllers.item_run import ItemRun, PartialText
 from guavadyke.controllers.item_starts import StartRefusal, start_items
 from guavadyke.decisions.forward_job_items import JobItemTracker
 from guavadyke.decisions.forward_job_records import ForwardItem, JobProgress
 from guavadyke.decisions.server_registry import ListedServer
+from guavadyke.forward_job_documents import JOB_KIND
 from guavadyke.settings import ForwardSettings
 
 _WAIT_S = 5.0
+_TICK_S = 0.05
 _JOB_IDS = ('job-1', 'job-2')
 _FIRST = (_JOB_IDS[0], 'item-0')
 
@@ -82,6 +86,37 @@
     assert context.refusals == dict.fromkeys(_JOB_IDS, StartRefusal(refusal))
 
 
+@given('a host that works on jobs, with its log')
+def step_logging_host(context: Context) -> None:
+    context.bench = RunnerBench(logger=build.RecordingLogger())
+    context.add_cleanup(context.bench.close)
+
+
+@given('its link to the platform ends once the next job is stored')
+def step_link_ends(context: Context) -> None:
+    context.bench.host.link.faults.cut_after_write_of = JOB_KIND
+
+
+@when('the link to the platform is back')
+def step_link_back(context: Context) -> None:
+    context.bench.host.link.faults.clear_faults()
+
+
+@then('reading its results fails')
+def step_not_read(context: Context) -> None:
+    assert context.bench.host.link.faults.cut
+    logged = context.bench.logger
+    assert wait_until(lambda: logged.named('job_write_failed'), _WAIT_S)
+
+
+@then('the host tells others of no item that waits for a slot')
+def step_none_waits(context: Context) -> None:
+    for _ in range(10):
+        held = context.bench.in_flight().batch_counts
+        assert not held, held
+        time.sleep(_TICK_S)
+
+
 @given('a run of an item whose check of limits raises an error')
 def step_crashing_run(context: Context) -> None:
     one = build.server('s1')
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -569,7 +569,8 @@
 
 
 def _waiting_items(works: Iterable[JobItemTracker]) -> int:
-    return sum(count_items(work)['waiting'] for work in works)
+    """Return how many items wait, without jobs that are not read yet."""
+    return sum(count_items(work)['waiting'] for work in works if work.loaded)
 
 
 def _taken_at(run: ItemRun) -> float:
