Check jobs of hosts that leave, come back or are lost at once

A job that its leaving host cannot pass on, one passed on to a host that is lost at once and one whose host is lost before its first look have one other owner within 4 s; an owner that comes back leaves its job to the host that took it over, and one that is back within a second keeps it.

--- a/features/builders_job_owners.py
+++ b/features/builders_job_owners.py
@@ -104,6 +104,10 @@
         """Claim a job of another host."""
         self._writer.claim(job_id, self.host_id, owner_before)
 
+    def pass_on(self, job_id: str, owner: str) -> None:
+        """Pass a job on to another host, as a host does that leaves."""
+        self._writer.reassign(job_id, owner, ())
+
     def cut_off(self) -> None:
         """Cut this host off from the platform."""
         self.host.link.faults.cut = True
--- a/features/forward_job_owners.feature
+++ b/features/forward_job_owners.feature
@@ -19,6 +19,33 @@
     Then the host that comes first owns the job
     And the job has been taken over once
 
+  Scenario: a job that its leaving host cannot pass on is taken over
+    Given 5 hosts, of which host-0 owns a job
+    When host-0 leaves and its write that passes the job on fails
+    Then one other host owns the job within 4 seconds
+
+  Scenario: a job that is passed on to a host that is lost at once is taken over
+    Given 5 hosts, of which host-0 owns a job
+    When host-0 passes the job on to host-3 and leaves, and host-3 is lost
+    Then one other host owns the job within 4 seconds
+
+  Scenario: a job whose host is lost before it looks at it once is taken over
+    Given 5 hosts, of which host-0 owns a job
+    When host-0 is lost for 4 seconds
+    Then one other host owns the job within 0 seconds
+
+  Scenario: an owner that comes back after its job was taken over leaves it
+    Given 5 hosts, of which host-0 owns a job
+    When host-0 is lost for 4 seconds
+    And host-0 is back
+    Then one other host owns the job within 4 seconds
+
+  Scenario: an owner that is back within a second keeps its job
+    Given 5 hosts, of which host-0 owns a job
+    When host-0 is lost for 1 seconds
+    And host-0 is back
+    Then host-0 owns the job after 10 seconds
+
   Scenario: a host that claims a job after another one leaves it to that host
     Given 5 hosts, of which host-0 owns a job
     When host-0 is lost, and host-1 claims its job before host-2, which has not learned of it
--- a/features/steps/forward_job_owners_steps.py
+++ b/features/steps/forward_job_owners_steps.py
@@ -51,7 +51,8 @@
     context.fleet.see({**context.states, _OWNER: 'dead'})
     if 'sees_alive' in context:
         context.fleet.hosts[context.first].see(context.states)
-    context.fleet.run(seconds, lost=(_OWNER,))
+    context.gone = {_OWNER: 'dead'}
+    context.fleet.run(seconds, lost=context.gone)
 
 
 @when(
@@ -72,6 +73,44 @@
     assert context.fleet.owners() == ['host-1']
 
 
+@when('host-0 leaves and its write that passes the job on fails')
+def step_not_passed_on(context: Context) -> None:
+    leaving = context.fleet.hosts[_OWNER]
+    leaving.cut_off()
+    leaving.pass_on(owners.JOB, 'host-3')
+    assert leaving.logger.named('job_write_failed')
+    context.gone = {_OWNER: 'left'}
+
+
+@when('host-0 passes the job on to host-3 and leaves, and host-3 is lost')
+def step_passed_to_lost(context: Context) -> None:
+    context.fleet.hosts[_OWNER].pass_on(owners.JOB, 'host-3')
+    context.gone = {_OWNER: 'left', 'host-3': 'dead'}
+
+
+@when('host-0 is back')
+def step_back(context: Context) -> None:
+    context.gone = {}
+
+
+@then('one other host owns the job within {seconds:d} seconds')
+def step_other_within(context: Context, seconds: int) -> None:
+    context.fleet.see({**context.states, **context.gone})
+    context.fleet.run(seconds, lost=context.gone)
+    found = [
+        name for name in context.fleet.owners() if name not in context.gone
+    ]
+    assert len(found) == 1, found
+    assert found != [_OWNER]
+
+
+@then('host-0 owns the job after {seconds:d} seconds')
+def step_keeps(context: Context, seconds: int) -> None:
+    context.fleet.see(context.states)
+    context.fleet.run(seconds)
+    assert context.fleet.owners() == [_OWNER]
+
+
 @when('host-1 and then host-2 take it over')
 def step_twice(context: Context) -> None:
     hosts = context.fleet.hosts
