Skip a claim that has become needless while it waited

Where many jobs are taken over on a slow platform, the claims of the hosts that come second wait in the same pool as writes of results. One whose job another host owns by then now makes no call.

The scenario fails on the code before with one call.

--- a/features/forward_job_owners.feature
+++ b/features/forward_job_owners.feature
@@ -51,6 +51,11 @@
     When host-0 is lost, and host-1 claims its job before host-2, which has not learned of it
     Then host-1 owns the job and host-2 knows it
 
+  Scenario: a claim that waits until another host owns the job asks the platform nothing
+    Given 5 hosts, of which host-0 owns a job
+    When host-1 claims the job, and host-2 learns so while its own claim waits
+    Then host-1 owns the job and host-2 has called the platform 0 times
+
   Scenario: a host keeps a job that it has taken over until its mirrors show that
     Given 5 hosts, of which host-0 owns a job
     When host-1 and then host-2 take it over
--- a/features/steps/forward_job_owners_steps.py
+++ b/features/steps/forward_job_owners_steps.py
@@ -111,6 +111,22 @@
     assert context.fleet.owners() == [_OWNER]
 
 
+@when('host-1 claims the job, and host-2 learns so while its own claim waits')
+def step_claim_waits(context: Context) -> None:
+    fleet = context.fleet
+    fleet.hosts['host-1'].claim(owners.JOB, _OWNER)
+    fleet.catch_up()
+    before = fleet.platform.calls.total()
+    fleet.hosts['host-2'].claim(owners.JOB, _OWNER)
+    context.calls = fleet.platform.calls.total() - before
+
+
+@then('host-1 owns the job and host-2 has called the platform {count:d} times')
+def step_calls(context: Context, count: int) -> None:
+    assert context.fleet.owners() == ['host-1']
+    assert context.calls == count, context.calls
+
+
 @when('host-1 and then host-2 take it over')
 def step_twice(context: Context) -> None:
     hosts = context.fleet.hosts
@@ -131,6 +147,7 @@
 def step_late_record(context: Context) -> None:
     first, second = (context.fleet.hosts[f'host-{n}'] for n in (1, 2))
     claimed = first.host.store.claim(owners.JOB, 'host-1', _OWNER)
+    second.catch_up()
     second.claim(owners.JOB, 'host-1')
     first.catch_up()
     first.host.registry.progress_written(owners.JOB, claimed)
--- a/guavadyke/controllers/forward_job_writer.py
+++ b/guavadyke/controllers/forward_job_writer.py
@@ -169,6 +169,9 @@
         self._registry.progress_written(job_id, progress)
 
     def _claim(self, job_id: str, me: str, owner_before: str) -> None:
+        known = self._registry.view(job_id)
+        if known is None or known.owner != owner_before:
+            return
         progress = self._store.claim(job_id, me, owner_before)
         self._logger.info(
             'job_taken_over' if progress.owner == me else 'job_claimed_before',
