Have the retirement of a lost host completed by a host that handles it

A request to drain a host that was lost stayed open where the fleet has hosts with callers: only hosts without a caller port handle such requests, but the one to complete it was elected among all live hosts.

Cause: a duty was given to one elected member which has nothing to do it with.

Now live hosts complete it in the order of their ranks, half a second apart and 3 s at most; a host whose turn has come first reads whether it is completed.

The scenario of 3 such hosts among 20 others fails on the code before: nobody completes the request.

--- a/features/builders_users_platform.py
+++ b/features/builders_users_platform.py
@@ -193,7 +193,8 @@
             state = self.table.read(name_match[1], name_match[2])
             if state is None:
                 return json_answer({}, 404)
-            return json_answer(_document(state))
+            status = self.statuses.get((name_match[1], name_match[2]))
+            return json_answer({**_document(state), 'Status': status})
         kind = _KIND_PATH.fullmatch(request.path)[1]
         if 'Watch' in request.query:
             return self._watch(kind, request.query)
--- a/features/forward_retirement.feature
+++ b/features/forward_retirement.feature
@@ -16,6 +16,11 @@
     When worker-2 is asked to retire within 10 seconds
     Then only worker-2 itself hands over and completes
 
+  Scenario: the request of a lost host is completed where most hosts handle none
+    Given a host worker-1 among live hosts, and 20 hosts that handle no requests
+    When worker-9 is asked to retire within 10 seconds
+    Then worker-9 is completed by one of the live hosts within 8 seconds
+
   Scenario: one live host completes the request of a lost host
     Given a host worker-1 among live hosts
     When worker-9 is asked to retire within 10 seconds
--- a/features/steps/forward_retirement_steps.py
+++ b/features/steps/forward_retirement_steps.py
@@ -27,6 +27,19 @@
     context.hosts = {name: _retirements(context, name) for name in _HOSTS}
 
 
+@given(
+    'a host worker-1 among live hosts, and {count:d} hosts that handle no '
+    'requests'
+)
+def step_mixed(context: Context, count: int) -> None:
+    context.done = []
+    context.refused = 0
+    others = tuple(f'front-{number}' for number in range(count))
+    context.hosts = {
+        name: _retirements(context, name, others) for name in _HOSTS
+    }
+
+
 @given('the platform fails the next {count:d} writes')
 def step_refused(context: Context, count: int) -> None:
     context.refused = count
@@ -61,11 +74,21 @@
     assert context.done == [name]
 
 
-def _retirements(context: Context, host_id: str) -> RetirementController:
+@then('{name} is completed by one of the live hosts within {seconds:d} seconds')
+def step_completed_within(context: Context, name: str, seconds: int) -> None:
+    assert context.done == [name], context.done
+    latest = max(done_at for done_at in context.done_at)
+    assert latest - build.NOW <= seconds, latest
+
+
+def _retirements(
+    context: Context, host_id: str, others: tuple[str, ...] = ()
+) -> RetirementController:
     clock = build.ManualClock()
+    context.done_at = []
     peers = tuple(
         PeerView(name, build.ZONE, 'south', '10.0.0.1:1', 'alive', 1, 0)
-        for name in _HOSTS
+        for name in (*_HOSTS, *others)
         if name != host_id
     )
 
@@ -75,6 +98,7 @@
             context.refused -= 1
             raise PlatformUnavailableError('the platform is unreachable')
         context.done.append(name)
+        context.done_at.append(clock.now)
 
     retirements = RetirementController(
         RetirementParts(
@@ -84,6 +108,7 @@
                 (host_id, 'handed over', longest_s),
             ),
             complete,
+            context.done.__contains__,
             SnapshotCell(FleetSnapshot(peers)),
             clock,
             EventLogger(),
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -354,9 +354,12 @@
     request = decode(context.store.read('retirements', 'store-1'))
     assert request == RetirementRequest('store-1', 10)
     assert decode(StoredObject('retirements', 'x', 1, b'[]')) is None
-    RetirementStatus(context.store)('store-1')
+    status = RetirementStatus(context.store)
+    assert not status.is_completed('store-1')
+    status('store-1')
     written = context.users_store.statuses['retirements', 'store-1']
     assert written == {'State': 'completed'}
+    assert status.is_completed('store-1')
 
 
 @then('no other module contains wire names')
--- a/guavadyke/controllers/retirement_controller.py
+++ b/guavadyke/controllers/retirement_controller.py
@@ -9,7 +9,7 @@
 from guavadyke.adapters.ports import Clock, StoredObject
 from guavadyke.controllers.mirror import MirrorSink
 from guavadyke.decisions.forward_job_ownership import AbsenceTracker
-from guavadyke.decisions.rendezvous_hashing import rendezvous
+from guavadyke.decisions.rendezvous_hashing import place
 from guavadyke.errors import GuavadykeError
 from guavadyke.log import EventLogger
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
@@ -19,6 +19,10 @@
 # Share of the requested time in which runs may end before they are cancelled.
 _GRACE_SHARE = 0.4
 _MAX_GRACE_S = 6.0
+# Live hosts complete the request of a lost one after one another, since only
+# some of them handle requests.
+_TURN_SPACING_S = 0.5
+_LONGEST_TURN_S = 3.0
 _ALIVE = 'alive'
 _REACHABLE = frozenset((_ALIVE, 'suspect'))
 
@@ -38,13 +42,14 @@
     ``decode`` returns None for an object that is no request; ``hand_over``
     lets the runs of this host end for up to the given seconds, then
     reassigns its jobs; ``complete`` writes to the platform that the host
-    with the given id is drained.
+    with the given id is drained, ``is_completed`` reads whether it says so.
     """
 
     host_id: str
     decode: Callable[[StoredObject], RetirementRequest | None]
     hand_over: Callable[[float], None]
     complete: Callable[[str], None]
+    is_completed: Callable[[str], bool]
     fleet: SnapshotCell[FleetSnapshot]
     clock: Clock
     logger: EventLogger
@@ -121,7 +126,7 @@
         if own is not None:
             self._drain(own)
         for host_id in self._lost_hosts(due):
-            self._complete(host_id)
+            self._complete(host_id, only_if_open=True)
 
     def _run(self) -> None:
         while not self._stopped.wait(_CHECK_INTERVAL_S):
@@ -149,13 +154,15 @@
         )
         return [
             host_id
-            for host_id in lost
-            if rendezvous(host_id, {me, *alive}) == me
+            for host_id, lost_s in lost.items()
+            if lost_s >= _turn_s(place(host_id, me, alive))
         ]
 
-    def _complete(self, host_id: str) -> None:
+    def _complete(self, host_id: str, *, only_if_open: bool = False) -> None:
         try:
-            self._parts.complete(host_id)
+            is_open = not (only_if_open and self._parts.is_completed(host_id))
+            if is_open:
+                self._parts.complete(host_id)
         except GuavadykeError as error:
             self._parts.logger.warning(
                 'retirement_not_written',
@@ -164,4 +171,10 @@
             )
             return
         self._completed.add(host_id)
-        self._parts.logger.info('retirement_completed', retired=host_id)
+        if is_open:
+            self._parts.logger.info('retirement_completed', retired=host_id)
+
+
+def _turn_s(rank: int) -> float:
+    """Return the seconds after which a live host of a rank may complete."""
+    return min(_LONGEST_TURN_S, rank * _TURN_SPACING_S)
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -82,6 +82,7 @@
     retirement_kind: str
     decode_retirement: Callable[[StoredObject], RetirementRequest | None]
     complete_retirement: Callable[[str], None]
+    is_retirement_completed: Callable[[str], bool]
 
 
 class ForwardHost:
@@ -181,6 +182,7 @@
                 ports.decode_retirement,
                 self.hand_over,
                 ports.complete_retirement,
+                ports.is_retirement_completed,
                 self.fleet,
                 self.clock,
                 logger,
--- a/guavadyke/platform/daemon.py
+++ b/guavadyke/platform/daemon.py
@@ -61,6 +61,7 @@
         self._settings = settings
         self._logger = EventLogger(host=settings.host_id, zone=settings.zone)
         store = ObjectStore(settings.platform, settings.host_id, self._logger)
+        retirement_status = RetirementStatus(store)
         self._host = ForwardHost(
             settings,
             ForwardPorts(
@@ -75,7 +76,8 @@
                 decode_server=EngineDecoder(self._logger),
                 retirement_kind=RETIREMENT_KIND,
                 decode_retirement=RetirementDecoder(self._logger),
-                complete_retirement=RetirementStatus(store),
+                complete_retirement=retirement_status,
+                is_retirement_completed=retirement_status.is_completed,
             ),
             self._logger,
         )
--- a/guavadyke/platform/retirements.py
+++ b/guavadyke/platform/retirements.py
@@ -10,6 +10,7 @@
 from guavadyke.platform.store import ObjectStore
 
 RETIREMENT_KIND = 'retirements'
+_COMPLETED = 'completed'
 
 
 class _RetirementEntry(pydantic.BaseModel):
@@ -61,5 +62,14 @@
         self._store.write_status(
             RETIREMENT_KIND,
             host_id,
-            {'State': 'completed'},
+            {'State': _COMPLETED},
         )
+
+    def is_completed(self, host_id: str) -> bool:
+        """Return whether the status of a host's retirement is completed.
+
+        Raises:
+            GuavadykeError: the platform did not answer.
+        """
+        status = self._store.read_status(RETIREMENT_KIND, host_id)
+        return status.get('State') == _COMPLETED
--- a/guavadyke/platform/store.py
+++ b/guavadyke/platform/store.py
@@ -50,6 +50,10 @@
     spec: Any = pydantic.Field(alias='Spec', default=None)
 
 
+class _StatusDocument(pydantic.BaseModel):
+    status: dict[str, Any] | None = pydantic.Field(alias='Status', default=None)
+
+
 class _Listing(pydantic.BaseModel):
     # AsOf is the store-wide revision that the listing reflects.
     objects: tuple[_Object, ...] = pydantic.Field(alias='Items')
@@ -203,6 +207,19 @@
         path = f'{_object_path(kind, name)}?{urlencode({"Rev": version})}'
         self._calls.write(PlatformCall('DELETE', path))
 
+    def read_status(self, kind: str, name: str) -> Mapping[str, object]:
+        """Return the status of an object, empty if it has none."""
+        reply = self._calls.read(PlatformCall('GET', _object_path(kind, name)))
+        if reply.status == NOT_FOUND_STATUS:
+            return {}
+        try:
+            document = _StatusDocument.model_validate_json(reply.body)
+        except pydantic.ValidationError as error:
+            raise PlatformUnavailableError(
+                f'the status of {kind} {name} cannot be read'
+            ) from error
+        return document.status or {}
+
     def write_status(
         self,
         kind: str,
