--- a/features/forward_item_starts.feature
+++ b/features/forward_item_starts.feature
@@ -46,3 +46,18 @@
     Then 6 runs begin
     When job-1 is cancelled
     Then the runs of job-2 are not cancelled
+
+  Scenario: a run that crashes before it asks its server gives its slot back
+    Given a run of an item whose check of limits raises an error
+    When it is performed
+    Then it raises the error
+    And its host has no item in flight and reports no failure of the server
+
+  Scenario: a host claims no free slots for a job whose results it cannot read yet
+    Given a host that works on jobs, with its log
+    And its link to the platform ends once the next job is stored
+    When a job of 3 items is accepted for it
+    Then reading its results fails
+    And the host tells others of no item that waits for a slot
+    When the link to the platform is back
+    Then all 3 items are listed as completed with their whole text
