Give no jobs to hosts that live and cannot run items

Callers saw jobs that were accepted and whose items never reached an engine: their owner was alive in the membership and had no routes, or had not listed what it mirrors. Nobody took these jobs over, and new ones went to it as well.

Cause: choose_owner and jobs_to_take_over asked only who is alive.

A host that has not been ready for 1 s tells all others so, in a new field of the notices that earlier versions skip, and withdraws it when it is ready. The others give it no jobs and take over those that it has, within 3.1 s and a write. Hosts that say nothing count as able.

--- a/features/builders_forward.py
+++ b/features/builders_forward.py
@@ -23,6 +23,7 @@
 from guavadyke.controllers.forward_job_api import JobApi, JobApiParts
 from guavadyke.controllers.forward_job_registry import JobRegistry
 from guavadyke.controllers.forward_job_store import JobStore
+from guavadyke.controllers.host_abilities import HostAbilities
 from guavadyke.controllers.item_run import ItemRunTools
 from guavadyke.controllers.prompt_guard import PromptGuard
 from guavadyke.controllers.server_limits import ServerLimits
@@ -308,6 +309,15 @@
     )
 
 
+def host_abilities(
+    name: str, fleet: SnapshotCell[FleetSnapshot]
+) -> HostAbilities:
+    """Return what a host that can run items hears when no other tells it."""
+    return HostAbilities(
+        name, fleet, SilentMessenger(), ManualClock(), EventLogger()
+    )
+
+
 def stream_origins(server_pool: ServerPool) -> StreamOrigins:
     """Return the origins of streams on a host that knows no other host.
 
@@ -426,11 +436,13 @@
     link = MemoryStore(platform)
     store = JobStore(settled(link))
     registry = JobRegistry(_ignore_change, EventLogger())
+    fleet = SnapshotCell(FleetSnapshot())
     parts = JobApiParts(
         name,
         registry,
         store,
-        SnapshotCell(FleetSnapshot()),
+        fleet,
+        host_abilities(name, fleet),
         ManualClock(),
         EventLogger(),
     )
--- a/features/builders_forward_runner.py
+++ b/features/builders_forward_runner.py
@@ -122,6 +122,7 @@
                 backends or self.servers,
                 SnapshotCell(build.table(self.route)),
                 self.fleet,
+                build.host_abilities(ME, self.fleet),
                 lambda: True,
                 busy,
                 clock,
--- a/features/builders_load_notices.py
+++ b/features/builders_load_notices.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Collection
 
 from features import builders_forward as build
-from features.builders_forward_runner import host_settings
+from features.builders_forward_runner import ME, host_settings
 from guavadyke.adapters.ports import PeerNotice
 from guavadyke.controllers.load_notices import LoadNoticeSender
 from guavadyke.snapshots import FleetSnapshot, PeerView, SnapshotCell
@@ -28,7 +28,12 @@
         self._now = build.NOW
         self._pool = build.pool((build.server('s1'),))
         self._sender = LoadNoticeSender(
-            host_settings(1), self._fleet, self, self._pool, random.Random(1)
+            host_settings(1),
+            self._fleet,
+            self,
+            self._pool,
+            build.host_abilities(ME, self._fleet),
+            random.Random(1),
         )
         self.remove(0)
         self.send()
--- a/guavadyke/adapters/peer_notice_codec.py
+++ b/guavadyke/adapters/peer_notice_codec.py
@@ -7,6 +7,7 @@
 
 from guavadyke.adapters import ports
 from guavadyke.decisions.fault_reports import ServerFault
+from guavadyke.decisions.host_abilities import HostAbility
 from guavadyke.decisions.request_permits import Permit, PermitRequest
 from guavadyke.decisions.stream_origins import StreamOrigin
 from guavadyke.peer.generated.messages import ttypes
@@ -36,6 +37,7 @@
         'stream_queries': list_or_none(
             map(_stream_origin_to_struct, notice.stream_queries)
         ),
+        'abilities': list_or_none(map(_ability_to_struct, notice.abilities)),
     }
 
 
@@ -61,6 +63,7 @@
         stream_queries=parse_all(
             _stream_origin_from_struct, struct.stream_queries
         ),
+        abilities=parse_all(_ability_from_struct, struct.abilities),
     )
     return None if notice == _NO_NOTICE else notice
 
@@ -200,6 +203,14 @@
     )
 
 
+def _ability_to_struct(ability: HostAbility) -> Any:
+    return ttypes.HostAbility(able=ability.able, valid_s=float(ability.valid_s))
+
+
+def _ability_from_struct(struct: Any) -> HostAbility:
+    return HostAbility(bool(struct.able), float(struct.valid_s))
+
+
 def parse_all(
     read: Callable[[Any], _Parsed],
     structs: Iterable[Any] | None,
--- a/guavadyke/adapters/ports.py
+++ b/guavadyke/adapters/ports.py
@@ -9,6 +9,7 @@
 
 from guavadyke.adapters.cancellation import CallCancellation
 from guavadyke.decisions.fault_reports import ServerFault
+from guavadyke.decisions.host_abilities import HostAbility
 from guavadyke.decisions.request_permits import Permit, PermitRequest
 from guavadyke.decisions.stream_origins import StreamOrigin
 
@@ -366,6 +367,7 @@
     permits: tuple[Permit, ...] = ()
     stream_origins: tuple[StreamOrigin, ...] = ()
     stream_queries: tuple[StreamOrigin, ...] = ()
+    abilities: tuple[HostAbility, ...] = ()
 
 
 class PeerMessenger(Protocol):
--- a/guavadyke/controllers/forward_job_api.py
+++ b/guavadyke/controllers/forward_job_api.py
@@ -7,6 +7,7 @@
 from guavadyke.adapters.ports import Clock
 from guavadyke.controllers.forward_job_registry import JobRegistry
 from guavadyke.controllers.forward_job_store import JobStore
+from guavadyke.controllers.host_abilities import HostAbilities
 from guavadyke.decisions.forward_job_ownership import check_quota, choose_owner
 from guavadyke.decisions.forward_job_records import (
     AcceptedJob,
@@ -50,6 +51,7 @@
     registry: JobRegistry
     store: JobStore
     fleet: SnapshotCell[FleetSnapshot]
+    abilities: HostAbilities
     clock: Clock
     logger: EventLogger
 
@@ -100,6 +102,7 @@
                 self._parts.host_id,
                 others,
                 views.values(),
+                self._parts.abilities.unable(),
             ),
             items=items,
         )
--- a/guavadyke/controllers/forward_job_maintenance.py
+++ b/guavadyke/controllers/forward_job_maintenance.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 
 from guavadyke.controllers.forward_job_writer import JobWriter
+from guavadyke.controllers.host_abilities import HostAbilities
 from guavadyke.decisions.forward_job_items import JobItemTracker
 from guavadyke.decisions.forward_job_ownership import (
     AbsenceTracker,
@@ -12,6 +13,7 @@
     jobs_to_take_over,
 )
 from guavadyke.decisions.forward_job_records import JobView
+from guavadyke.decisions.host_abilities import able_hosts
 from guavadyke.decisions.rendezvous_hashing import rendezvous
 from guavadyke.settings import ForwardHostSettings
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
@@ -27,12 +29,13 @@
 class JobMaintenance:
     """Periodic upkeep of all forwarded jobs.
 
-    Takes over jobs whose owner is lost, removes jobs past their retention
-    and, when this host stops, reassigns its jobs.
+    Takes over jobs whose owner is lost or cannot run items, removes jobs past
+    their retention and, when this host stops, reassigns its jobs.
 
     Args:
         settings: the id of this host and the retention of results.
         fleet: the other hosts.
+        abilities: which hosts cannot run items.
         writer: writes the changes to the platform in the background.
     """
 
@@ -40,11 +43,13 @@
         self,
         settings: ForwardHostSettings,
         fleet: SnapshotCell[FleetSnapshot],
+        abilities: HostAbilities,
         writer: JobWriter,
     ) -> None:
         self._me = settings.host_id
         self._retention_s = settings.forward.result_retention_s
         self._fleet = fleet
+        self._abilities = abilities
         self._writer = writer
         self._absences = AbsenceTracker()
         self._next_check_at: float = 0
@@ -81,8 +86,11 @@
         others = self._peers_in(frozenset((_ALIVE,)))
         if not others:
             return 0
+        unable = self._abilities.unable()
         for job_id, work in works.items():
-            owner = choose_owner(job_id, others[0], others[1:], views.values())
+            owner = choose_owner(
+                job_id, others[0], others[1:], views.values(), unable
+            )
             self._writer.reassign(job_id, owner, work.unstored_results)
         return len(works)
 
@@ -93,9 +101,13 @@
         now: float,
     ) -> None:
         owners = {view.owner for view in views.values() if view.open}
+        unable = self._abilities.unable()
         reachable = {self._me, *self._peers_in(_REACHABLE)}
-        lost = self._absences.update(owners, reachable, now)
-        for view in jobs_to_take_over(views.values(), lost, self._me, alive):
+        running = able_hosts(reachable, unable)
+        lost = self._absences.update(owners, running, now)
+        for view in jobs_to_take_over(
+            views.values(), lost, self._me, alive, unable
+        ):
             self._writer.claim(view.job.job_id, self._me, view.owner)
 
     def _remove_expired(
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -16,6 +16,7 @@
 from guavadyke.controllers.forward_job_registry import JobRegistry
 from guavadyke.controllers.forward_job_store import JobStore
 from guavadyke.controllers.forward_job_writer import JobWriter
+from guavadyke.controllers.host_abilities import HostAbilities
 from guavadyke.controllers.item_run import (
     ItemRun,
     ItemRunTools,
@@ -74,6 +75,7 @@
     servers: BackendServers
     table: SnapshotCell[RouteTable]
     fleet: SnapshotCell[FleetSnapshot]
+    abilities: HostAbilities
     connected: Callable[[], bool]
     busy: SnapshotCell[bool]
     clock: Clock
@@ -138,7 +140,7 @@
             lambda job_id, pages: self._tell(StepEnded(job_id, pages)),
         )
         self._maintenance = JobMaintenance(
-            parts.settings, parts.fleet, self._writer
+            parts.settings, parts.fleet, parts.abilities, self._writer
         )
         self._run_tools = ItemRunTools(
             parts.pool, parts.prompts, parts.limits, parts.clock
--- a/guavadyke/controllers/load_notices.py
+++ b/guavadyke/controllers/load_notices.py
@@ -13,10 +13,12 @@
     PeerMessenger,
     PeerNotice,
 )
+from guavadyke.controllers.host_abilities import HostAbilities
 from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.controllers.urgent_notices import UrgentNews
 from guavadyke.decisions.count_changes import CountChanges
 from guavadyke.decisions.forward_job_ownership import batch_hosts
+from guavadyke.decisions.host_abilities import able_hosts
 from guavadyke.settings import ForwardHostSettings
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
@@ -35,6 +37,7 @@
         fleet: the hosts that may get notices.
         messenger: sends and receives the notices.
         pool: holds the counts of this host and of the others.
+        abilities: which hosts cannot run batch items; told from this thread.
         rng: picks the receivers in a large fleet.
     """
 
@@ -44,6 +47,7 @@
         fleet: SnapshotCell[FleetSnapshot],
         messenger: PeerMessenger,
         pool: ServerPool,
+        abilities: HostAbilities,
         rng: random.Random,
     ) -> None:
         self._host_id = settings.host_id
@@ -51,6 +55,7 @@
         self._fleet = fleet
         self._messenger = messenger
         self._pool = pool
+        self._abilities = abilities
         self._rng = rng
         self._online_changes: CountChanges[int] = CountChanges(_zero)
         self._batch_changes: CountChanges[int] = CountChanges(_zero)
@@ -67,6 +72,7 @@
     def start(self) -> None:
         """Start sending and receiving."""
         self._messenger.subscribe(self._pool.record_notice)
+        self._abilities.start()
         self._thread.start()
 
     def close(self) -> None:
@@ -118,6 +124,7 @@
             now = time.monotonic()
             if now >= due:
                 self.send_changes(now)
+                self._abilities.tell_due()
                 due = now + self._interval_s
             self.send_urgent(
                 self._pool.urgent.wait(max(0, due - time.monotonic()))
@@ -144,10 +151,10 @@
 
         All hosts are ranked for it, so only when they have changed.
         """
-        alive = frozenset(hosts)
-        if alive != self._ranked_hosts:
-            self._ranked_hosts = alive
-            chosen = batch_hosts(alive | {self._host_id})
+        able = able_hosts((*hosts, self._host_id), self._abilities.unable())
+        if able != self._ranked_hosts:
+            self._ranked_hosts = able
+            chosen = batch_hosts(able)
             self._batch_hosts = frozenset(chosen) - {self._host_id}
         return self._batch_hosts
 
--- a/guavadyke/decisions/forward_job_ownership.py
+++ b/guavadyke/decisions/forward_job_ownership.py
@@ -8,6 +8,7 @@
 
 from guavadyke.decisions.forward_job_records import AcceptedJob, JobView
 from guavadyke.decisions.forward_routes import RouteTable
+from guavadyke.decisions.host_abilities import able_hosts
 from guavadyke.decisions.rendezvous_hashing import rank_names, rendezvous
 
 # Time for which a job's owner has to be unknown or dead before another host
@@ -39,17 +40,20 @@
     me: str,
     others: Iterable[str],
     jobs: Iterable[JobView],
+    unable: Collection[str] = (),
 ) -> str:
-    """Return the batch host with the fewest open jobs.
+    """Return the able batch host with the fewest open jobs.
 
     Args:
         job_id: decides between hosts with equally many jobs.
         me: id of this host.
         others: ids of the other live hosts.
         jobs: all known jobs.
+        unable: ids of hosts that cannot run items.
     """
     held = collections.Counter(view.owner for view in jobs if view.open)
-    hosts = rank_names(job_id, batch_hosts({me, *others}))
+    able = able_hosts({me, *others}, unable)
+    hosts = rank_names(job_id, batch_hosts(able))
     return min(hosts, key=lambda host: held[host])
 
 
@@ -125,12 +129,14 @@
     lost: Collection[str],
     me: str,
     alive: Collection[str],
+    unable: Collection[str] = (),
 ) -> list[JobView]:
     """Return the open jobs of lost hosts that this host takes over.
 
-    Rendezvous hashing over the batch hosts assigns each job to one of them.
+    Rendezvous hashing over the able batch hosts assigns each job to one of
+    them.
     """
-    hosts = batch_hosts({me, *alive})
+    hosts = batch_hosts(able_hosts({me, *alive}, unable))
     return [
         view
         for view in jobs
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -164,12 +164,14 @@
         )
         self.registry = JobRegistry(self._wake_runner, logger)
         self._job_store = JobStore(store)
+        self._peers.abilities.is_able = self._is_ready
         self.job_api = JobApi(
             JobApiParts(
                 settings.host_id,
                 self.registry,
                 self._job_store,
                 self.fleet,
+                self._peers.abilities,
                 self.clock,
                 logger,
             ),
@@ -191,6 +193,7 @@
             self.fleet,
             self._peers.messenger,
             self.pool,
+            self._peers.abilities,
             self._child_rng(),
         )
         busy = SnapshotCell(initial=False)
@@ -205,6 +208,7 @@
                 ports.servers,
                 self.table,
                 self.fleet,
+                self._peers.abilities,
                 self.connected,
                 busy,
                 self.clock,
@@ -374,6 +378,9 @@
         peers = self.fleet.current.peers
         return 1 + sum(peer.state == _ALIVE_STATE for peer in peers)
 
+    def _is_ready(self) -> bool:
+        return self.ready
+
     def _wake_runner(self) -> None:
         self._ticker.wake()
 
--- a/guavadyke/forward_peers.py
+++ b/guavadyke/forward_peers.py
@@ -28,6 +28,7 @@
     SharedWatches,
     WatchHub,
 )
+from guavadyke.controllers.host_abilities import HostAbilities
 from guavadyke.controllers.membership import FleetCells, PeerEvents
 from guavadyke.decisions.watch_sharing import plan_watch, watch_times
 from guavadyke.log import EventLogger
@@ -58,7 +59,8 @@
 
     If this host cannot reach the platform, a peer makes its calls; in turn
     it makes the calls of such peers. In a large availability zone a few
-    hosts watch the platform for all others.
+    hosts watch the platform for all others. ``abilities`` tells which hosts
+    cannot run items of jobs.
 
     Args:
         settings: settings of the host and its peer port.
@@ -93,6 +95,9 @@
         self._watch_hub = WatchHub(
             _HUB_MARGINS * watch_times(settings.platform.freshness_s).margin_s
         )
+        self.abilities = HostAbilities(
+            settings.host_id, fleet, self._messenger, clock, logger
+        )
         client = PeerClient(
             port.authenticator, settings.host_id, clock, port.faults
         )
--- a/guavadyke/peer/messages.thrift
+++ b/guavadyke/peer/messages.thrift
@@ -104,6 +104,12 @@
   3: optional string software,
 }
 
+/** Whether the sender can run items of jobs; without able, for valid_s. */
+struct HostAbility {
+  1: bool able,
+  2: double valid_s,
+}
+
 /** The one datagram; what is absent is not said. */
 struct Datagram {
   1: i32 format,
@@ -129,6 +135,7 @@
   21: optional list<Permit> permits,
   22: optional list<StreamOrigin> stream_origins,
   23: optional list<StreamOrigin> stream_queries,
+  24: optional list<HostAbility> abilities,
 }
 
 struct ObjectVersion {
