Tell the owner of a job at once that its caller has ended it

Callers ended jobs at a host that reaches the platform, and items of these jobs still started at hosts that had just lost it: these learned of the end only by their mirror, up to the bound of its watch later.

Cause: the host that stores an end told nobody.

It now sends the owner a notice, in a new field that earlier versions skip; the mirror stays the way that the bound rests on. What a host has heard is merged with its own writes, so that an earlier write that is reported late does not undo it.

--- a/features/builders_forward.py
+++ b/features/builders_forward.py
@@ -15,6 +15,7 @@
     BackendCall,
     BackendFault,
     BackendServerError,
+    PeerMessenger,
     PeerNotice,
     ReportedLoad,
     StoredObject,
@@ -431,8 +432,12 @@
             sink.replace(listing.objects, after_outage=False)
 
 
-def job_host(platform: MemoryPlatform, name: str = 'host-1') -> JobHost:
-    """Return a host on a platform."""
+def job_host(
+    platform: MemoryPlatform,
+    name: str = 'host-1',
+    messenger: PeerMessenger | None = None,
+) -> JobHost:
+    """Return a host on a platform, alone without a messenger."""
     link = MemoryStore(platform)
     store = JobStore(settled(link))
     registry = JobRegistry(_ignore_change, EventLogger())
@@ -443,6 +448,7 @@
         store,
         fleet,
         host_abilities(name, fleet),
+        messenger or SilentMessenger(),
         ManualClock(),
         EventLogger(),
     )
--- a/features/steps/forward_ended_jobs_steps.py
+++ b/features/steps/forward_ended_jobs_steps.py
@@ -7,7 +7,17 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from features.builders_ended_jobs import EndingHosts
+from features.builders_forward_processes import DaemonProcess
+from guavadyke.adapters.peer_datagram_codec import (
+    PeerDatagram,
+    decode_datagram,
+    encode_datagram,
+)
+from guavadyke.adapters.ports import PeerNotice
 from guavadyke.controllers.mirror import job_end_mirror
+from guavadyke.decisions.forward_job_records import JobProgress
+from guavadyke.decisions.object_versions import CatalogueMark
 from guavadyke.forward_job_documents import PROGRESS_KIND
 
 
@@ -30,13 +40,69 @@
     assert context.fleet.store.silence_open_connections()
 
 
-@when('the jobs are ended at the first daemon')
-def step_ended(context: Context) -> None:
+@when('the jobs are ended at the {which} daemon')
+def step_ended(context: Context, which: str) -> None:
+    daemon = context.fleet.daemons[0 if which == 'first' else -1]
     context.ended_at = {
-        job_id: _end(context, job_id) for job_id in context.job_ids
+        job_id: _end(daemon, job_id) for job_id in context.job_ids
     }
 
 
+@when('the second host hears of its end and then of an earlier write')
+def step_late_write(context: Context) -> None:
+    context.second.catch_up()
+    context.second.registry.end_heard('job-1')
+    context.second.registry.progress_written(
+        'job-1', JobProgress(listed_tokens=1)
+    )
+
+
+@then('the second host sees it cancelled')
+def step_seen_cancelled(context: Context) -> None:
+    view = context.second.registry.view('job-1')
+    assert view.progress == JobProgress(cancelled=True, listed_tokens=1), view
+
+
+@given('two hosts of which the first ends a job of the second')
+def step_ending_hosts(context: Context) -> None:
+    context.hosts = EndingHosts()
+
+
+@when('the job is ended twice')
+def step_ended_twice(context: Context) -> None:
+    context.hosts.first.job_api.cancel('job-1')
+    context.hosts.first.job_api.cancel('job-1')
+
+
+@then('the second host is told twice and the first never')
+def step_told(context: Context) -> None:
+    assert context.hosts.told == ['host-2', 'host-2'], context.hosts.told
+    assert not context.hosts.second.registry.view('job-1').open
+
+
+@then('a notice for an unknown job changes nothing')
+def step_unknown(context: Context) -> None:
+    before = context.hosts.second.registry.views()
+    context.hosts.send('host-2', PeerNotice(ended_jobs=('other',)))
+    assert context.hosts.second.registry.views() == before
+
+
+@then('a notice of two ended jobs is decoded as it was')
+def step_decoded(_context: Context) -> None:
+    notice = PeerNotice(ended_jobs=('job-1', 'job-2'))
+    sent = PeerDatagram(
+        sender='host-1',
+        incarnation=1,
+        boot='boot',
+        number=1,
+        sent_ms=1,
+        catalogue_mark=CatalogueMark(0, 0),
+        platform_reachable=True,
+        notice=notice,
+    )
+    assert decode_datagram(encode_datagram(sent)).notice == notice
+
+
 @then(
     'no item has reached an engine over {seconds:g} seconds after the end '
     'of its job'
@@ -62,9 +128,9 @@
     assert found.watch_wait_s == seconds, found.watch_wait_s
 
 
-def _end(context: Context, job_id: str) -> float:
+def _end(daemon: DaemonProcess, job_id: str) -> float:
     """End a job; return when that was confirmed."""
-    answer = context.fleet.daemons[0].call('DELETE', f'/api/lots/{job_id}')
+    answer = daemon.call('DELETE', f'/api/lots/{job_id}')
     assert answer.status == 200, answer.data
     return time.monotonic()
 
--- a/guavadyke/adapters/peer_notice_codec.py
+++ b/guavadyke/adapters/peer_notice_codec.py
@@ -38,6 +38,7 @@
             map(_stream_origin_to_struct, notice.stream_queries)
         ),
         'abilities': list_or_none(map(_ability_to_struct, notice.abilities)),
+        'ended_jobs': list_or_none(notice.ended_jobs),
     }
 
 
@@ -64,6 +65,7 @@
             _stream_origin_from_struct, struct.stream_queries
         ),
         abilities=parse_all(_ability_from_struct, struct.abilities),
+        ended_jobs=parse_all(checked_text, struct.ended_jobs),
     )
     return None if notice == _NO_NOTICE else notice
 
--- a/guavadyke/adapters/ports.py
+++ b/guavadyke/adapters/ports.py
@@ -355,7 +355,8 @@
     """Message between entry hosts with what they tell and ask each other.
 
     It is independent of the membership protocol. ``stream_queries`` hold the
-    ids of streams whose origins the sender asks for.
+    ids of streams whose origins the sender asks for, ``ended_jobs`` those of
+    cancelled jobs.
     """
 
     demands: tuple[LimitDemand, ...] = ()
@@ -368,6 +369,7 @@
     stream_origins: tuple[StreamOrigin, ...] = ()
     stream_queries: tuple[StreamOrigin, ...] = ()
     abilities: tuple[HostAbility, ...] = ()
+    ended_jobs: tuple[str, ...] = ()
 
 
 class PeerMessenger(Protocol):
--- a/guavadyke/controllers/forward_job_api.py
+++ b/guavadyke/controllers/forward_job_api.py
@@ -4,10 +4,11 @@
 
 import dataclasses
 
-from guavadyke.adapters.ports import Clock
+from guavadyke.adapters.ports import Clock, PeerMessenger
 from guavadyke.controllers.forward_job_registry import JobRegistry
 from guavadyke.controllers.forward_job_store import JobStore
 from guavadyke.controllers.host_abilities import HostAbilities
+from guavadyke.controllers.job_end_notices import JobEndNotices
 from guavadyke.decisions.forward_job_ownership import check_quota, choose_owner
 from guavadyke.decisions.forward_job_records import (
     AcceptedJob,
@@ -52,6 +53,7 @@
     store: JobStore
     fleet: SnapshotCell[FleetSnapshot]
     abilities: HostAbilities
+    messenger: PeerMessenger
     clock: Clock
     logger: EventLogger
 
@@ -65,6 +67,13 @@
 
     def __init__(self, parts: JobApiParts) -> None:
         self._parts = parts
+        self._ends = JobEndNotices(
+            parts.host_id, parts.registry, parts.messenger, parts.logger
+        )
+
+    def start(self) -> None:
+        """Start to hear from other hosts of ended jobs."""
+        self._ends.start()
 
     def submit(
         self,
@@ -166,6 +175,8 @@
     def cancel(self, job_id: str) -> None:
         """Cancel a job: none of its items is started any more.
 
+        Its owner is told at once, beside the platform.
+
         Raises:
             GuavadykeError: ``not_found``, or the error of the platform
                 store.
@@ -173,11 +184,13 @@
         self._find_job(job_id)
         view = self._parts.registry.view(job_id)
         if view is not None and view.progress.cancelled:
+            self._ends.tell(job_id)
             return
         progress = self._parts.store.merge_progress(
             job_id, JobProgress(cancelled=True)
         )
         self._parts.registry.progress_written(job_id, progress)
+        self._ends.tell(job_id)
         self._parts.logger.info('job_cancelled', job_id=job_id)
 
     def _find_job(self, job_id: str) -> AcceptedJob:
--- a/guavadyke/controllers/forward_job_registry.py
+++ b/guavadyke/controllers/forward_job_registry.py
@@ -152,7 +152,13 @@
     def progress_written(self, job_id: str, progress: JobProgress) -> None:
         """Add job progress that this host has written to the store."""
         with self._lock:
-            self._own_progress[job_id] = progress
+            self._merge_own(job_id, progress)
+        self._changed()
+
+    def end_heard(self, job_id: str) -> None:
+        """Add the end of a job of which another host has told."""
+        with self._lock:
+            self._merge_own(job_id, JobProgress(cancelled=True))
         self._changed()
 
     def forget(self, job_id: str) -> None:
@@ -161,6 +167,10 @@
             self._own_jobs.pop(job_id, None)
             self._own_progress.pop(job_id, None)
 
+    def _merge_own(self, job_id: str, progress: JobProgress) -> None:
+        known = self._own_progress.get(job_id, JobProgress())
+        self._own_progress[job_id] = known.merged(progress)
+
     def _drop_mirrored(self) -> None:
         """Drop overlay entries that the mirrors have caught up with."""
         with self._lock:
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -172,6 +172,7 @@
                 self._job_store,
                 self.fleet,
                 self._peers.abilities,
+                self._peers.messenger,
                 self.clock,
                 logger,
             ),
@@ -239,6 +240,7 @@
         self._peers.start()
         for mirror in self._mirrors:
             mirror.start()
+        self.job_api.start()
         self._load_notices.start()
         self._learning.start()
         self._ticker.start()
--- a/guavadyke/peer/messages.thrift
+++ b/guavadyke/peer/messages.thrift
@@ -110,7 +110,8 @@
   2: double valid_s,
 }
 
-/** The one datagram; what is absent is not said. */
+/** The one datagram; what is absent is not said. ended_jobs are the ids of
+ * jobs that their callers have cancelled. */
 struct Datagram {
   1: i32 format,
   2: string sender,
@@ -136,6 +137,7 @@
   22: optional list<StreamOrigin> stream_origins,
   23: optional list<StreamOrigin> stream_queries,
   24: optional list<HostAbility> abilities,
+  25: optional list<string> ended_jobs,
 }
 
 struct ObjectVersion {
