Start no item while a host may not have heard that its job has ended

Cause: nothing dated what a mirror holds.

A mirror dates its state by when its list was asked for, and by the latest time at which a watch can have been answered. The mirror of the jobs' progress has the bound of cancelled jobs; beyond it no item starts or goes on elsewhere, and the next step is a list. Where neither the platform nor a peer answers that, items go on, since there is nobody to ask.

With the gate taken out of the runner, on a scratch copy, both new scenarios of forward_runner.feature fail; with it all 18 pass. The new scenarios of forward_mirrors.feature ask for what the code before did not have. No run with real processes that were suspended was made.

--- a/features/builders_forward_runner.py
+++ b/features/builders_forward_runner.py
@@ -110,6 +110,7 @@
             clock,
         )
         self.fleet = SnapshotCell(FleetSnapshot())
+        self.knows_ends = True
         busy = SnapshotCell(initial=False)
         self._runner = JobRunner.start(
             RunnerParts(
@@ -124,6 +125,7 @@
                 self.fleet,
                 build.host_abilities(ME, self.fleet),
                 lambda: True,
+                self._ends_known,
                 busy,
                 clock,
                 self.logger,
@@ -191,3 +193,6 @@
     def close(self) -> None:
         self._ticker.close()
         self._runner.stop()
+
+    def _ends_known(self) -> bool:
+        return self.knows_ends
--- a/features/forward_mirrors.feature
+++ b/features/forward_mirrors.feature
@@ -38,6 +38,30 @@
     When the platform is briefly unreachable
     Then the first list was not after an outage and the second was
 
+  # Guards against acting on what a host has long not heard anew.
+  Scenario Outline: a mirror with a bound is stale <when>
+    Given a mirror with a bound of 3 seconds of a, b and c
+    When <seconds> seconds pass until a watch is answered, <link>
+    Then the mirror is <state>
+
+    Examples:
+      | when                               | seconds | link             | state     |
+      | not while its watches are answered | 0.5     | as usual         | not stale |
+      | when an answer comes late          | 5       | as usual         | stale     |
+      | not while nobody can be asked      | 5       | and lists fail   | not stale |
+
+  Scenario: a mirror that has become stale lists at once and is not stale then
+    Given a mirror with a bound of 3 seconds of a, b and c
+    When 5 seconds pass until a watch is answered, as usual
+    And the next step is taken
+    Then it was a list
+    And the mirror is not stale
+
+  Scenario: a mirror is stale while its watch waits too long
+    Given a mirror with a bound of 3 seconds of a, b and c
+    When 3.1 seconds have passed in a watch
+    Then the mirror is stale
+
   Scenario Outline: entries can only have expired in a loss that is long enough
     Given a mirror whose entries expire of a, b and c
     When the platform is unreachable for <seconds> seconds
--- a/features/forward_runner.feature
+++ b/features/forward_runner.feature
@@ -52,6 +52,22 @@
     And the job is cancelled after its first run
     Then no run starts later
 
+  # Guards against items of jobs whose ends a host has not heard of.
+  Scenario: no item starts while the ends of jobs are not known
+    Given a host that works on jobs, with two servers
+    And the host has not heard for long which jobs have ended
+    When a job of 3 items is accepted for it
+    Then no item of it has run after 1 second
+    When the host hears which jobs have ended
+    Then all 3 items are listed as completed with their whole text
+
+  Scenario: an item does not go on elsewhere while the ends are not known
+    Given a host that works on jobs, with two servers
+    And runs end as refused, refused, refused, refused, refused, refused
+    When a job of 1 items is accepted for it
+    And the host no longer hears which jobs have ended after its first run
+    Then no run starts later
+
   Scenario: a job that another host has taken over is dropped
     Given a host that works on jobs, with two servers
     And runs end as refused, refused, refused, refused, refused, refused
--- a/features/steps/forward_mirrors_steps.py
+++ b/features/steps/forward_mirrors_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 from behave import given, then, when
@@ -9,7 +10,11 @@
 
 from features import builders_forward as build
 from features.builders_batch_platform import MemoryPlatform, MemoryStore
-from guavadyke.adapters.ports import ObjectEvent, StoredObject
+from guavadyke.adapters.ports import (
+    ObjectEvent,
+    StoredObject,
+    WatchAnswer,
+)
 from guavadyke.controllers.mirror import (
     FIRST_RETRY_S,
     LONGEST_RETRY_S,
@@ -22,6 +27,7 @@
 
 _KIND = 'things'
 _OUTAGE_S = 2.4
+_BOUND_S = 3
 _ROUNDS = 8
 
 
@@ -62,23 +68,38 @@
         self.objects.pop(name, None)
 
 
+class _TimedStore(MemoryStore):
+    """A store whose next watch takes some seconds of a manual clock."""
+
+    clock = build.ManualClock()
+    watch_takes_s: float = 0
+    cut_after_watch = False
+
+    def watch(self, kind: str, revision: int, wait_s: float) -> WatchAnswer:
+        self.clock.sleep(self.watch_takes_s)
+        self.faults.cut = self.faults.cut or self.cut_after_watch
+        return super().watch(kind, revision, wait_s)
+
+
 @given('a mirror {how} of a, b and c')
 def step_mirror(context: Context, how: str) -> None:
     context.platform = MemoryPlatform()
     with context.platform.changed:
         for name in 'abc':
             context.platform.put(_KIND, name, b'old')
-    context.link = MemoryStore(context.platform)
+    context.link = _TimedStore(context.platform)
     context.link.faults.waits = False
     context.sink = _Sink()
     context.logger = _EventCollector()
     context.clock = build.ManualClock()
+    context.link.clock = context.clock
     context.mirror = Mirror(
         MirrorSettings(
             _KIND,
             1,
             by_names=how == 'by names',
             outage_s=_OUTAGE_S if how == 'whose entries expire' else 0,
+            bound_s=_BOUND_S if 'bound' in how else math.inf,
         ),
         context.link,
         context.sink,
@@ -135,6 +156,38 @@
     _advance(context)
 
 
+@when('{seconds:g} seconds pass until a watch is answered, {link}')
+def step_watch_takes(context: Context, seconds: float, link: str) -> None:
+    context.link.watch_takes_s = seconds
+    context.link.cut_after_watch = link == 'and lists fail'
+    _advance(context)
+    context.link.watch_takes_s = 0
+    if context.link.cut_after_watch:
+        _advance(context)
+
+
+@when('{seconds:g} seconds have passed in a watch')
+def step_in_watch(context: Context, seconds: float) -> None:
+    context.clock.sleep(seconds)
+
+
+@when('the next step is taken')
+def step_next(context: Context) -> None:
+    context.lists_before = context.platform.calls[f'list {_KIND}']
+    _advance(context)
+
+
+@then('it was a list')
+def step_was_list(context: Context) -> None:
+    lists = context.platform.calls[f'list {_KIND}']
+    assert lists == context.lists_before + 1, lists
+
+
+@then('the mirror is {state}')
+def step_stale(context: Context, state: str) -> None:
+    assert context.mirror.stale is (state == 'stale')
+
+
 @then('the second list was {after}')
 def step_second_list(context: Context, after: str) -> None:
     assert context.sink.lists == [False, after == 'after an outage']
--- a/features/steps/forward_runner_steps.py
+++ b/features/steps/forward_runner_steps.py
@@ -98,6 +98,28 @@
     bench.host.link.faults.cut = False
 
 
+@given('the host has not heard for long which jobs have ended')
+def step_ends_unknown(context: Context) -> None:
+    context.bench.knows_ends = False
+
+
+@when('the host no longer hears which jobs have ended after its first run')
+def step_ends_unknown_later(context: Context) -> None:
+    assert wait_until(lambda: context.bench.servers.calls, _WAIT_S)
+    context.bench.knows_ends = False
+
+
+@when('the host hears which jobs have ended')
+def step_ends_known(context: Context) -> None:
+    context.bench.knows_ends = True
+
+
+@then('no item of it has run after {seconds:d} second')
+def step_none_run(context: Context, seconds: int) -> None:
+    time.sleep(seconds)
+    assert not context.bench.servers.calls, context.bench.servers.calls
+
+
 @when('the job is cancelled after its first run')
 def step_cancelled(context: Context) -> None:
     _after_first_run(context, JobProgress(cancelled=True))
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -62,8 +62,9 @@
 class RunnerParts:
     """Dependencies of ``JobRunner``.
 
-    ``connected`` returns whether this host reaches the platform; the runner
-    publishes to ``busy`` whether this host has jobs.
+    ``connected`` returns whether this host reaches the platform,
+    ``ends_known`` whether it has lately heard which jobs have ended; the
+    runner publishes to ``busy`` whether this host has jobs.
     """
 
     settings: ForwardHostSettings
@@ -77,6 +78,7 @@
     fleet: SnapshotCell[FleetSnapshot]
     abilities: HostAbilities
     connected: Callable[[], bool]
+    ends_known: Callable[[], bool]
     busy: SnapshotCell[bool]
     clock: Clock
     logger: EventLogger
@@ -205,8 +207,10 @@
         if work is not None:
             self._partials[item_id] = outcome.partial
             self._apply_outcome(work, item_id, outcome)
-            goes_on = not self._stopping and _may_go_on(
-                work, run, outcome, self._parts.prompts
+            goes_on = (
+                not self._stopping
+                and self._parts.ends_known()
+                and _may_go_on(work, run, outcome, self._parts.prompts)
             )
             if reserved is not None and goes_on:
                 self._start_run(work, run.item, reserved)
@@ -355,6 +359,8 @@
         self, work: JobItemTracker, item: ForwardItem, service: str
     ) -> StartRefusal | None:
         """Start an item, or return why it does not start."""
+        if not self._parts.ends_known():
+            return StartRefusal.ends_unknown
         max_runs = self._parts.settings.forward.item_workers
         if len(self._runs) >= max_runs:
             return StartRefusal.run_limit
--- a/guavadyke/controllers/item_starts.py
+++ b/guavadyke/controllers/item_starts.py
@@ -17,13 +17,15 @@
 
     ``earlier_run``: a run of the item from before its job was dropped and
     taken again has not ended yet. ``quarantined``: the claim to try a part of
-    its prompt was spent on another item.
+    its prompt was spent on another item. ``ends_unknown``: this host may not
+    have heard that the job has ended.
     """
 
     run_limit = 'run_limit'
     no_server = 'no_server'
     earlier_run = 'earlier_run'
     quarantined = 'quarantined'
+    ends_unknown = 'ends_unknown'
 
 
 # Starts an item at a server of a service.
--- a/guavadyke/controllers/mirror.py
+++ b/guavadyke/controllers/mirror.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 import threading
 from typing import Protocol
@@ -96,7 +97,8 @@
     With ``by_names``, lists after the first one fetch names and versions
     only, and changed objects are read one by one: less traffic for large
     objects that seldom change. Entries cannot have expired in a shorter loss
-    of the platform than ``outage_s``.
+    of the platform than ``outage_s``. Users of the kind rely on knowing what
+    was there ``bound_s`` ago.
     """
 
     kind: str
@@ -104,6 +106,7 @@
     delay_after_changes_s: float = 0
     by_names: bool = False
     outage_s: float = 0
+    bound_s: float = math.inf
 
 
 def urgent_mirror(kind: str, settings: PlatformSettings) -> MirrorSettings:
@@ -128,6 +131,7 @@
     return dataclasses.replace(
         job_mirror(kind, settings),
         watch_wait_s=min(wait_s, settings.watch_wait_s),
+        bound_s=settings.job_end_s,
     )
 
 
@@ -135,7 +139,7 @@
     """Keeps a sink in sync with the platform, in a thread of its own.
 
     Lists the kind once, then watches it for changes. A failed or expired watch
-    is followed by a new list.
+    is followed by a new list, as is an answer that is older than the bound.
 
     Args:
         settings: what is mirrored and how.
@@ -168,6 +172,8 @@
         self._failures = 0
         self._list_failed = False
         self._reached_at: float | None = None
+        # Time of which the sink holds the state, or a later one.
+        self._known_at: float = math.inf
         self._stop = threading.Event()
         self._thread = threading.Thread(
             target=self._run,
@@ -185,6 +191,16 @@
         """Whether the last list failed, directly and through peers."""
         return self._list_failed
 
+    @property
+    def stale(self) -> bool:
+        """Whether the sink may be older than the bound.
+
+        That is not so while the platform cannot be asked, directly or
+        through peers: what is mirrored then counts as it is.
+        """
+        age_s = self._clock.monotonic() - self._known_at
+        return not self._list_failed and age_s > self._settings.bound_s
+
     def start(self) -> None:
         """Start mirroring in the background."""
         self._thread.start()
@@ -199,9 +215,18 @@
         Raises:
             GuavadykeError: the platform cannot be reached.
         """
+        began_at = self._clock.monotonic()
+        if self.stale:
+            self._logger.info(
+                'mirror_stale',
+                kind=self._settings.kind,
+                age_s=round(began_at - self._known_at, 3),
+            )
+            self._revision = None
         if self._revision is None:
             self._list_all()
             self._list_failed = False
+            self._known_at = began_at
             return
         answer = self._store.watch(
             self._settings.kind,
@@ -220,6 +245,10 @@
         for event in answer.events:
             self.apply_event(event)
         self._revision = max(self._revision, answer.revision)
+        # A process that was suspended reads an answer long after it was sent.
+        self._known_at = min(
+            self._clock.monotonic(), began_at + self._settings.watch_wait_s
+        )
         if answer.events and self._settings.delay_after_changes_s:
             self._stop.wait(self._settings.delay_after_changes_s)
 
@@ -298,7 +327,9 @@
     def _list_all(self) -> None:
         """List all objects; with ``by_names``, read only the changed ones."""
         by_names = self._settings.by_names and self.listed
-        found, revision = self._list_pages(bodies=not by_names)
+        found, revision = _list_pages(
+            self._store, self._settings.kind, bodies=not by_names
+        )
         if by_names:
             self._apply_names(found)
         else:
@@ -331,26 +362,23 @@
             self._versions[name] = stored.version
             self._sink.put(stored)
 
-    def _list_pages(
-        self, *, bodies: bool
-    ) -> tuple[list[StoredObject], int | None]:
-        """Return all objects and the revision of the first page.
 
-        Changes after that revision are delivered by the next watch.
-        """
-        found: dict[str, StoredObject] = {}
-        first_revision: int | None = None
-        after = ''
-        more = True
-        while more:
-            page = self._store.list_objects(
-                self._settings.kind,
-                after=after,
-                bodies=bodies,
-            )
-            if first_revision is None:
-                first_revision = page.revision
-            found.update({stored.name: stored for stored in page.objects})
-            more = page.more and bool(page.objects)
-            after = page.objects[-1].name if page.objects else ''
-        return list(found.values()), first_revision
+def _list_pages(
+    store: WatchableStore, kind: str, *, bodies: bool
+) -> tuple[list[StoredObject], int | None]:
+    """Return all objects and the revision of the first page.
+
+    Changes after that revision are delivered by the next watch.
+    """
+    found: dict[str, StoredObject] = {}
+    first_revision: int | None = None
+    after = ''
+    more = True
+    while more:
+        page = store.list_objects(kind, after=after, bodies=bodies)
+        if first_revision is None:
+            first_revision = page.revision
+        found.update({stored.name: stored for stored in page.objects})
+        more = page.more and bool(page.objects)
+        after = page.objects[-1].name if page.objects else ''
+    return list(found.values()), first_revision
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -211,6 +211,7 @@
                 self.fleet,
                 self._peers.abilities,
                 self.connected,
+                self.ends_known,
                 busy,
                 self.clock,
                 logger,
@@ -234,6 +235,10 @@
         """Return whether the last calls to the platform succeeded."""
         return not any(mirror.failing for mirror in self._mirrors)
 
+    def ends_known(self) -> bool:
+        """Return whether no mirror with a bound is older than that."""
+        return not any(mirror.stale for mirror in self._mirrors)
+
     def start(self) -> None:
         """Join the fleet and start to watch the platform."""
         self._watch.start()
