--- a/features/builders_forward_runner.py
+++ b/features/builders_forward_runner.py
@@ -110,6 +110,7 @@
             clock,
         )
         self.fleet = SnapshotCell(FleetSnapshot())
+        self.knows_ends = True
         busy = SnapshotCell(initial=False)
         self._runner = JobRunner.start(
             RunnerParts(
@@ -122,7 +123,9 @@
                 backends or self.servers,
                 SnapshotCell(build.table(self.route)),
                 self.fleet,
+                build.host_abilities(ME, self.fleet),
                 lambda: True,
+                self._ends_known,
                 busy,
                 clock,
                 self.logger,
@@ -194,3 +197,6 @@
     def close(self) -> None:
         self._ticker.close()
         self._runner.stop()
+
+    def _ends_known(self) -> bool:
+        return self.knows_ends
--- a/guavadyke/adapters/ports.py
+++ b/guavadyke/adapters/ports.py
@@ -9,6 +9,7 @@
 
 from guavadyke.adapters.cancellation import CallCancellation
 from guavadyke.decisions.fault_reports import ServerFault
+from guavadyke.decisions.host_abilities import HostAbility
 from guavadyke.decisions.request_permits import Permit, PermitRequest
 from guavadyke.decisions.stream_origins import StreamOrigin
 
@@ -354,7 +355,8 @@
     """Message between entry hosts with what they tell and ask each other.
 
     It is independent of the membership protocol. ``stream_queries`` hold the
-    ids of streams whose origins the sender asks for.
+    ids of streams whose origins the sender asks for, ``ended_jobs`` those of
+    cancelled jobs.
     """
 
     demands: tuple[LimitDemand, ...] = ()
@@ -366,6 +368,8 @@
     permits: tuple[Permit, ...] = ()
     stream_origins: tuple[StreamOrigin, ...] = ()
     stream_queries: tuple[StreamOrigin, ...] = ()
+    abilities: tuple[HostAbility, ...] = ()
+    ended_jobs: tuple[str, ...] = ()
 
 
 class PeerMessenger(Protocol):
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -17,6 +17,7 @@
 from guavadyke.controllers.forward_job_registry import JobRegistry
 from guavadyke.controllers.forward_job_store import JobStore
 from guavadyke.controllers.forward_job_writer import JobWriter
+from guavadyke.controllers.host_abilities import HostAbilities
 from guavadyke.controllers.item_run import (
     ItemKey,
     ItemRun,
@@ -66,9 +67,10 @@
 class RunnerParts:
     """Dependencies of ``JobRunner``.
 
-    ``connected`` returns whether this host reaches the platform; the runner
-    publishes to ``busy`` whether this host has jobs, and records its failures
-    in ``health``.
+    ``connected`` returns whether this host reaches the platform,
+    ``ends_known`` whether it has lately heard which jobs have ended; the
+    runner publishes to ``busy`` whether this host has jobs, and records its
+    failures in ``health``.
     """
 
     settings: ForwardHostSettings
@@ -80,7 +82,9 @@
     servers: BackendServers
     table: SnapshotCell[RouteTable]
     fleet: SnapshotCell[FleetSnapshot]
+    abilities: HostAbilities
     connected: Callable[[], bool]
+    ends_known: Callable[[], bool]
     busy: SnapshotCell[bool]
     clock: Clock
     logger: EventLogger
@@ -143,7 +147,7 @@
             lambda job_id, pages: self._tell(StepEnded(job_id, pages)),
         )
         self._maintenance = JobMaintenance(
-            parts.settings, parts.fleet, self._writer
+            parts.settings, parts.fleet, parts.abilities, self._writer
         )
         self._run_tools = ItemRunTools(
             parts.pool, parts.prompts, parts.limits, parts.clock
@@ -225,8 +229,10 @@
             )
             if not recorded:
                 work.broken(item_id, self._parts.clock.monotonic())
-            goes_on = not self._stopping and _may_go_on(
-                work, run, outcome, self._parts.prompts
+            goes_on = (
+                not self._stopping
+                and self._parts.ends_known()
+                and _may_go_on(work, run, outcome, self._parts.prompts)
             )
             if reserved is not None and goes_on:
                 self._start_run(work, run.item, reserved)
@@ -377,6 +383,8 @@
         self, work: JobItemTracker, item: ForwardItem, service: str
     ) -> StartRefusal | None:
         """Start an item, or return why it does not start."""
+        if not self._parts.ends_known():
+            return StartRefusal.ends_unknown
         max_runs = self._parts.settings.forward.item_workers
         if len(self._runs) >= max_runs:
             return StartRefusal.run_limit
--- a/guavadyke/decisions/forward_job_ownership.py
+++ b/guavadyke/decisions/forward_job_ownership.py
@@ -8,6 +8,7 @@
 
 from guavadyke.decisions.forward_job_records import AcceptedJob, JobView
 from guavadyke.decisions.forward_routes import RouteTable
+from guavadyke.decisions.host_abilities import able_hosts
 from guavadyke.decisions.rendezvous_hashing import place, rank_names
 
 # Time for which a job's owner has to be unknown or dead before another host
@@ -41,17 +42,20 @@
     me: str,
     others: Iterable[str],
     jobs: Iterable[JobView],
+    unable: Collection[str] = (),
 ) -> str:
-    """Return the batch host with the fewest open jobs.
+    """Return the able batch host with the fewest open jobs.
 
     Args:
         job_id: decides between hosts with equally many jobs.
         me: id of this host.
         others: ids of the other live hosts.
         jobs: all known jobs.
+        unable: ids of hosts that cannot run items.
     """
     held = collections.Counter(view.owner for view in jobs if view.open)
-    hosts = rank_names(job_id, batch_hosts({me, *others}))
+    able = able_hosts({me, *others}, unable)
+    hosts = rank_names(job_id, batch_hosts(able))
     return min(hosts, key=lambda host: held[host])
 
 
@@ -128,19 +132,21 @@
     lost: Mapping[str, float],
     me: str,
     alive: Collection[str],
+    unable: Collection[str] = (),
 ) -> list[JobView]:
     """Return the open jobs of lost hosts that this host takes over now.
 
-    Rendezvous hashing ranks the batch hosts for each job. The first takes it
-    over at once, each of the others a while after the one before it.
+    Rendezvous hashing ranks the able batch hosts for each job. The first takes
+    it over at once, each of the others a while after the one before it.
 
     Args:
         jobs: all known jobs.
         lost: seconds since when the owners of jobs are lost.
         me: id of this host.
         alive: ids of the other live hosts.
+        unable: ids of hosts that cannot run items.
     """
-    hosts = batch_hosts({me, *alive})
+    hosts = batch_hosts(able_hosts({me, *alive}, unable))
     if me not in hosts:
         return []
     return [
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -166,12 +166,15 @@
         )
         self.registry = JobRegistry(self._wake_runner, logger)
         self._job_store = JobStore(store)
+        self._peers.abilities.is_able = self._is_ready
         self.job_api = JobApi(
             JobApiParts(
                 settings.host_id,
                 self.registry,
                 self._job_store,
                 self.fleet,
+                self._peers.abilities,
+                self._peers.messenger,
                 self.clock,
                 logger,
             ),
@@ -194,6 +197,7 @@
             self.fleet,
             self._peers.messenger,
             self.pool,
+            self._peers.abilities,
             self._child_rng(),
         )
         busy = SnapshotCell(initial=False)
@@ -208,7 +212,9 @@
                 ports.servers,
                 self.table,
                 self.fleet,
+                self._peers.abilities,
                 self.connected,
+                self.ends_known,
                 busy,
                 self.clock,
                 logger,
@@ -232,12 +238,17 @@
         """Return whether the last calls to the platform succeeded."""
         return not any(mirror.failing for mirror in self._mirrors)
 
+    def ends_known(self) -> bool:
+        """Return whether no mirror with a bound is older than that."""
+        return not any(mirror.stale for mirror in self._mirrors)
+
     def start(self) -> None:
         """Join the fleet and start to watch the platform."""
         self._watch.start()
         self._peers.start()
         for mirror in self._mirrors:
             mirror.start()
+        self.job_api.start()
         self._load_notices.start()
         self._learning.start()
         self._ticker.start()
@@ -378,6 +389,9 @@
         peers = self.fleet.current.peers
         return 1 + sum(peer.state == _ALIVE_STATE for peer in peers)
 
+    def _is_ready(self) -> bool:
+        return self.ready
+
     def _wake_runner(self) -> None:
         self._ticker.wake()
 
--- a/guavadyke/peer/messages.thrift
+++ b/guavadyke/peer/messages.thrift
@@ -104,7 +104,14 @@
   3: optional string software,
 }
 
-/** The one datagram; what is absent is not said. */
+/** Whether the sender can run items of jobs; without able, for valid_s. */
+struct HostAbility {
+  1: bool able,
+  2: double valid_s,
+}
+
+/** The one datagram; what is absent is not said. ended_jobs are the ids of
+ * jobs that their callers have cancelled. */
 struct Datagram {
   1: i32 format,
   2: string sender,
@@ -129,6 +136,8 @@
   21: optional list<Permit> permits,
   22: optional list<StreamOrigin> stream_origins,
   23: optional list<StreamOrigin> stream_queries,
+  24: optional list<HostAbility> abilities,
+  25: optional list<string> ended_jobs,
 }
 
 struct ObjectVersion {
