Run the loops of all threads again after an unexpected error

A thread that met an unexpected error ended without a structured line while its host stayed in the fleet: it then learned of no change of a kind, heard no peer, reported no crash, or cancelled no call of a caller that had left.

Shown on the code before: a mirror whose sink raises for one change learns of no later one; a claimer of trials claims nothing after a write that raised; a host hears no datagram of its peers after one that raises; one call whose check raises keeps all others from being cancelled; one record that cannot be formatted ends the log.

Cause: the loops catch the errors of the project alone, and a thread that dies is not noticed.

Now every loop of the product runs in a GuardedThread. It logs the error as part_failed and runs the loop again after 0.1 s, twice as long after each further failure up to 5 s. Where one object, datagram, call or connection raises, the others go on without a pause. A mirror lists anew, and counts as failing until it has. Errors that end a task of the pools of peer calls and load polls are logged. A loop that ends as its pool can start no thread is run again as well; it took the error for the end of the host.

The ticker of the runner has a module of its own, and what runs a host's jobs is wired in forward_duties.py.

--- a/features/builders_forward_runner.py
+++ b/features/builders_forward_runner.py
@@ -22,9 +22,9 @@
 from guavadyke.controllers.forward_job_runner import (
     JobRunner,
     RunnerParts,
-    RunnerTicker,
 )
 from guavadyke.controllers.prompt_guard import PromptGuard
+from guavadyke.controllers.runner_ticker import RunnerTicker
 from guavadyke.decisions.forward_job_records import (
     AcceptedJob,
     ForwardItemResult,
--- a/guavadyke/adapters/peer_rpc.py
+++ b/guavadyke/adapters/peer_rpc.py
@@ -33,6 +33,7 @@
 )
 from guavadyke.adapters.ports import Clock
 from guavadyke.errors import ErrorCode
+from guavadyke.guarded_threads import GuardedThread, submit_logged
 
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 4.0
@@ -249,11 +250,7 @@
         self._free_watches = threading.Semaphore(_MAX_WATCHES)
         self._watch_pool = ThreadPoolExecutor(_MAX_WATCHES, 'peer-watch')
         self._closed = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run,
-            name='peer-calls',
-            daemon=True,
-        )
+        self._thread = GuardedThread(self._run, 'peer-calls', self._closed)
 
     def start(self) -> None:
         """Accept calls on a background thread."""
@@ -276,7 +273,7 @@
                 continue
             if self._free_capacity.acquire(blocking=False):
                 address = format_address(source[0], source[1])
-                self._pool.submit(self._serve, connection, address)
+                submit_logged(self._pool, self._serve, connection, address)
             else:
                 connection.close()
 
@@ -332,8 +329,8 @@
         """Answer queries on a thread of its own, unless there are too many."""
         if not self._free_watches.acquire(blocking=False):
             return False
-        self._watch_pool.submit(
-            self._serve_watch, connection, address, envelope
+        submit_logged(
+            self._watch_pool, self._serve_watch, connection, address, envelope
         )
         return True
 
--- a/guavadyke/adapters/peer_sockets.py
+++ b/guavadyke/adapters/peer_sockets.py
@@ -12,6 +12,9 @@
 from collections.abc import Callable
 
 from guavadyke.errors import ErrorCode, GuavadykeError
+from guavadyke.guarded_threads import GuardedThread
+from guavadyke.log import EventLogger
+from guavadyke.part_health import PartHealth
 from guavadyke.settings import ListenSettings
 
 _BIND_ATTEMPTS = 20
@@ -157,12 +160,9 @@
         self._socket = sockets.datagrams
         self._receive = receive
         self._faults = faults
+        self._health = PartHealth('peer-datagrams', EventLogger())
         self._closed = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run,
-            name='peer-datagrams',
-            daemon=True,
-        )
+        self._thread = GuardedThread(self._run, 'peer-datagrams', self._closed)
 
     def start(self) -> None:
         """Start the receiving thread."""
@@ -220,5 +220,10 @@
         started_at = time.thread_time()
         self.traffic.received += 1
         self.traffic.received_bytes += len(message)
-        self._receive(message, address)
+        try:
+            self._receive(message, address)
+        except Exception as error:
+            self._health.failed('receive', error)
+        else:
+            self._health.succeeded('receive')
         self.traffic.busy_s += time.thread_time() - started_at
--- a/guavadyke/adapters/peer_tunnels.py
+++ b/guavadyke/adapters/peer_tunnels.py
@@ -21,6 +21,7 @@
 from guavadyke.adapters.peer_rpc import PeerClient
 from guavadyke.adapters.peer_sockets import split_address
 from guavadyke.decisions.server_registry import ListedServer
+from guavadyke.guarded_threads import GuardedThread
 from guavadyke.log import EventLogger
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
@@ -193,8 +194,8 @@
         self._waker = waker
         self._selector.register(self._wakeup, selectors.EVENT_READ)
         self._closed = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run, name='peer-tunnels', daemon=True
+        self._thread = GuardedThread(
+            self._run, 'peer-tunnels', self._closed, self._logger
         )
 
     def start(self) -> None:
@@ -271,6 +272,10 @@
         except OSError:
             self._end(direction, reset=True)
             return
+        except Exception as error:
+            self._logger.error('tunnel_failed', reason=repr(error))
+            self._end(direction, reset=True)
+            return
         if direction.ended and not direction.waiting:
             self._end(direction, reset=False)
             return
--- a/guavadyke/controllers/batch_workers.py
+++ b/guavadyke/controllers/batch_workers.py
@@ -7,6 +7,7 @@
 
 from guavadyke.controllers.batch_held_chunks import HeldChunkRegistry, Task
 from guavadyke.controllers.batch_step_executor import StepExecutor
+from guavadyke.guarded_threads import GuardedThread
 from guavadyke.log import EventLogger
 from guavadyke.settings import BatchSettings
 
@@ -40,10 +41,8 @@
             settings.workers,
             thread_name_prefix='batch-worker',
         )
-        self._dispatcher = threading.Thread(
-            target=self._dispatch,
-            name='batch-dispatcher',
-            daemon=True,
+        self._dispatcher = GuardedThread(
+            self._dispatch, 'batch-dispatcher', self._closed, self._logger
         )
 
     def start(self) -> None:
@@ -72,6 +71,9 @@
         try:
             self._pool.submit(self._run_task, task)
         except RuntimeError:
+            self._idle_threads.release()
+            if not self._closed.is_set():
+                raise
             return False
         return True
 
--- a/guavadyke/controllers/catalogue_disk_cache.py
+++ b/guavadyke/controllers/catalogue_disk_cache.py
@@ -14,6 +14,7 @@
 )
 from guavadyke.controllers.catalogue import DISK, CatalogueState, OfferedObjects
 from guavadyke.errors import GuavadykeError
+from guavadyke.guarded_threads import GuardedThread
 from guavadyke.log import EventLogger
 from guavadyke.snapshots import SnapshotCell
 
@@ -45,10 +46,8 @@
         self._offer_objects = offer_objects
         self._logger = logger
         self._stop = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run,
-            name='catalogue-disk',
-            daemon=True,
+        self._thread = GuardedThread(
+            self._run, 'catalogue-disk', self._stop, self._logger
         )
 
     def start(self) -> None:
--- a/guavadyke/controllers/catalogue_watch.py
+++ b/guavadyke/controllers/catalogue_watch.py
@@ -20,6 +20,7 @@
     OfferedObjects,
 )
 from guavadyke.errors import GuavadykeError
+from guavadyke.guarded_threads import GuardedThread
 from guavadyke.log import EventLogger
 from guavadyke.settings import PlatformSettings
 
@@ -78,10 +79,8 @@
         self._relist_due: float = 0
         self._revision = 0
         self._failures = 0
-        self._thread = threading.Thread(
-            target=self._run,
-            name='catalogue-watch',
-            daemon=True,
+        self._thread = GuardedThread(
+            self._run, 'catalogue-watch', self._stop, self._logger
         )
 
     def start(self) -> None:
--- a/guavadyke/controllers/engine_reconciler.py
+++ b/guavadyke/controllers/engine_reconciler.py
@@ -32,6 +32,7 @@
     OrderObject,
 )
 from guavadyke.errors import GuavadykeError
+from guavadyke.guarded_threads import GuardedThread
 from guavadyke.log import EventLogger
 from guavadyke.settings import OrderSettings
 from guavadyke.snapshots import (
@@ -87,10 +88,8 @@
         self._sent_counts: dict[str, int] = {}
         self._placement = Placement({}, {})
         self._stop = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run,
-            name='orders',
-            daemon=True,
+        self._thread = GuardedThread(
+            self._run, 'orders', self._stop, deps.logger
         )
 
     def start(self) -> None:
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -5,7 +5,6 @@
 import dataclasses
 import functools
 import math
-import threading
 from collections.abc import Callable, Collection, Iterable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
@@ -52,11 +51,6 @@
 from guavadyke.settings import ForwardHostSettings
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
-# Interval at which a host with jobs looks for free slots and for items whose
-# retry delay has passed.
-_TICK_S = 0.05
-# Interval of a host without jobs; new jobs wake it at once.
-_IDLE_TICK_S = 0.5
 # The runner in logs of its failures.
 RUNNER_PART = 'job-runner'
 
@@ -462,50 +456,6 @@
     )
 
 
-class RunnerTicker:
-    """Sends ticks to a runner, periodically and after each change.
-
-    Args:
-        tell: sends a message to the runner.
-        busy: whether the runner has jobs, which shortens the interval.
-    """
-
-    def __init__(
-        self,
-        tell: Callable[[object], None],
-        busy: SnapshotCell[bool],
-    ) -> None:
-        self._tell = tell
-        self._busy = busy
-        self._stopped = threading.Event()
-        self._changed = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run,
-            name='job-ticker',
-            daemon=True,
-        )
-
-    def start(self) -> None:
-        """Start ticking in the background."""
-        self._thread.start()
-
-    def close(self) -> None:
-        """Stop ticking, without waiting for the thread."""
-        self._stopped.set()
-        self._changed.set()
-
-    def wake(self) -> None:
-        """Send a tick at once."""
-        self._changed.set()
-
-    def _run(self) -> None:
-        while not self._stopped.is_set():
-            busy = self._busy.current
-            self._changed.wait(_TICK_S if busy else _IDLE_TICK_S)
-            self._changed.clear()
-            self._tell(Tick())
-
-
 @functools.singledispatch
 def _handle(message: object, runner: JobRunner) -> Any:
     raise TypeError(f'unknown message {message!r}')
--- a/guavadyke/controllers/leaving_watch.py
+++ b/guavadyke/controllers/leaving_watch.py
@@ -35,6 +35,7 @@
     LeavingSource,
 )
 from guavadyke.errors import GuavadykeError
+from guavadyke.guarded_threads import GuardedThread
 from guavadyke.log import EventLogger
 from guavadyke.settings import EntrySettings
 from guavadyke.snapshots import CatalogueSnapshot, SnapshotCell
@@ -92,10 +93,8 @@
         self._stop = threading.Event()
         self._host_list_due: float = 0
         self._pool = ThreadPoolExecutor(_POLL_THREADS, 'load-poll')
-        self._thread = threading.Thread(
-            target=self._run,
-            name='leaving-watch',
-            daemon=True,
+        self._thread = GuardedThread(
+            self._run, 'leaving-watch', self._stop, deps.logger
         )
 
     def start(self) -> None:
--- a/guavadyke/controllers/load_notices.py
+++ b/guavadyke/controllers/load_notices.py
@@ -17,6 +17,7 @@
 from guavadyke.controllers.urgent_notices import UrgentNews
 from guavadyke.decisions.count_changes import CountChanges
 from guavadyke.decisions.forward_job_ownership import batch_hosts
+from guavadyke.guarded_threads import GuardedThread
 from guavadyke.settings import ForwardHostSettings
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
@@ -58,11 +59,7 @@
         self._ranked_hosts: frozenset[str] = frozenset()
         self._batch_hosts: frozenset[str] = frozenset()
         self._stopped = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run,
-            name='load-exchange',
-            daemon=True,
-        )
+        self._thread = GuardedThread(self._run, 'load-exchange', self._stopped)
 
     def start(self) -> None:
         """Start sending and receiving."""
--- a/guavadyke/controllers/mirror.py
+++ b/guavadyke/controllers/mirror.py
@@ -16,6 +16,7 @@
 )
 from guavadyke.decisions.watch_sharing import watch_times
 from guavadyke.errors import GuavadykeError
+from guavadyke.guarded_threads import GuardedThread
 from guavadyke.log import EventLogger
 from guavadyke.settings import PlatformSettings
 
@@ -169,10 +170,8 @@
         self._list_failed = False
         self._reached_at: float | None = None
         self._stop = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run,
-            name=f'mirror-{settings.kind}',
-            daemon=True,
+        self._thread = GuardedThread(
+            self._run, f'mirror-{settings.kind}', self._stop, self._logger
         )
 
     @property
@@ -265,6 +264,11 @@
             except GuavadykeError as error:
                 self._log_slow_step(began_at, lists=lists, failed=True)
                 self._stop.wait(self.record_failure(error))
+            except Exception:
+                # What was applied is not known, so it is listed again.
+                self._revision = None
+                self._list_failed = True
+                raise
             else:
                 self._log_slow_step(began_at, lists=lists, failed=False)
                 self.record_success()
--- a/guavadyke/controllers/peer_sync.py
+++ b/guavadyke/controllers/peer_sync.py
@@ -15,6 +15,7 @@
 from guavadyke.controllers.membership_messages import FleetState
 from guavadyke.controllers.peer_request_handler import MAX_FETCHED_OBJECTS
 from guavadyke.errors import GuavadykeError
+from guavadyke.guarded_threads import GuardedThread
 from guavadyke.log import EventLogger
 from guavadyke.snapshots import SnapshotCell
 
@@ -59,10 +60,8 @@
         self._next_pull_at: dict[str, float] = {}
         self._fleet_due: float = 0
         self._stop = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run,
-            name='peer-sync',
-            daemon=True,
+        self._thread = GuardedThread(
+            self._run, 'peer-sync', self._stop, self._logger
         )
 
     def start(self) -> None:
--- a/guavadyke/controllers/prompt_report_sender.py
+++ b/guavadyke/controllers/prompt_report_sender.py
@@ -16,6 +16,7 @@
 from guavadyke.decisions.prompt_reports import PromptReport
 from guavadyke.decisions.rendezvous_hashing import rendezvous
 from guavadyke.errors import GuavadykeError, ObjectConflictError
+from guavadyke.guarded_threads import GuardedThread
 from guavadyke.log import EventLogger
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
@@ -60,10 +61,8 @@
         self._logger = logger
         self._names = _report_names(host_id)
         self._stopped = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run,
-            name='prompt-reports',
-            daemon=True,
+        self._thread = GuardedThread(
+            self._run, 'prompt-reports', self._stopped, self._logger
         )
 
     def start(self) -> None:
@@ -77,7 +76,12 @@
     def send_due(self) -> None:
         """Send the reports that may be sent now."""
         for report in iter(self._guard.next_report, None):
-            if not self._is_written(report):
+            try:
+                written = self._is_written(report)
+            except Exception:
+                self._guard.send_again(report)
+                raise
+            if not written:
                 self._guard.send_again(report)
                 self._stopped.wait(_RETRY_DELAY_S)
                 return
--- a/guavadyke/controllers/prompt_trial_claimer.py
+++ b/guavadyke/controllers/prompt_trial_claimer.py
@@ -13,6 +13,7 @@
     WantedTrial,
 )
 from guavadyke.errors import GuavadykeError, ObjectConflictError
+from guavadyke.guarded_threads import GuardedThread
 from guavadyke.log import EventLogger
 
 _IDLE_S = 1.0
@@ -43,8 +44,8 @@
         self._clock = clock
         self._logger = logger
         self._stopped = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run, name='prompt-trials', daemon=True
+        self._thread = GuardedThread(
+            self._run, 'prompt-trials', self._stopped, self._logger
         )
 
     def start(self) -> None:
@@ -79,6 +80,13 @@
                 reason=error.message,
             )
             self._trials.not_claimed(wanted.part)
+        except Exception as error:
+            self._logger.error(
+                'prompt_trial_not_claimed',
+                part=wanted.part,
+                reason=repr(error),
+            )
+            self._trials.not_claimed(wanted.part)
         else:
             self._logger.info('prompt_trial_claimed', part=wanted.part)
             self._trials.claimed(wanted.part, stored, began_at)
--- a/guavadyke/controllers/retirement_controller.py
+++ b/guavadyke/controllers/retirement_controller.py
@@ -11,6 +11,7 @@
 from guavadyke.decisions.forward_job_ownership import AbsenceTracker
 from guavadyke.decisions.rendezvous_hashing import rendezvous
 from guavadyke.errors import GuavadykeError
+from guavadyke.guarded_threads import GuardedThread
 from guavadyke.log import EventLogger
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
@@ -67,10 +68,8 @@
         self._absences = AbsenceTracker()
         self._drained = False
         self._stopped = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run,
-            name='retirements',
-            daemon=True,
+        self._thread = GuardedThread(
+            self._run, 'retirements', self._stopped, parts.logger
         )
 
     def start(self) -> None:
--- a/guavadyke/controllers/server_limit_writer.py
+++ b/guavadyke/controllers/server_limit_writer.py
@@ -12,6 +12,7 @@
 from guavadyke.decisions.rendezvous_hashing import rendezvous
 from guavadyke.decisions.server_limits import ServerLimit
 from guavadyke.errors import GuavadykeError, ObjectConflictError
+from guavadyke.guarded_threads import GuardedThread
 from guavadyke.log import EventLogger
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
@@ -51,10 +52,8 @@
         self._fleet = fleet
         self._logger = logger
         self._stopped = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run,
-            name='server-limits',
-            daemon=True,
+        self._thread = GuardedThread(
+            self._run, 'server-limits', self._stopped, self._logger
         )
 
     def start(self) -> None:
@@ -85,6 +84,13 @@
                     backend_server=server_id,
                     reason=error.message,
                 )
+            except Exception as error:
+                self._limits.tell_again(server_id)
+                self._logger.error(
+                    'server_limit_not_written',
+                    backend_server=server_id,
+                    reason=repr(error),
+                )
 
     def remove_old(self, wall: float) -> None:
         """Remove the old objects that this host has to.
--- a/guavadyke/controllers/stream_origin_writer.py
+++ b/guavadyke/controllers/stream_origin_writer.py
@@ -14,6 +14,7 @@
 from guavadyke.decisions.rendezvous_hashing import place, rendezvous
 from guavadyke.decisions.stream_origins import StreamOrigin
 from guavadyke.errors import GuavadykeError, ObjectConflictError
+from guavadyke.guarded_threads import GuardedThread
 from guavadyke.log import EventLogger
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
@@ -71,10 +72,8 @@
         self._origins_due: float = 0
         self._cleanup_at = clock.monotonic() + _CLEANUP_INTERVAL_S
         self._stopped = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run,
-            name='stream-origins',
-            daemon=True,
+        self._thread = GuardedThread(
+            self._run, 'stream-origins', self._stopped, self._logger
         )
 
     @property
--- a/guavadyke/filters/caller_watch.py
+++ b/guavadyke/filters/caller_watch.py
@@ -9,6 +9,9 @@
 from contextlib import contextmanager
 
 from guavadyke.adapters.cancellation import CallCancellation
+from guavadyke.guarded_threads import GuardedThread
+from guavadyke.log import EventLogger
+from guavadyke.part_health import PartHealth
 
 _CHECK_INTERVAL_S = 0.1
 
@@ -35,11 +38,8 @@
         self._call_ids = itertools.count()
         self._stopped = threading.Event()
         self._call_added = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run,
-            name='caller-watch',
-            daemon=True,
-        )
+        self._health = PartHealth('caller-watch', EventLogger())
+        self._thread = GuardedThread(self._run, 'caller-watch', self._stopped)
 
     def start(self) -> None:
         """Start checking in a background thread."""
@@ -62,7 +62,7 @@
         Args:
             abandoned: returns whether nobody waits for the result.
             cancellation: cancels the call.
-            check_silence: called at each check; must not raise.
+            check_silence: called at each check; errors are logged.
         """
         number = next(self._call_ids)
         self._watched_calls[number] = _WatchedCall(
@@ -79,7 +79,13 @@
             if not self._watched_calls:
                 self._wait_for_call()
             for watched in tuple(self._watched_calls.values()):
-                _check(watched)
+                self._check_logged(watched)
+
+    def _check_logged(self, watched: _WatchedCall) -> None:
+        try:
+            _check(watched)
+        except Exception as error:
+            self._health.failed('check', error)
 
     def _wait_for_call(self) -> None:
         """Wait until there is a call to check, or until ``close``."""
--- a/guavadyke/filters/claim_cleanup.py
+++ b/guavadyke/filters/claim_cleanup.py
@@ -14,6 +14,7 @@
 from guavadyke.decisions.rendezvous_hashing import rendezvous
 from guavadyke.errors import GuavadykeError
 from guavadyke.filters.idempotency import ClaimTools
+from guavadyke.guarded_threads import GuardedThread
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
 _INTERVAL_S = 20.0
@@ -45,11 +46,7 @@
         self._fleet = fleet
         self._retention_s = retention_s
         self._stopped = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run,
-            name='claim-cleaning',
-            daemon=True,
-        )
+        self._thread = GuardedThread(self._run, 'claim-cleaning', self._stopped)
 
     def start(self) -> None:
         """Start cleaning in a background thread."""
--- a/guavadyke/filters/claim_writer.py
+++ b/guavadyke/filters/claim_writer.py
@@ -10,6 +10,7 @@
 from guavadyke.adapters.write_confirmation import WriteConfirmingStore
 from guavadyke.decisions.claims import CLAIM_KIND, ClaimState, parse_claim
 from guavadyke.errors import GuavadykeError, ObjectConflictError
+from guavadyke.guarded_threads import GuardedThread
 from guavadyke.log import EventLogger
 
 _RETRY_INTERVAL_S = 1.0
@@ -35,10 +36,8 @@
         self._backlog: collections.deque[Callable[[], None]]
         self._backlog = collections.deque(maxlen=_MAX_BACKLOG)
         self._stopped = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run,
-            name='claim-writes',
-            daemon=True,
+        self._thread = GuardedThread(
+            self._run, 'claim-writes', self._stopped, self._logger
         )
 
     @property
--- a/guavadyke/filters/limit_coordinator.py
+++ b/guavadyke/filters/limit_coordinator.py
@@ -26,6 +26,7 @@
 )
 from guavadyke.errors import GuavadykeError, ObjectConflictError
 from guavadyke.filters.limit_table import LimitTable
+from guavadyke.guarded_threads import GuardedThread
 from guavadyke.settings import EntrySettings
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
@@ -67,11 +68,7 @@
         self._lease_objects: dict[int, StoredObject | None] = {}
         self._wake = threading.Event()
         self._stopped = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run,
-            name='limit-leases',
-            daemon=True,
-        )
+        self._thread = GuardedThread(self._run, 'limit-leases', self._stopped)
 
     def start(self) -> None:
         """Start acquiring and renewing leases in a background thread."""
--- a/guavadyke/filters/limit_sharing.py
+++ b/guavadyke/filters/limit_sharing.py
@@ -15,6 +15,7 @@
 from guavadyke.decisions.limit_grants import GRANT_S
 from guavadyke.decisions.limits import LocalLimit
 from guavadyke.filters.limit_coordinator import LimitCoordinator, SharingTools
+from guavadyke.guarded_threads import GuardedThread
 
 _REQUEST_INTERVAL_S = 0.25
 _MIN_PAUSE_S = 0.01
@@ -40,11 +41,7 @@
         self._open_requests: dict[int, _GrantRequest] = {}
         self._wake = threading.Event()
         self._stopped = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run,
-            name='limit-sharing',
-            daemon=True,
-        )
+        self._thread = GuardedThread(self._run, 'limit-sharing', self._stopped)
 
     def start(self) -> None:
         """Start requesting and granting shares in the background."""
--- a/guavadyke/filters/load_poller.py
+++ b/guavadyke/filters/load_poller.py
@@ -11,6 +11,7 @@
 from guavadyke.catalogue import BackendServerEntry
 from guavadyke.decisions.load_polling import PollScheduler, PollTargets
 from guavadyke.filters.slot_pool import SlotPool
+from guavadyke.guarded_threads import GuardedThread, submit_logged
 from guavadyke.settings import EntrySettings
 from guavadyke.snapshots import CatalogueSnapshot, SnapshotCell
 
@@ -50,11 +51,7 @@
             _POLL_THREADS,
             thread_name_prefix='load',
         )
-        self._thread = threading.Thread(
-            target=self._run,
-            name='load-reports',
-            daemon=True,
-        )
+        self._thread = GuardedThread(self._run, 'load-reports', self._stopped)
 
     def start(self) -> None:
         """Start polling in the background."""
@@ -106,9 +103,11 @@
     def _submit(self, server_id: str, address: str) -> None:
         self._running_polls.add(server_id)
         try:
-            self._pool.submit(self._poll, server_id, address)
+            submit_logged(self._pool, self._poll, server_id, address)
         except RuntimeError:
-            self._stopped.set()
+            self._running_polls.discard(server_id)
+            if not self._stopped.is_set():
+                raise
 
     def _poll(self, server_id: str, address: str) -> None:
         try:
--- a/guavadyke/filters/slot_count_notices.py
+++ b/guavadyke/filters/slot_count_notices.py
@@ -16,6 +16,7 @@
 from guavadyke.decisions.count_changes import CountChanges
 from guavadyke.decisions.slot_scheduler import online_counts_to_announce
 from guavadyke.filters.slot_pool import SlotPool
+from guavadyke.guarded_threads import GuardedThread
 from guavadyke.settings import EntrySettings
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
@@ -54,11 +55,7 @@
         self._batch_changes: CountChanges[int] = CountChanges(_zero_batch)
         self._wake = threading.Event()
         self._stopped = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run,
-            name='yield-notices',
-            daemon=True,
-        )
+        self._thread = GuardedThread(self._run, 'yield-notices', self._stopped)
 
     def start(self) -> None:
         """Start sending and receiving in the background."""
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -15,15 +15,9 @@
     StoredObject,
 )
 from guavadyke.adapters.write_confirmation import WriteConfirmingStore
-from guavadyke.controllers.actors import ask_function, tell_function
 from guavadyke.controllers.forward_job_api import JobApi, JobApiParts
 from guavadyke.controllers.forward_job_registry import JobRegistry
-from guavadyke.controllers.forward_job_runner import (
-    HandOver,
-    JobRunner,
-    RunnerParts,
-    RunnerTicker,
-)
+from guavadyke.controllers.forward_job_runner import RunnerParts
 from guavadyke.controllers.forward_job_store import JobStore
 from guavadyke.controllers.load_notices import LoadNoticeSender
 from guavadyke.controllers.mirror import (
@@ -51,6 +45,7 @@
 from guavadyke.decisions.slot import HostLocation
 from guavadyke.filters.caller_watch import CallerWatch
 from guavadyke.filters.forward_attempt import ForwardTools
+from guavadyke.forward_duties import JobDuty
 from guavadyke.forward_job_documents import JOB_KIND, PROGRESS_KIND
 from guavadyke.forward_learning import ForwardLearning
 from guavadyke.forward_peers import ForwardPeers, RoutedBackendServers
@@ -61,7 +56,6 @@
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
 _ALIVE_STATE = 'alive'
-_REASSIGNMENT_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -193,8 +187,7 @@
             self.pool,
             self._child_rng(),
         )
-        busy = SnapshotCell(initial=False)
-        self._runner = JobRunner.start(
+        self._job_duty = JobDuty(
             RunnerParts(
                 settings,
                 self.registry,
@@ -206,14 +199,13 @@
                 self.table,
                 self.fleet,
                 self.connected,
-                busy,
+                SnapshotCell(initial=False),
                 self.clock,
                 logger,
                 self.metrics,
             ),
         )
-        self._ticker = RunnerTicker(tell_function(self._runner), busy)
-        self.pool.urgent.on_own_items(self._ticker.wake)
+        self.pool.urgent.on_own_items(self._job_duty.wake)
 
     @property
     def ready(self) -> bool:
@@ -237,7 +229,7 @@
             mirror.start()
         self._load_notices.start()
         self._learning.start()
-        self._ticker.start()
+        self._job_duty.start()
         if self._is_drainable:
             self._retirements.start()
         self.logger.info(
@@ -251,14 +243,7 @@
 
         Items in flight may finish for up to ``longest_s`` seconds.
         """
-        until = self.clock.monotonic() + longest_s
-        ask = ask_function(self._runner)
-        while ask(HandOver(leave=False)):
-            if self.clock.monotonic() >= until:
-                break
-            self.clock.sleep(_REASSIGNMENT_S / 10)
-        if ask(HandOver(leave=True)):
-            self.clock.sleep(_REASSIGNMENT_S)
+        self._job_duty.hand_over(longest_s)
         self._peers.leave()
 
     def stop(self, port: HttpServer | None) -> None:
@@ -288,13 +273,12 @@
 
     def close(self) -> None:
         """Stop all services."""
-        self._ticker.close()
         self._retirements.close()
         self._load_notices.close()
         self._learning.close()
         for mirror in self._mirrors:
             mirror.close()
-        self._runner.stop()
+        self._job_duty.close()
         self._watch.close()
         self._peers.close()
 
@@ -376,7 +360,7 @@
         return 1 + sum(peer.state == _ALIVE_STATE for peer in peers)
 
     def _wake_runner(self) -> None:
-        self._ticker.wake()
+        self._job_duty.wake()
 
     def _child_rng(self) -> random.Random:
         """Return a random generator for the use of one thread."""
--- a/guavadyke/http_server.py
+++ b/guavadyke/http_server.py
@@ -19,6 +19,7 @@
 
 from guavadyke.adapters.ports import Clock
 from guavadyke.errors import ErrorCode, Finding, GuavadykeError, RunStatus
+from guavadyke.guarded_threads import GuardedThread
 from guavadyke.http_application import (
     HttpApplication,
     IncompleteAnswerError,
@@ -143,10 +144,9 @@
         self._server.maintenance = functools.partial(
             _close_inactive_channels, self._server, idle_timeout_s
         )
-        self._thread = threading.Thread(
-            target=self._server.run,
-            name=f'http-{self.port}',
-            daemon=True,
+        self._closed = threading.Event()
+        self._thread = GuardedThread(
+            self._server.run, f'http-{self.port}', self._closed
         )
 
     @property
@@ -196,6 +196,7 @@
 
     def close(self) -> None:
         """Stop listening and close every connection."""
+        self._closed.set()
         close_server(self._server, self._thread)
 
 
--- a/guavadyke/log_writer.py
+++ b/guavadyke/log_writer.py
@@ -80,11 +80,17 @@
         while self._waiting.wait():
             time.sleep(_WRITE_INTERVAL_S)
             self._waiting.clear()
-            text = '\n'.join((*map(self.format, self._take()), ''))
+            text = '\n'.join((*map(self._line, self._take()), ''))
             self._write(text.encode(errors='replace'))
             with self._queue_lock:
                 self._writing = False
 
+    def _line(self, record: logging.LogRecord) -> str:
+        try:
+            return self.format(record)
+        except Exception as error:
+            return f'event=log_record_unusable reason={type(error).__name__}'
+
     def _take(self) -> Iterator[logging.LogRecord]:
         """Return all queued records by time, and one about dropped ones."""
         with self._queue_lock:
--- a/guavadyke/membership_service.py
+++ b/guavadyke/membership_service.py
@@ -21,6 +21,7 @@
 from guavadyke.decisions.leaving_servers import LeavingRegistry
 from guavadyke.decisions.membership import Membership
 from guavadyke.decisions.membership_protocol import MembershipPolicy
+from guavadyke.guarded_threads import GuardedThread
 from guavadyke.log import EventLogger
 from guavadyke.settings import PeerSettings
 
@@ -80,11 +81,7 @@
         self.ask = ask_function(self.controller)
         self.tell = tell_function(self.controller)
         self._stop = threading.Event()
-        self._ticker = threading.Thread(
-            target=self._tick,
-            name='membership-tick',
-            daemon=True,
-        )
+        self._ticker = GuardedThread(self._tick, 'membership-tick', self._stop)
 
     def start(self, seeds: frozenset[str]) -> None:
         """Join the fleet through the seeds."""
