--- a/features/machines/job_owners.py
+++ b/features/machines/job_owners.py
@@ -10,6 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from features import builders_job_owners as owners
+from features.builders_batch_platform import LinkFaults
 
 HOSTS = ('host-0', 'host-1', 'host-2', 'host-3')
 JOBS = ('job-1', 'job-2', 'job-3')
@@ -54,18 +55,18 @@
     @rule(host=hosts, cut=st.booleans(), deaf=st.booleans())
     def change_link(self, host: str, *, cut: bool, deaf: bool) -> None:
         """Cut a host off from the platform, or stop its mirrors alone."""
-        self._fleet.hosts[host].host.link.faults.cut = cut
+        self._faults(host).cut = cut
         self._fleet.hosts[host].deaf = deaf
 
     @rule(host=hosts, every=st.integers(0, 2))
     def lose_answers(self, host: str, every: int) -> None:
         """Lose answers to writes that took effect."""
-        self._fleet.hosts[host].host.link.faults.lose_answer_every = every
+        self._faults(host).lose_answer_every = every
 
     @rule(host=hosts, every=st.integers(0, 2))
     def delay_writes(self, host: str, every: int) -> None:
         """Delay writes until after their callers gave up."""
-        self._fleet.hosts[host].host.link.faults.delay_write_every = every
+        self._faults(host).delay_write_every = every
 
     @rule(seconds=st.sampled_from((0.5, 1, 2, 4)))
     def run(self, seconds: float) -> None:
@@ -88,7 +89,11 @@
             assert len(live) == 1, (job_id, live)
 
     def _is_linked(self, host: str) -> bool:
-        faults = self._fleet.hosts[host].host.link.faults
+        faults = self._faults(host)
         return host not in self._lost and not (
             faults.cut or faults.lose_answer_every or faults.delay_write_every
         )
+
+    def _faults(self, host: str) -> LinkFaults:
+        fleet_host = self._fleet.hosts[host].host
+        return fleet_host.link.faults
