Builders of jobs: items that the job has, hosts that can run items

Runs of items that their job lacks no longer build, since an item's fingerprint is that of its job; the step takes the items of a job of that size. The builder of owners passes the abilities of hosts, as the merged code asks.

--- a/features/builders_job_owners.py
+++ b/features/builders_job_owners.py
@@ -61,7 +61,10 @@
         self._writer.close()
         self._writer._writers = _DirectExecutor()
         self._maintenance = JobMaintenance(
-            host_settings(1, host_id), self._fleet, self._writer
+            host_settings(1, host_id),
+            self._fleet,
+            build.host_abilities(host_id, self._fleet),
+            self._writer,
         )
 
     def see(self, states: Mapping[str, str]) -> None:
--- a/features/steps/forward_decisions_steps.py
+++ b/features/steps/forward_decisions_steps.py
@@ -598,15 +598,16 @@
 @given('{count:d} runs of items at a server, of which {cancelled:d} end')
 def step_runs(context: Context, count: int, cancelled: int) -> None:
     one = build.server('s1')
+    job = build.job(items=count)
     context.runs = [
         ItemRun(
-            build.job(),
-            build.item(number),
+            job,
+            item,
             ServerLease(one, batch=True, taken_at=number),
             PartialText(),
             build.item_run_tools(build.pool((one,))),
         )
-        for number in range(count)
+        for number, item in enumerate(job.items)
     ]
     for run in context.runs[count - cancelled :]:
         run.cancellation.cancel()
