Take back the claim of a trial that its server surely did not run

The claim to try a quarantined part was spent as soon as a server was reserved. If that server refused the connection or was at its limit, as is common while servers end in waves, nothing had been tried: the request was refused as quarantined although other servers were free, an item was held, and every host waited 5 s for the claim to lapse before the next trial.

A run that was surely not started now gives the claim back to its host, for the time that was left of it, so that the same request or another one tries the part at the next server.

--- a/features/forward_prompts.feature
+++ b/features/forward_prompts.feature
@@ -328,6 +328,20 @@
     And the host may try "shared,bad" and runs a job of 4 items, 2 of them with it
     Then 1 of these and the 2 others are sent to the only server
 
+  Scenario: an item that tries a part is sent on from a server that does not run it
+    Given 1 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    And 8 seconds pass
+    And an item that may try "shared,bad" meets a server that does not run it
+    Then it is sent to another server in the same trial
+
+  Scenario: a request that tries a part is sent on from a server that does not run it
+    Given 1 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    And 8 seconds pass
+    And a request that may try "shared,bad" meets a server that does not run it
+    Then it is sent to another server in the same trial
+
   Scenario: an item under which servers end again and again is sent ever more rarely
     Given 3 hosts, one of which owns a job of 1 item that crashes servers
     When 3 servers have ended under it
--- a/features/steps/forward_prompts_steps.py
+++ b/features/steps/forward_prompts_steps.py
@@ -41,6 +41,9 @@
 _MS_PER_S = 1000
 _LOOK_S = 0.05
 _SENT_S = 5.0
+# Less than the time that a claim is valid, and more than a retry delay.
+_TRIAL_LASTS_S = 3.0
+_NOT_RUN = build.Scripted(fault=BackendFault.not_reached, not_run=True)
 _SCRIPTS = types.MappingProxyType({
     'a closed connection': build.Scripted(
         fault=BackendFault.broken, disconnected=True, sent=1
@@ -649,6 +652,53 @@
     assert len(sent()) == tried + others, sent()
 
 
+@when('an item that may try "{prompt}" meets a server that does not run it')
+def step_trial_item_refused(context: Context, prompt: str) -> None:
+    guard = _claiming_guard(context, prompt)
+    context.servers = build.FakeServers(_NOT_RUN)
+    context.bench = runner.RunnerBench(
+        prompts=guard, backends=context.servers, clock=context.guarded.clock
+    )
+    context.add_cleanup(context.bench.close)
+    context.bench.accept(1, parts_by_number={0: _split(prompt)})
+
+    def sent_on() -> bool:
+        return len(context.servers.calls) > 1
+
+    wait_until(lambda: bool(context.servers.calls), _SENT_S)
+    context.guarded.clock.sleep(_TRIAL_LASTS_S)
+
+    wait_until(sent_on, _SENT_S)
+
+
+@when('a request that may try "{prompt}" meets a server that does not run it')
+def step_trial_request_refused(context: Context, prompt: str) -> None:
+    context.guard = _claiming_guard(context, prompt)
+    context.servers = build.FakeServers(_NOT_RUN)
+    tools = build.tools(
+        context.servers, build.pool((build.server('s1'), build.server('s2')))
+    )
+    with contextlib.suppress(GuavadykeError):
+        Forwarder(
+            build.request(prompt_parts=_split(prompt)),
+            build.route(RouteKind.streamed),
+            dataclasses.replace(tools, prompts=context.guard),
+        ).answer()
+
+
+@then('it is sent to another server in the same trial')
+def step_sent_on(context: Context) -> None:
+    assert len(context.servers.calls) == 2, context.servers.calls
+
+
+def _claiming_guard(context: Context, prompt: str) -> PromptGuard:
+    """Return the guard of a host that has claimed a trial."""
+    guard = context.guarded.guards[0]
+    assert not guard.trials.allows(guard.check(_split(prompt)))
+    context.guarded.claim()
+    return guard
+
+
 @given(
     '{size:d} hosts, one of which owns a job of {items:d} item that crashes '
     'servers'
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -400,7 +400,7 @@
         lease = _lease_slot(self._parts, service, partial)
         if lease is None:
             return StartRefusal.no_server
-        if not prompts.trials.begins(found):
+        if not prompts.trials.begins(found, lease):
             self._parts.pool.release(lease, BackendFault.refused)
             return StartRefusal.quarantined
         self._start_run(work, item, lease)
--- a/guavadyke/controllers/item_run.py
+++ b/guavadyke/controllers/item_run.py
@@ -183,6 +183,7 @@
                 self._tools.pool.release, self.lease, BackendFault.refused
             )
             if not self._tools.limits.admit(self.lease.server, batch=True):
+                self._tools.prompts.trials.not_run(self.lease)
                 return self._outcome(RunEnd.preempted, 'limit of the server')
             unless_sent.pop_all()
         failure = None
@@ -239,6 +240,8 @@
         the server had stalled or fallen silent.
         """
         cancelled = self.cancellation.cancelled
+        if failure is not None and failure.not_run:
+            self._tools.prompts.trials.not_run(self.lease)
         if failure is None or (cancelled and not self._is_server_fault):
             self._tools.pool.release(self.lease)
             return
--- a/guavadyke/controllers/prompt_trials.py
+++ b/guavadyke/controllers/prompt_trials.py
@@ -8,6 +8,7 @@
 from guavadyke.adapters.ports import Clock, StoredObject
 from guavadyke.decisions import rendezvous_hashing
 from guavadyke.decisions.prompt_quarantine import Quarantine
+from guavadyke.decisions.server_registry import ServerLease
 from guavadyke.log import EventLogger
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
@@ -113,6 +114,7 @@
         self._known: dict[str, _KnownClaim] = {}
         self._unspent_until: dict[str, float] = {}
         self._slow_until: dict[str, float] = {}
+        self._spent: dict[str, tuple[ServerLease | None, float]] = {}
         self._delays = _ClaimDelays(host_id, fleet)
 
     def allows(self, found: Quarantine | None) -> bool:
@@ -154,11 +156,14 @@
             self._wanted_until.pop(found.part, None)
             return self._holds(found.part, self._clock.monotonic())
 
-    def begins(self, found: Quarantine | None) -> bool:
+    def begins(
+        self, found: Quarantine | None, lease: ServerLease | None = None
+    ) -> bool:
         """Return whether a request may be sent now, and spend its claim.
 
         Args:
             found: the quarantine of the request, None if it is in none.
+            lease: the server to which it is sent.
         """
         if found is None:
             return True
@@ -166,10 +171,23 @@
             now = self._clock.monotonic()
             if found.trial_in_s or not self._holds(found.part, now):
                 return False
-            self._unspent_until.pop(found.part)
+            until = self._unspent_until.pop(found.part)
+            self._spent[found.part] = (lease, until)
         self._logger.info('prompt_part_tried', part=found.part)
         return True
 
+    def not_run(self, lease: ServerLease) -> None:
+        """Take back the claim of a request that its server surely did not run.
+
+        Args:
+            lease: the server to which it was to be sent.
+        """
+        with self._changed:
+            for part, (spent_on, until) in tuple(self._spent.items()):
+                if spent_on is lease:
+                    self._spent.pop(part)
+                    self._unspent_until[part] = until
+
     def wait(self, timeout_s: float) -> None:
         """Wait for a trial to claim; there may be none after the timeout."""
         self._wanted.wait(timeout_s)
--- a/guavadyke/filters/forward_admission.py
+++ b/guavadyke/filters/forward_admission.py
@@ -174,7 +174,7 @@
         """
         prompts = self._tools.prompts
         found = prompts.check(self._request.suspect_parts)
-        if found is not None and not prompts.trials.begins(found):
+        if found is not None and not prompts.trials.begins(found, lease):
             self._tools.pool.release(lease, BackendFault.refused)
             raise _quarantine_error(found)
 
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -274,6 +274,8 @@
 
     def failed(self, error: BackendServerError) -> None:
         """Release the lease after a failure."""
+        if error.not_run:
+            self._tools.prompts.trials.not_run(self._lease)
         if (
             self._holds_lease
             and error.disconnected
