--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -5,7 +5,6 @@
 import dataclasses
 import functools
 import math
-import threading
 from collections.abc import Callable, Collection, Iterable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
@@ -54,11 +53,6 @@
 from guavadyke.settings import ForwardHostSettings
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
-# Interval at which a host with jobs looks for free slots and for items whose
-# retry delay has passed.
-_TICK_S = 0.05
-# Interval of a host without jobs; new jobs wake it at once.
-_IDLE_TICK_S = 0.5
 # The runner in logs of its failures.
 RUNNER_PART = 'job-runner'
 
@@ -383,24 +377,21 @@
         self, work: JobItemTracker, item: ForwardItem, service: str
     ) -> StartRefusal | None:
         """Start an item, or return why it does not start."""
-        if not self._parts.ends_known():
-            return StartRefusal.ends_unknown
-        max_runs = self._parts.settings.forward.item_workers
-        if len(self._runs) >= max_runs:
-            return StartRefusal.run_limit
         key = (work.job.job_id, item.item_id)
-        if key in self._runs:
-            return StartRefusal.earlier_run
-        prompts = self._parts.prompts
-        found = prompts.check(work.job.suspect_parts(item))
-        # A slot that is given back pauses its server for all other items.
-        if not prompts.trials.allows(found):
-            return StartRefusal.quarantined
+        found = self._parts.prompts.check(work.job.suspect_parts(item))
+        refusal = _own_refusal(
+            self._parts,
+            self._runs,
+            key,
+            allowed=self._parts.prompts.trials.allows(found),
+        )
+        if refusal is not None:
+            return refusal
         partial = self._partials.get(key, PartialText())
         lease = _lease_slot(self._parts, service, partial)
         if lease is None:
             return StartRefusal.no_server
-        if not prompts.trials.begins(found, lease):
+        if not self._parts.prompts.trials.begins(found, lease):
             self._parts.pool.release(lease, BackendFault.refused)
             return StartRefusal.quarantined
         self._start_run(work, item, lease)
@@ -433,6 +424,31 @@
         self._tell(RunEnded(run, outcome))
 
 
+def _own_refusal(
+    parts: RunnerParts,
+    runs: Collection[ItemKey],
+    key: ItemKey,
+    *,
+    allowed: bool,
+) -> StartRefusal | None:
+    """Return why an item may not start, whatever the servers have free.
+
+    Args:
+        parts: the dependencies of the runner.
+        runs: the items that run.
+        key: the item.
+        allowed: whether its prompt may be sent.
+    """
+    if not parts.ends_known():
+        return StartRefusal.ends_unknown
+    if len(runs) >= parts.settings.forward.item_workers:
+        return StartRefusal.run_limit
+    if key in runs:
+        return StartRefusal.earlier_run
+    # A slot that is given back pauses its server for all other items.
+    return None if allowed else StartRefusal.quarantined
+
+
 def _lease_slot(
     parts: RunnerParts, service: str, partial: PartialText
 ) -> ServerLease | None:
@@ -477,50 +493,6 @@
     )
 
 
-class RunnerTicker:
-    """Sends ticks to a runner, periodically and after each change.
-
-    Args:
-        tell: sends a message to the runner.
-        busy: whether the runner has jobs, which shortens the interval.
-    """
-
-    def __init__(
-        self,
-        tell: Callable[[object], None],
-        busy: SnapshotCell[bool],
-    ) -> None:
-        self._tell = tell
-        self._busy = busy
-        self._stopped = threading.Event()
-        self._changed = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run,
-            name='job-ticker',
-            daemon=True,
-        )
-
-    def start(self) -> None:
-        """Start ticking in the background."""
-        self._thread.start()
-
-    def close(self) -> None:
-        """Stop ticking, without waiting for the thread."""
-        self._stopped.set()
-        self._changed.set()
-
-    def wake(self) -> None:
-        """Send a tick at once."""
-        self._changed.set()
-
-    def _run(self) -> None:
-        while not self._stopped.is_set():
-            busy = self._busy.current
-            self._changed.wait(_TICK_S if busy else _IDLE_TICK_S)
-            self._changed.clear()
-            self._tell(Tick())
-
-
 @functools.singledispatch
 def _handle(message: object, runner: JobRunner) -> Any:
     raise TypeError(f'unknown message {message!r}')
