End a host that cannot work on its jobs, so that others take them over

A host whose job runner failed at every tick stayed in the fleet, alive and ready: its jobs were neither worked on nor taken over.

Shown on the code before, with two daemons and a runner that raises from a moment on: the process of its host goes on, and 40 s later has not handed its job over.

Cause: nothing looked at whether the parts that do a host's duties still work.

If one has not, the host logs host_unsound, is not ready any more, hands its jobs over, and its process ends with status 70, so that a supervisor can start it anew. Mirrors and writers do not end a host: they try again, as what they fail on may come to all hosts alike. A hand-over that fails is tried again, and the host leaves the fleet in any case. The fleet status of entry hosts names failed parts; they do not end by themselves.

--- a/features/builders_forward_processes.py
+++ b/features/builders_forward_processes.py
@@ -35,6 +35,7 @@
     ready: int
     folder: Path
     process: subprocess.Popen[bytes] | None = None
+    module: str = 'guavadyke.platform'
 
     @property
     def settings_path(self) -> Path:
@@ -89,7 +90,7 @@
 
     def _start(self, log: BinaryIO | int) -> None:
         self.process = subprocess.Popen(
-            [sys.executable, '-m', 'guavadyke.platform', 'entry'],
+            [sys.executable, '-m', self.module, 'entry'],
             cwd=_ROOT,
             stdout=log,
             stderr=log,
@@ -102,12 +103,17 @@
 
 
 class UsersFleet:
-    """A platform store, engines and daemons, stopped by ``close``."""
+    """A platform store, engines and daemons, stopped by ``close``.
 
-    def __init__(self) -> None:
+    Args:
+        module: the module that the daemons run.
+    """
+
+    def __init__(self, module: str = 'guavadyke.platform') -> None:
         self.store = users.UsersStore()
         self.engines: list[users.UsersEngine] = []
         self.daemons: list[DaemonProcess] = []
+        self._module = module
         self._folder = tempfile.TemporaryDirectory()
         # All hosts have the same peer port, as on the users' machines.
         self._peer_port = free_port()
@@ -145,6 +151,7 @@
             free_port(),
             free_port(),
             Path(self._folder.name),
+            module=self._module,
         )
         daemon.settings_path.write_text(
             users.settings_lines(
--- a/features/builders_unexpected_errors.py
+++ b/features/builders_unexpected_errors.py
@@ -6,6 +6,8 @@
 import functools
 import inspect
 import itertools
+import os
+import random
 import time
 from collections.abc import Callable
 from typing import Any
@@ -14,19 +16,26 @@
 import pykka
 
 from features import builders_forward as build
-from features.builders_forward_runner import RunnerBench
+from features.builders_forward_runner import RunnerBench, host_settings
+from guavadyke.adapters.clock import SystemClock
+from guavadyke.adapters.peer_port import PeerPort
 from guavadyke.controllers.catalogue import (
     CatalogueController,
     CatalogueState,
     DifferingVersionsQuery,
 )
-from guavadyke.controllers.membership import MembershipController
+from guavadyke.controllers.membership import (
+    FleetCells,
+    MembershipController,
+    PeerEvents,
+)
 from guavadyke.controllers.membership_messages import FleetStateQuery
 from guavadyke.decisions.forward_job_items import JobItemTracker
 from guavadyke.decisions.forward_job_records import listings
 from guavadyke.log import EventLogger
+from guavadyke.membership_service import MembershipService
 from guavadyke.part_health import PartHealth
-from guavadyke.snapshots import CatalogueSnapshot, SnapshotCell
+from guavadyke.snapshots import CatalogueSnapshot, FleetSnapshot, SnapshotCell
 
 
 class UnexpectedError(ValueError):
@@ -133,3 +142,21 @@
     patch = mock.patch.object(JobItemTracker, name, broken)
     patch.start()
     return patch.stop
+
+
+def membership_service() -> MembershipService:
+    """Return the membership of a host without a fleet, not started."""
+    settings = host_settings(1)
+    fleet = SnapshotCell(FleetSnapshot())
+    clock = SystemClock()
+    with mock.patch.dict(os.environ, GUAVADYKE_FLEET_KEY='fleet-key'):
+        port = PeerPort(settings, fleet, clock, EventLogger())
+    return MembershipService(
+        settings.peer,
+        port,
+        FleetCells(SnapshotCell(CatalogueSnapshot()), fleet, SnapshotCell({})),
+        PeerEvents(lambda _address: None, lambda _address: None),
+        clock,
+        random.Random(7),
+        EventLogger(),
+    )
--- a/features/forward_guarded_threads.feature
+++ b/features/forward_guarded_threads.feature
@@ -8,6 +8,11 @@
     And the pauses before the runs grow
     And the thread ends once it is told to stop
 
+  Scenario: a task in the background that raises is done at a later try
+    Given a task in the background that raises 2 times
+    When it is started and waited for
+    Then it was tried 3 times
+
   Scenario: a loop that always raises counts as stuck until it is stopped
     Given a part whose task fails every 4 seconds
     When 2 of its failures have passed
--- a/features/forward_unexpected_errors.feature
+++ b/features/forward_unexpected_errors.feature
@@ -66,3 +66,31 @@
     When job job-1 of 2 items is accepted for it
     Then the 2 items of job-1 are completed
     And the log names job-1 as failed
+
+  # Guards against a host that keeps jobs which it cannot work on any more.
+  Scenario: a host whose runner always fails ends, and another lists its items
+    Given 2 daemons whose runners can fail with 2 engines
+    And the engines take 1.5 seconds for a stream
+    When a job of 4 items is submitted
+    And the runner of the host that works on the job fails from now on
+    Then that host ends by itself with status 70 within 40 seconds
+    And its log names job-runner as the part that failed
+    And the other host lists all 4 results once
+
+  Scenario Outline: a host with a failing part, <alive> hosts alive and <left> left
+    Given a watch over duties with a failing part
+    And <alive> other hosts are alive and <left> have left
+    When the watch checks the duties 3 times
+    Then the host ends <times> times and this is logged once
+
+    Examples:
+      | alive | left | times |
+      | 2     | 1    | 1     |
+      | 1     | 1    | 0     |
+      | 0     | 0    | 0     |
+
+  Scenario: a duty whose actor has ended counts as failed
+    Given a sound membership actor in its service
+    Then the service has no failed part
+    When the actor is ended
+    Then the service names its failed part
--- a/features/steps/forward_guarded_threads_steps.py
+++ b/features/steps/forward_guarded_threads_steps.py
@@ -33,7 +33,11 @@
 from guavadyke.controllers.prompt_trials import PromptTrials
 from guavadyke.decisions.prompt_quarantine import Quarantine
 from guavadyke.filters.caller_watch import CallerWatch
-from guavadyke.guarded_threads import GuardedThread, submit_logged
+from guavadyke.guarded_threads import (
+    BackgroundTask,
+    GuardedThread,
+    submit_logged,
+)
 from guavadyke.log import EventLogger
 from guavadyke.log_writer import LogWriter
 from guavadyke.part_health import PartHealth
@@ -307,3 +311,26 @@
     failed = context.log.named('task_failed')
     assert [one['task'] for one in failed] == ['step_pool'], failed
     assert 'UnexpectedError' in str(failed[0]['reason'])
+
+
+@given('a task in the background that raises {count:d} times')
+def step_background(context: Context, count: int) -> None:
+    context.runs = []
+
+    def task() -> None:
+        context.runs.append(time.monotonic())
+        if len(context.runs) <= count:
+            raise errors.UnexpectedError(len(context.runs))
+
+    context.task = BackgroundTask(task, 'some-task', build.RecordingLogger())
+
+
+@when('it is started and waited for')
+def step_waited(context: Context) -> None:
+    context.task.start()
+    context.task.wait(_WAIT_S)
+
+
+@then('it was tried {count:d} times')
+def step_tried(context: Context, count: int) -> None:
+    assert len(context.runs) == count, context.runs
--- a/features/steps/forward_unexpected_errors_steps.py
+++ b/features/steps/forward_unexpected_errors_steps.py
@@ -12,11 +12,15 @@
 from behave.runner import Context
 
 from features import builders_forward as build
+from features import builders_forward_processes as processes
 from features import builders_unexpected_errors as errors
 from features.builders_forward_runner import RunnerBench
 from features.builders_processes import wait_until
+from features.faulty_daemon import fault_path
 from guavadyke.controllers.actors import ask_function, tell_function
 from guavadyke.controllers.batch_loops import LoopActor, LoopSettings
+from guavadyke.forward_duties import DutyWatch
+from guavadyke.snapshots import FleetSnapshot, PeerView, SnapshotCell
 
 _WAIT_S = 15.0
 
@@ -220,3 +224,105 @@
         ]
 
     assert wait_until(lambda: 8 in failures(), _WAIT_S), failures()
+
+
+@given('{daemons:d} daemons whose runners can fail with {engines:d} engines')
+def step_daemons(context: Context, daemons: int, engines: int) -> None:
+    context.fleet = processes.UsersFleet('features.faulty_daemon')
+    context.add_cleanup(context.fleet.close)
+    context.fleet.start(daemons, engines)
+
+
+@when('the runner of the host that works on the job fails from now on')
+def step_runner_fails(context: Context) -> None:
+    daemons = context.fleet.daemons
+
+    def owners() -> list[processes.DaemonProcess]:
+        return [one for one in daemons if 'event=job_taken ' in one.log]
+
+    assert wait_until(owners, _WAIT_S)
+    context.failing = owners()[0]
+    context.remaining = next(
+        one for one in daemons if one is not context.failing
+    )
+    fault_path(context.failing.settings_path).touch()
+
+
+@then(
+    'that host ends by itself with status {status:d} within {limit:d} seconds'
+)
+def step_ended(context: Context, status: int, limit: int) -> None:
+    process = context.failing.process
+    ended = wait_until(lambda: process.poll() is not None, limit)
+    assert ended, context.failing.log
+    assert process.returncode == status, process.returncode
+
+
+@then('its log names {part} as the part that failed')
+def step_unsound(context: Context, part: str) -> None:
+    lines = [
+        line
+        for line in context.failing.log.splitlines()
+        if 'event=host_unsound ' in line
+    ]
+    assert lines, context.failing.log
+    assert all(f'parts={part} ends=True' in line for line in lines), lines
+
+
+@given('a watch over duties with a failing part')
+def step_duties(context: Context) -> None:
+    context.log = build.RecordingLogger()
+    context.fleet_cell = SnapshotCell(FleetSnapshot())
+    context.ends = []
+    context.duties = DutyWatch(
+        lambda: ('some-part',), context.fleet_cell, context.log
+    )
+    context.duties.on_unsound(lambda: context.ends.append(1))
+
+
+@given('{alive:d} other hosts are alive and {left:d} have left')
+def step_peers(context: Context, alive: int, left: int) -> None:
+    states = ('alive',) * alive + ('left',) * left
+    context.fleet_cell.publish(
+        FleetSnapshot(
+            tuple(
+                PeerView(f'host-{number}', build.ZONE, '', '', state, 1, 0)
+                for number, state in enumerate(states)
+            )
+        )
+    )
+
+
+@when('the watch checks the duties {count:d} times')
+def step_checks(context: Context, count: int) -> None:
+    for _ in range(count):
+        context.duties.check()
+
+
+@then('the host ends {count:d} times and this is logged once')
+def step_host_ends(context: Context, count: int) -> None:
+    assert len(context.ends) == count
+    assert context.duties.ending is (count > 0)
+    logged = context.log.named('host_unsound')
+    assert logged == [{'parts': 'some-part', 'ends': count > 0}], logged
+
+
+@given('a sound membership actor in its service')
+def step_service(context: Context) -> None:
+    context.service = errors.membership_service()
+    context.add_cleanup(context.service.close)
+
+
+@then('the service has no failed part')
+def step_sound(context: Context) -> None:
+    assert not context.service.failed_parts()
+
+
+@when('the actor is ended')
+def step_actor_ended(context: Context) -> None:
+    context.service.controller.stop()
+
+
+@then('the service names its failed part')
+def step_part_named(context: Context) -> None:
+    assert context.service.failed_parts() == ('membership',)
--- a/guavadyke/controllers/actors.py
+++ b/guavadyke/controllers/actors.py
@@ -87,6 +87,11 @@
     return tell
 
 
+def is_sound(actor: pykka.ActorRef[Any], health: PartHealth) -> bool:
+    """Return whether an actor lives and handles its messages."""
+    return actor.is_alive() and not health.stuck
+
+
 def waiting(actor: pykka.ActorRef[Any]) -> int:
     """Return the number of messages in the actor's inbox."""
     return cast('queue.Queue[object]', actor.actor_inbox).qsize()
--- a/guavadyke/controllers/runner_ticker.py
+++ b/guavadyke/controllers/runner_ticker.py
@@ -35,6 +35,11 @@
         self._changed = threading.Event()
         self._thread = GuardedThread(self._run, 'job-ticker', self._stopped)
 
+    @property
+    def sound(self) -> bool:
+        """Whether ticks are sent, or need not be."""
+        return self._thread.sound
+
     def start(self) -> None:
         """Start ticking in the background."""
         self._thread.start()
--- a/guavadyke/entry_host.py
+++ b/guavadyke/entry_host.py
@@ -16,6 +16,7 @@
 from guavadyke.batch_service import BatchService
 from guavadyke.filters.base import chain
 from guavadyke.fleet_service import FleetService
+from guavadyke.guarded_threads import BackgroundTask
 from guavadyke.http_application import HttpApplication, Route
 from guavadyke.http_server import HttpServer, HttpServerSettings
 from guavadyke.log import EventLogger
@@ -114,9 +115,8 @@
         """
         self._logger.info('entry_host_stopping')
         self.online.stop_readiness()
-        handing_over = threading.Thread(
-            target=self.batch.hand_over,
-            name=_HAND_OVER_THREAD,
+        handing_over = BackgroundTask(
+            self.batch.hand_over, _HAND_OVER_THREAD, self._logger
         )
         handing_over.start()
         self._caller_server.disable_keep_alive()
@@ -126,7 +126,7 @@
             self._clock,
             self._settings.stop.longest_s,
         )
-        handing_over.join(self._settings.stop.longest_s)
+        handing_over.wait(self._settings.stop.longest_s)
         self.fleet.leave()
         self.close()
         self._logger.info('entry_host_stopped', whole=settled)
--- a/guavadyke/fleet_service.py
+++ b/guavadyke/fleet_service.py
@@ -248,6 +248,7 @@
             'catalogue': self._catalogue.status(),
             'reached_directly': self._fallback_store.reaches_platform(),
             'through_peers': self._fallback_store.calls_through_peers,
+            'failed_parts': self._membership.failed_parts(),
             'pulls': self._peer_sync.pulls,
             'orders': self._reconciler.status(),
             'traffic': dataclasses.asdict(
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -4,7 +4,6 @@
 
 import dataclasses
 import random
-import threading
 from collections.abc import Callable
 
 from guavadyke.adapters.clock import SuspendAwareClock
@@ -45,10 +44,11 @@
 from guavadyke.decisions.slot import HostLocation
 from guavadyke.filters.caller_watch import CallerWatch
 from guavadyke.filters.forward_attempt import ForwardTools
-from guavadyke.forward_duties import JobDuty
+from guavadyke.forward_duties import DutyWatch, JobDuty
 from guavadyke.forward_job_documents import JOB_KIND, PROGRESS_KIND
 from guavadyke.forward_learning import ForwardLearning
 from guavadyke.forward_peers import ForwardPeers, RoutedBackendServers
+from guavadyke.guarded_threads import BackgroundTask
 from guavadyke.http_server import HttpServer
 from guavadyke.log import EventLogger
 from guavadyke.metrics import HostMetrics
@@ -206,14 +206,19 @@
             ),
         )
         self.pool.urgent.on_own_items(self._job_duty.wake)
+        self.duties = DutyWatch(self.failed_parts, self.fleet, logger)
 
     @property
     def ready(self) -> bool:
-        """Whether the host has routes and all state that it mirrors."""
+        """Whether the host has routes and all state that it mirrors.
+
+        It is not ready while it ends because a part of it has failed.
+        """
         listed = all(mirror.listed for mirror in self._mirrors)
         return (
             self.table.current.configured
             and listed
+            and not self.duties.ending
             and self._learning.streams.ready
         )
 
@@ -221,6 +226,10 @@
         """Return whether the last calls to the platform succeeded."""
         return not any(mirror.failing for mirror in self._mirrors)
 
+    def failed_parts(self) -> tuple[str, ...]:
+        """Return the names of the parts that have failed for good."""
+        return self._job_duty.failed_parts() + self._peers.failed_parts()
+
     def start(self) -> None:
         """Join the fleet and start to watch the platform."""
         self._watch.start()
@@ -230,6 +239,7 @@
         self._load_notices.start()
         self._learning.start()
         self._job_duty.start()
+        self.duties.start()
         if self._is_drainable:
             self._retirements.start()
         self.logger.info(
@@ -243,8 +253,10 @@
 
         Items in flight may finish for up to ``longest_s`` seconds.
         """
-        self._job_duty.hand_over(longest_s)
-        self._peers.leave()
+        try:
+            self._job_duty.hand_over(longest_s)
+        finally:
+            self._peers.leave()
 
     def stop(self, port: HttpServer | None) -> None:
         """Stop gracefully: hand over the jobs and let requests finish.
@@ -261,18 +273,19 @@
         )
         self.logger.info('host_stopping')
         self.stopping = True
-        handing_over = threading.Thread(
-            target=self.hand_over,
-            args=(settings.balancer_delay_s,),
-            daemon=True,
+        handing_over = BackgroundTask(
+            lambda: self.hand_over(settings.balancer_delay_s),
+            'hand-over',
+            self.logger,
         )
         handing_over.start()
         if port is not None:
             self._finish_requests(port, until)
-        handing_over.join(max(0, until - self.clock.monotonic()))
+        handing_over.wait(max(0, until - self.clock.monotonic()))
 
     def close(self) -> None:
         """Stop all services."""
+        self.duties.close()
         self._retirements.close()
         self._load_notices.close()
         self._learning.close()
--- a/guavadyke/forward_peers.py
+++ b/guavadyke/forward_peers.py
@@ -155,6 +155,10 @@
         """Sends notices to peers and receives theirs."""
         return self._messenger
 
+    def failed_parts(self) -> tuple[str, ...]:
+        """Return the names of the parts that have failed for good."""
+        return self._membership.failed_parts()
+
     def start(self) -> None:
         """Join the fleet through the seeds."""
         self.tunnel_relay.start()
--- a/guavadyke/guarded_threads.py
+++ b/guavadyke/guarded_threads.py
@@ -79,3 +79,32 @@
     error = None if future.cancelled() else future.exception()
     if error is not None:
         EventLogger().error('task_failed', task=task, reason=repr(error))
+
+
+class BackgroundTask:
+    """Does one task in a thread, again after an unexpected error.
+
+    Args:
+        task: what is done.
+        name: name of the thread, also in logs.
+        logger: logs failures.
+    """
+
+    def __init__(
+        self, task: Callable[[], object], name: str, logger: EventLogger
+    ) -> None:
+        self._stopped = threading.Event()
+        self._thread = GuardedThread(task, name, self._stopped, logger)
+
+    def start(self) -> None:
+        """Start in the background."""
+        self._thread.start()
+
+    def wait(self, longest_s: float) -> None:
+        """Wait until the task is done, but do not try it again after that.
+
+        Args:
+            longest_s: longest wait in seconds.
+        """
+        self._thread.join(longest_s)
+        self._stopped.set()
--- a/guavadyke/membership_service.py
+++ b/guavadyke/membership_service.py
@@ -10,7 +10,12 @@
 from guavadyke.adapters.peer_port import PeerPort
 from guavadyke.adapters.ports import Clock
 from guavadyke.controllers import membership_messages as messages
-from guavadyke.controllers.actors import ask_function, tell_function, waiting
+from guavadyke.controllers.actors import (
+    ask_function,
+    is_sound,
+    tell_function,
+    waiting,
+)
 from guavadyke.controllers.membership import (
     FleetCells,
     MembershipController,
@@ -23,6 +28,7 @@
 from guavadyke.decisions.membership_protocol import MembershipPolicy
 from guavadyke.guarded_threads import GuardedThread
 from guavadyke.log import EventLogger
+from guavadyke.part_health import PartHealth
 from guavadyke.settings import PeerSettings
 
 _TICK_S = 0.1
@@ -60,6 +66,7 @@
             port.local_status.own_record, _policy(settings), rng
         )
         leaving_registry = LeavingRegistry(_LEAVING_REPORT_LAG_S)
+        self._health = PartHealth('membership', logger)
         self.controller = MembershipController.start(
             MembershipDependencies(
                 membership,
@@ -76,6 +83,7 @@
                 events,
                 clock,
                 logger,
+                self._health,
             ),
         )
         self.ask = ask_function(self.controller)
@@ -107,6 +115,14 @@
         self._rng.shuffle(addresses)
         return addresses
 
+    def failed_parts(self) -> tuple[str, ...]:
+        """Return the names of the parts that have failed for good."""
+        sound = {
+            self._health.part: is_sound(self.controller, self._health),
+            self._ticker.name: self._ticker.sound,
+        }
+        return tuple(part for part in sound if not sound[part])
+
     def announce_status(self) -> None:
         """Announce a change of this host's status to peers without delay."""
         self.tell(messages.LocalStatusChanged())
--- a/guavadyke/platform/daemon.py
+++ b/guavadyke/platform/daemon.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import os
 import queue
 import signal
 import sys
 import types
+from collections.abc import Callable
 from pathlib import Path
 
 import click
@@ -42,6 +44,9 @@
 _READINESS_THREADS = 2
 _READINESS_CONNECTIONS = 20
 _EXIT_INVALID_SETTINGS = 2
+_EXIT_UNSOUND = 70
+# Stands among the signals for a part of the host that has failed.
+_UNSOUND = 0
 # Upper limit of request bodies; the limit of the current configuration is
 # checked for each request as well.
 _MAX_BODY_BYTES = 16_777_216
@@ -52,12 +57,18 @@
 
     Args:
         settings: settings of the host.
+        on_unsound: called when the host has to end because a part of it has
+            failed; None to go on.
 
     Raises:
         GuavadykeError: a port is in use or a secret is missing.
     """
 
-    def __init__(self, settings: ForwardHostSettings) -> None:
+    def __init__(
+        self,
+        settings: ForwardHostSettings,
+        on_unsound: Callable[[], object] | None = None,
+    ) -> None:
         self._settings = settings
         self._logger = EventLogger(host=settings.host_id, zone=settings.zone)
         store = ObjectStore(settings.platform, settings.host_id, self._logger)
@@ -79,6 +90,8 @@
             ),
             self._logger,
         )
+        if on_unsound is not None:
+            self._host.duties.on_unsound(on_unsound)
         self._readiness = ReadinessPort(self._host)
         self._http_servers = self._create_servers()
 
@@ -163,9 +176,12 @@
         return HttpApplication(port.routes(), self._host.clock, self._logger)
 
 
-def run(path: Path) -> None:
+def run(path: Path) -> bool:
     """Run until SIGTERM or SIGINT; SIGHUP checks the settings file again.
 
+    Returns:
+        False if the host ended because a part of it has failed.
+
     Raises:
         GuavadykeError: the settings are invalid or a port is in use.
     """
@@ -178,11 +194,14 @@
         signal.signal(number, enqueue_signal)
     settings = host_settings(read_settings_file(path))
     configure(settings.verbosity)
-    daemon = Daemon(settings)
+    daemon = Daemon(settings, functools.partial(signals.put, _UNSOUND))
     daemon.start()
-    while signals.get() == signal.SIGHUP:
+    received = signals.get()
+    while received == signal.SIGHUP:
         daemon.reload(path)
+        received = signals.get()
     daemon.stop()
+    return received != _UNSOUND
 
 
 @click.command()
@@ -194,7 +213,7 @@
     """
     path = Path(os.environ.get(_SETTINGS_VARIABLE, _DEFAULT_SETTINGS_PATH))
     try:
-        run(path)
+        sound = run(path)
     except GuavadykeError as error:
         click.echo(f'{role}: {error.code}: {error.message}', err=True)
         for finding in error.findings:
@@ -203,4 +222,4 @@
     # Exit without joining threads: a thread that waits for the platform would
     # keep the process alive beyond its grace period.
     logging.shutdown()
-    os._exit(0)
+    os._exit(0 if sound else _EXIT_UNSOUND)
