--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -160,7 +160,7 @@
         )
         self.registry = JobRegistry(self._wake_runner, logger)
         self._job_store = JobStore(store)
-        self._peers.abilities.is_able = self._is_ready
+        self._peers.abilities.is_able = lambda: self.ready
         self.job_api = JobApi(
             JobApiParts(
                 settings.host_id,
@@ -386,9 +386,6 @@
         peers = self.fleet.current.peers
         return 1 + sum(peer.state == _ALIVE_STATE for peer in peers)
 
-    def _is_ready(self) -> bool:
-        return self.ready
-
     def _wake_runner(self) -> None:
         self._job_duty.wake()
 
