Play crashing prompts, waves of engine ends and jobs throughout in the soak

The soak submitted one job at the start and ended engines one by one, so it could not show items that nobody runs while their host lives.

A seed now draws jobs at all times and hosts, some cancelled, some right before a host is killed or stopped, their items with one of ten parts; parts, requests and items that crash the engines that begin to answer them; and waves in which a third of the engines end within a second. These are drawn beside the faults of before, which stay the same for a seed. The checker judges items: done in time after all faults, once, whole and readable; no start after a cancel; no engine under a prompt that was quarantined outside its trials. The bounds are those of the stand-in fleet and of the design.

A request on a kept connection that was cut is excused by a new fault only if its own engine has ended.

--- a/features/builders_kept_connections.py
+++ b/features/builders_kept_connections.py
@@ -57,12 +57,16 @@
         return not opened.recv(1, socket.MSG_PEEK)
 
     def call(
-        self, target: str, request_id: str, headers: Mapping[str, str]
+        self,
+        target: str,
+        request_id: str,
+        headers: Mapping[str, str],
+        body: bytes = b'text',
     ) -> KeptAnswer:
         """Send a request and read its answer."""
         named = {**headers, 'Request-Id': request_id}
         try:
-            self._connection.request('POST', target, b'text', named)
+            self._connection.request('POST', target, body, named)
             answer = self._connection.getresponse()
             body = answer.read()
         except (OSError, client.HTTPException):
--- a/features/builders_soak.py
+++ b/features/builders_soak.py
@@ -5,7 +5,8 @@
 import types
 from collections.abc import Callable, Mapping
 
-from features.soak_checker import Call, History, Run, Trouble
+from features import builders_soak_items
+from features.soak_history import Call, EngineEnd, History, Run, Trouble
 
 _HOSTS = 3
 _PATH = '/added0/'
@@ -57,6 +58,13 @@
     )
 
 
+def _kept_ended(cut: str) -> History:
+    history = _kept_cut(_trouble('engine_wave'))
+    ended = EngineEnd(_ENGINE, _CHANGED_S + 1, '', requests=frozenset((cut,)))
+    history.ends.append(ended)
+    return history
+
+
 def _listed(*results: str) -> History:
     return History(_HOSTS, items=['item-0'], results=list(results))
 
@@ -86,6 +94,8 @@
     'a request is not served after all faults': lambda: History(
         _HOSTS, calls=[_call('last', 503, 30)]
     ),
+    'a request is cut beside an engine that ends': lambda: _kept_ended('r-2'),
+    **builders_soak_items.BROKEN,
 })
 ALLOWED: Mapping[str, Callable[[], History]] = types.MappingProxyType({
     'a route is not served yet': lambda: _probed((12.1, 404), (12.2, 200)),
@@ -102,4 +112,6 @@
     ),
     'the run of a request is unknown': lambda: _once(502, 'i-1'),
     'an item is listed once': lambda: _listed('item-0'),
+    'an engine that ends cuts its requests': lambda: _kept_ended('r-1'),
+    **builders_soak_items.ALLOWED,
 })
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -18,6 +18,21 @@
       | LOST    | an item is listed twice                     |
       | EXIT    | a process ends by itself                    |
       | RECOVER | a request is not served after all faults    |
+      | LOST    | a request is cut beside an engine that ends |
+      | LOST    | an item of an open job is never listed      |
+      | LOST    | an item is listed long after all faults     |
+      | LOST    | an item waits long after its trial is due   |
+      | LOST    | a result that was read is not listed at the end |
+      | TWICE   | an item stands at two positions             |
+      | TWICE   | a position holds another result than before |
+      | MIXED   | an item has half of its text                |
+      | MIXED   | an item is given up in its first minute     |
+      | UNASKED | an item starts long after its job was cancelled |
+      | BUDGET  | a fourth engine ends under a part before its trial |
+      | BUDGET  | two engines end in one trial of a part      |
+      | BUDGET  | a fourth engine ends under an item before its trial |
+      | BUDGET  | a fourth engine ends under a request within ten minutes |
+      | BUDGET  | a fourth engine ends under a part long after a host was cut off |
 
   Scenario Outline: the checker allows that <what>
     Given a soak on which it is allowed that <what>
@@ -33,6 +48,17 @@
       | a killed host cuts a request on a kept connection |
       | the run of a request is unknown               |
       | an item is listed once                        |
+      | an engine that ends cuts its requests         |
+      | an item of a cancelled job is never listed    |
+      | an item waits for the trial of its part       |
+      | an item that failed lately is not listed      |
+      | an item is given up after its longest wait    |
+      | an item starts when its job has just been cancelled |
+      | a host that was cut off starts an item of a cancelled job |
+      | engines end under a part at once              |
+      | each trial of a part costs an engine          |
+      | a host that was cut off sends on a part that crashes engines |
+      | a killed host has told nobody of an engine    |
 
   Scenario: a seed always draws the same faults, which can be read again
     Given the schedule of seed 7
--- a/features/soak.py
+++ b/features/soak.py
@@ -16,7 +16,7 @@
 import sys
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from pathlib import Path
 
 import click
@@ -25,15 +25,19 @@
 from features import builders_users_platform as users
 from features.builders_forward_processes import DaemonProcess, results
 from features.builders_processes import wait_until
-from features.soak_checker import (
-    IN_FORCE_S,
-    Call,
-    History,
-    broken_promises,
+from features.soak_bounds import PART_PREFIX, REQUEST_PREFIX
+from features.soak_checker import broken_promises
+from features.soak_crash_faults import CrashFaults
+from features.soak_fleet import (
+    ONCE_PREFIX,
+    SoakFleet,
+    prompt_prefix,
+    whole_body,
 )
-from features.soak_fleet import ONCE_PREFIX, SoakFleet, whole_body
 from features.soak_fleet_faults import FleetFaults
+from features.soak_history import IN_FORCE_S, Call, History
 from features.soak_host_faults import HostFaults
+from features.soak_jobs import JobCallers
 from features.soak_kept_callers import KeptCallers
 from features.soak_schedule import (
     Fault,
@@ -42,7 +46,7 @@
     read_schedule,
 )
 
-_ENGINES = 4
+_ENGINES = 6
 _ITEMS = 40
 _CALLERS = 6
 _LAST_CALLS = 20
@@ -51,6 +55,8 @@
 _RESULTS_S = 30.0
 _ONCE_SHARE = 0.3
 _OK = 200
+_ONLINE_PARTS = tuple(f'{PART_PREFIX}online-{rank}' for rank in range(1, 5))
+_ONLINE_WEIGHTS = (8, 4, 2, 1)
 _SCHEDULE_FILE = 'schedule.json'
 _REPORT_FILE = 'report.json'
 
@@ -67,6 +73,9 @@
         self._fleet = SoakFleet(schedule.hosts)
         self._host_faults = HostFaults(self._fleet)
         fleet_faults = FleetFaults(self._fleet)
+        self._ending = threading.Event()
+        self._jobs = JobCallers(self._fleet, schedule, self._ending)
+        self._crash_faults = CrashFaults(self._fleet, self._jobs, schedule.seed)
         self._begin_by_kind = {
             'killed': self._host_faults.kill,
             'paused': self._host_faults.pause,
@@ -78,9 +87,12 @@
             'engine_leaves': fleet_faults.leave,
             'engine_crashes': fleet_faults.crash,
             'odd_entry': fleet_faults.write_odd,
+            'part_crashes': self._crash_faults.crash_by_part,
+            'request_crashes': self._crash_faults.crash_by_request,
+            'item_crashes': self._crash_faults.crash_by_item,
+            'engine_wave': self._crash_faults.wave,
         }
         self._numbers = itertools.count()
-        self._ending = threading.Event()
 
     @property
     def history(self) -> History:
@@ -104,7 +116,12 @@
         kept = KeptCallers(self._fleet, self._schedule, self._ending)
         threads = [
             threading.Thread(target=one)
-            for one in (*work, *kept.work, self._probe_until_end)
+            for one in (
+                *work,
+                *kept.work,
+                *self._jobs.work,
+                self._probe_until_end,
+            )
         ]
         for thread in threads:
             thread.start()
@@ -112,9 +129,12 @@
         self._ending.set()
         for thread in threads:
             thread.join()
+        self._crash_faults.settle()
         self._host_faults.settle()
+        self.history.calm_s = self._fleet.now_s()
         self._call_last()
         self._read_results()
+        self._jobs.read_all()
 
     def close(self) -> None:
         """End all processes."""
@@ -156,7 +176,8 @@
             once = rng.random() < _ONCE_SHARE
             kind = 'once' if once else 'stream'
             prefix = ONCE_PREFIX if once else users.STREAM_PREFIX
-            self._call(kind, host, prefix)
+            part = rng.choices(_ONLINE_PARTS, _ONLINE_WEIGHTS)[0]
+            self._call(kind, host, prefix, part)
 
     def _probe_until_end(self) -> None:
         while not self._ending.wait(_PROBE_S):
@@ -170,10 +191,16 @@
             host = number % self._schedule.hosts
             self._call('last', host, users.STREAM_PREFIX)
 
-    def _call(self, kind: str, host: int, path: str) -> None:
+    def _call(self, kind: str, host: int, path: str, part: str = '') -> None:
         request_id = f'{kind}-{next(self._numbers)}'
         sent_s = self._fleet.now_s()
-        status, body = self._answer(self._fleet.daemons[host], request_id, path)
+        shared = (part,) if part else ()
+        headers = {
+            'Request-Id': request_id,
+            'Model': 'm',
+            'Prompt-Prefix': prompt_prefix(*shared),
+        }
+        status, body = self._answer(self._fleet.daemons[host], headers, path)
         self.history.calls.append(
             Call(
                 kind,
@@ -188,13 +215,11 @@
         )
 
     def _answer(
-        self, daemon: DaemonProcess, request_id: str, path: str
+        self, daemon: DaemonProcess, headers: Mapping[str, str], path: str
     ) -> tuple[int, bytes]:
-        headers = {'Request-Id': request_id, 'Model': 'm'}
+        body = f'{REQUEST_PREFIX}{headers["Request-Id"]}'.encode()
         try:
-            answer = daemon.call(
-                'POST', f'{path}1', body=b'text', headers=headers
-            )
+            answer = daemon.call('POST', f'{path}1', body=body, headers=headers)
         except urllib3.exceptions.HTTPError:
             return 0, b''
         return answer.status, answer.data
--- a/features/soak_fleet.py
+++ b/features/soak_fleet.py
@@ -2,20 +2,42 @@
 
 from __future__ import annotations
 
-import functools
 import itertools
+import threading
 import time
 from collections.abc import Callable, Iterable
+from typing import Protocol
 
 from features import builders_forward_processes as processes
 from features import builders_users_platform as users
-from features.soak_checker import History, Run, Trouble
+from features.soak_bounds import ITEM_PREFIX
+from features.soak_history import EngineEnd, History, Run, Trouble
 from features.soak_schedule import Fault
+from guavadyke.standins.http import StandinRequest
 
 ONCE_PREFIX = '/once/'
 # Requests that may run once and take a second.
 SLOW_PATH = f'{ONCE_PREFIX}slow'
 _SLOW_PAUSE_S = 0.2
+# Items run for about as long as those of the users.
+_ITEM_PAUSE_S = 0.15
+# Time after which the entry of an engine that has ended is removed.
+_ENDED_ENTRY_S = 0.5
+# Time after which an engine that has ended is back as a new incarnation.
+_RESTART_S = 0.4
+
+
+class EngineObserver(Protocol):
+    """Is told what engines do."""
+
+    def began(self, engine: SoakEngine, request_id: str) -> None:
+        """Record that an engine began to answer a request."""
+
+    def crashing_name(self, names: Iterable[str]) -> str | None:
+        """Return the name in a prompt that crashes engines, if any does."""
+
+    def crash(self, engine: SoakEngine, cause: str) -> None:
+        """End an engine."""
 
 
 class SoakEngine(users.UsersEngine):
@@ -23,23 +45,63 @@
 
     Args:
         name: its id.
-        on_run: is told the id of each request that begins to run.
+        observer: is told of each request that begins to run.
     """
 
-    def __init__(self, name: str, on_run: Callable[[str], None]) -> None:
+    def __init__(self, name: str, observer: EngineObserver) -> None:
         super().__init__(name)
-        self._on_run = on_run
+        self._observer = observer
+        # Names in the prompts of the requests that run, by their ids.
+        self._running: dict[str, tuple[str, ...]] = {}
+
+    @property
+    def running(self) -> dict[str, tuple[str, ...]]:
+        """The names in the prompts of the requests that run, by their ids."""
+        return self._running.copy()
 
-    def _stream(self, request: users.StandinRequest) -> None:
+    def _stream(self, request: StandinRequest) -> None:
         request_id = request.headers['request-id']
-        self._on_run(request_id)
+        names = prompt_names(request)
+        self._running[request_id] = names
+        try:
+            self._run(request, request_id, names)
+        finally:
+            self._running.pop(request_id, None)
+
+    def _run(
+        self, request: StandinRequest, request_id: str, names: tuple[str, ...]
+    ) -> None:
+        self._observer.began(self, request_id)
         write = self._start_stream(request)
         first = int(request.headers.get('last-event-id', '0')) + 1
-        slow = request.path == SLOW_PATH
-        pause_s = _SLOW_PAUSE_S if slow else self.script.pause_s
+        cause = self._observer.crashing_name(names)
+        if cause is not None:
+            write(event(request_id, first)[:4])
+            self._observer.crash(self, cause)
+            # Until the engine is closed, with all its connections at once.
+            request.connection.hang(bool)
         for number in range(first, self.script.events + 1):
             write(event(request_id, number))
-            time.sleep(pause_s)
+            time.sleep(self._pause_s(request))
+
+    def _pause_s(self, request: StandinRequest) -> float:
+        if request.path == SLOW_PATH:
+            return _SLOW_PAUSE_S
+        if request.path.startswith(f'{users.JOB_PREFIX}{ITEM_PREFIX}'):
+            return _ITEM_PAUSE_S
+        return self.script.pause_s
+
+
+def prompt_names(request: StandinRequest) -> tuple[str, ...]:
+    """Return the shared parts of a request's prompt, and its body."""
+    *shared, _own = request.headers.get('prompt-prefix', '').split(',')
+    parts = (part.partition(':')[0] for part in shared)
+    return (*parts, request.body.decode())
+
+
+def prompt_prefix(*parts: str) -> str:
+    """Return the header of a prompt with shared parts and one of its own."""
+    return ','.join((*(f'{part}:100' for part in parts), 'own:50'))
 
 
 def event(request_id: str, number: int) -> bytes:
@@ -56,15 +118,21 @@
     """Daemons as processes, and faults that begin and end.
 
     ``history`` gets what engines run and each fault with its times, which
-    are in seconds from ``begin_time``.
+    are in seconds from ``begin_time``. ``deadly`` are the names in prompts
+    that crash engines.
     """
 
     def __init__(self, hosts: int) -> None:
         super().__init__()
         self.history = History(hosts)
+        self.deadly: set[str] = set()
         self._began_at = time.monotonic()
         self._engine_numbers = itertools.count(1)
         self._versions = itertools.count(1)
+        self._engines_lock = threading.Lock()
+        self._ended: set[SoakEngine] = set()
+        self._timers: list[threading.Timer] = []
+        self._closed = False
 
     def begin_time(self) -> None:
         """Count seconds from now on."""
@@ -76,12 +144,19 @@
 
     def add_engine(self) -> SoakEngine:
         """Start an engine and register it."""
-        name = f'i-{next(self._engine_numbers)}'
-        engine = SoakEngine(name, functools.partial(self._record_run, name))
-        self.engines.append(engine)
+        with self._engines_lock:
+            name = f'i-{next(self._engine_numbers)}'
+            engine = SoakEngine(name, self)
+            self.engines.append(engine)
         self.store.put('servers', name, users.engine_entry(engine.address))
         return engine
 
+    def take_engine(self) -> SoakEngine:
+        """Add an engine and return the oldest one, which is to go."""
+        self.add_engine()
+        with self._engines_lock:
+            return self.engines.pop(0)
+
     def configure(self) -> None:
         """Write the configuration with all routes that were added."""
         base = users.configuration()['Routes']
@@ -105,5 +180,65 @@
             Trouble(fault.kind, began_s, self.now_s(), frozenset(hosts))
         )
 
-    def _record_run(self, engine: str, request_id: str) -> None:
-        self.history.runs.append(Run(request_id, engine, self.now_s()))
+    def began(self, engine: SoakEngine, request_id: str) -> None:
+        """Record that an engine began to answer a request."""
+        self.history.runs.append(Run(request_id, engine.name, self.now_s()))
+
+    def crashing_name(self, names: Iterable[str]) -> str | None:
+        """Return the name in a prompt that crashes engines, if any does."""
+        return next(filter(self.deadly.__contains__, names), None)
+
+    def crash(self, engine: SoakEngine, cause: str = '') -> None:
+        """End an engine; it comes back as another incarnation.
+
+        One that is leaving has been replaced already.
+        """
+        with self._engines_lock:
+            is_listed = engine in self.engines
+            if is_listed:
+                self.engines.remove(engine)
+        self.end_engine(engine, cause)
+        if is_listed:
+            self.later(
+                _ENDED_ENTRY_S, self.store.remove, 'servers', engine.name
+            )
+            self.later(_RESTART_S, self.add_engine)
+
+    def end_engine(self, engine: SoakEngine, cause: str = '') -> None:
+        """Close an engine, with all requests that it is answering."""
+        with self._engines_lock:
+            if engine in self._ended:
+                return
+            self._ended.add(engine)
+        running = engine.running
+        self.history.ends.append(
+            EngineEnd(
+                engine.name,
+                self.now_s(),
+                cause,
+                frozenset(itertools.chain.from_iterable(running.values())),
+                frozenset(running),
+            )
+        )
+        self.later(0, engine.close)
+
+    def later(
+        self, after_s: float, act: Callable[..., object], *args: object
+    ) -> None:
+        """Do something after a time, unless the fleet is closed by then."""
+
+        def act_if_open() -> None:
+            if not self._closed:
+                act(*args)
+
+        timer = threading.Timer(after_s, act_if_open)
+        self._timers.append(timer)
+        timer.start()
+
+    def close(self) -> None:
+        """Stop everything that was started."""
+        self._closed = True
+        for timer in self._timers:
+            timer.cancel()
+            timer.join()
+        super().close()
--- a/features/soak_fleet_faults.py
+++ b/features/soak_fleet_faults.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import functools
-import threading
 from collections.abc import Callable
 
-from features.soak_fleet import SoakEngine, SoakFleet
+from features.soak_fleet import SoakFleet
 from features.soak_schedule import Fault
 
 # Time between the removal of an engine's entry and the end of the engine.
@@ -43,21 +42,21 @@
 
     def leave(self, fault: Fault) -> Callable[[], None]:
         """Remove the entry of an engine, which ends later."""
-        engine = self._take_engine()
+        engine = self._fleet.take_engine()
         self._fleet.store.remove('servers', engine.name)
         self._fleet.history.left[engine.name] = self._fleet.now_s()
-        threading.Timer(_LEAVING_S, engine.close).start()
+        self._fleet.later(_LEAVING_S, engine.close)
         return functools.partial(
             self._fleet.record, fault, self._fleet.now_s(), ()
         )
 
     def crash(self, fault: Fault) -> Callable[[], None]:
         """End an engine; its entry is removed later."""
-        engine = self._take_engine()
-        engine.close()
-        threading.Timer(
-            _CRASHED_ENTRY_S, self._fleet.store.remove, ('servers', engine.name)
-        ).start()
+        engine = self._fleet.take_engine()
+        self._fleet.end_engine(engine)
+        self._fleet.later(
+            _CRASHED_ENTRY_S, self._fleet.store.remove, 'servers', engine.name
+        )
         return functools.partial(
             self._fleet.record, fault, self._fleet.now_s(), ()
         )
@@ -70,8 +69,3 @@
         return functools.partial(
             self._fleet.record, fault, self._fleet.now_s(), ()
         )
-
-    def _take_engine(self) -> SoakEngine:
-        """Add an engine and return the oldest one, which is to go."""
-        self._fleet.add_engine()
-        return self._fleet.engines.pop(0)
--- a/features/soak_kept_callers.py
+++ b/features/soak_kept_callers.py
@@ -10,8 +10,8 @@
 
 from features import builders_users_platform as users
 from features.builders_kept_connections import KeptAnswer, KeptConnection
-from features.soak_checker import Call
 from features.soak_fleet import SLOW_PATH, SoakFleet, whole_body
+from features.soak_history import Call
 from features.soak_schedule import Schedule
 
 _PER_HOST = 10
--- a/features/soak_schedule.py
+++ b/features/soak_schedule.py
@@ -29,6 +29,31 @@
     'platform_silent',
     'platform_rejects',
 )
+# Engines that end: under a part of prompts, under one request that comes again,
+# under an item, and a third of them within a second.
+CRASH_FAULTS = (
+    'part_crashes',
+    'request_crashes',
+    'item_crashes',
+    'engine_wave',
+)
+_CRASH_FAULTS_PER_S = 0.25
+# Longer than the first trials of a part after its quarantine.
+_LONGEST_CRASHING_S = 11.0
+_JOBS_PER_S = 0.7
+_MOST_ITEMS = 10
+_CANCELLED_SHARE = 0.2
+_LONGEST_TO_CANCEL_S = 2.0
+# Jobs are submitted right before this share of stops and kills of hosts.
+_BEFORE_END_SHARE = 0.6
+_BEFORE_END_S = 0.05
+# Jobs whose items share a rare part are running when engines end in a wave.
+_BEFORE_WAVE_SHARE = 0.6
+_BEFORE_WAVE_S = 0.3
+_RARE_ITEMS = 6
+_ITEM_PARTS = 10
+# The first parts are drawn much more often than the last ones.
+_PART_SKEW = 1.7
 FLEET_FAULTS = ('route_added', 'engine_leaves', 'engine_crashes', 'odd_entry')
 
 
@@ -45,6 +70,19 @@
     hosts: tuple[int, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True)
+class JobPlan:
+    """A job that is submitted at a host, ``parts`` has one for each item.
+
+    It is cancelled after ``cancel_after_s`` seconds, never if that is 0.
+    """
+
+    at_s: float
+    host: int
+    parts: tuple[str, ...]
+    cancel_after_s: float = 0
+
+
 @dataclasses.dataclass(frozen=True)
 class Schedule:
     """What a soak does: all of it follows from the seed."""
@@ -53,6 +91,7 @@
     seconds: float
     hosts: int
     faults: tuple[Fault, ...]
+    jobs: tuple[JobPlan, ...] = ()
 
     def write(self, path: Path) -> None:
         """Write the schedule as JSON."""
@@ -72,17 +111,28 @@
     length_s = max(0, seconds - QUIET_START_S - QUIET_END_S)
     count = math.ceil(length_s * _FAULTS_PER_S)
     drawn = (_draw_series(rng, length_s, hosts) for _ in range(count))
+    crash_rng = random.Random(f'{seed} crashes')
+    crashes = (
+        _draw_crashes(crash_rng, length_s)
+        for _ in range(math.ceil(length_s * _CRASH_FAULTS_PER_S))
+    )
     faults = sorted(
-        itertools.chain.from_iterable(drawn), key=lambda fault: fault.at_s
+        itertools.chain.from_iterable((*drawn, *crashes)),
+        key=lambda fault: fault.at_s,
     )
-    return Schedule(seed, seconds, hosts, tuple(faults))
+    jobs = _draw_jobs(random.Random(f'{seed} jobs'), length_s, hosts, faults)
+    return Schedule(seed, seconds, hosts, tuple(faults), tuple(jobs))
 
 
 def read_schedule(path: Path) -> Schedule:
     """Read a schedule that was written by ``Schedule.write``."""
     document = json.loads(path.read_text(encoding='utf-8'))
     faults = tuple(_read_faults(document.pop('faults')))
-    return Schedule(faults=faults, **document)
+    jobs = tuple(
+        JobPlan(**{**job, 'parts': tuple(job['parts'])})
+        for job in document.pop('jobs', ())
+    )
+    return Schedule(faults=faults, jobs=jobs, **document)
 
 
 def _read_faults(documents: list[dict[str, Any]]) -> Iterator[Fault]:
@@ -96,6 +146,18 @@
 ) -> list[Fault]:
     """Draw a fault that comes once or several times, maybe overlapping."""
     first = _draw_fault(rng, length_s, hosts)
+    return _repeat(rng, first, QUIET_START_S + length_s)
+
+
+def _draw_crashes(rng: random.Random, length_s: float) -> list[Fault]:
+    kind = rng.choice((*CRASH_FAULTS, 'engine_wave'))
+    at_s = QUIET_START_S + rng.uniform(0, length_s)
+    for_s = rng.uniform(1, _LONGEST_CRASHING_S)
+    first = Fault(kind, round(at_s, 3), round(for_s, 3))
+    return _repeat(rng, first, QUIET_START_S + length_s)
+
+
+def _repeat(rng: random.Random, first: Fault, until_s: float) -> list[Fault]:
     times = 1
     if rng.random() < _SERIES_SHARE:
         times = rng.randint(2, _MOST_IN_SERIES)
@@ -104,7 +166,6 @@
         dataclasses.replace(first, at_s=round(first.at_s + number * gap_s, 3))
         for number in range(times)
     )
-    until_s = QUIET_START_S + length_s
     return [
         dataclasses.replace(
             fault, for_s=round(min(fault.for_s, until_s - fault.at_s), 3)
@@ -125,3 +186,53 @@
         share = rng.choice((1, 1, max(1, hosts // 2), hosts))
         hit = tuple(sorted(rng.sample(range(hosts), share)))
     return Fault(kind, round(at_s, 3), round(for_s, 3), hit)
+
+
+def _draw_jobs(
+    rng: random.Random, length_s: float, hosts: int, faults: list[Fault]
+) -> list[JobPlan]:
+    """Draw jobs throughout the faults, some right before a host ends."""
+    count = math.ceil(length_s * _JOBS_PER_S)
+    until_s = QUIET_START_S + length_s
+    times = [
+        (rng.uniform(0, until_s), rng.randrange(hosts)) for _ in range(count)
+    ]
+    times.extend(
+        (fault.at_s - _BEFORE_END_S, fault.hosts[0])
+        for fault in faults
+        if fault.kind in {'killed', 'restarted'}
+        and rng.random() < _BEFORE_END_SHARE
+    )
+    drawn = [_draw_job(rng, at_s, host) for at_s, host in times]
+    rare = [
+        JobPlan(
+            round(fault.at_s - _BEFORE_WAVE_S, 3),
+            rng.randrange(hosts),
+            (_item_part(rng.randint(_ITEM_PARTS // 2, _ITEM_PARTS)),)
+            * _RARE_ITEMS,
+        )
+        for fault in faults
+        if fault.kind == 'engine_wave' and rng.random() < _BEFORE_WAVE_SHARE
+    ]
+    return sorted((*drawn, *rare), key=lambda plan: plan.at_s)
+
+
+def _draw_job(rng: random.Random, at_s: float, host: int) -> JobPlan:
+    ranks = range(1, _ITEM_PARTS + 1)
+    drawn = rng.choices(
+        ranks,
+        [rank**-_PART_SKEW for rank in ranks],
+        k=rng.randint(2, _MOST_ITEMS),
+    )
+    cancelled = rng.random() < _CANCELLED_SHARE
+    cancel_after_s = rng.uniform(_SHORTEST_S, _LONGEST_TO_CANCEL_S)
+    return JobPlan(
+        round(at_s, 3),
+        host,
+        tuple(map(_item_part, drawn)),
+        round(cancel_after_s, 3) if cancelled else 0,
+    )
+
+
+def _item_part(rank: int) -> str:
+    return f'part-item-{rank}'
