Soak scenario of engines that end under prompts, and an upgrade in the soak

`--earlier CHECKOUT` has all hosts of a soak begin with the product of another checkout; each is upgraded when it starts again, the first one early and all in turn after the other faults.

--- a/features/builders_forward_processes.py
+++ b/features/builders_forward_processes.py
@@ -19,7 +19,7 @@
 from features.builders_processes import wait_until
 from guavadyke.embedded_fleet import free_port
 
-_ROOT = Path(__file__).resolve().parents[1]
+ROOT = Path(__file__).resolve().parents[1]
 START_S = 20.0
 STOP_S = 12.0
 _CALL_S = 10.0
@@ -27,13 +27,17 @@
 
 @dataclasses.dataclass
 class DaemonProcess:
-    """One daemon with its settings file and log."""
+    """One daemon with its settings file and log.
+
+    ``root`` is the checkout whose product it runs.
+    """
 
     name: str
     ip: str
     front: int
     ready: int
     folder: Path
+    root: Path = ROOT
     process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -90,7 +94,7 @@
     def _start(self, log: BinaryIO | int) -> None:
         self.process = subprocess.Popen(
             [sys.executable, '-m', 'guavadyke.platform', 'entry'],
-            cwd=_ROOT,
+            cwd=self.root,
             stdout=log,
             stderr=log,
             env={
@@ -102,9 +106,14 @@
 
 
 class UsersFleet:
-    """A platform store, engines and daemons, stopped by ``close``."""
+    """A platform store, engines and daemons, stopped by ``close``.
+
+    Args:
+        root: the checkout whose product the daemons run at first.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, root: Path = ROOT) -> None:
+        self._root = root
         self.store = users.UsersStore()
         self.engines: list[users.UsersEngine] = []
         self.daemons: list[DaemonProcess] = []
@@ -145,6 +154,7 @@
             free_port(),
             free_port(),
             Path(self._folder.name),
+            self._root,
         )
         daemon.settings_path.write_text(
             users.settings_lines(
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -73,3 +73,8 @@
   Scenario: a stop among callers that keep their connections breaks no promise
     When a host is stopped and reloaded while callers keep their connections
     Then it reports nothing
+
+  # Guards against items that their host may never send again.
+  Scenario: items are done after engines have ended under prompts and in waves
+    When engines end under parts, items and requests, and in waves, among jobs
+    Then it reports nothing
--- a/features/soak.py
+++ b/features/soak.py
@@ -2,7 +2,8 @@
 
 ``python -m features.soak --seed 1 --seconds 30 --hosts 4 --folder DIR`` plays
 one and writes its schedule, its report and the logs; ``--replay DIR`` plays
-the schedule of such a folder again.
+the schedule of such a folder again; ``--earlier DIR`` has all hosts begin with
+the product of another checkout and upgrades them one after another.
 """
 
 from __future__ import annotations
@@ -23,7 +24,11 @@
 import urllib3
 
 from features import builders_users_platform as users
-from features.builders_forward_processes import DaemonProcess, results
+from features.builders_forward_processes import (
+    ROOT,
+    DaemonProcess,
+    results,
+)
 from features.builders_processes import wait_until
 from features.soak_bounds import PART_PREFIX, REQUEST_PREFIX
 from features.soak_checker import broken_promises
@@ -44,6 +49,7 @@
     Schedule,
     draw_schedule,
     read_schedule,
+    with_upgrade,
 )
 
 _ENGINES = 6
@@ -66,11 +72,13 @@
 
     Args:
         schedule: the faults and the number of hosts.
+        root: the checkout whose product the hosts run until they are started
+            again.
     """
 
-    def __init__(self, schedule: Schedule) -> None:
+    def __init__(self, schedule: Schedule, root: Path = ROOT) -> None:
         self._schedule = schedule
-        self._fleet = SoakFleet(schedule.hosts)
+        self._fleet = SoakFleet(schedule.hosts, root)
         self._host_faults = HostFaults(self._fleet)
         fleet_faults = FleetFaults(self._fleet)
         self._ending = threading.Event()
@@ -237,6 +245,7 @@
     schedule: Schedule,
     folder: Path | None,
     in_force_s: float = IN_FORCE_S,
+    root: Path = ROOT,
 ) -> list[str]:
     """Play a schedule; return a line for each broken promise.
 
@@ -244,8 +253,10 @@
         schedule: what is played.
         folder: gets schedule, report and logs; None writes nothing.
         in_force_s: seconds after which a change has to be in force.
+        root: the checkout whose product the hosts run until they are started
+            again.
     """
-    soak = Soak(schedule)
+    soak = Soak(schedule, root)
     soak.history.in_force_s = in_force_s
     try:
         soak.run()
@@ -273,24 +284,47 @@
         (folder / f'{name}.log').write_text(log, encoding='utf-8')
 
 
+def _drawing_options(command: Callable[..., None]) -> Callable[..., None]:
+    """Add the options of which the schedule is drawn."""
+    options = (
+        click.option('--seed', default=1, help='Draws the faults.'),
+        click.option('--seconds', default=30.0, help='Length of the soak.'),
+        click.option('--hosts', default=4, help='Number of hosts.'),
+    )
+    return functools.reduce(_decorated, options, command)
+
+
+def _decorated(
+    command: Callable[..., None],
+    option: Callable[[Callable[..., None]], Callable[..., None]],
+) -> Callable[..., None]:
+    return option(command)
+
+
 @click.command()
-@click.option('--seed', default=1, help='Draws the faults.')
-@click.option('--seconds', default=30.0, help='Length of the soak.')
-@click.option('--hosts', default=4, help='Number of hosts.')
+@_drawing_options
 @click.option('--folder', type=click.Path(path_type=Path))
 @click.option('--replay', type=click.Path(exists=True, path_type=Path))
+@click.option(
+    '--earlier',
+    type=click.Path(exists=True, path_type=Path),
+    help='Checkout of the version that all hosts run at first.',
+)
 def main(
     seed: int,
     seconds: float,
     hosts: int,
     folder: Path | None,
     replay: Path | None,
+    earlier: Path | None,
 ) -> None:
     """Play a soak and print each broken promise."""
     schedule = draw_schedule(seed, seconds, hosts)
     if replay is not None:
         schedule = read_schedule(replay / _SCHEDULE_FILE)
-    broken = play(schedule, folder)
+    elif earlier is not None:
+        schedule = with_upgrade(schedule)
+    broken = play(schedule, folder, root=earlier or ROOT)
     for line in broken:
         click.echo(line)
     faults = len(schedule.faults)
--- a/features/soak_fleet.py
+++ b/features/soak_fleet.py
@@ -6,6 +6,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterable
+from pathlib import Path
 from typing import Protocol
 
 from features import builders_forward_processes as processes
@@ -120,10 +121,14 @@
     ``history`` gets what engines run and each fault with its times, which
     are in seconds from ``begin_time``. ``deadly`` are the names in prompts
     that crash engines.
+
+    Args:
+        hosts: number of daemons.
+        root: the checkout whose product the daemons run at first.
     """
 
-    def __init__(self, hosts: int) -> None:
-        super().__init__()
+    def __init__(self, hosts: int, root: Path = processes.ROOT) -> None:
+        super().__init__(root)
         self.history = History(hosts)
         self.deadly: set[str] = set()
         self._began_at = time.monotonic()
--- a/features/soak_host_faults.py
+++ b/features/soak_host_faults.py
@@ -110,6 +110,8 @@
             self._fleet.history.ended.append(f'{daemon.name} did not stop')
             daemon.process.kill()
             daemon.process.wait()
+        # Hosts of an earlier version are upgraded when they start again.
+        daemon.root = processes.ROOT
         daemon.start()
         wait_until(daemon.is_ready, processes.START_S)
         self._down.discard(number)
--- a/features/soak_schedule.py
+++ b/features/soak_schedule.py
@@ -21,6 +21,8 @@
 _SERIES_SHARE = 0.3
 _MOST_IN_SERIES = 4
 _SERIES_GAP_S = 0.7
+_UPGRADE_S = 0.5
+_UPGRADE_SPACING_S = 1.5
 HOST_FAULTS = (
     'killed',
     'paused',
@@ -124,6 +126,28 @@
     return Schedule(seed, seconds, hosts, tuple(faults), tuple(jobs))
 
 
+def with_upgrade(schedule: Schedule) -> Schedule:
+    """Return a schedule with stops by which every host is upgraded.
+
+    The first host is stopped early, and all of them in turn after the other
+    faults, so that two versions run side by side meanwhile.
+    """
+    until_s = schedule.seconds - QUIET_END_S
+    early = Fault('restarted', QUIET_START_S, _UPGRADE_S, (0,))
+    turns = (
+        Fault(
+            'restarted',
+            until_s + number * _UPGRADE_SPACING_S,
+            _UPGRADE_S,
+            (number,),
+        )
+        for number in range(schedule.hosts)
+    )
+    return dataclasses.replace(
+        schedule, faults=(early, *schedule.faults, *turns)
+    )
+
+
 def read_schedule(path: Path) -> Schedule:
     """Read a schedule that was written by ``Schedule.write``."""
     document = json.loads(path.read_text(encoding='utf-8'))
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -75,3 +75,28 @@
     )
     schedule = soak_schedule.Schedule(901, 20, 2, faults)
     context.broken = soak.play(schedule, None, _GENEROUS_S)
+
+
+@when('engines end under parts, items and requests, and in waves, among jobs')
+def step_play_crashes(context: Context) -> None:
+    faults = (
+        soak_schedule.Fault('part_crashes', 2, 3),
+        soak_schedule.Fault('item_crashes', 2.5, 4),
+        soak_schedule.Fault('request_crashes', 3, 3),
+        soak_schedule.Fault('engine_wave', 3.5, 1),
+        soak_schedule.Fault('engine_wave', 4.1, 1),
+        soak_schedule.Fault('part_crashes', 4.5, 2),
+        soak_schedule.Fault('restarted', 6, 1, (0,)),
+    )
+    jobs = (
+        _four_items(0.5, 0, 1),
+        _four_items(3.2, 1, 8),
+        _four_items(4, 2, 9),
+        _four_items(6, 0, 2),
+    )
+    schedule = soak_schedule.Schedule(902, 10, 3, faults, jobs)
+    context.broken = soak.play(schedule, None, _GENEROUS_S)
+
+
+def _four_items(at_s: float, host: int, part: int) -> soak_schedule.JobPlan:
+    return soak_schedule.JobPlan(at_s, host, (f'part-item-{part}',) * 4)
