--- a/features/builders_forward_processes.py
+++ b/features/builders_forward_processes.py
@@ -19,7 +19,7 @@
 from features.builders_processes import wait_until
 from guavadyke.embedded_fleet import free_port
 
-_ROOT = Path(__file__).resolve().parents[1]
+ROOT = Path(__file__).resolve().parents[1]
 START_S = 20.0
 STOP_S = 12.0
 _CALL_S = 10.0
@@ -27,13 +27,17 @@
 
 @dataclasses.dataclass
 class DaemonProcess:
-    """One daemon with its settings file and log."""
+    """One daemon with its settings file and log.
+
+    ``root`` is the checkout whose product it runs.
+    """
 
     name: str
     ip: str
     front: int
     ready: int
     folder: Path
+    root: Path = ROOT
     process: subprocess.Popen[bytes] | None = None
     module: str = 'guavadyke.platform'
 
@@ -91,7 +95,7 @@
     def _start(self, log: BinaryIO | int) -> None:
         self.process = subprocess.Popen(
             [sys.executable, '-m', self.module, 'entry'],
-            cwd=_ROOT,
+            cwd=self.root,
             stdout=log,
             stderr=log,
             env={
@@ -106,10 +110,14 @@
     """A platform store, engines and daemons, stopped by ``close``.
 
     Args:
+        root: the checkout whose product the daemons run at first.
         module: the module that the daemons run.
     """
 
-    def __init__(self, module: str = 'guavadyke.platform') -> None:
+    def __init__(
+        self, root: Path = ROOT, module: str = 'guavadyke.platform'
+    ) -> None:
+        self._root = root
         self.store = users.UsersStore()
         self.engines: list[users.UsersEngine] = []
         self.daemons: list[DaemonProcess] = []
@@ -151,6 +159,7 @@
             free_port(),
             free_port(),
             Path(self._folder.name),
+            self._root,
             module=self._module,
         )
         daemon.settings_path.write_text(
--- a/features/soak.py
+++ b/features/soak.py
@@ -2,7 +2,8 @@
 
 ``python -m features.soak --seed 1 --seconds 30 --hosts 4 --folder DIR`` plays
 one and writes its schedule, its report and the logs; ``--replay DIR`` plays
-the schedule of such a folder again.
+the schedule of such a folder again; ``--earlier DIR`` has all hosts begin with
+the product of another checkout and upgrades them one after another.
 """
 
 from __future__ import annotations
@@ -16,33 +17,42 @@
 import sys
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from pathlib import Path
 
 import click
 import urllib3
 
 from features import builders_users_platform as users
-from features.builders_forward_processes import DaemonProcess, results
+from features.builders_forward_processes import (
+    ROOT,
+    DaemonProcess,
+    results,
+)
 from features.builders_processes import wait_until
-from features.soak_checker import (
-    IN_FORCE_S,
-    Call,
-    History,
-    broken_promises,
+from features.soak_bounds import PART_PREFIX, REQUEST_PREFIX
+from features.soak_checker import broken_promises
+from features.soak_crash_faults import CrashFaults
+from features.soak_fleet import (
+    ONCE_PREFIX,
+    SoakFleet,
+    prompt_prefix,
+    whole_body,
 )
-from features.soak_fleet import ONCE_PREFIX, SoakFleet, whole_body
 from features.soak_fleet_faults import FleetFaults
+from features.soak_history import IN_FORCE_S, Call, History
 from features.soak_host_faults import HostFaults
+from features.soak_jobs import JobCallers
 from features.soak_kept_callers import KeptCallers
 from features.soak_schedule import (
     Fault,
     Schedule,
     draw_schedule,
     read_schedule,
+    with_upgrade,
 )
 
-_ENGINES = 4
+_ENGINES = 6
 _ITEMS = 40
 _CALLERS = 6
 _LAST_CALLS = 20
@@ -51,6 +61,8 @@
 _RESULTS_S = 30.0
 _ONCE_SHARE = 0.3
 _OK = 200
+_ONLINE_PARTS = tuple(f'{PART_PREFIX}online-{rank}' for rank in range(1, 5))
+_ONLINE_WEIGHTS = (8, 4, 2, 1)
 _SCHEDULE_FILE = 'schedule.json'
 _REPORT_FILE = 'report.json'
 
@@ -60,13 +72,18 @@
 
     Args:
         schedule: the faults and the number of hosts.
+        root: the checkout whose product the hosts run until they are started
+            again.
     """
 
-    def __init__(self, schedule: Schedule) -> None:
+    def __init__(self, schedule: Schedule, root: Path = ROOT) -> None:
         self._schedule = schedule
-        self._fleet = SoakFleet(schedule.hosts)
+        self._fleet = SoakFleet(schedule.hosts, root)
         self._host_faults = HostFaults(self._fleet)
         fleet_faults = FleetFaults(self._fleet)
+        self._ending = threading.Event()
+        self._jobs = JobCallers(self._fleet, schedule, self._ending)
+        self._crash_faults = CrashFaults(self._fleet, self._jobs, schedule.seed)
         self._begin_by_kind = {
             'killed': self._host_faults.kill,
             'paused': self._host_faults.pause,
@@ -78,9 +95,12 @@
             'engine_leaves': fleet_faults.leave,
             'engine_crashes': fleet_faults.crash,
             'odd_entry': fleet_faults.write_odd,
+            'part_crashes': self._crash_faults.crash_by_part,
+            'request_crashes': self._crash_faults.crash_by_request,
+            'item_crashes': self._crash_faults.crash_by_item,
+            'engine_wave': self._crash_faults.wave,
         }
         self._numbers = itertools.count()
-        self._ending = threading.Event()
 
     @property
     def history(self) -> History:
@@ -104,7 +124,12 @@
         kept = KeptCallers(self._fleet, self._schedule, self._ending)
         threads = [
             threading.Thread(target=one)
-            for one in (*work, *kept.work, self._probe_until_end)
+            for one in (
+                *work,
+                *kept.work,
+                *self._jobs.work,
+                self._probe_until_end,
+            )
         ]
         for thread in threads:
             thread.start()
@@ -112,9 +137,12 @@
         self._ending.set()
         for thread in threads:
             thread.join()
+        self._crash_faults.settle()
         self._host_faults.settle()
+        self.history.calm_s = self._fleet.now_s()
         self._call_last()
         self._read_results()
+        self._jobs.read_all()
 
     def close(self) -> None:
         """End all processes."""
@@ -156,7 +184,8 @@
             once = rng.random() < _ONCE_SHARE
             kind = 'once' if once else 'stream'
             prefix = ONCE_PREFIX if once else users.STREAM_PREFIX
-            self._call(kind, host, prefix)
+            part = rng.choices(_ONLINE_PARTS, _ONLINE_WEIGHTS)[0]
+            self._call(kind, host, prefix, part)
 
     def _probe_until_end(self) -> None:
         while not self._ending.wait(_PROBE_S):
@@ -170,10 +199,16 @@
             host = number % self._schedule.hosts
             self._call('last', host, users.STREAM_PREFIX)
 
-    def _call(self, kind: str, host: int, path: str) -> None:
+    def _call(self, kind: str, host: int, path: str, part: str = '') -> None:
         request_id = f'{kind}-{next(self._numbers)}'
         sent_s = self._fleet.now_s()
-        status, body = self._answer(self._fleet.daemons[host], request_id, path)
+        shared = (part,) if part else ()
+        headers = {
+            'Request-Id': request_id,
+            'Model': 'm',
+            'Prompt-Prefix': prompt_prefix(*shared),
+        }
+        status, body = self._answer(self._fleet.daemons[host], headers, path)
         self.history.calls.append(
             Call(
                 kind,
@@ -188,13 +223,11 @@
         )
 
     def _answer(
-        self, daemon: DaemonProcess, request_id: str, path: str
+        self, daemon: DaemonProcess, headers: Mapping[str, str], path: str
     ) -> tuple[int, bytes]:
-        headers = {'Request-Id': request_id, 'Model': 'm'}
+        body = f'{REQUEST_PREFIX}{headers["Request-Id"]}'.encode()
         try:
-            answer = daemon.call(
-                'POST', f'{path}1', body=b'text', headers=headers
-            )
+            answer = daemon.call('POST', f'{path}1', body=body, headers=headers)
         except urllib3.exceptions.HTTPError:
             return 0, b''
         return answer.status, answer.data
@@ -212,6 +245,7 @@
     schedule: Schedule,
     folder: Path | None,
     in_force_s: float = IN_FORCE_S,
+    root: Path = ROOT,
 ) -> list[str]:
     """Play a schedule; return a line for each broken promise.
 
@@ -219,8 +253,10 @@
         schedule: what is played.
         folder: gets schedule, report and logs; None writes nothing.
         in_force_s: seconds after which a change has to be in force.
+        root: the checkout whose product the hosts run until they are started
+            again.
     """
-    soak = Soak(schedule)
+    soak = Soak(schedule, root)
     soak.history.in_force_s = in_force_s
     try:
         soak.run()
@@ -248,24 +284,47 @@
         (folder / f'{name}.log').write_text(log, encoding='utf-8')
 
 
+def _drawing_options(command: Callable[..., None]) -> Callable[..., None]:
+    """Add the options of which the schedule is drawn."""
+    options = (
+        click.option('--seed', default=1, help='Draws the faults.'),
+        click.option('--seconds', default=30.0, help='Length of the soak.'),
+        click.option('--hosts', default=4, help='Number of hosts.'),
+    )
+    return functools.reduce(_decorated, options, command)
+
+
+def _decorated(
+    command: Callable[..., None],
+    option: Callable[[Callable[..., None]], Callable[..., None]],
+) -> Callable[..., None]:
+    return option(command)
+
+
 @click.command()
-@click.option('--seed', default=1, help='Draws the faults.')
-@click.option('--seconds', default=30.0, help='Length of the soak.')
-@click.option('--hosts', default=4, help='Number of hosts.')
+@_drawing_options
 @click.option('--folder', type=click.Path(path_type=Path))
 @click.option('--replay', type=click.Path(exists=True, path_type=Path))
+@click.option(
+    '--earlier',
+    type=click.Path(exists=True, path_type=Path),
+    help='Checkout of the version that all hosts run at first.',
+)
 def main(
     seed: int,
     seconds: float,
     hosts: int,
     folder: Path | None,
     replay: Path | None,
+    earlier: Path | None,
 ) -> None:
     """Play a soak and print each broken promise."""
     schedule = draw_schedule(seed, seconds, hosts)
     if replay is not None:
         schedule = read_schedule(replay / _SCHEDULE_FILE)
-    broken = play(schedule, folder)
+    elif earlier is not None:
+        schedule = with_upgrade(schedule)
+    broken = play(schedule, folder, root=earlier or ROOT)
     for line in broken:
         click.echo(line)
     faults = len(schedule.faults)
--- a/features/steps/forward_unexpected_errors_steps.py
+++ b/features/steps/forward_unexpected_errors_steps.py
@@ -228,7 +228,7 @@
 
 @given('{daemons:d} daemons whose runners can fail with {engines:d} engines')
 def step_daemons(context: Context, daemons: int, engines: int) -> None:
-    context.fleet = processes.UsersFleet('features.faulty_daemon')
+    context.fleet = processes.UsersFleet(module='features.faulty_daemon')
     context.add_cleanup(context.fleet.close)
     context.fleet.start(daemons, engines)
 
