Keep the trust in shared parts apart from that in whole items

Each item that completes is remembered as trusted under a name of its own, as each whole request is; they pushed shared parts out of the same 8192 entries. A host that completed that many items and requests within 30 s no longer trusted a rare part that had completed in the same time, and blamed it for three crashes.

Names of whole requests and items now push out each other alone.

--- a/features/forward_prompts.feature
+++ b/features/forward_prompts.feature
@@ -198,6 +198,12 @@
     And 8 seconds pass
     Then a look at 2000 items with "shared,bad" takes a host under 200 ms of processor time
 
+  Scenario: a rare part stays trusted for its time whatever else completes
+    Given 3 hosts where requests with the part "rare" have completed
+    When 8192 items with other parts complete at all hosts
+    And 3 servers end under a prompt of "rare"
+    Then no host refuses a prompt of "rare"
+
   Scenario: callers of a part do not each wait for a platform that is slow
     Given 3 hosts where requests with the part "shared" have completed
     When 3 servers end under a prompt of "shared,bad"
--- a/features/steps/forward_prompts_steps.py
+++ b/features/steps/forward_prompts_steps.py
@@ -91,6 +91,13 @@
     context.guarded.exchange()
 
 
+@when('{count:d} items with other parts complete at all hosts')
+def step_others_complete(context: Context, count: int) -> None:
+    for guard in context.guarded.guards:
+        for number in range(count):
+            guard.completed(('other', whole_item(str(number))))
+
+
 @when('a server ends under "{prompt}" at the first host this moment')
 def step_ends_now(context: Context, prompt: str) -> None:
     context.guarded.end_server('host-0', context.ended, _split(prompt))
--- a/guavadyke/decisions/prompt_quarantine.py
+++ b/guavadyke/decisions/prompt_quarantine.py
@@ -12,6 +12,7 @@
 import dataclasses
 import itertools
 from collections.abc import Iterable, Mapping, Sequence, Set
+from typing import TypeAlias
 
 # Servers that have to end under requests with a part before it is blamed.
 # Fewer may end by chance under the same rare part.
@@ -38,6 +39,9 @@
 _WHOLE_DEPTH = 1_000_000
 
 
+_TrustedUntil: TypeAlias = collections.OrderedDict[str, float]
+
+
 def whole_request(request_fingerprint: str) -> str:
     """Return the name of the part that stands for a whole request.
 
@@ -117,9 +121,9 @@
 
     def __init__(self) -> None:
         self._crashes: dict[str, _Crash] = {}
-        self._trusted_until: collections.OrderedDict[str, float] = (
-            collections.OrderedDict()
-        )
+        # Apart, because each request adds one and many share the others.
+        self._trusted_parts: _TrustedUntil = collections.OrderedDict()
+        self._trusted_requests: _TrustedUntil = collections.OrderedDict()
         self._counts: collections.Counter[str] = collections.Counter()
         self._quarantined: frozenset[str] = frozenset()
         self._trial_due: dict[str, float] = {}
@@ -146,11 +150,11 @@
 
     def trusts(self, part: str, at: float) -> bool:
         """Return whether a request with a part has completed lately."""
-        return self._trusted_until.get(part, 0) > at
+        return self._trusted_until(part).get(part, 0) > at
 
     def completed_at(self, part: str) -> float:
         """Return when a request with a trusted part completed last."""
-        return self._trusted_until[part] - _TRUSTED_S
+        return self._trusted_until(part)[part] - _TRUSTED_S
 
     def suspects(self, parts: Sequence[str], at: float) -> tuple[Suspect, ...]:
         """Return those of a prompt's parts that may crash a server.
@@ -203,13 +207,13 @@
         """
         cleared = []
         for part in parts:
-            known = self._trusted_until.get(part, 0)
-            self._trusted_until[part] = max(known, at + _TRUSTED_S)
-            self._trusted_until.move_to_end(part)
+            trusted = self._trusted_until(part)
+            trusted[part] = max(trusted.get(part, 0), at + _TRUSTED_S)
+            trusted.move_to_end(part)
+            if len(trusted) > _MAX_TRUSTED:
+                trusted.popitem(last=False)
             if part in self._counts:
                 cleared.append(part)
-        while len(self._trusted_until) > _MAX_TRUSTED:
-            self._trusted_until.popitem(last=False)
         doubtful = tuple(filter(self._is_doubtful, cleared))
         if cleared:
             self._clear(cleared)
@@ -248,6 +252,12 @@
                 return Quarantine(part, crashes, _first_wait_s(part))
         return None
 
+    def _trusted_until(self, part: str) -> _TrustedUntil:
+        """Return the names of the same kind, with the time of each."""
+        if is_whole_request(part):
+            return self._trusted_requests
+        return self._trusted_parts
+
     def _crash_times(self, part: str) -> list[float]:
         return sorted(
             crash.at for crash in self._crashes.values() if part in crash.depths
