--- a/features/forward_prompts.feature
+++ b/features/forward_prompts.feature
@@ -204,6 +204,14 @@
     And 3 servers end under a prompt of "rare"
     Then no host refuses a prompt of "rare"
 
+  Scenario: a part is not tried again while its trial is still unanswered
+    Given 20 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    And 8 seconds pass
+    Then "host-3" tries "shared,bad"
+    When 7 seconds pass
+    Then all hosts refuse a prompt of "shared,bad"
+
   Scenario: callers of a part do not each wait for a platform that is slow
     Given 3 hosts where requests with the part "shared" have completed
     When 3 servers end under a prompt of "shared,bad"
