Hear of crashes in time where the platform falls silent

The watch of reports waited 10 s, as long as that of kinds that may be learned late, and a platform that is silent when an answer is due holds such a watch up to its end: the log shows steps of 10.4 s.

Reports are watched like the configuration, with half of freshness_s, 1 s here. The new scenario read 10 s before.

--- a/features/forward_ended_jobs.feature
+++ b/features/forward_ended_jobs.feature
@@ -51,3 +51,8 @@
       | 1000  | 0.5     |
       |       | 1.5     |
       | 60000 | 10      |
+
+  # Guards against reports of crashes that a silent platform holds up for 10 seconds.
+  Scenario: a host watches for reports of prompts as long as it does for configurations
+    Given a settings file of the platform with Bounds.ConfigApplyMs=2000
+    Then a watch for reports of prompts waits for 1 seconds
--- a/features/steps/forward_ended_jobs_steps.py
+++ b/features/steps/forward_ended_jobs_steps.py
@@ -7,6 +7,8 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from features import builders_forward as build
+from features.builders_batch_platform import MemoryPlatform, MemoryStore
 from features.builders_ended_jobs import EndingHosts
 from features.builders_forward_processes import DaemonProcess
 from guavadyke.adapters.peer_datagram_codec import (
@@ -19,6 +21,9 @@
 from guavadyke.decisions.forward_job_records import JobProgress
 from guavadyke.decisions.object_versions import CatalogueMark
 from guavadyke.forward_job_documents import PROGRESS_KIND
+from guavadyke.forward_prompts import ForwardPrompts
+from guavadyke.log import EventLogger
+from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
 
 @given('an item takes {seconds:g} second')
@@ -128,6 +133,20 @@
     assert found.watch_wait_s == seconds, found.watch_wait_s
 
 
+@then('a watch for reports of prompts waits for {seconds:g} seconds')
+def step_report_wait(context: Context, seconds: float) -> None:
+    store = build.settled(MemoryStore(MemoryPlatform()))
+    prompts = ForwardPrompts(
+        context.settings,
+        store,
+        SnapshotCell(FleetSnapshot()),
+        build.ManualClock(),
+        EventLogger(),
+    )
+    found = prompts.mirror_settings.watch_wait_s
+    assert found == seconds, found
+
+
 def _end(daemon: DaemonProcess, job_id: str) -> float:
     """End a job; return when that was confirmed."""
     answer = daemon.call('DELETE', f'/api/lots/{job_id}')
--- a/guavadyke/forward_prompts.py
+++ b/guavadyke/forward_prompts.py
@@ -9,6 +9,7 @@
 from guavadyke.controllers.prompt_report_sender import PromptReportSender
 from guavadyke.controllers.prompt_report_sink import PromptReportSink
 from guavadyke.controllers.prompt_trial_claimer import PromptTrialClaimer
+from guavadyke.decisions.watch_sharing import watch_times
 from guavadyke.log import EventLogger
 from guavadyke.prompt_report_documents import REPORT_KIND
 from guavadyke.settings import HostSettings
@@ -44,7 +45,9 @@
         self.guard = PromptGuard(settings.host_id, fleet, clock, logger)
         self.sink = PromptReportSink(self.guard, logger)
         self.mirror_settings = MirrorSettings(
-            REPORT_KIND, settings.platform.watch_wait_s, _WATCH_DELAY_S
+            REPORT_KIND,
+            watch_times(settings.platform.freshness_s).wait_s,
+            _WATCH_DELAY_S,
         )
         self.sender = PromptReportSender(
             settings.host_id, self.guard, self.sink, store, fleet, logger
