Advance the clock in steps in a scenario of a trial that is sent on

The step moved the clock by 3 s as soon as the first call was seen; where the runner heard of its end only after that, the retry delay began at the later time and never ended.

--- a/features/steps/forward_prompts_steps.py
+++ b/features/steps/forward_prompts_steps.py
@@ -42,6 +42,8 @@
 _LOOK_S = 0.05
 _SENT_S = 5.0
 # Less than the time that a claim is valid, and more than a retry delay.
+# Part of an item's shortest retry delay.
+_RETRY_STEP_S = 0.02
 _TRIAL_LASTS_S = 3.0
 _NOT_RUN = build.Scripted(fault=BackendFault.not_reached, not_run=True)
 _SCRIPTS = types.MappingProxyType({
@@ -669,12 +671,15 @@
     context.add_cleanup(context.bench.close)
     context.bench.accept(1, parts_by_number={0: _split(prompt)})
 
+    clock = context.guarded.clock
+    trial_ends_at = clock.monotonic() + _TRIAL_LASTS_S
+
     def sent_on() -> bool:
+        # The retry delay begins when the runner has heard of the end.
+        if context.servers.calls and clock.monotonic() < trial_ends_at:
+            clock.sleep(_RETRY_STEP_S)
         return len(context.servers.calls) > 1
 
-    wait_until(lambda: bool(context.servers.calls), _SENT_S)
-    context.guarded.clock.sleep(_TRIAL_LASTS_S)
-
     wait_until(sent_on, _SENT_S)
 
 
