Read teams and anonymous routes from the configuration

Change: the route table holds a directory of teams, found by their keys; requests and calls to servers have a place for the team. Nothing uses it yet.

--- a/guavadyke/adapters/ports.py
+++ b/guavadyke/adapters/ports.py
@@ -222,6 +222,7 @@
     no byte of the answer has come in ``first_byte_timeout_s``, it calls
     ``wait_longer_s``, which returns for how many seconds more to wait, 0 to
     give the call up as silent; such a call may take ``gap_timeout_s`` to send.
+    ``team`` names the team that the request belongs to, empty for none.
     """
 
     request_id: str
@@ -242,6 +243,7 @@
     observe_leaving: Callable[[], object] | None = None
     observe_data: Callable[[int], object] | None = None
     wait_longer_s: Callable[[], float] | None = None
+    team: str = ''
 
 
 class BackendAnswer(Protocol):
--- a/guavadyke/decisions/forward_routes.py
+++ b/guavadyke/decisions/forward_routes.py
@@ -7,6 +7,8 @@
 import hashlib
 import itertools
 
+from guavadyke.decisions.teams import TeamDirectory
+
 _HASH_BYTES = 8
 _HASH_RANGE = 2.0 ** (8 * _HASH_BYTES)
 
@@ -50,6 +52,7 @@
             due.
         abandon_after_s: time after submission at which a batch item may be
             given up, 0 for never.
+        anonymous: whether its requests need no key of a team.
     """
 
     name: str
@@ -65,6 +68,7 @@
     waiting_tokens: int = 0
     target_complete_s: float = 0
     abandon_after_s: float = 0
+    anonymous: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -102,11 +106,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class RouteTable:
-    """One version of all routes; version 0 means no configuration."""
+    """One version of all routes; version 0 means no configuration.
+
+    Without ``teams`` no request needs a key.
+    """
 
     version: int = 0
     routes: tuple[ForwardRoute, ...] = ()
     limits: CallerLimits = CallerLimits()
+    teams: TeamDirectory = dataclasses.field(
+        default_factory=TeamDirectory, compare=False
+    )
 
     @property
     def configured(self) -> bool:
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -24,6 +24,7 @@
 from guavadyke.decisions.forward_routes import ForwardRoute, RouteKind
 from guavadyke.decisions.prompt_quarantine import whole_request
 from guavadyke.decisions.server_registry import ServerLease
+from guavadyke.decisions.teams import Team
 from guavadyke.filters.caller_watch import CallerWatch
 from guavadyke.log import EventLogger
 from guavadyke.metrics import HostMetrics
@@ -43,7 +44,8 @@
     of the parts of its prompt that other requests may share, in order;
     ``fingerprint`` is the same for all repetitions of the request;
     ``began_as`` is the id of the request that brought the first event of a
-    stream that the caller resumes, empty if the caller names none.
+    stream that the caller resumes, empty if the caller names none; ``team``
+    is the team whose key it carries, None for none.
     """
 
     request_id: str
@@ -58,6 +60,7 @@
     prompt_parts: tuple[str, ...] = ()
     fingerprint: str = ''
     began_as: str = ''
+    team: Team | None = None
 
     @property
     def stream_id(self) -> str:
--- a/guavadyke/platform/configuration.py
+++ b/guavadyke/platform/configuration.py
@@ -14,6 +14,7 @@
     RouteTable,
     ServiceShare,
 )
+from guavadyke.decisions.teams import Team, TeamDirectory
 from guavadyke.log import EventLogger
 
 CONFIGURATION_KIND = 'config'
@@ -58,6 +59,7 @@
     )
     # MaxWaitS counts from the first submission of the job.
     abandon_after_s: float = pydantic.Field(alias='MaxWaitS', default=0)
+    anonymous: bool = pydantic.Field(alias='Anonymous', default=False)
 
 
 class _LimitsSpec(pydantic.BaseModel):
@@ -66,10 +68,24 @@
     idle_timeout_ms: float = pydantic.Field(alias='IdleTimeoutMs')
 
 
+class _TeamSpec(pydantic.BaseModel):
+    name: str = pydantic.Field(alias='Name', min_length=1)
+    keys: tuple[str, ...] = pydantic.Field(
+        alias='ApiKeys', default=(), repr=False
+    )
+    priority: int | None = pydantic.Field(alias='Priority', default=None)
+    requests_per_s: float = pydantic.Field(alias='RatePerS', default=0, ge=0)
+    burst: float = pydantic.Field(alias='Burst', default=0, ge=0)
+
+
 class _ConfigurationSpec(pydantic.BaseModel):
+    # Errors are logged, and their text must not contain keys.
+    model_config = pydantic.ConfigDict(hide_input_in_errors=True)
+
     version: int = pydantic.Field(alias='Version')
     routes: tuple[_RouteSpec, ...] = pydantic.Field(alias='Routes')
     limits: _LimitsSpec | None = pydantic.Field(alias='Limits', default=None)
+    teams: tuple[_TeamSpec, ...] = pydantic.Field(alias='Tenants', default=())
 
 
 class ConfigurationDecoder:
@@ -99,6 +115,9 @@
             version=document.version,
             routes=tuple(map(_decode_route, document.routes)),
             limits=_decode_limits(document.limits),
+            teams=TeamDirectory({
+                _decode_team(team): team.keys for team in document.teams
+            }),
         )
 
 
@@ -121,6 +140,16 @@
         waiting_tokens=route.waiting_tokens,
         target_complete_s=route.target_complete_ms / _MS_PER_S,
         abandon_after_s=route.abandon_after_s,
+        anonymous=route.anonymous,
+    )
+
+
+def _decode_team(team: _TeamSpec) -> Team:
+    return Team(
+        name=team.name,
+        priority=team.priority,
+        requests_per_s=team.requests_per_s,
+        burst=team.burst,
     )
 
 
