Authenticate callers by the keys of their teams

Cause: keys reached the engines, removed keys went on being served and no request belonged to a team. Change: where the configuration has teams, requests and calls of batch jobs need a key. Servers get the team's name instead of the key. A job belongs to its team, and the limit of waiting tokens holds for each team. With strict revocation a host refuses keys that may have been removed. Mirrors of a host have a module of their own.

--- a/guavadyke/controllers/forward_job_api.py
+++ b/guavadyke/controllers/forward_job_api.py
@@ -81,19 +81,30 @@
         route: ForwardRoute,
         host: str,
         items: tuple[ForwardItem, ...],
+        team: str = '',
     ) -> None:
         """Accept a job and store it on the platform.
 
         Idempotent: submitting a job id that was already accepted succeeds
         and changes nothing.
 
+        Args:
+            job_id: the job's id.
+            route: the route that it was submitted to.
+            host: host name of the caller's request.
+            items: the items of the job.
+            team: name of the team that submits it, empty for none.
+
         Raises:
             GuavadykeError: ``limit_exceeded`` (the route's token quota) or
                 ``platform_unavailable`` if the job was not accepted;
-                ``outcome_unknown`` if it may have been.
+                ``key_conflict`` if another team has a job with this id;
+                ``outcome_unknown`` if it may have been accepted.
         """
         registry = self._parts.registry
-        if registry.view(job_id) is not None:
+        known = registry.view(job_id)
+        if known is not None:
+            _check_same_team(known.job, team)
             return
         views = registry.views()
         others = (
@@ -114,12 +125,14 @@
                 self._parts.abilities.unable(),
             ),
             items=items,
+            team=team,
         )
         verdict = check_quota(
             route.name,
             job.tokens,
             route.waiting_tokens,
             views,
+            team,
         )
         if not verdict.fits:
             self._raise_over_quota(job, verdict.excess)
@@ -135,20 +148,29 @@
         )
         if created:
             registry.accepted(job)
+        elif team:
+            _check_same_team(self._find_job(job_id), team)
 
-    def results(self, job_id: str, after: int) -> ResultsAnswer:
+    def results(
+        self, job_id: str, after: int, team: str | None = None
+    ) -> ResultsAnswer:
         """Return a page of results, starting at position ``after``.
 
         Positions count from 0, in the order in which the results were
         stored. Results that this host has already read are returned when
         the platform cannot be reached.
 
+        Args:
+            job_id: the job's id.
+            after: the position.
+            team: the team whose jobs are visible, None for those of all.
+
         Raises:
             GuavadykeError: ``not_found``; ``platform_unavailable`` if the
                 platform cannot be read and this host does not know the job
                 or has no result past the position.
         """
-        job = self._find_job(job_id)
+        job = self._find_job(job_id, team)
         total = len(job.items)
         known = tuple(listings(self._parts.store.cached_pages(job_id)))
         if len(known) < total:
@@ -157,14 +179,19 @@
             total, results_after(known, after, _MAX_ANSWER_BYTES)
         )
 
-    def body(self, job_id: str, item_id: str) -> bytes:
+    def body(self, job_id: str, item_id: str, team: str | None = None) -> bytes:
         """Return the request body of an item.
 
+        Args:
+            job_id: the job's id.
+            item_id: the item's id.
+            team: the team whose jobs are visible, None for those of all.
+
         Raises:
             GuavadykeError: ``not_found``; ``platform_unavailable`` if the
                 platform cannot be read and this host does not know the job.
         """
-        item = self._find_job(job_id).item(item_id)
+        item = self._find_job(job_id, team).item(item_id)
         if item is None:
             raise GuavadykeError(
                 ErrorCode.not_found,
@@ -172,16 +199,20 @@
             )
         return item.body
 
-    def cancel(self, job_id: str) -> None:
+    def cancel(self, job_id: str, team: str | None = None) -> None:
         """Cancel a job: none of its items is started any more.
 
         Its owner is told at once, beside the platform.
 
+        Args:
+            job_id: the job's id.
+            team: the team whose jobs are visible, None for those of all.
+
         Raises:
             GuavadykeError: ``not_found``, or the error of the platform
                 store.
         """
-        self._find_job(job_id)
+        self._find_job(job_id, team)
         view = self._parts.registry.view(job_id)
         if view is not None and view.progress.cancelled:
             self._ends.tell(job_id)
@@ -193,17 +224,20 @@
         self._ends.tell(job_id)
         self._parts.logger.info('job_cancelled', job_id=job_id)
 
-    def _find_job(self, job_id: str) -> AcceptedJob:
+    def _find_job(self, job_id: str, team: str | None = None) -> AcceptedJob:
         view = self._parts.registry.view(job_id)
-        if view is not None:
-            return view.job
-        job = self._parts.store.read(job_id)
-        if job is None:
+        job = self._read_job(job_id) if view is None else view.job
+        if job is None or not job.visible_to(team):
             raise GuavadykeError(
                 ErrorCode.not_found,
                 f'could not find job {job_id}',
             )
-        self._parts.registry.accepted(job)
+        return job
+
+    def _read_job(self, job_id: str) -> AcceptedJob | None:
+        job = self._parts.store.read(job_id)
+        if job is not None:
+            self._parts.registry.accepted(job)
         return job
 
     def _read_results(
@@ -248,3 +282,16 @@
             f'{excess} tokens over the quota would have to wait on {job.route}',
             retry_after_s=retry_after_s,
         )
+
+
+def _check_same_team(job: AcceptedJob, team: str) -> None:
+    """Check that a job that exists was submitted by the same team.
+
+    Raises:
+        GuavadykeError: ``key_conflict``, it belongs to another team.
+    """
+    if not job.visible_to(team):
+        raise GuavadykeError(
+            ErrorCode.key_conflict,
+            f'the id {job.job_id} names a job of another team',
+        )
--- a/guavadyke/controllers/item_run.py
+++ b/guavadyke/controllers/item_run.py
@@ -125,6 +125,7 @@
         self.item = item
         self.job_id = job.job_id
         self._host = job.host
+        self._team = job.team
         self._software = lease.server.software
         if partial.software != self._software:
             partial = PartialText()
@@ -294,6 +295,7 @@
             ),
             observe_data=self._record_data,
             wait_longer_s=self._wait_longer_s,
+            team=self._team,
         )
 
 
--- a/guavadyke/controllers/mirror.py
+++ b/guavadyke/controllers/mirror.py
@@ -190,6 +190,13 @@
         """Whether the last list failed, directly and through peers."""
         return self._list_failed
 
+    @property
+    def age_s(self) -> float:
+        """Of how many seconds ago the sink holds the state at least."""
+        if not self.listed:
+            return math.inf
+        return self._clock.monotonic() - self._known_at
+
     @property
     def stale(self) -> bool:
         """Whether the sink may be older than the bound.
@@ -357,14 +364,12 @@
             if name in names
         }
         for stored in found:
-            if self._versions.get(stored.name) != stored.version:
-                self._read_changed(stored.name)
-
-    def _read_changed(self, name: str) -> None:
-        stored = self._store.read(self._settings.kind, name)
-        if stored is not None:
-            self._versions[name] = stored.version
-            self._sink.put(stored)
+            if self._versions.get(stored.name) == stored.version:
+                continue
+            changed = self._store.read(self._settings.kind, stored.name)
+            if changed is not None:
+                self._versions[changed.name] = changed.version
+                self._sink.put(changed)
 
 
 def _list_pages(
--- a/guavadyke/decisions/forward_job_ownership.py
+++ b/guavadyke/decisions/forward_job_ownership.py
@@ -172,17 +172,21 @@
     tokens: int,
     limit: int,
     jobs: Mapping[str, JobView],
+    team: str = '',
 ) -> QuotaCheck:
     """Check a new job against the limit of waiting tokens of its route.
 
     Args:
         route: name of the route.
         tokens: total tokens of the new job.
-        limit: tokens that may wait on the route; 0 for no limit.
+        limit: tokens of a team that may wait on the route; 0 for no limit.
         jobs: all known jobs by id.
+        team: name of the team that submits the job, empty for none.
     """
     waiting = sum(
-        view.waiting_tokens for view in jobs.values() if view.job.route == route
+        view.waiting_tokens
+        for view in jobs.values()
+        if view.job.route == route and view.job.team == team
     )
     excess = waiting + tokens - limit
     if limit <= 0 or excess <= 0:
--- a/guavadyke/decisions/forward_job_records.py
+++ b/guavadyke/decisions/forward_job_records.py
@@ -38,6 +38,7 @@
 
     ``accepted_at`` is seconds since the epoch. ``host`` is the host name of
     the caller's request, ``owner`` the entry host that runs the job first.
+    ``team`` names the team that submitted it, empty for none.
     """
 
     job_id: str
@@ -46,6 +47,15 @@
     accepted_at: float
     owner: str
     items: tuple[ForwardItem, ...]
+    team: str = ''
+
+    def visible_to(self, team: str | None) -> bool:
+        """Return whether a team may read and cancel the job.
+
+        A job of no team is visible to all; None stands for a caller who sees
+        the jobs of all teams.
+        """
+        return team is None or self.team in {'', team}
 
     @property
     def tokens(self) -> int:
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -80,6 +80,11 @@
             return self.prompt_parts
         return (*self.prompt_parts, whole_request(self.fingerprint))
 
+    @property
+    def team_name(self) -> str:
+        """Name of its team, empty for none."""
+        return '' if self.team is None else self.team.name
+
     @property
     def prompt_key(self) -> str:
         """Equal for requests whose prompts have all these parts in common."""
@@ -202,6 +207,7 @@
                 ),
                 observe_data=self._record_data,
                 wait_longer_s=wait_longer_s,
+                team=self._request.team_name,
             ),
         )
         self.pace.record_event(self._tools.clock.monotonic())
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -18,22 +18,14 @@
 from guavadyke.controllers.forward_job_registry import JobRegistry
 from guavadyke.controllers.forward_job_runner import RunnerParts
 from guavadyke.controllers.forward_job_store import JobStore
+from guavadyke.controllers.host_mirrors import HostMirrors
 from guavadyke.controllers.load_notices import LoadNoticeSender
-from guavadyke.controllers.mirror import (
-    Mirror,
-    MirrorSettings,
-    MirrorSink,
-    WatchableStore,
-    job_end_mirror,
-    job_mirror,
-    urgent_mirror,
-)
+from guavadyke.controllers.mirror import MirrorSettings, urgent_mirror
 from guavadyke.controllers.retirement_controller import (
     RetirementController,
     RetirementParts,
     RetirementRequest,
 )
-from guavadyke.controllers.route_table_sink import RouteTableSink
 from guavadyke.controllers.server_pool import (
     ServerDecoder,
     ServerPool,
@@ -44,8 +36,8 @@
 from guavadyke.decisions.slot import HostLocation
 from guavadyke.filters.caller_watch import CallerWatch
 from guavadyke.filters.forward_attempt import ForwardTools
+from guavadyke.filters.team_authentication import TeamAuthentication
 from guavadyke.forward_duties import DutyWatch, JobDuty
-from guavadyke.forward_job_documents import JOB_KIND, PROGRESS_KIND
 from guavadyke.forward_learning import ForwardLearning
 from guavadyke.forward_peers import ForwardPeers, RoutedBackendServers
 from guavadyke.guarded_threads import BackgroundTask
@@ -101,7 +93,7 @@
         self.clock: Clock = SuspendAwareClock()
         self.logger = logger
         self.metrics = HostMetrics()
-        self.fleet = SnapshotCell(FleetSnapshot())
+        self._fleet = SnapshotCell(FleetSnapshot())
         self.table = SnapshotCell(RouteTable())
         self.stopping = False
         self._rng = random.Random()
@@ -114,7 +106,7 @@
         self._peers = ForwardPeers(
             settings,
             self._rate_limited_store,
-            self.fleet,
+            self._fleet,
             self.clock,
             self._child_rng(),
             logger,
@@ -126,7 +118,7 @@
         self._learning = ForwardLearning(
             settings,
             store,
-            self.fleet,
+            self._fleet,
             self._peers.messenger,
             VersionCheck(store, ports.server_kind, ports.decode_server, logger),
             self.clock,
@@ -166,7 +158,7 @@
                 settings.host_id,
                 self.registry,
                 self._job_store,
-                self.fleet,
+                self._fleet,
                 self._peers.abilities,
                 self._peers.messenger,
                 self.clock,
@@ -180,15 +172,25 @@
                 self.hand_over,
                 ports.complete_retirement,
                 ports.is_retirement_completed,
-                self.fleet,
+                self._fleet,
                 self.clock,
                 logger,
             ),
         )
-        self._mirrors = self._create_mirrors(ports)
+        self._mirrors = HostMirrors(self.clock, self._child_rng, logger)
+        table_mirror = self._mirrors.add_table(
+            urgent_mirror(ports.table_kind, settings.platform),
+            self._peers.store,
+            ports.decode_table,
+            self.table,
+        )
+        self.authentication = TeamAuthentication(
+            settings.platform, self.table, table_mirror, self.metrics, logger
+        )
+        self._add_mirrors(ports)
         self._load_notices = LoadNoticeSender(
             settings,
-            self.fleet,
+            self._fleet,
             self._peers.messenger,
             self.pool,
             self._peers.abilities,
@@ -204,7 +206,7 @@
                 self._learning.limits.limits,
                 ports.servers,
                 self.table,
-                self.fleet,
+                self._fleet,
                 self._peers.abilities,
                 self.connected,
                 self.ends_known,
@@ -215,7 +217,7 @@
             ),
         )
         self.pool.urgent.on_own_items(self._job_duty.wake)
-        self.duties = DutyWatch(self.failed_parts, self.fleet, logger)
+        self.duties = DutyWatch(self.failed_parts, self._fleet, logger)
 
     @property
     def ready(self) -> bool:
@@ -223,21 +225,20 @@
 
         It is not ready while it ends because a part of it has failed.
         """
-        listed = all(mirror.listed for mirror in self._mirrors)
         return (
             self.table.current.configured
-            and listed
+            and self._mirrors.listed
             and not self.duties.ending
             and self._learning.streams.ready
         )
 
     def connected(self) -> bool:
         """Return whether the last calls to the platform succeeded."""
-        return not any(mirror.failing for mirror in self._mirrors)
+        return not self._mirrors.failing
 
     def ends_known(self) -> bool:
         """Return whether no mirror with a bound is older than that."""
-        return not any(mirror.stale for mirror in self._mirrors)
+        return not self._mirrors.stale
 
     def failed_parts(self) -> tuple[str, ...]:
         """Return the names of the parts that have failed for good."""
@@ -247,8 +248,7 @@
         """Join the fleet and start to watch the platform."""
         self._watch.start()
         self._peers.start()
-        for mirror in self._mirrors:
-            mirror.start()
+        self._mirrors.start()
         self.job_api.start()
         self._load_notices.start()
         self._learning.start()
@@ -303,8 +303,7 @@
         self._retirements.close()
         self._load_notices.close()
         self._learning.close()
-        for mirror in self._mirrors:
-            mirror.close()
+        self._mirrors.close()
         self._job_duty.close()
         self._watch.close()
         self._peers.close()
@@ -330,60 +329,30 @@
         """
         return self.settings.caller is None
 
-    def _create_mirrors(self, ports: ForwardPorts) -> tuple[Mirror, ...]:
+    def _add_mirrors(self, ports: ForwardPorts) -> None:
+        """Add the mirrors of all kinds but the route table."""
+        platform = self.settings.platform
         jobs = WriteConfirmingStore(
             self._peers.store, self.clock, self._child_rng()
         )
-        peers = self._peers.store
-        routes = RouteTableSink(ports.decode_table, self.table, self.logger)
-        retirements = self._create_mirror(
-            MirrorSettings(
-                ports.retirement_kind, self.settings.platform.watch_wait_s
-            ),
-            peers,
-            self._retirements,
-        )
-        servers = urgent_mirror(ports.server_kind, self.settings.platform)
-        table = urgent_mirror(ports.table_kind, self.settings.platform)
-        learned = [
-            self._create_mirror(part.mirror_settings, jobs, part.sink)
-            for part in self._learning.mirrored
-        ]
-        mirrors = (
-            self._create_mirror(table, peers, routes),
-            self._create_mirror(servers, peers, self.pool),
-            self._create_mirror(
-                job_mirror(JOB_KIND, self.settings.platform),
-                jobs,
-                self.registry.jobs,
-            ),
-            self._create_mirror(
-                job_end_mirror(PROGRESS_KIND, self.settings.platform),
-                jobs,
-                self.registry.progress,
-            ),
-            *learned,
-        )
-        return (retirements, *mirrors) if self._is_drainable else mirrors
-
-    def _create_mirror(
-        self,
-        settings: MirrorSettings,
-        store: WatchableStore,
-        sink: MirrorSink,
-    ) -> Mirror:
-        return Mirror(
-            settings,
-            store,
-            sink,
-            self.clock,
-            self._child_rng(),
-            self.logger,
+        self._mirrors.add(
+            urgent_mirror(ports.server_kind, platform),
+            self._peers.store,
+            self.pool,
         )
+        self._mirrors.add_jobs(platform, jobs, self.registry)
+        for part in self._learning.mirrored:
+            self._mirrors.add(part.mirror_settings, jobs, part.sink)
+        if self._is_drainable:
+            self._mirrors.add(
+                MirrorSettings(ports.retirement_kind, platform.watch_wait_s),
+                self._peers.store,
+                self._retirements,
+            )
 
     def _live_hosts(self) -> int:
         """Return the number of hosts that share the platform's call rates."""
-        peers = self.fleet.current.peers
+        peers = self._fleet.current.peers
         return 1 + sum(peer.state == _ALIVE_STATE for peer in peers)
 
     def _wake_runner(self) -> None:
--- a/guavadyke/forward_job_documents.py
+++ b/guavadyke/forward_job_documents.py
@@ -44,6 +44,8 @@
     accepted_at: float
     owner: str
     items: tuple[_ItemDocument, ...]
+    # Empty for jobs without a team and for those of hosts of older releases.
+    team: str = ''
 
 
 class _ProgressDocument(pydantic.BaseModel):
@@ -70,6 +72,7 @@
         host=job.host,
         accepted_at=job.accepted_at,
         owner=job.owner,
+        team=job.team,
         items=tuple(
             _ItemDocument.model_construct(
                 item_id=item.item_id,
@@ -98,6 +101,7 @@
         host=document.host,
         accepted_at=document.accepted_at,
         owner=document.owner,
+        team=document.team,
         items=tuple(
             ForwardItem(
                 item.item_id,
--- a/guavadyke/platform/caller_port.py
+++ b/guavadyke/platform/caller_port.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import dataclasses
 import types
 from collections.abc import Mapping
 
@@ -23,12 +24,14 @@
     RequestIdentity,
     fingerprint,
 )
+from guavadyke.decisions.teams import Team
 from guavadyke.errors import ErrorCode, Finding, GuavadykeError
 from guavadyke.filters.base import Answer, Exchange
 from guavadyke.filters.forward import Forwarder
 from guavadyke.filters.forward_attempt import ForwardRequest
 from guavadyke.forward_host import ForwardHost
 from guavadyke.http_application import Route, json_answer, read_body
+from guavadyke.platform.engine_adapter import TEAM_HEADER
 from guavadyke.settings import validation_findings
 
 _READY_PATTERN = '/api/readyz'
@@ -44,6 +47,9 @@
 _BEGAN_AS_HEADER = 'resumes'
 _PROMPT_PREFIX_HEADER = 'prompt-prefix'
 _CREDENTIALS_HEADER = 'authorization'
+_CREDENTIALS_SCHEME = 'token'
+# Where there are teams, the host sets the team and servers see no key.
+_TEAM_HEADERS = frozenset((_CREDENTIALS_HEADER, TEAM_HEADER))
 # Headers of one connection, and headers that are set again per attempt.
 _UNFORWARDED_HEADERS = frozenset((
     'accept-encoding',
@@ -112,11 +118,17 @@
                 f'version {table.version} has no route for {host}{path}',
             )
         exchange.entry_name = route.name
+        caller = _Caller(
+            table,
+            self._host.authentication.team_of_request(
+                table, route, _key(exchange)
+            ),
+        )
         exchange.body = read_body(exchange, table.limits.max_body_bytes)
         if route.kind is RouteKind.batch:
-            return self._submit(exchange, route, host)
+            return self._submit(exchange, route, host, caller)
         return Forwarder(
-            _forward_request(exchange, route),
+            _forward_request(exchange, route, caller),
             route,
             self._host.tools,
         ).answer()
@@ -126,15 +138,24 @@
         exchange: Exchange,
         route: ForwardRoute,
         host: str,
+        caller: _Caller,
     ) -> Answer:
         items = _parse_items(exchange.body)
-        self._job_api.submit(_request_id(exchange), route, host, items)
+        if caller.table.teams:
+            items = tuple(map(_without_team_headers, items))
+        self._job_api.submit(
+            _request_id(exchange),
+            route,
+            host,
+            items,
+            caller.team_name,
+        )
         return json_answer({}, status=_HTTP_ACCEPTED)
 
     def _read_results(self, exchange: Exchange) -> Answer:
-        self._route_table()
+        team = self._team_of_job_call(exchange)
         after = _parse_number(exchange.query.get('After', '0'), 'After')
-        page = self._job_api.results(exchange.path_parts['job'], after)
+        page = self._job_api.results(exchange.path_parts['job'], after, team)
         return json_answer({
             'Total': page.total,
             'Next': after + len(page.listings),
@@ -142,18 +163,24 @@
         })
 
     def _read_body(self, exchange: Exchange) -> Answer:
-        self._route_table()
         body = self._job_api.body(
             exchange.path_parts['job'],
             exchange.query.get('Id', ''),
+            self._team_of_job_call(exchange),
         )
         return Answer(200, body, _BINARY_CONTENT_TYPE)
 
     def _cancel(self, exchange: Exchange) -> Answer:
-        self._route_table()
-        self._job_api.cancel(exchange.path_parts['job'])
+        self._job_api.cancel(
+            exchange.path_parts['job'], self._team_of_job_call(exchange)
+        )
         return json_answer({})
 
+    def _team_of_job_call(self, exchange: Exchange) -> str | None:
+        return self._host.authentication.team_of_job_call(
+            self._route_table(), _key(exchange)
+        )
+
     def _route_table(self) -> RouteTable:
         """Return the route table in force.
 
@@ -197,15 +224,45 @@
                 ErrorCode.not_ready,
                 'startup is incomplete, so nothing can be served yet',
             )
+        self._host.authentication.trust.check()
         return json_answer({'ready': True})
 
 
-def _forward_request(exchange: Exchange, route: ForwardRoute) -> ForwardRequest:
+@dataclasses.dataclass(frozen=True)
+class _Caller:
+    """The configuration that a request came under, and its team."""
+
+    table: RouteTable
+    team: Team | None
+
+    @property
+    def unforwarded_headers(self) -> frozenset[str]:
+        """Names of the headers that servers must not get."""
+        if self.table.teams:
+            return _UNFORWARDED_HEADERS | _TEAM_HEADERS
+        return _UNFORWARDED_HEADERS
+
+    @property
+    def team_name(self) -> str:
+        """Name of the team, empty for none."""
+        return '' if self.team is None else self.team.name
+
+    def identity(self, exchange: Exchange) -> str:
+        """Return what tells the caller of a request from others."""
+        if self.table.teams:
+            return self.team_name
+        return exchange.headers.get(_CREDENTIALS_HEADER, '')
+
+
+def _forward_request(
+    exchange: Exchange, route: ForwardRoute, caller: _Caller
+) -> ForwardRequest:
     timeout_s = route.timeout_s
     stated = exchange.headers.get(_DEADLINE_HEADER, '')
     if stated.isdecimal():
         timeout_s = min(timeout_s, int(stated) / _MS_PER_S)
     last_event = exchange.headers.get(_LAST_EVENT_HEADER, '')
+    unforwarded = caller.unforwarded_headers
     return ForwardRequest(
         request_id=_request_id(exchange),
         method=exchange.method,
@@ -213,7 +270,7 @@
         headers={
             name.title(): text
             for name, text in exchange.headers.items()
-            if name not in _UNFORWARDED_HEADERS and text
+            if name not in unforwarded and text
         },
         body=exchange.body,
         received_at=exchange.received_at,
@@ -223,17 +280,34 @@
         prompt_parts=_shared_prompt_parts(
             exchange.headers.get(_PROMPT_PREFIX_HEADER, '')
         ),
-        fingerprint=fingerprint(_identity(exchange)),
+        fingerprint=fingerprint(_identity(exchange, caller.identity(exchange))),
         began_as=exchange.headers.get(_BEGAN_AS_HEADER, ''),
+        team=caller.team,
     )
 
 
-def _identity(exchange: Exchange) -> RequestIdentity:
+def _key(exchange: Exchange) -> str:
+    """Return the key that a request carries, empty if it has none."""
+    credentials = exchange.headers.get(_CREDENTIALS_HEADER, '')
+    scheme, _space, key = credentials.partition(' ')
+    return key.strip() if scheme.lower() == _CREDENTIALS_SCHEME else ''
+
+
+def _without_team_headers(item: ForwardItem) -> ForwardItem:
+    headers = {
+        name: text
+        for name, text in item.headers.items()
+        if name.lower() not in _TEAM_HEADERS
+    }
+    return dataclasses.replace(item, headers=headers)
+
+
+def _identity(exchange: Exchange, caller: str) -> RequestIdentity:
     return RequestIdentity(
         host=split_host(exchange.headers.get('host', '')),
         method=exchange.method,
         target=exchange.target,
-        caller=exchange.headers.get(_CREDENTIALS_HEADER, ''),
+        caller=caller,
         body=exchange.body,
     )
 
--- a/guavadyke/platform/engine_adapter.py
+++ b/guavadyke/platform/engine_adapter.py
@@ -33,6 +33,8 @@
 _SUCCESS_STATUSES = range(200, 300)
 # Statuses that tell a caller that the request did not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+TEAM_HEADER = 'tenant-id'
+_TEAM_HEADERS = frozenset((TEAM_HEADER,))
 _MANAGED_HEADERS = frozenset((
     'deadline-ms',
     'expect-instance',
@@ -110,11 +112,14 @@
 
     def request_headers(self, call: BackendCall) -> Mapping[str, str]:
         """Return the headers of a request."""
+        managed = _MANAGED_HEADERS.union(_TEAM_HEADERS if call.team else ())
         headers = {
             name: text
             for name, text in call.headers.items()
-            if name.lower() not in _MANAGED_HEADERS
+            if name.lower() not in managed
         }
+        if call.team:
+            headers['Tenant-Id'] = call.team
         if call.request_id:
             headers['Request-Id'] = call.request_id
         if call.server_id:
--- a/guavadyke/platform/settings_file.py
+++ b/guavadyke/platform/settings_file.py
@@ -124,6 +124,7 @@
                 call_timeout_s=_CALL_TIMEOUT_S,
                 watch_wait_s=_WATCH_WAIT_S,
                 freshness_s=_freshness_s(settings_file),
+                revocation_s=_revocation_s(settings_file),
                 job_end_s=settings_file.number(
                     'Bounds.CancelMs', _DEFAULT_CANCEL_MS
                 )
@@ -166,6 +167,13 @@
     return min(bounds_ms) / _MS_PER_S
 
 
+def _revocation_s(settings_file: SettingsFile) -> float:
+    """Return the bound on removed keys, 0 where it is not strict."""
+    if settings_file.values.get('Bounds.StrictRevoke') != 'true':
+        return 0
+    return settings_file.number('Bounds.RevokeMs') / _MS_PER_S
+
+
 def _stop_settings(settings_file: SettingsFile) -> StopSettings:
     grace_s = settings_file.number('Bounds.GraceS', 8)
     delay_s = min(_BALANCER_DELAY_S, grace_s / 2)
--- a/guavadyke/settings.py
+++ b/guavadyke/settings.py
@@ -17,6 +17,7 @@
 
 Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
 Positive = Annotated[float, pydantic.Field(gt=0)]
+NonNegative = Annotated[float, pydantic.Field(ge=0)]
 Count = Annotated[int, pydantic.Field(ge=1)]
 
 
@@ -174,6 +175,11 @@
         'configuration or a leaving backend server, whichever of its ways '
         'to the platform has failed.',
     )
+    revocation_s: NonNegative = pydantic.Field(
+        default=0,
+        description='Seconds after which a key that was removed must not be '
+        'served by any host, however it is cut off; 0 for no bound.',
+    )
     job_end_s: Positive = pydantic.Field(
         default=3,
         description='Seconds within which a host has to learn that a batch '
