Close gaps in the authentication of teams

Cause, found by reading the code against the requirements: - Hosts passed changes on to others after they had lost the platform, and did not count time for which they were suspended, so that a removed key could be taken for a valid one. The lag of such knowledge was taken as one margin; it is two. - Items of jobs that were stored before there were teams sent their key to the server. - An empty string among the keys made requests without a key valid. - An anonymous route for jobs let unknown keys read jobs without a team, and answered 404 instead of 401. Keys known to an outdated host were named to the servers of anonymous routes. - Without teams, jobs of former teams did not count towards the limit of a route, and their submission could not be repeated. - Two submissions at one host at the same time each found room for the same tokens. - Readiness checks counted as refused requests. The end of the state was not logged when a configuration removed all teams. - Representations of stored objects, requests and items showed keys. Change: mends these. A strict bound shortens the watches where they would leave too short an age. Stored items name their team for hosts of the former release.

--- a/features/builders_forward.py
+++ b/features/builders_forward.py
@@ -342,7 +342,11 @@
 ) -> ItemRunTools:
     """Return the dependencies of runs of items."""
     return ItemRunTools(
-        server_pool, prompt_guard(), server_limits(), clock or ManualClock()
+        server_pool,
+        prompt_guard(),
+        server_limits(),
+        clock or ManualClock(),
+        SnapshotCell(RouteTable()),
     )
 
 
--- a/features/builders_forward_watches.py
+++ b/features/builders_forward_watches.py
@@ -8,6 +8,7 @@
 from features import builders_forward as build
 from features.builders_batch_platform import MemoryPlatform, MemoryStore
 from guavadyke.adapters import peer_calls as calls
+from guavadyke.adapters.clock import SuspendAwareClock
 from guavadyke.adapters.platform_fallback import FallbackStore
 from guavadyke.adapters.ports import ObjectEvent, StoredObject, WatchAnswer
 from guavadyke.adapters.shared_watches import (
@@ -129,7 +130,7 @@
     def _host(self, name: str, seed: int) -> WatchingHost:
         link = MemoryStore(self.platform)
         link.faults.waits = False
-        hub = WatchHub(_MARGIN_S)
+        hub = WatchHub(_MARGIN_S, SuspendAwareClock())
 
         def plan(kind: str) -> tuple[bool, tuple[str, ...]]:
             found = plan_watch(kind, name, self.hosts)
--- a/features/steps/forward_silent_platform_steps.py
+++ b/features/steps/forward_silent_platform_steps.py
@@ -13,6 +13,7 @@
 from features import builders_users_platform as users
 from features.builders_batch_platform import MemoryPlatform, MemoryStore
 from guavadyke.adapters import peer_calls as calls
+from guavadyke.adapters.clock import SuspendAwareClock
 from guavadyke.adapters.platform_relay import PlatformRelay
 from guavadyke.adapters.ports import ObjectListing, WatchAnswer
 from guavadyke.adapters.shared_watches import WatchHub
@@ -85,8 +86,12 @@
 
 @given('a host that answers others what it hears from the platform')
 def step_source(context: Context) -> None:
-    context.hub = WatchHub(_MARGIN_S)
-    context.hub.record(calls.WatchQuery(_KIND, 1, _WAIT_S), WatchAnswer(1, ()))
+    context.hub = WatchHub(_MARGIN_S, SuspendAwareClock())
+    context.hub.record(
+        calls.WatchQuery(_KIND, 1, _WAIT_S),
+        WatchAnswer(1, ()),
+        context.hub.now(),
+    )
 
 
 @when('it has heard nothing for longer than a watch takes')
--- a/features/steps/forward_watches_steps.py
+++ b/features/steps/forward_watches_steps.py
@@ -169,7 +169,7 @@
 def step_server(context: Context) -> None:
     clock = SuspendAwareClock()
     authenticator = MessageAuthenticator(b'key of the fleet')
-    context.hub = WatchHub(60)
+    context.hub = WatchHub(60, clock)
     sockets = bind_sockets(
         ListenSettings.model_validate({'ip': '127.0.0.1', 'port': 0})
     )
@@ -196,6 +196,7 @@
         context.hub.record(
             calls.WatchQuery(KIND, number - 1, 1),
             WatchAnswer(number, (change(number),)),
+            context.hub.now(),
         )
         answer = context.peers.watch(
             calls.WatchQuery(KIND, revision, 1), (context.address,)
--- a/guavadyke/adapters/ports.py
+++ b/guavadyke/adapters/ports.py
@@ -43,7 +43,8 @@
     kind: str
     name: str
     version: int
-    body: bytes
+    # The configuration contains keys, which no representation may show.
+    body: bytes = dataclasses.field(repr=False)
     writers: tuple[str, ...] = ()
 
 
@@ -222,7 +223,9 @@
     no byte of the answer has come in ``first_byte_timeout_s``, it calls
     ``wait_longer_s``, which returns for how many seconds more to wait, 0 to
     give the call up as silent; such a call may take ``gap_timeout_s`` to send.
-    ``team`` names the team that the request belongs to, empty for none.
+    ``team`` names the team that the request belongs to, empty for none;
+    ``names_team`` is whether the host states the team, so that the server gets
+    no headers of the caller that do.
     """
 
     request_id: str
@@ -244,6 +247,7 @@
     observe_data: Callable[[int], object] | None = None
     wait_longer_s: Callable[[], float] | None = None
     team: str = ''
+    names_team: bool = False
 
 
 class BackendAnswer(Protocol):
--- a/guavadyke/adapters/shared_watches.py
+++ b/guavadyke/adapters/shared_watches.py
@@ -10,7 +10,7 @@
 
 from guavadyke.adapters import peer_calls as calls
 from guavadyke.adapters.peer_rpc import PeerChannels
-from guavadyke.adapters.ports import WatchAnswer
+from guavadyke.adapters.ports import Clock, WatchAnswer
 from guavadyke.decisions.change_log import ChangeLog
 from guavadyke.errors import (
     ErrorCode,
@@ -37,20 +37,39 @@
     Args:
         margin_s: seconds by which the next answer of a watch may be late;
             after that this host no longer knows whether something changed.
+        clock: dates the answers; time for which the machine is suspended
+            counts.
     """
 
-    def __init__(self, margin_s: float) -> None:
+    def __init__(self, margin_s: float, clock: Clock) -> None:
         self._margin_s = margin_s
+        self._clock = clock
         self._valid_until: dict[str, float] = {}
         self._changed = threading.Condition()
         self._logs: dict[str, ChangeLog] = collections.defaultdict(ChangeLog)
 
-    def record(self, query: calls.WatchQuery, answer: WatchAnswer) -> None:
-        """Add the answer to a direct watch; the next one has to follow."""
+    def now(self) -> float:
+        """Return the time in seconds by which answers are dated."""
+        return self._clock.monotonic()
+
+    def record(
+        self, query: calls.WatchQuery, answer: WatchAnswer, asked_at: float
+    ) -> None:
+        """Add the answer to a direct watch; the next one has to follow.
+
+        A host that was suspended reads an answer long after it was sent, so
+        an answer counts for no later than the end of the wait.
+
+        Args:
+            query: the watch.
+            answer: its answer.
+            asked_at: time of ``now`` at which the watch began.
+        """
+        answered_at = min(self.now(), asked_at + query.wait_s)
         with self._changed:
             self._logs[query.kind].record(query.revision, answer)
             self._valid_until[query.kind] = (
-                time.monotonic() + query.wait_s + self._margin_s
+                answered_at + query.wait_s + self._margin_s
             )
             self._changed.notify_all()
 
@@ -62,7 +81,12 @@
                 self._changed.notify_all()
 
     def answer(self, query: calls.WatchQuery) -> calls.PeerReply:
-        """Wait for changes of a kind; the answer may be empty or an error."""
+        """Wait for changes of a kind; the answer may be empty or an error.
+
+        Changes that this host learned before it lost the platform or was
+        suspended are not passed on: who gets them would take them for the
+        present state.
+        """
         until = time.monotonic() + min(query.wait_s, _MAX_PEER_WAIT_S)
         with self._changed:
             log = self._logs[query.kind]
@@ -72,7 +96,9 @@
                 if left_s <= 0 or not self._changed.wait(left_s):
                     break
                 found = log.changes_after(query.revision)
-            if found is None and self._knows(query.kind):
+            if not self._knows(query.kind):
+                found = None
+            elif found is None:
                 found = WatchAnswer(query.revision, ())
         if found is None:
             return calls.PeerReply(
@@ -92,7 +118,7 @@
     def _knows(self, kind: str) -> bool:
         """Return whether this host would know of a change by now."""
         valid_until = self._valid_until.get(kind, 0)
-        return self._logs[kind].current and time.monotonic() <= valid_until
+        return self._logs[kind].current and self.now() <= valid_until
 
 
 class PeerWatches:
@@ -221,6 +247,7 @@
         direct: Callable[[calls.WatchQuery], WatchAnswer],
         addresses: tuple[str, ...],
     ) -> WatchAnswer:
+        asked_at = self._hub.now()
         try:
             answer = direct(query)
         except GuavadykeError:
@@ -230,7 +257,7 @@
             if through_peer is None or through_peer.expired:
                 raise
             return through_peer
-        self._hub.record(query, answer)
+        self._hub.record(query, answer, asked_at)
         return answer
 
     def _probe(
--- a/guavadyke/controllers/forward_job_api.py
+++ b/guavadyke/controllers/forward_job_api.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Mapping
 
 from guavadyke.adapters.ports import Clock, PeerMessenger
 from guavadyke.controllers.forward_job_registry import JobRegistry
 from guavadyke.controllers.forward_job_store import JobStore
 from guavadyke.controllers.host_abilities import HostAbilities
 from guavadyke.controllers.job_end_notices import JobEndNotices
+from guavadyke.controllers.job_submissions import JobSubmissions
 from guavadyke.decisions.forward_job_ownership import check_quota, choose_owner
 from guavadyke.decisions.forward_job_records import (
     AcceptedJob,
     ForwardItem,
     ForwardItemResult,
     JobProgress,
+    JobView,
     listings,
     results_after,
 )
@@ -67,6 +70,7 @@
 
     def __init__(self, parts: JobApiParts) -> None:
         self._parts = parts
+        self._submissions = JobSubmissions()
         self._ends = JobEndNotices(
             parts.host_id, parts.registry, parts.messenger, parts.logger
         )
@@ -81,7 +85,7 @@
         route: ForwardRoute,
         host: str,
         items: tuple[ForwardItem, ...],
-        team: str = '',
+        team: str | None = None,
     ) -> None:
         """Accept a job and store it on the platform.
 
@@ -93,7 +97,8 @@
             route: the route that it was submitted to.
             host: host name of the caller's request.
             items: the items of the job.
-            team: name of the team that submits it, empty for none.
+            team: name of the team that submits it, empty for none; None
+                where the configuration has no teams.
 
         Raises:
             GuavadykeError: ``limit_exceeded`` (the route's token quota) or
@@ -125,31 +130,22 @@
                 self._parts.abilities.unable(),
             ),
             items=items,
-            team=team,
+            team=team or '',
         )
-        verdict = check_quota(
-            route.name,
-            job.tokens,
-            route.waiting_tokens,
-            views,
-            team,
-        )
-        if not verdict.fits:
-            self._raise_over_quota(job, verdict.excess)
-        created = self._parts.store.create(job)
-        self._parts.logger.info(
-            'job_accepted',
-            job_id=job_id,
-            route=route.name,
-            items=len(items),
-            tokens=job.tokens,
-            owner=job.owner,
-            created=created,
-        )
-        if created:
-            registry.accepted(job)
-        elif team:
-            _check_same_team(self._find_job(job_id), team)
+
+        def check(submitted: Mapping[str, JobView]) -> None:
+            verdict = check_quota(
+                route.name,
+                job.tokens,
+                route.waiting_tokens,
+                {**submitted, **registry.views()},
+                team,
+            )
+            if not verdict.fits:
+                self._raise_over_quota(job, verdict.excess)
+
+        with self._submissions.admitted(job, check):
+            self._create(job, team)
 
     def results(
         self, job_id: str, after: int, team: str | None = None
@@ -224,6 +220,39 @@
         self._ends.tell(job_id)
         self._parts.logger.info('job_cancelled', job_id=job_id)
 
+    def route_without_team(self, job_id: str) -> str | None:
+        """Return the route of a job that has no team.
+
+        Args:
+            job_id: the job's id.
+
+        Returns:
+            The route's name, None if the job has a team or does not exist.
+
+        Raises:
+            GuavadykeError: ``platform_unavailable`` if the platform cannot be
+                read and this host does not know the job.
+        """
+        view = self._parts.registry.view(job_id)
+        job = self._read_job(job_id) if view is None else view.job
+        return None if job is None or job.team else job.route
+
+    def _create(self, job: AcceptedJob, team: str | None) -> None:
+        created = self._parts.store.create(job)
+        self._parts.logger.info(
+            'job_accepted',
+            job_id=job.job_id,
+            route=job.route,
+            items=len(job.items),
+            tokens=job.tokens,
+            owner=job.owner,
+            created=created,
+        )
+        if created:
+            self._parts.registry.accepted(job)
+        elif team is not None:
+            _check_same_team(self._find_job(job.job_id), team)
+
     def _find_job(self, job_id: str, team: str | None = None) -> AcceptedJob:
         view = self._parts.registry.view(job_id)
         job = self._read_job(job_id) if view is None else view.job
@@ -284,7 +313,7 @@
         )
 
 
-def _check_same_team(job: AcceptedJob, team: str) -> None:
+def _check_same_team(job: AcceptedJob, team: str | None) -> None:
     """Check that a job that exists was submitted by the same team.
 
     Raises:
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -144,7 +144,11 @@
             parts.settings, parts.fleet, parts.abilities, self._writer
         )
         self._run_tools = ItemRunTools(
-            parts.pool, parts.prompts, parts.limits, parts.clock
+            parts.pool,
+            parts.prompts,
+            parts.limits,
+            parts.clock,
+            parts.table,
         )
         self._silent_items = SilentItems(
             parts.pool, parts.settings.forward.item_silence_s
--- a/guavadyke/controllers/item_run.py
+++ b/guavadyke/controllers/item_run.py
@@ -23,9 +23,11 @@
 from guavadyke.controllers.server_limits import ServerLimits
 from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.decisions.forward_job_records import AcceptedJob, ForwardItem
+from guavadyke.decisions.forward_routes import RouteTable
 from guavadyke.decisions.server_registry import ServerLease
 from guavadyke.decisions.server_sent_events import EventOrderError, EventParser
 from guavadyke.settings import ForwardSettings
+from guavadyke.snapshots import SnapshotCell
 
 # A run without an event for this time is given up. It is longer than the time
 # an item may wait for a slot at a server that has just been filled.
@@ -90,13 +92,14 @@
 
     A run releases its slot to ``pool``, tells ``prompts`` whether its server
     has ended, and asks ``limits`` whether its server takes it; ``clock``
-    dates its last event.
+    dates its last event; ``table`` tells whether there are teams.
     """
 
     pool: ServerPool
     prompts: PromptGuard
     limits: ServerLimits
     clock: Clock
+    table: SnapshotCell[RouteTable]
 
 
 class ItemRun:
@@ -296,6 +299,9 @@
             observe_data=self._record_data,
             wait_longer_s=self._wait_longer_s,
             team=self._team,
+            # Items that were accepted by an older release or before there
+            # were teams still have the headers of their caller.
+            names_team=bool(self._tools.table.current.teams),
         )
 
 
--- a/guavadyke/controllers/key_trust.py
+++ b/guavadyke/controllers/key_trust.py
@@ -13,6 +13,8 @@
 from guavadyke.settings import PlatformSettings
 from guavadyke.snapshots import SnapshotCell
 
+# A host that is in contact with the platform makes about one watch in this
+# time, after which it trusts its keys again.
 _RETRY_AFTER_S = 1.0
 
 
@@ -49,19 +51,17 @@
     @property
     def trusted(self) -> bool:
         """Whether requests under keys may be served now."""
-        if not self._strict or not self._table.current.teams:
+        if not self._strict:
             return True
-        age_s = self._mirror.age_s
-        trusted = age_s <= self._longest_age_s
         with self._lock:
+            age_s = self._mirror.age_s
+            trusted = (
+                age_s <= self._longest_age_s or not self._table.current.teams
+            )
             changed = trusted is not self._trusted
             self._trusted = trusted
         if changed:
-            self._logger.warning(
-                'keys_trusted' if trusted else 'keys_not_trusted',
-                age_s=round(age_s, 3),
-                longest_age_s=round(self._longest_age_s, 3),
-            )
+            self._log_change(age_s, trusted=trusted)
         return trusted
 
     def check(self) -> None:
@@ -78,3 +78,10 @@
                 'keys are valid',
                 retry_after_s=_RETRY_AFTER_S,
             )
+
+    def _log_change(self, age_s: float, *, trusted: bool) -> None:
+        self._logger.warning(
+            'keys_trusted' if trusted else 'keys_not_trusted',
+            age_s=round(age_s, 3),
+            longest_age_s=round(self._longest_age_s, 3),
+        )
--- a/guavadyke/decisions/forward_job_ownership.py
+++ b/guavadyke/decisions/forward_job_ownership.py
@@ -172,7 +172,7 @@
     tokens: int,
     limit: int,
     jobs: Mapping[str, JobView],
-    team: str = '',
+    team: str | None = None,
 ) -> QuotaCheck:
     """Check a new job against the limit of waiting tokens of its route.
 
@@ -181,12 +181,13 @@
         tokens: total tokens of the new job.
         limit: tokens of a team that may wait on the route; 0 for no limit.
         jobs: all known jobs by id.
-        team: name of the team that submits the job, empty for none.
+        team: name of the team that submits the job, empty for none; None
+            where there are no teams, so that the jobs of all count.
     """
     waiting = sum(
         view.waiting_tokens
         for view in jobs.values()
-        if view.job.route == route and view.job.team == team
+        if view.job.route == route and team in {None, view.job.team}
     )
     excess = waiting + tokens - limit
     if limit <= 0 or excess <= 0:
--- a/guavadyke/decisions/forward_job_records.py
+++ b/guavadyke/decisions/forward_job_records.py
@@ -26,7 +26,8 @@
 
     item_id: str
     path: str
-    headers: Mapping[str, str]
+    # Headers of an older release may contain a key, which is not shown.
+    headers: Mapping[str, str] = dataclasses.field(repr=False)
     body: bytes
     tokens: int
     prompt_parts: tuple[str, ...] = ()
--- a/guavadyke/decisions/teams.py
+++ b/guavadyke/decisions/teams.py
@@ -45,7 +45,8 @@
     """The teams of one version of the configuration, found by their keys.
 
     Keys are kept only as digests under a secret of this process. What the
-    time of a look-up tells of a digest tells nothing of a key.
+    time of a look-up tells of a digest tells nothing of a key. An empty key
+    belongs to no team.
 
     Args:
         teams: all teams with their keys.
@@ -58,6 +59,7 @@
             self._digest(key): team
             for team, keys in teams.items()
             for key in keys
+            if key
         }
 
     def __bool__(self) -> bool:
--- a/guavadyke/decisions/watch_sharing.py
+++ b/guavadyke/decisions/watch_sharing.py
@@ -23,6 +23,9 @@
 # time to ask another source when one has fallen silent.
 _WAIT_SHARE = 0.5
 _SILENCE_SHARE = 0.2
+# Margins that a source waits for its own next answer before it stops to answer
+# others: it may connect anew and apply changes between two watches.
+_SOURCE_MARGINS = 2
 _NO_ZONES: Mapping[str, Iterable[str]] = types.MappingProxyType({})
 
 
@@ -48,6 +51,16 @@
     wait_s: float
     margin_s: float
 
+    @property
+    def source_margin_s(self) -> float:
+        """How late a source may hear its next answer and answer others."""
+        return _SOURCE_MARGINS * self.margin_s
+
+    @property
+    def longest_lag_s(self) -> float:
+        """How much older than its answer a source's knowledge may be."""
+        return self.wait_s + self.source_margin_s
+
 
 def watch_times(freshness_s: float) -> WatchTimes:
     """Return the times of watches that learn of changes in time.
--- a/guavadyke/filters/base.py
+++ b/guavadyke/filters/base.py
@@ -25,7 +25,8 @@
     method: str
     path: str
     query: Mapping[str, str]
-    headers: Mapping[str, str]
+    # They may contain a key, which no representation may show.
+    headers: Mapping[str, str] = dataclasses.field(repr=False)
     body_input: BinaryIO
     received_at: float
     disconnected: Callable[[], bool]
--- a/guavadyke/filters/team_authentication.py
+++ b/guavadyke/filters/team_authentication.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from guavadyke.controllers.key_trust import KeyTrust
 from guavadyke.controllers.mirror import Mirror
 from guavadyke.decisions.forward_routes import (
@@ -59,14 +61,19 @@
         if not table.teams:
             return None
         team = table.teams.find(key)
-        if route.anonymous:
-            return team
+        if route.anonymous and team is None:
+            return None
         self.trust.check()
         if team is None:
             raise self._unknown_key()
         return team
 
-    def team_of_job_call(self, table: RouteTable, key: str) -> str | None:
+    def team_of_job_call(
+        self,
+        table: RouteTable,
+        key: str,
+        route_without_team: Callable[[], str | None],
+    ) -> str | None:
         """Return the team whose jobs a caller may read and cancel.
 
         An old configuration does not end access to jobs that are accepted.
@@ -74,24 +81,29 @@
         Args:
             table: the configuration in force.
             key: the key of the call, empty without one.
+            route_without_team: returns the name of the route of the job, None
+                if it has a team or does not exist.
 
         Returns:
-            The team's name; empty for jobs of anonymous routes only; None
-            for the jobs of all, where the configuration has no teams.
+            The team's name; empty for jobs without a team only; None for the
+            jobs of all, where the configuration has no teams.
 
         Raises:
-            GuavadykeError: ``unauthenticated``, no team holds the key and no
-                route takes jobs without one.
+            GuavadykeError: ``unauthenticated``, no team holds the key and the
+                job is not one of an anonymous route;
+                ``platform_unavailable`` if that cannot be told.
         """
         if not table.teams:
             return None
         team = table.teams.find(key)
         if team is not None:
             return team.name
-        if any(
-            route.anonymous and route.kind is RouteKind.batch
+        anonymous = {
+            route.name
             for route in table.routes
-        ):
+            if route.anonymous and route.kind is RouteKind.batch
+        }
+        if anonymous and route_without_team() in anonymous:
             return ''
         raise self._unknown_key()
 
--- a/guavadyke/forward_peers.py
+++ b/guavadyke/forward_peers.py
@@ -37,8 +37,6 @@
 from guavadyke.snapshots import CatalogueSnapshot, FleetSnapshot, SnapshotCell
 
 _ALIVE = 'alive'
-# A watching host may connect anew and apply changes between two watches.
-_HUB_MARGINS = 2
 
 
 class RoutedBackendServers(BackendServers, Protocol):
@@ -93,7 +91,7 @@
         self._zone = settings.zone
         self._fleet = fleet
         self._watch_hub = WatchHub(
-            _HUB_MARGINS * watch_times(settings.platform.freshness_s).margin_s
+            watch_times(settings.platform.freshness_s).source_margin_s, clock
         )
         self.abilities = HostAbilities(
             settings.host_id, fleet, self._messenger, clock, logger
--- a/guavadyke/platform/caller_port.py
+++ b/guavadyke/platform/caller_port.py
@@ -31,7 +31,11 @@
 from guavadyke.filters.forward_attempt import ForwardRequest
 from guavadyke.forward_host import ForwardHost
 from guavadyke.http_application import Route, json_answer, read_body
-from guavadyke.platform.engine_adapter import TEAM_HEADER
+from guavadyke.platform.engine_adapter import (
+    CREDENTIALS_HEADER,
+    TEAM_HEADERS,
+    team_headers,
+)
 from guavadyke.settings import validation_findings
 
 _READY_PATTERN = '/api/readyz'
@@ -46,10 +50,7 @@
 _LAST_EVENT_HEADER = 'last-event-id'
 _BEGAN_AS_HEADER = 'resumes'
 _PROMPT_PREFIX_HEADER = 'prompt-prefix'
-_CREDENTIALS_HEADER = 'authorization'
 _CREDENTIALS_SCHEME = 'token'
-# Where there are teams, the host sets the team and servers see no key.
-_TEAM_HEADERS = frozenset((_CREDENTIALS_HEADER, TEAM_HEADER))
 # Headers of one connection, and headers that are set again per attempt.
 _UNFORWARDED_HEADERS = frozenset((
     'accept-encoding',
@@ -142,20 +143,23 @@
     ) -> Answer:
         items = _parse_items(exchange.body)
         if caller.table.teams:
-            items = tuple(map(_without_team_headers, items))
+            items = tuple(
+                _item_of_team(item, caller.team_name) for item in items
+            )
         self._job_api.submit(
             _request_id(exchange),
             route,
             host,
             items,
-            caller.team_name,
+            caller.team_name if caller.table.teams else None,
         )
         return json_answer({}, status=_HTTP_ACCEPTED)
 
     def _read_results(self, exchange: Exchange) -> Answer:
-        team = self._team_of_job_call(exchange)
+        job_id = exchange.path_parts['job']
+        team = self._team_of_job_call(exchange, job_id)
         after = _parse_number(exchange.query.get('After', '0'), 'After')
-        page = self._job_api.results(exchange.path_parts['job'], after, team)
+        page = self._job_api.results(job_id, after, team)
         return json_answer({
             'Total': page.total,
             'Next': after + len(page.listings),
@@ -163,22 +167,21 @@
         })
 
     def _read_body(self, exchange: Exchange) -> Answer:
-        body = self._job_api.body(
-            exchange.path_parts['job'],
-            exchange.query.get('Id', ''),
-            self._team_of_job_call(exchange),
-        )
+        job_id = exchange.path_parts['job']
+        team = self._team_of_job_call(exchange, job_id)
+        body = self._job_api.body(job_id, exchange.query.get('Id', ''), team)
         return Answer(200, body, _BINARY_CONTENT_TYPE)
 
     def _cancel(self, exchange: Exchange) -> Answer:
-        self._job_api.cancel(
-            exchange.path_parts['job'], self._team_of_job_call(exchange)
-        )
+        job_id = exchange.path_parts['job']
+        self._job_api.cancel(job_id, self._team_of_job_call(exchange, job_id))
         return json_answer({})
 
-    def _team_of_job_call(self, exchange: Exchange) -> str | None:
+    def _team_of_job_call(self, exchange: Exchange, job_id: str) -> str | None:
         return self._host.authentication.team_of_job_call(
-            self._route_table(), _key(exchange)
+            self._route_table(),
+            _key(exchange),
+            lambda: self._job_api.route_without_team(job_id),
         )
 
     def _route_table(self) -> RouteTable:
@@ -224,7 +227,11 @@
                 ErrorCode.not_ready,
                 'startup is incomplete, so nothing can be served yet',
             )
-        self._host.authentication.trust.check()
+        if not self._host.keys_trusted:
+            raise GuavadykeError(
+                ErrorCode.not_ready,
+                'the configuration known here may be too old',
+            )
         return json_answer({'ready': True})
 
 
@@ -239,7 +246,7 @@
     def unforwarded_headers(self) -> frozenset[str]:
         """Names of the headers that servers must not get."""
         if self.table.teams:
-            return _UNFORWARDED_HEADERS | _TEAM_HEADERS
+            return _UNFORWARDED_HEADERS | TEAM_HEADERS
         return _UNFORWARDED_HEADERS
 
     @property
@@ -251,7 +258,7 @@
         """Return what tells the caller of a request from others."""
         if self.table.teams:
             return self.team_name
-        return exchange.headers.get(_CREDENTIALS_HEADER, '')
+        return exchange.headers.get(CREDENTIALS_HEADER, '')
 
 
 def _forward_request(
@@ -288,18 +295,22 @@
 
 def _key(exchange: Exchange) -> str:
     """Return the key that a request carries, empty if it has none."""
-    credentials = exchange.headers.get(_CREDENTIALS_HEADER, '')
-    scheme, _space, key = credentials.partition(' ')
+    credentials = exchange.headers.get(CREDENTIALS_HEADER, '')
+    scheme, key = (*credentials.split(maxsplit=1), '', '')[:2]
     return key.strip() if scheme.lower() == _CREDENTIALS_SCHEME else ''
 
 
-def _without_team_headers(item: ForwardItem) -> ForwardItem:
+def _item_of_team(item: ForwardItem, team: str) -> ForwardItem:
+    """Return an item whose headers name its team and no key.
+
+    A host of an older release that runs the item sends these headers.
+    """
     headers = {
         name: text
         for name, text in item.headers.items()
-        if name.lower() not in _TEAM_HEADERS
+        if name.strip().lower() not in TEAM_HEADERS
     }
-    return dataclasses.replace(item, headers=headers)
+    return dataclasses.replace(item, headers={**headers, **team_headers(team)})
 
 
 def _identity(exchange: Exchange, caller: str) -> RequestIdentity:
--- a/guavadyke/platform/configuration.py
+++ b/guavadyke/platform/configuration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import types
+from collections.abc import Iterable
 
 import pydantic
 
@@ -115,9 +116,7 @@
             version=document.version,
             routes=tuple(map(_decode_route, document.routes)),
             limits=_decode_limits(document.limits),
-            teams=TeamDirectory({
-                _decode_team(team): team.keys for team in document.teams
-            }),
+            teams=_decode_teams(document.teams),
         )
 
 
@@ -144,6 +143,15 @@
     )
 
 
+def _decode_teams(specs: Iterable[_TeamSpec]) -> TeamDirectory:
+    """Return the teams; one that is listed twice has the keys of both."""
+    keys: dict[Team, tuple[str, ...]] = {}
+    for spec in specs:
+        team = _decode_team(spec)
+        keys[team] = (*keys.get(team, ()), *spec.keys)
+    return TeamDirectory(keys)
+
+
 def _decode_team(team: _TeamSpec) -> Team:
     return Team(
         name=team.name,
--- a/guavadyke/platform/engine_adapter.py
+++ b/guavadyke/platform/engine_adapter.py
@@ -33,8 +33,10 @@
 _SUCCESS_STATUSES = range(200, 300)
 # Statuses that tell a caller that the request did not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-TEAM_HEADER = 'tenant-id'
-_TEAM_HEADERS = frozenset((TEAM_HEADER,))
+_TEAM_HEADER = 'Tenant-Id'
+CREDENTIALS_HEADER = 'authorization'
+# Where there are teams, the host states the team and servers see no key.
+TEAM_HEADERS = frozenset((CREDENTIALS_HEADER, _TEAM_HEADER.lower()))
 _MANAGED_HEADERS = frozenset((
     'deadline-ms',
     'expect-instance',
@@ -112,14 +114,15 @@
 
     def request_headers(self, call: BackendCall) -> Mapping[str, str]:
         """Return the headers of a request."""
-        managed = _MANAGED_HEADERS.union(_TEAM_HEADERS if call.team else ())
+        managed = _MANAGED_HEADERS
+        if call.names_team or call.team:
+            managed = managed.union(TEAM_HEADERS)
         headers = {
             name: text
             for name, text in call.headers.items()
-            if name.lower() not in managed
+            if name.strip().lower() not in managed
         }
-        if call.team:
-            headers['Tenant-Id'] = call.team
+        headers.update(team_headers(call.team))
         if call.request_id:
             headers['Request-Id'] = call.request_id
         if call.server_id:
@@ -162,4 +165,14 @@
         return ''
 
 
+def team_headers(team: str) -> Mapping[str, str]:
+    """Return the headers that name a team, none without one.
+
+    Header values are sent in Latin-1, so that this sends UTF-8.
+    """
+    if not team:
+        return {}
+    return {_TEAM_HEADER: team.encode().decode('latin-1')}
+
+
 _IDENTITY_ENCODING = types.MappingProxyType({'Accept-Encoding': 'identity'})
--- a/guavadyke/platform/settings_file.py
+++ b/guavadyke/platform/settings_file.py
@@ -8,6 +8,7 @@
 
 import pydantic
 
+from guavadyke.decisions.key_revocation import watch_freshness_s
 from guavadyke.errors import ErrorCode, Finding, GuavadykeError
 from guavadyke.settings import (
     CallerSettings,
@@ -164,12 +165,15 @@
         settings_file.number('Bounds.ConfigApplyMs', _DEFAULT_BOUND_MS),
         settings_file.number('Bounds.DrainMs', _DEFAULT_BOUND_MS),
     )
-    return min(bounds_ms) / _MS_PER_S
+    return watch_freshness_s(
+        _revocation_s(settings_file), min(bounds_ms) / _MS_PER_S
+    )
 
 
 def _revocation_s(settings_file: SettingsFile) -> float:
     """Return the bound on removed keys, 0 where it is not strict."""
-    if settings_file.values.get('Bounds.StrictRevoke') != 'true':
+    strict = settings_file.values.get('Bounds.StrictRevoke', '')
+    if strict.strip().lower() != 'true':
         return 0
     return settings_file.number('Bounds.RevokeMs') / _MS_PER_S
 
