Test teams, their keys and strict revocation

Cause: the authentication of teams had no tests. Change: scenarios of the decisions without a network, and of daemons beside the stand-in store and engines.

--- a/features/builders_forward_processes.py
+++ b/features/builders_forward_processes.py
@@ -119,6 +119,8 @@
     ) -> None:
         self._root = root
         self.store = users.UsersStore()
+        # Changes of the settings of daemons that are started.
+        self.settings: dict[str, str] = {}
         self.engines: list[users.UsersEngine] = []
         self.daemons: list[DaemonProcess] = []
         self._module = module
@@ -171,6 +173,7 @@
                 PortRange=str(self._peer_port),
                 Seeds='127.0.0.1:1,127.0.0.2:1',
                 Provider__Address=self.store.address,
+                **self.settings,
             ),
             encoding='utf-8',
         )
