--- a/guavadyke/platform/settings_file.py
+++ b/guavadyke/platform/settings_file.py
@@ -8,6 +8,7 @@
 
 import pydantic
 
+from guavadyke.decisions.key_revocation import watch_freshness_s
 from guavadyke.errors import ErrorCode, Finding, GuavadykeError
 from guavadyke.settings import (
     CallerSettings,
@@ -124,6 +125,7 @@
                 call_timeout_s=_CALL_TIMEOUT_S,
                 watch_wait_s=_WATCH_WAIT_S,
                 freshness_s=_freshness_s(settings_file),
+                revocation_s=_revocation_s(settings_file),
                 job_end_s=settings_file.number(
                     'Bounds.CancelMs', _DEFAULT_CANCEL_MS
                 )
@@ -163,7 +165,17 @@
         settings_file.number('Bounds.ConfigApplyMs', _DEFAULT_BOUND_MS),
         settings_file.number('Bounds.DrainMs', _DEFAULT_BOUND_MS),
     )
-    return min(bounds_ms) / _MS_PER_S
+    return watch_freshness_s(
+        _revocation_s(settings_file), min(bounds_ms) / _MS_PER_S
+    )
+
+
+def _revocation_s(settings_file: SettingsFile) -> float:
+    """Return the bound on removed keys, 0 where it is not strict."""
+    strict = settings_file.values.get('Bounds.StrictRevoke', '')
+    if strict.strip().lower() != 'true':
+        return 0
+    return settings_file.number('Bounds.RevokeMs') / _MS_PER_S
 
 
 def _stop_settings(settings_file: SettingsFile) -> StopSettings:
