Let the stand-in read a whole request before it ends its answer

The reset in "an answer without a length whose engine ends its connection is whole" came from the stand-in, not from the relay. The head and the body of the request arrive apart; where the stand-in had received only the head when it closed, the kernel turned its close into a reset because of the 4 unread bytes, and the relay passed that on, as it has to.

The scenario is as strict as before: the engine ends its connection in order, and the answer has to be whole.

--- a/features/builders_stranded.py
+++ b/features/builders_stranded.py
@@ -11,6 +11,7 @@
 import threading
 import time
 from collections.abc import Callable
+from http.client import parse_headers
 
 from urllib3.connection import HTTPConnection
 
@@ -35,7 +36,6 @@
 _ZONE = 'south-a'
 _TIMEOUT_S = 2.0
 _CONNECT_TIMEOUT_S = 0.1
-_MAX_REQUEST_BYTES = 65_536
 
 
 class ResettingEngine(users.UsersEngine):
@@ -80,7 +80,8 @@
         connection, _address = self._socket.accept()
         head, event = users.answer_parts('to the end')
         with connection, contextlib.suppress(OSError):
-            connection.recv(_MAX_REQUEST_BYTES)
+            # Unread bytes of the request would turn the end into a reset.
+            _read_request(connection)
             connection.sendall(head + event)
             self.paused.set()
             self._ended.wait(_TIMEOUT_S)
@@ -234,6 +235,14 @@
         return _SilentConnection('127.0.0.1', timeout=timeout_s)
 
 
+def _read_request(connection: socket.socket) -> None:
+    """Read a whole request, whose head and body may come apart."""
+    with connection.makefile('rb') as request:
+        request.readline()
+        headers = parse_headers(request)
+        request.read(int(headers['Content-Length']))
+
+
 def _wait_in_vain(_call: object) -> None:
     time.sleep(_CONNECT_TIMEOUT_S)
 
