Renew the claim of a trial while its run lasts

A claim to try a quarantined part lapsed 5 s after it was made, also while its request waited at an engine, so that another host could begin the next trial. The claimer now writes it again 1.5 s after each write until the run has ended. Nothing renews it after that, so it lapses within 5 s; a run that an unexpected error ended is recognized by its lease, which no longer exists. A host begins no further trial of a part while its own run lasts. A lease that is given back because too little time is left returns its claim too.

The scenario moved the clock by 7 s at once, in which no host ran, and began a trial without a server, so that no implementation could have renewed anything. It now sends the request to a server, lets the claimers of all 20 hosts run for 7 s, and again for 60 s; all hosts have to refuse the part each time. New scenarios hold the lapse after the end of the run, its loss, the loss of the host and the loss of the platform.

--- a/features/builders_prompt_guards.py
+++ b/features/builders_prompt_guards.py
@@ -19,6 +19,7 @@
 from guavadyke.controllers.mirror import Mirror, MirrorSettings
 from guavadyke.controllers.prompt_guard import GuardedRun, PromptGuard
 from guavadyke.controllers.server_pool import ServerPool
+from guavadyke.decisions.server_registry import ServerLease
 from guavadyke.errors import PlatformUnavailableError
 from guavadyke.forward_prompts import ForwardPrompts
 from guavadyke.log import EventLogger
@@ -239,8 +240,24 @@
         """
         for name in hosts or self.hosts:
             self.hosts[name].claimer.claim_wanted()
+            self.hosts[name].claimer.renew_due()
         self.read()
 
+    def try_at_server(
+        self, host_id: str, parts: tuple[str, ...]
+    ) -> ServerLease | None:
+        """Send a request with these parts; its answer is not awaited.
+
+        Returns:
+            The server that it was sent to, None if the host refuses it.
+        """
+        trials = self.hosts[host_id].guard.trials
+        trials.allows(self.hosts[host_id].guard.check(parts))
+        self.claim()
+        lease = ServerLease(build.server('s1'), False, self.clock.monotonic())
+        found = self.hosts[host_id].guard.check(parts)
+        return lease if trials.begins(found, lease) else None
+
     def read(self) -> None:
         """Let every host read what is on the platform."""
         for mirror in self._mirrors.values():
--- a/features/forward_prompts.feature
+++ b/features/forward_prompts.feature
@@ -208,9 +208,46 @@
     Given 20 hosts where requests with the part "shared" have completed
     When 3 servers end under a prompt of "shared,bad"
     And 8 seconds pass
-    Then "host-3" tries "shared,bad"
-    When 7 seconds pass
+    And "host-3" sends a request with "shared,bad" that is not answered yet
+    And 7 seconds pass in which the claimers of all hosts run
     Then all hosts refuse a prompt of "shared,bad"
+    When 60 seconds pass in which the claimers of all hosts run
+    Then all hosts refuse a prompt of "shared,bad"
+
+  # Guards against a claim that keeps a part from being tried for good.
+  Scenario Outline: a claim lapses 5 seconds after <event>
+    Given 20 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    And 8 seconds pass
+    And "host-3" sends a request with "shared,bad" that is not answered yet
+    And 7 seconds pass in which the claimers of all hosts run
+    And <event>
+    And 3 seconds pass in which the claimers of all hosts run
+    Then all hosts refuse a prompt of "shared,bad"
+    When 3 seconds pass in which the claimers of all hosts run
+    Then all hosts but one refuse a prompt of "shared,bad"
+
+    Examples:
+      | event                                 |
+      | its run ends without an answer        |
+      | its run is ended by an unexpected error |
+      | its host starts anew                  |
+      | its host alone loses the platform     |
+
+  # Guards against a second trial at one host, and a claim taken from another.
+  Scenario: a host whose claim has lapsed in its run leaves the next one alone
+    Given 20 hosts where requests with the part "shared" have completed
+    When 3 servers end under a prompt of "shared,bad"
+    And 8 seconds pass
+    And "host-3" sends a request with "shared,bad" that is not answered yet
+    And its host alone loses the platform
+    And 6 seconds pass in which the claimers of all hosts run
+    Then the host of the first request does not try "shared,bad"
+    And "host-0" tries "shared,bad"
+    When its host reaches the platform again
+    And 3 seconds pass in which the claimers of all hosts run
+    And 3 seconds pass
+    Then "host-0" tries "shared,bad"
 
   Scenario: callers of a part do not each wait for a platform that is slow
     Given 3 hosts where requests with the part "shared" have completed
--- a/features/steps/forward_prompts_steps.py
+++ b/features/steps/forward_prompts_steps.py
@@ -268,6 +268,51 @@
         link.faults.clear_faults()
 
 
+@when('"{host_id}" sends a request with "{prompt}" that is not answered yet')
+def step_unanswered(context: Context, host_id: str, prompt: str) -> None:
+    context.asking = host_id
+    context.lease = context.guarded.try_at_server(host_id, _split(prompt))
+    assert context.lease is not None
+
+
+@when('{seconds:d} seconds pass in which the claimers of all hosts run')
+def step_claimers_run(context: Context, seconds: int) -> None:
+    for _ in range(seconds):
+        context.guarded.clock.sleep(1)
+        context.guarded.claim()
+
+
+@when('its run ends without an answer')
+def step_run_ends(context: Context) -> None:
+    trials = context.guarded.hosts[context.asking].guard.trials
+    trials.runs.ended(context.lease)
+
+
+@when('its run is ended by an unexpected error')
+def step_run_lost(context: Context) -> None:
+    context.lease = None
+
+
+@when('its host starts anew')
+def step_host_lost(context: Context) -> None:
+    context.guarded.start(context.asking)
+
+
+@when('its host alone loses the platform')
+def step_host_cut(context: Context) -> None:
+    context.guarded.links[context.asking].faults.cut_writes = True
+
+
+@when('its host reaches the platform again')
+def step_host_back(context: Context) -> None:
+    context.guarded.links[context.asking].faults.clear_faults()
+
+
+@then('the host of the first request does not try "{prompt}"')
+def step_first_does_not_try(context: Context, prompt: str) -> None:
+    step_does_not_try(context, context.asking, prompt)
+
+
 @when('"{host_id}" claims a trial of "{prompt}" and starts anew')
 def step_claim(context: Context, host_id: str, prompt: str) -> None:
     fleet = context.guarded
--- a/guavadyke/controllers/item_run.py
+++ b/guavadyke/controllers/item_run.py
@@ -243,6 +243,7 @@
         cancelled = self.cancellation.cancelled
         if failure is not None and failure.not_run:
             self._tools.prompts.trials.not_run(self.lease)
+        self._tools.prompts.trials.runs.ended(self.lease)
         if failure is None or (cancelled and not self._is_server_fault):
             self._tools.pool.release(self.lease)
             return
--- a/guavadyke/controllers/prompt_trial_claimer.py
+++ b/guavadyke/controllers/prompt_trial_claimer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import threading
 
 from guavadyke import prompt_report_documents as documents
@@ -12,6 +13,7 @@
     TrialClaim,
     WantedTrial,
 )
+from guavadyke.controllers.trial_runs import TRIAL_S, OwnClaim
 from guavadyke.errors import GuavadykeError, ObjectConflictError
 from guavadyke.guarded_threads import GuardedThread
 from guavadyke.log import EventLogger
@@ -61,10 +63,16 @@
         for wanted in iter(self._trials.next_wanted, None):
             self._claim(wanted)
 
+    def renew_due(self) -> None:
+        """Renew the claims of trials that run, where that is due."""
+        for due in iter(self._trials.runs.next_renewal, None):
+            self._renew(due)
+
     def _run(self) -> None:
         while not self._stopped.is_set():
             self._trials.wait(_IDLE_S)
             self.claim_wanted()
+            self.renew_due()
 
     def _claim(self, wanted: WantedTrial) -> None:
         began_at = self._clock.monotonic()
@@ -88,19 +96,52 @@
             self._logger.info('prompt_trial_claimed', part=wanted.part)
             self._trials.claimed(wanted.part, stored, began_at)
 
-    def _read_back(self, wanted: WantedTrial) -> None:
-        """Learn the claim that stands, of which no watch may tell again."""
+    def _renew(self, due: OwnClaim) -> None:
+        began_at = self._clock.monotonic()
+        wanted = WantedTrial(due.part, due.stored)
+        try:
+            stored = self._write(wanted)
+        except ObjectConflictError:
+            standing = self._read_back(wanted)
+            if standing is None:
+                self._logger.warning('prompt_trial_claim_lost', part=due.part)
+            self._trials.runs.not_renewed(
+                dataclasses.replace(due, stored=standing or due.stored),
+                lost=standing is None,
+            )
+        except Exception as error:
+            self._logger.warning(
+                'prompt_trial_not_renewed', part=due.part, reason=repr(error)
+            )
+            self._trials.runs.not_renewed(due, lost=False)
+        else:
+            self._trials.runs.renewed(
+                OwnClaim(due.part, stored, began_at + TRIAL_S)
+            )
+            self._trials.learn(
+                TrialClaim(due.part, self._host_id, self._clock.wall()), stored
+            )
+
+    def _read_back(self, wanted: WantedTrial) -> StoredObject | None:
+        """Learn the claim that stands, of which no watch may tell again.
+
+        Returns:
+            The claim if it is this host's own, which an earlier write that
+            was not recorded may have left.
+        """
         name = documents.claim_name(wanted.part)
         try:
             stored = self._store.read(documents.REPORT_KIND, name)
             claim = stored and documents.decode_report(name, stored.body)
         except GuavadykeError as error:
             self._log_failure(wanted, error)
-            return
+            return None
         if stored is None:
             self._trials.forget(name)
         elif isinstance(claim, TrialClaim):
             self._trials.learn(claim, stored)
+            return stored if claim.host_id == self._host_id else None
+        return None
 
     def _log_failure(self, wanted: WantedTrial, error: GuavadykeError) -> None:
         self._logger.warning(
--- a/guavadyke/controllers/prompt_trials.py
+++ b/guavadyke/controllers/prompt_trials.py
@@ -6,15 +6,13 @@
 import threading
 
 from guavadyke.adapters.ports import Clock, StoredObject
+from guavadyke.controllers.trial_runs import TRIAL_S, OwnClaim, TrialRuns
 from guavadyke.decisions import rendezvous_hashing
 from guavadyke.decisions.prompt_quarantine import Quarantine
 from guavadyke.decisions.server_registry import ServerLease
 from guavadyke.log import EventLogger
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
-# Time in which a request that tries a part has to begin. Other hosts count it
-# from when they learn of the claim, so that clocks need not agree.
-_TRIAL_S = 5.0
 # Items ask for a trial again at each tick of their runner.
 _DEMAND_S = 1.0
 _RETRY_DELAY_S = 0.5
@@ -88,14 +86,19 @@
 
     Every host that has a request with the part may claim the trial. A claim
     replaces the last one on the platform under a condition, so that only one
-    of several hosts succeeds. It is spent when the request is sent; one that
-    is not spent lapses.
+    of several hosts succeeds. It is spent when the request is sent, and renewed
+    until the run has ended. One that is neither spent nor renewed lapses after
+    ``TRIAL_S``: so it does after the end of its run, the loss of its host, or
+    the loss of the platform while its run goes on.
 
     Args:
         host_id: the id of this host.
         fleet: the other hosts.
         clock: dates claims.
         logger: logs parts that are tried.
+
+    Attributes:
+        runs: the requests of this host that try a part now.
     """
 
     def __init__(
@@ -112,9 +115,9 @@
         self._wanted = threading.Event()
         self._wanted_until: dict[str, float] = {}
         self._known: dict[str, _KnownClaim] = {}
-        self._unspent_until: dict[str, float] = {}
+        self._unspent: dict[str, OwnClaim] = {}
         self._slow_until: dict[str, float] = {}
-        self._spent: dict[str, tuple[ServerLease | None, float]] = {}
+        self.runs = TrialRuns(clock)
         self._delays = _ClaimDelays(host_id, fleet)
 
     def allows(self, found: Quarantine | None) -> bool:
@@ -152,7 +155,7 @@
                 lambda: found.part not in self._wanted_until, longest_s
             )
             if not answered:
-                self._slow_until[found.part] = now + _TRIAL_S
+                self._slow_until[found.part] = now + TRIAL_S
             self._wanted_until.pop(found.part, None)
             return self._holds(found.part, self._clock.monotonic())
 
@@ -163,7 +166,8 @@
 
         Args:
             found: the quarantine of the request, None if it is in none.
-            lease: the server to which it is sent.
+            lease: the server to which it is sent. Without it the claim is
+                not renewed, since no end of the run can be recorded.
         """
         if found is None:
             return True
@@ -171,8 +175,9 @@
             now = self._clock.monotonic()
             if found.trial_in_s or not self._holds(found.part, now):
                 return False
-            until = self._unspent_until.pop(found.part)
-            self._spent[found.part] = (lease, until)
+            claim = self._unspent.pop(found.part)
+            if lease is not None:
+                self.runs.begin(claim, lease)
         self._logger.info('prompt_part_tried', part=found.part)
         return True
 
@@ -183,10 +188,8 @@
             lease: the server to which it was to be sent.
         """
         with self._changed:
-            for part, (spent_on, until) in tuple(self._spent.items()):
-                if spent_on is lease:
-                    self._spent.pop(part)
-                    self._unspent_until[part] = until
+            for claim in self.runs.ended(lease):
+                self._unspent[claim.part] = claim
 
     def wait(self, timeout_s: float) -> None:
         """Wait for a trial to claim; there may be none after the timeout."""
@@ -216,7 +219,7 @@
             began_at: when its write began, in seconds of the monotonic clock.
         """
         with self._changed:
-            self._unspent_until[part] = began_at + _TRIAL_S
+            self._unspent[part] = OwnClaim(part, stored, began_at + TRIAL_S)
             self._slow_until.pop(part, None)
             if self._is_newer(part, stored):
                 self._know(part, stored)
@@ -260,16 +263,21 @@
 
     def _know(self, part: str, stored: StoredObject) -> None:
         self._known[part] = _KnownClaim(
-            stored, self._clock.monotonic() + _TRIAL_S
+            stored, self._clock.monotonic() + TRIAL_S
         )
 
     def _holds(self, part: str, now: float) -> bool:
-        return self._unspent_until.get(part, 0) > now
+        claim = self._unspent.get(part)
+        return claim is not None and claim.until > now
 
     def _want(self, found: Quarantine, now: float) -> None:
         """Ask for a claim, unless one is held or it is not this host's turn."""
         known = self._known.get(found.part, _KnownClaim(None, 0))
-        if self._holds(found.part, now) or known.until > now:
+        if (
+            self._holds(found.part, now)
+            or self.runs.is_tried(found.part)
+            or known.until > now
+        ):
             return
         wanted = self._wanted_until.get(found.part, 0) > now
         if wanted or self._is_own_turn(found, known, now):
--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -257,6 +257,7 @@
         if remaining_s >= _MIN_ATTEMPT_S:
             return remaining_s
         if lease is not None:
+            self._tools.prompts.trials.not_run(lease)
             self._tools.pool.release(lease, BackendFault.refused)
         raise self._give_up(
             ErrorCode.deadline_exceeded,
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -346,4 +346,5 @@
     def _release_lease(self, fault: BackendFault | None) -> None:
         if self._holds_lease:
             self._holds_lease = False
+            self._tools.prompts.trials.runs.ended(self._lease)
             self._tools.pool.release(self._lease, fault)
