Start items only once every kind that can forbid them has been read

A starting host follows each kind on its own. It read the jobs, started all 8 items of one that had been cancelled, and read the cancellation 88 ms later: `Mirror.stale` is false before the first list. The same held after an outage.

Items now wait for each kind that has never been listed, and for one that has to be listed again, is older than its bound (3 s without one) and fails while another kind is answered. While the platform answers nothing, what is known counts as it is, as before. Items wait without a limit for the progress of jobs, as no item may start once a cancellation has been confirmed for `job_end_s`; for any other kind they wait 10 s at most, so that a store that rejects it does not stop all jobs. A host that waits counts as unable to run items, so that others take its jobs over.

--- a/features/builders_forward_runner.py
+++ b/features/builders_forward_runner.py
@@ -5,7 +5,7 @@
 import dataclasses
 import threading
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from features import builders_forward as build
 from features.builders_batch_platform import MemoryPlatform
@@ -111,6 +111,7 @@
         )
         self.fleet = SnapshotCell(FleetSnapshot())
         self.knows_ends = True
+        self.ends_known: Callable[[], bool] = lambda: self.knows_ends
         busy = SnapshotCell(initial=False)
         self._runner = JobRunner.start(
             RunnerParts(
@@ -125,7 +126,7 @@
                 self.fleet,
                 build.host_abilities(ME, self.fleet),
                 lambda: True,
-                self._ends_known,
+                self._are_ends_known,
                 busy,
                 clock,
                 self.logger,
@@ -198,5 +199,5 @@
         self._ticker.close()
         self._runner.stop()
 
-    def _ends_known(self) -> bool:
-        return self.knows_ends
+    def _are_ends_known(self) -> bool:
+        return self.ends_known()
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -62,7 +62,8 @@
     """Dependencies of ``JobRunner``.
 
     ``connected`` returns whether this host reaches the platform,
-    ``ends_known`` whether it has lately heard which jobs have ended; the
+    ``ends_known`` whether it has read which jobs have ended, and all else
+    that takes away the right to start an item, and has heard of it lately; the
     runner publishes to ``busy`` whether this host has jobs, and records its
     failures in ``health``.
     """
--- a/guavadyke/controllers/host_mirrors.py
+++ b/guavadyke/controllers/host_mirrors.py
@@ -17,6 +17,7 @@
 )
 from guavadyke.controllers.route_table_sink import RouteTableSink
 from guavadyke.decisions.forward_routes import RouteTable
+from guavadyke.decisions.unread_kinds import awaited_kinds
 from guavadyke.forward_job_documents import JOB_KIND, PROGRESS_KIND
 from guavadyke.log import EventLogger
 from guavadyke.settings import PlatformSettings
@@ -42,6 +43,7 @@
         self._child_rng = child_rng
         self._logger = logger
         self._mirrors: list[Mirror] = []
+        self._awaited: tuple[str, ...] = ()
 
     @property
     def listed(self) -> bool:
@@ -54,9 +56,20 @@
         return any(mirror.failing for mirror in self._mirrors)
 
     @property
-    def stale(self) -> bool:
-        """Whether a kind with a bound may be older than that."""
-        return any(mirror.stale for mirror in self._mirrors)
+    def allow_items(self) -> bool:
+        """Whether all is known that could forbid an item to start.
+
+        That is so if no kind with a bound may be older than that, and none
+        has still to be read (``decisions/unread_kinds.py``).
+        """
+        awaited = awaited_kinds([mirror.state for mirror in self._mirrors])
+        if awaited != self._awaited:
+            self._awaited = awaited
+            self._logger.info(
+                'item_starts_wait' if awaited else 'item_starts_go_on',
+                kinds=','.join(awaited),
+            )
+        return not awaited and not any(mirror.stale for mirror in self._mirrors)
 
     def add(
         self,
--- a/guavadyke/controllers/mirror.py
+++ b/guavadyke/controllers/mirror.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import math
 import random
 import threading
@@ -15,6 +16,7 @@
     StoredObject,
     WatchAnswer,
 )
+from guavadyke.decisions.unread_kinds import KindState
 from guavadyke.decisions.watch_sharing import watch_times
 from guavadyke.errors import GuavadykeError
 from guavadyke.guarded_threads import GuardedThread
@@ -36,6 +38,9 @@
 # A server writes its entry three times in the time in which it expires, and
 # may have written it just after the platform was lost.
 _EXPIRY_SHARE = 2 / 3
+# A dozen lists at the longest backoff. A platform that rejects one kind for
+# longer should not stop all jobs.
+_LONGEST_UNREAD_S = 10.0
 
 
 class WatchableStore(Protocol):
@@ -99,7 +104,8 @@
     only, and changed objects are read one by one: less traffic for large
     objects that seldom change. Entries cannot have expired in a shorter loss
     of the platform than ``outage_s``. Users of the kind rely on knowing what
-    was there ``bound_s`` ago.
+    was there ``bound_s`` ago. Items wait for a list of the kind that fails for
+    ``longest_unread_s`` at most.
     """
 
     kind: str
@@ -108,6 +114,7 @@
     by_names: bool = False
     outage_s: float = 0
     bound_s: float = math.inf
+    longest_unread_s: float = _LONGEST_UNREAD_S
 
 
 def urgent_mirror(kind: str, settings: PlatformSettings) -> MirrorSettings:
@@ -127,12 +134,17 @@
 
 
 def job_end_mirror(kind: str, settings: PlatformSettings) -> MirrorSettings:
-    """Return how to mirror the kind that tells of cancelled jobs."""
+    """Return how to mirror the kind that tells of cancelled jobs.
+
+    Items wait for it without a limit: no item of a job may start once its
+    cancellation has been confirmed for ``job_end_s``.
+    """
     wait_s = watch_times(settings.job_end_s).wait_s
     return dataclasses.replace(
         job_mirror(kind, settings),
         watch_wait_s=min(wait_s, settings.watch_wait_s),
         bound_s=settings.job_end_s,
+        longest_unread_s=math.inf,
     )
 
 
@@ -175,6 +187,8 @@
         self._reached_at: float | None = None
         # Time of which the sink holds the state, or a later one.
         self._known_at: float = math.inf
+        # Since when a full list is due, None while a watch follows the kind.
+        self._unread_since: float | None = clock.monotonic()
         self._stop = threading.Event()
         self._thread = GuardedThread(
             self._run, f'mirror-{settings.kind}', self._stop, self._logger
@@ -207,6 +221,21 @@
         age_s = self._clock.monotonic() - self._known_at
         return not self._list_failed and age_s > self._settings.bound_s
 
+    @property
+    def state(self) -> KindState:
+        """What is known of the kind now."""
+        now = self._clock.monotonic()
+        reached_at = self._reached_at
+        unread_since = self._unread_since
+        return KindState(
+            self._settings.kind,
+            self.age_s,
+            None if unread_since is None else now - unread_since,
+            math.inf if reached_at is None else now - reached_at,
+            self._settings.bound_s,
+            self._settings.longest_unread_s,
+        )
+
     def start(self) -> None:
         """Start mirroring in the background."""
         self._thread.start()
@@ -233,20 +262,28 @@
             self._list_all()
             self._list_failed = False
             self._known_at = began_at
+            self._unread_since = None
             return
         answer = self._store.watch(
             self._settings.kind,
             self._revision,
             self._settings.watch_wait_s,
         )
-        self._record_watch()
+        if self._failures:
+            self._logger.info(
+                'platform_found',
+                kind=self._settings.kind,
+                failures=self._failures,
+            )
+        # Reset by watches only, which peers cannot answer.
+        self._failures = 0
         if answer.expired:
             self._logger.info(
                 'history_expired',
                 kind=self._settings.kind,
                 revision=self._revision,
             )
-            self._revision = None
+            self._require_list()
             return
         for event in answer.events:
             self.apply_event(event)
@@ -285,7 +322,7 @@
         self._list_failed = self._revision is None
         # The watch may have missed no event, but entries may have expired
         # during the outage: list again.
-        self._revision = None
+        self._require_list()
         longest_s = min(
             LONGEST_RETRY_S, FIRST_RETRY_S * _BACKOFF_FACTOR**doublings
         )
@@ -294,46 +331,31 @@
     def _run(self) -> None:
         while not self._stop.is_set():
             lists = self._revision is None
-            began_at = self._clock.monotonic()
+            log_if_slow = functools.partial(
+                _log_if_slow,
+                self._settings,
+                self._logger,
+                self._clock.monotonic(),
+                lists=lists,
+            )
             try:
                 self.step()
             except GuavadykeError as error:
-                self._log_slow_step(began_at, lists=lists, failed=True)
+                log_if_slow(self._clock.monotonic(), failed=True)
                 self._stop.wait(self.record_failure(error))
             except Exception:
                 # What was applied is not known, so it is listed again.
-                self._revision = None
+                self._require_list()
                 self._list_failed = True
                 raise
             else:
-                self._log_slow_step(began_at, lists=lists, failed=False)
+                log_if_slow(self._clock.monotonic(), failed=False)
                 self.record_success()
 
-    def _log_slow_step(
-        self, began_at: float, *, lists: bool, failed: bool
-    ) -> None:
-        took_s = self._clock.monotonic() - began_at
-        expected_s = _SLOW_STEP_S
-        if not lists and not failed:
-            expected_s += self._settings.watch_wait_s
-        if took_s > expected_s:
-            self._logger.info(
-                'mirror_step_slow',
-                kind=self._settings.kind,
-                step='list' if lists else 'watch',
-                took_s=round(took_s, 3),
-                failed=failed,
-            )
-
-    def _record_watch(self) -> None:
-        """Record a successful watch, which peers cannot answer."""
-        if self._failures:
-            self._logger.info(
-                'platform_found',
-                kind=self._settings.kind,
-                failures=self._failures,
-            )
-        self._failures = 0
+    def _require_list(self) -> None:
+        self._revision = None
+        if self._unread_since is None:
+            self._unread_since = self._clock.monotonic()
 
     def _list_all(self) -> None:
         """List all objects; with ``by_names``, read only the changed ones."""
@@ -372,6 +394,29 @@
                 self._sink.put(changed)
 
 
+def _log_if_slow(
+    settings: MirrorSettings,
+    logger: EventLogger,
+    began_at: float,
+    now: float,
+    *,
+    lists: bool,
+    failed: bool,
+) -> None:
+    """Log a step that took longer than its list or watch should."""
+    expected_s = _SLOW_STEP_S
+    if not lists and not failed:
+        expected_s += settings.watch_wait_s
+    if now - began_at > expected_s:
+        logger.info(
+            'mirror_step_slow',
+            kind=settings.kind,
+            step='list' if lists else 'watch',
+            took_s=round(now - began_at, 3),
+            failed=failed,
+        )
+
+
 def _list_pages(
     store: WatchableStore, kind: str, *, bodies: bool
 ) -> tuple[list[StoredObject], int | None]:
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -152,7 +152,7 @@
         )
         self.registry = JobRegistry(self._wake_runner, logger)
         self._job_store = JobStore(store)
-        self._peers.abilities.is_able = lambda: self.ready
+        self._peers.abilities.is_able = self._is_able
         self.job_api = JobApi(
             JobApiParts(
                 settings.host_id,
@@ -237,8 +237,11 @@
         return not self._mirrors.failing
 
     def ends_known(self) -> bool:
-        """Return whether no mirror with a bound is older than that."""
-        return not self._mirrors.stale
+        """Return whether the host has read all that could end its jobs.
+
+        That includes what else takes away the right to start their items.
+        """
+        return self._mirrors.allow_items
 
     def failed_parts(self) -> tuple[str, ...]:
         """Return the names of the parts that have failed for good."""
@@ -355,6 +358,10 @@
         peers = self._fleet.current.peers
         return 1 + sum(peer.state == _ALIVE_STATE for peer in peers)
 
+    def _is_able(self) -> bool:
+        """Return whether this host can run items of jobs."""
+        return self.ready and self.ends_known()
+
     def _wake_runner(self) -> None:
         self._job_duty.wake()
 
