Take a job only once its end and its present owner have been read

A starting host that had read the jobs but not their progress took each job whose first owner it was, also one that another host had taken over since. When it handed its jobs over it made another host the owner of that job, without a condition. Jobs are now taken under the same rule as items start.

--- a/features/builders_unread_kinds.py
+++ b/features/builders_unread_kinds.py
@@ -13,6 +13,8 @@
     RunnerBench,
     host_settings,
 )
+from guavadyke.controllers.actors import ask_function
+from guavadyke.controllers.forward_job_runner import HandOver
 from guavadyke.controllers.host_mirrors import HostMirrors
 from guavadyke.controllers.mirror import MirrorSettings
 from guavadyke.controllers.prompt_report_sink import PromptReportSink
@@ -81,6 +83,22 @@
         if cancelled:
             other.store.merge_progress('job-1', JobProgress(cancelled=True))
 
+    def add_moved_job(self, owner: str) -> None:
+        """Add a job of this host that another host has taken over since."""
+        self.add_job(1, cancelled=False)
+        other = build.job_host(self.bench.platform, owner)
+        other.store.merge_progress('job-1', JobProgress(owner=owner))
+
+    def leave(self) -> None:
+        """Hand this host's jobs over to a live host, ``host-2``."""
+        self.bench.add_peer('host-2')
+        ask_function(self.bench._runner)(HandOver(leave=True))
+
+    def owner(self) -> str:
+        """Return the owner of the job on the platform."""
+        reader = build.job_host(self.bench.platform, 'reader')
+        return reader.store.merge_progress('job-1', JobProgress()).owner
+
     def read(self) -> None:
         """List or watch each kind once."""
         for mirror in self._mirrors._mirrors:
--- a/features/forward_unread_kinds.feature
+++ b/features/forward_unread_kinds.feature
@@ -64,3 +64,11 @@
     Then it may start items
     When it can read each kind but forward-progress for 2 seconds
     Then it may start no item
+
+  # Guards against a job that a starting host takes from its present owner.
+  Scenario: a starting host that has not read who owns a job does not pass it on
+    Given a host that works on jobs and cannot read forward-progress
+    And a job of it that "host-3" has taken over
+    When it reads each kind
+    And it hands its jobs over after 1 second
+    Then "host-3" still owns the job after 1 second
--- a/features/steps/forward_unread_kinds_steps.py
+++ b/features/steps/forward_unread_kinds_steps.py
@@ -39,6 +39,23 @@
     context.reading.add_job(items, cancelled=True)
 
 
+@given('a job of it that "{owner}" has taken over')
+def step_moved_job(context: Context, owner: str) -> None:
+    context.reading.add_moved_job(owner)
+
+
+@when('it hands its jobs over after {seconds:d} second')
+def step_leave(context: Context, seconds: int) -> None:
+    time.sleep(seconds)
+    context.reading.leave()
+
+
+@then('"{owner}" still owns the job after {seconds:d} second')
+def step_owner(context: Context, owner: str, seconds: int) -> None:
+    time.sleep(seconds)
+    assert context.reading.owner() == owner, context.reading.owner()
+
+
 @when('it reads each kind')
 def step_read(context: Context) -> None:
     context.reading.read()
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -173,8 +173,7 @@
         """Sync the jobs with the registry and do all work that is due."""
         now = self._parts.clock.monotonic()
         views = self._parts.registry.views()
-        self._sync_works(views)
-        self._parts.busy.publish(bool(self._works))
+        self._parts.busy.publish(self._sync_works(views))
         self._preempt_surplus()
         works = self._failing_jobs.sound(self._works)
         self._failing_jobs.each(
@@ -274,7 +273,12 @@
         }
         return self._maintenance.reassign(left, self._parts.registry.views())
 
-    def _sync_works(self, views: dict[str, JobView]) -> None:
+    def _sync_works(self, views: dict[str, JobView]) -> bool:
+        """Take and drop jobs; return whether this host seems to own any.
+
+        None is taken while it may have ended or moved to another host, as
+        this one would write results of it or pass it on.
+        """
         own_views = {
             job_id: view
             for job_id, view in views.items()
@@ -282,7 +286,8 @@
         }
         for job_id in self._works.keys() - own_views.keys():
             self._drop_job(job_id)
-        for job_id in own_views.keys() - self._works.keys():
+        untaken = own_views.keys() - self._works.keys()
+        for job_id in untaken if self._parts.ends_known() else ():
             if self._writer.is_finish_written(job_id):
                 continue
             job = own_views[job_id].job
@@ -293,6 +298,7 @@
                 items=len(job.items),
                 first_owner=job.owner,
             )
+        return bool(own_views)
 
     def _drop_job(self, job_id: str) -> None:
         """Stop working on a job that has ended or has another owner."""
