Take answers that are not valid or cut off for broken on every path

Cause: the base class of responses accepts statuses up to 999, signs, underscores and leading zeros, and passes on every interim answer but 100, so that answers of status 600, 101 or 103 reached callers. A server that closes a connection with a part of a long upload unread ends an answer without a length in order and resets the connection right after; the end passed for that of the whole answer. The client's pool ignores a reset while a request is sent. Redirections passed for results of models, items, orders and load reports, load reports with an error status counted, and an item whose answer had no event was completed with nothing.

Change: a status line must name HTTP/1.x and a status from 100 to 599; 101 is no answer, the other interim answers are skipped. After the end of an answer without a length the connection is checked for a reset, for up to 100 ms where the upload was longer than 16 KiB; over another host such an upload counts as cut off, since the reset is not passed on. The client of entry hosts demands an answer with a length or in chunks. Results, reports and orders need a status from 200 to 299, load reports 200, and items an event.

--- a/guavadyke/adapters/backend.py
+++ b/guavadyke/adapters/backend.py
@@ -10,6 +10,7 @@
 import contextlib
 import functools
 import math
+import select
 import socket
 import threading
 import time
@@ -47,6 +48,10 @@
 _MAX_READ_BYTES = 65_536
 _BLOCK_BYTES = 16_384
 _MAX_LOAD_BYTES = 1_048_576
+# A server that closes a connection with a part of a long upload unread ends
+# its answer in order and resets the connection right after it. The two follow
+# each other within a round trip, which is a few milliseconds at most.
+_RESET_WAIT_MS = 100
 _TRANSPORT_ERRORS = (OSError, HTTPError, client.HTTPException)
 
 
@@ -189,6 +194,12 @@
             ),
         )
         body = read_body(answer, _MAX_LOAD_BYTES)
+        if answer.status != _OK:
+            raise BackendServerError(
+                BackendFault.broken,
+                f'{address} answered {answer.status} to a load poll',
+                not_run=False,
+            )
         try:
             document = _LoadDocument.model_validate_json(body)
         except pydantic.ValidationError as error:
@@ -445,13 +456,37 @@
 
         Raises:
             IncompleteRead: the body is empty; the headers may be truncated.
+            ConnectionResetError: the connection was reset after its end.
         """
-        piece = self._response.read1(_MAX_READ_BYTES)
-        if not piece:
-            raise client.IncompleteRead(b'')
-        while piece:
-            yield piece
+        # The response closes its own socket at the end of the body.
+        with self._socket.dup() as kept:
             piece = self._response.read1(_MAX_READ_BYTES)
+            if not piece:
+                raise client.IncompleteRead(b'')
+            while piece:
+                yield piece
+                piece = self._response.read1(_MAX_READ_BYTES)
+            self._check_not_reset(kept)
+
+    def _check_not_reset(self, kept: socket.socket) -> None:
+        """Check that the server has not refused the rest of the request.
+
+        Another host that carries the connection does not pass on a reset
+        after the end, so that a long upload over it proves nothing.
+
+        Raises:
+            ConnectionResetError: the body may be only a part of the answer.
+        """
+        poller = select.poll()
+        # Without events it reports errors only.
+        poller.register(kept, 0)
+        wait_ms = 0
+        if len(self._call.body) > _BLOCK_BYTES:
+            if _is_tunnel(self._connection):
+                raise ConnectionResetError('the request may be cut off')
+            wait_ms = _RESET_WAIT_MS
+        if poller.poll(wait_ms):
+            raise ConnectionResetError('the request has been cut off')
 
     def _release_connection(self, *, whole: bool) -> None:
         """Return the connection to the pool, or close it if it is not reusable.
--- a/guavadyke/adapters/connection_pool.py
+++ b/guavadyke/adapters/connection_pool.py
@@ -5,6 +5,7 @@
 import collections
 import io
 import itertools
+import re
 import socket
 import threading
 import time
@@ -19,7 +20,17 @@
 _MAX_HEADS = 8
 _MAX_TRAILER_LINES = 100
 _MAX_LINE_BYTES = 65_536
+_MAX_SHOWN_BYTES = 80
 _BLOCK_BYTES = 65_536
+# Other status lines are taken for no answer: the base class accepts statuses
+# up to 999, signs and underscores, and passes on every interim answer but 100.
+_STATUS_LINE = re.compile(
+    rb'(?P<version>HTTP/1\.\d) +(?P<status>[1-5]\d\d)'
+    rb'(?P<reason> [^\r\n]*)?\r?\n'
+)
+_FIRST_FINAL_STATUS = 200
+_SWITCHING_PROTOCOLS = 101
+_CONTINUE = 100
 # A peer can vanish without closing its connections. TCP keepalive detects
 # this after three seconds: TCP_USER_TIMEOUT, not the number of probes, decides
 # when they give up. It notices no peer that acknowledges and does not answer.
@@ -66,7 +77,7 @@
 
 
 class BoundedHeadResponse(client.HTTPResponse):
-    """A response with a whole head, few interim heads and a short trailer.
+    """A response with a valid head, few interim heads and a short trailer.
 
     The base class bounds the lines of a head, but neither the heads nor the
     trailer after a body in chunks.
@@ -82,7 +93,18 @@
         self._heads += 1
         if self._heads > _MAX_HEADS:
             raise client.HTTPException('too many interim responses')
-        return super()._read_status()  # type: ignore[misc, no-any-return]
+        line = self.fp.readline(_MAX_LINE_BYTES)
+        found = _STATUS_LINE.fullmatch(line)
+        if found is None:
+            raise client.BadStatusLine(repr(line[:_MAX_SHOWN_BYTES]))
+        status = int(found['status'])
+        if status == _SWITCHING_PROTOCOLS:
+            raise client.BadStatusLine('no other protocol was asked for')
+        if status < _FIRST_FINAL_STATUS:
+            # The base class skips the heads of this status only.
+            status = _CONTINUE
+        reason = (found['reason'] or b'').decode('iso-8859-1')
+        return found['version'].decode(), status, reason
 
     def _read_and_discard_trailer(self) -> None:
         for _ in range(_MAX_TRAILER_LINES):
--- a/guavadyke/adapters/engine_order_client.py
+++ b/guavadyke/adapters/engine_order_client.py
@@ -25,7 +25,7 @@
 )
 
 _ORDERS_PATH = '/orders'
-_FIRST_ERROR_STATUS = 400
+_SUCCESS_STATUSES = range(200, 300)
 _CONFLICT_STATUS = 409
 _CONNECT_TIMEOUT_S = 0.5
 _ANSWER_TIMEOUT_S = 2
@@ -100,7 +100,7 @@
         content = read_body(answer, _MAX_STATE_BYTES)
         if answer.status == _CONFLICT_STATUS:
             raise OrderRefusedError(content.decode(errors='replace'))
-        if answer.status >= _FIRST_ERROR_STATUS:
+        if answer.status not in _SUCCESS_STATUSES:
             raise BackendServerError(
                 BackendFault.refused,
                 f'the engine answered {answer.status} to an order',
--- a/guavadyke/client.py
+++ b/guavadyke/client.py
@@ -8,7 +8,12 @@
 from typing import Any
 
 import urllib3
+from urllib3.connection import HTTPConnection
+from urllib3.connectionpool import HTTPConnectionPool
+from urllib3.exceptions import ProtocolError
+from urllib3.response import HTTPResponse
 
+from guavadyke.adapters.connection_pool import BoundedHeadResponse
 from guavadyke.errors import ErrorCode, Finding, GuavadykeError, RunStatus
 
 _CONNECT_TIMEOUT_S = 2.0
@@ -30,6 +35,34 @@
         return json.loads(self.body)
 
 
+class _EntryHostConnection(HTTPConnection):
+    """A connection whose answers cannot be taken for whole if they are not.
+
+    The pool of urllib3 ignores a reset while a request is sent, so that the
+    end of an answer without a length may be that reset. Entry hosts frame
+    every answer.
+    """
+
+    response_class = BoundedHeadResponse
+
+    def getresponse(  # type: ignore[override]
+        self,
+    ) -> HTTPResponse:
+        """Return the answer.
+
+        Raises:
+            ProtocolError: its end could not be told from a broken connection.
+        """
+        response = super().getresponse()
+        if not response.chunked and response.length_remaining is None:
+            raise ProtocolError('the answer has no length')
+        return response
+
+
+class _EntryHostPool(HTTPConnectionPool):
+    ConnectionCls = _EntryHostConnection  # noqa: WPS115 a name of urllib3
+
+
 class Client:
     """Sends requests to one port of an entry host.
 
@@ -50,6 +83,10 @@
                 read=timeout_s,
             ),
         )
+        self._pool.pool_classes_by_scheme = {
+            **self._pool.pool_classes_by_scheme,
+            'http': _EntryHostPool,
+        }
 
     def call(
         self,
--- a/guavadyke/controllers/item_run.py
+++ b/guavadyke/controllers/item_run.py
@@ -221,6 +221,13 @@
                 not_run=False,
                 disconnected=True,
             )
+        if not self._event_parser.last_id:
+            raise BackendServerError(
+                BackendFault.broken,
+                'the stream ended before its first event',
+                not_run=False,
+                disconnected=True,
+            )
         self._guarded.completed()
         return self._outcome(RunEnd.completed)
 
--- a/guavadyke/filters/attempts.py
+++ b/guavadyke/filters/attempts.py
@@ -29,6 +29,7 @@
 _RETRYABLE_STATUSES = frozenset((408, 425, 429))
 _FIRST_SERVER_ERROR = 500
 _FIRST_CLIENT_ERROR = 400
+_SUCCESS_STATUSES = range(200, 300)
 
 Piece = TypeVar('Piece')
 
@@ -281,15 +282,19 @@
 
     Raises:
         BackendServerError: a failure that another server may not have:
-            5xx, 408, 425 or 429; or the body does not end.
+            3xx, 5xx, 408, 425 or 429; or the body does not end.
         GuavadykeError: ``backend_rejected``; any other 4xx is final.
     """
     status = answer.status
-    if status < _FIRST_CLIENT_ERROR:
+    if status in _SUCCESS_STATUSES:
         return
     excerpt = read_body(answer, _MAX_ERROR_BYTES)[:_MAX_EXCERPT_BYTES]
     text = excerpt.decode(errors='replace')
-    if status >= _FIRST_SERVER_ERROR or status in _RETRYABLE_STATUSES:
+    if (
+        status < _FIRST_CLIENT_ERROR
+        or status >= _FIRST_SERVER_ERROR
+        or status in _RETRYABLE_STATUSES
+    ):
         raise BackendServerError(
             BackendFault.refused,
             f'the backend server responded with HTTP {status}',
--- a/guavadyke/filters/batch_item_runner.py
+++ b/guavadyke/filters/batch_item_runner.py
@@ -36,6 +36,7 @@
 _HOST_HEADER = 'guavadyke-host'
 _FIRST_SERVER_ERROR = 500
 _FIRST_CLIENT_ERROR = 400
+_SUCCESS_STATUSES = range(200, 300)
 
 
 class BatchSlots:
@@ -152,7 +153,7 @@
         """Return the answer as parsed JSON, or as text if it is not JSON."""
         answer = self._run.answer()
         body = answer.body if isinstance(answer.body, bytes) else b''
-        if answer.status >= _FIRST_CLIENT_ERROR:
+        if answer.status not in _SUCCESS_STATUSES:
             raise GuavadykeError(
                 _error_code(answer.status),
                 f'the service responded with HTTP {answer.status}',
@@ -258,9 +259,9 @@
 
 
 def _error_code(status: int) -> ErrorCode:
-    if status >= _FIRST_SERVER_ERROR:
-        return ErrorCode.backend_failed
-    return ErrorCode.backend_rejected
+    if _FIRST_CLIENT_ERROR <= status < _FIRST_SERVER_ERROR:
+        return ErrorCode.backend_rejected
+    return ErrorCode.backend_failed
 
 
 def _preempted_result(run: _ItemRun, *, idempotent: bool) -> ItemResult:
