Check a configuration file before it is sent

Cause: a configuration that means something else than was intended, such as a key of two teams or a route that another one hides, showed only in the requests that it refused or sent elsewhere.

Change: "guavadyke check-configuration FILE" reads the file as hosts do and reports errors, entries that never match, limits that contradict each other and, with --in-force, the differences by entry and field; as text or JSON, with exit code 0, 1 or 2 and without a network. Keys are not printed, also where one stands in for a name.

--- a/guavadyke/platform/configuration.py
+++ b/guavadyke/platform/configuration.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import dataclasses
 import types
+from typing import Any
 
 import pydantic
 
 from guavadyke.adapters.ports import StoredObject
+from guavadyke.decisions.configuration_checks import TeamKeys
 from guavadyke.decisions.forward_routes import (
     CallerLimits,
     ForwardRoute,
@@ -121,6 +124,46 @@
         )
 
 
+@dataclasses.dataclass(frozen=True)
+class ReadConfiguration:
+    """A configuration as read from its file, in the order written there.
+
+    ``document`` has all fields by their wire names, with the defaults of those
+    that are absent and without keys.
+    """
+
+    version: int
+    routes: tuple[ForwardRoute, ...]
+    limits: CallerLimits
+    teams: tuple[TeamKeys, ...]
+    document: dict[str, Any]
+
+
+def read_configuration(body: bytes) -> ReadConfiguration:
+    """Read a configuration as hosts read it.
+
+    Raises:
+        pydantic.ValidationError: it is not valid.
+    """
+    spec = _ConfigurationSpec.model_validate_json(body)
+    return ReadConfiguration(
+        version=spec.version,
+        routes=tuple(map(_decode_route, spec.routes)),
+        limits=_decode_limits(spec.limits),
+        teams=tuple(
+            TeamKeys(_decode_team(team), team.keys) for team in spec.teams
+        ),
+        document=spec.model_dump(
+            by_alias=True, exclude={'teams': {'__all__': {'keys'}}}
+        ),
+    )
+
+
+def known_kind(wire_name: str) -> bool:
+    """Return whether a kind of routes has this wire name."""
+    return wire_name in _KIND_BY_WIRE_NAME
+
+
 def _decode_route(route: _RouteSpec) -> ForwardRoute:
     shares = tuple(
         ServiceShare(share.service, share.weight) for share in route.shares
