Read the results of jobs from their owners

Change: a host asks the owner of the job, which answers from memory what cannot have changed without it, and else reads the platform.

--- a/features/builders_forward.py
+++ b/features/builders_forward.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Collection, Iterator, Mapping
 
 from features.builders_batch_platform import MemoryPlatform, MemoryStore
+from guavadyke.adapters.peer_reads import PeerReads
 from guavadyke.adapters.ports import (
     BackendAnswer,
     BackendCall,
@@ -40,6 +41,7 @@
 from guavadyke.decisions.load_balancing import LoadBalancer
 from guavadyke.decisions.server_registry import ListedServer
 from guavadyke.decisions.slot import HostLocation
+from guavadyke.errors import PlatformUnavailableError
 from guavadyke.filters.caller_watch import CallerWatch
 from guavadyke.filters.forward_attempt import ForwardRequest, ForwardTools
 from guavadyke.log import EventLogger
@@ -286,6 +288,17 @@
         return [fields for name, fields in self.events if name == event]
 
 
+class SilentPeerReads(PeerReads):
+    """Reads from hosts that never answer."""
+
+    def __init__(self) -> None:
+        """Make no calls."""
+
+    def read(self, address: str, kind: str, name: str) -> StoredObject | None:
+        """Get no answer."""
+        raise PlatformUnavailableError(f'{address} does not answer')
+
+
 class SilentMessenger:
     """A messenger whose notices reach nobody."""
 
@@ -420,7 +433,10 @@
     link: MemoryStore
     store: JobStore
     registry: JobRegistry
-    job_api: JobApi
+    fleet: SnapshotCell[FleetSnapshot]
+    clock: ManualClock = dataclasses.field(default_factory=ManualClock)
+    sure: bool = True
+    job_api: JobApi = dataclasses.field(init=False)
 
     def catch_up(self) -> None:
         """Load all platform objects into the registry."""
@@ -436,12 +452,14 @@
     platform: MemoryPlatform,
     name: str = 'host-1',
     messenger: PeerMessenger | None = None,
+    peer_reads: PeerReads | None = None,
 ) -> JobHost:
     """Return a host on a platform, alone without a messenger."""
     link = MemoryStore(platform)
     store = JobStore(settled(link))
     registry = JobRegistry(_ignore_change, EventLogger())
     fleet = SnapshotCell(FleetSnapshot())
+    host = JobHost(link, store, registry, fleet)
     parts = JobApiParts(
         name,
         registry,
@@ -449,10 +467,14 @@
         fleet,
         host_abilities(name, fleet),
         messenger or SilentMessenger(),
-        ManualClock(),
+        host.clock,
         EventLogger(),
+        HostMetrics(),
+        peer_reads or SilentPeerReads(),
+        lambda: host.sure,
     )
-    return JobHost(link, store, registry, JobApi(parts))
+    host.job_api = JobApi(parts)
+    return host
 
 
 def _ignore_change() -> None:
--- a/guavadyke/adapters/peer_rpc.py
+++ b/guavadyke/adapters/peer_rpc.py
@@ -88,6 +88,7 @@
         address: str,
         request: calls.PeerRequest,
         timeout_s: float = CALL_TIMEOUT_S,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> calls.PeerReply:
         """Call a peer and wait up to ``timeout_s`` seconds for its answer.
 
@@ -95,7 +96,9 @@
             PeerNotReachedError: the call had no effect.
             PeerAnswerLostError: the call may have taken effect.
         """
-        with contextlib.closing(self.connect(address)) as connection:
+        with contextlib.closing(
+            self.connect(address, connect_timeout_s)
+        ) as connection:
             connection.settimeout(timeout_s)
             return self.exchange(connection, request)
 
--- a/guavadyke/adapters/write_confirmation.py
+++ b/guavadyke/adapters/write_confirmation.py
@@ -56,7 +56,7 @@
     return dataclasses.replace(stored, body=body, writers=writers)
 
 
-def _with_writers(stored: StoredObject) -> StoredObject:
+def with_writers(stored: StoredObject) -> StoredObject:
     """Return the parsed object, or ``stored`` itself if it has no writers."""
     try:
         return split_writers_line(stored)
@@ -86,7 +86,7 @@
     def read(self, kind: str, name: str) -> StoredObject | None:
         """Return the object, or None if it does not exist."""
         stored = self._store.read(kind, name)
-        return None if stored is None else _with_writers(stored)
+        return None if stored is None else with_writers(stored)
 
     def list_objects(
         self,
@@ -109,7 +109,7 @@
             return listing
         return dataclasses.replace(
             listing,
-            objects=tuple(_with_writers(stored) for stored in listing.objects),
+            objects=tuple(with_writers(stored) for stored in listing.objects),
         )
 
     def watch(self, kind: str, revision: int, wait_s: float) -> WatchAnswer:
@@ -211,7 +211,7 @@
         current = 0 if stored is None else stored.version
         if current == previous.version:
             return None
-        writers = () if stored is None else _with_writers(stored).writers
+        writers = () if stored is None else with_writers(stored).writers
         if stored is not None and nonce in writers:
             is_newest = nonce == writers[0]
             version = current if is_newest else previous.version
@@ -279,7 +279,7 @@
 def _event_with_writers(event: ObjectEvent) -> ObjectEvent:
     if event.current is None:
         return event
-    return dataclasses.replace(event, current=_with_writers(event.current))
+    return dataclasses.replace(event, current=with_writers(event.current))
 
 
 def _writers_cover_changes(
--- a/guavadyke/controllers/forward_job_api.py
+++ b/guavadyke/controllers/forward_job_api.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Callable
 
+from guavadyke.adapters.peer_reads import PeerReads
 from guavadyke.adapters.ports import Clock, PeerMessenger
 from guavadyke.controllers.forward_job_registry import JobRegistry
 from guavadyke.controllers.forward_job_store import JobStore
 from guavadyke.controllers.host_abilities import HostAbilities
 from guavadyke.controllers.job_end_notices import JobEndNotices
+from guavadyke.controllers.result_pages import ResultPageParts, ResultPages
 from guavadyke.decisions.forward_job_ownership import check_quota, choose_owner
 from guavadyke.decisions.forward_job_records import (
     AcceptedJob,
@@ -21,6 +24,7 @@
 from guavadyke.decisions.forward_routes import ForwardRoute
 from guavadyke.errors import ErrorCode, GuavadykeError
 from guavadyke.log import EventLogger
+from guavadyke.metrics import HostMetrics
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
 _ALIVE = 'alive'
@@ -46,7 +50,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class JobApiParts:
-    """Dependencies of ``JobApi``."""
+    """Dependencies of ``JobApi``.
+
+    ``reads`` reads results from the owners of jobs; ``sure`` returns whether
+    this host would know by now that it does not own a job any more.
+    """
 
     host_id: str
     registry: JobRegistry
@@ -56,17 +64,36 @@
     messenger: PeerMessenger
     clock: Clock
     logger: EventLogger
+    metrics: HostMetrics
+    reads: PeerReads
+    sure: Callable[[], bool]
 
 
 class JobApi:
     """Serves the callers of forwarded jobs. Thread-safe.
 
+    ``pages`` are the results that this host reads for callers and for other
+    hosts.
+
     Args:
         parts: its dependencies.
     """
 
     def __init__(self, parts: JobApiParts) -> None:
         self._parts = parts
+        self.pages = ResultPages(
+            ResultPageParts(
+                parts.host_id,
+                parts.registry,
+                parts.store,
+                parts.fleet,
+                parts.reads,
+                parts.sure,
+                parts.clock,
+                parts.metrics,
+                parts.logger,
+            ),
+        )
         self._ends = JobEndNotices(
             parts.host_id, parts.registry, parts.messenger, parts.logger
         )
@@ -253,7 +280,9 @@
                 position.
         """
         try:
-            return tuple(listings(self._parts.store.pages(job_id)))
+            return tuple(
+                listings(self._parts.store.pages(job_id, self.pages.read))
+            )
         except GuavadykeError as error:
             if len(known) <= after:
                 raise
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -296,6 +296,8 @@
     def _drop_job(self, job_id: str) -> None:
         """Stop working on a job that has ended or has another owner."""
         work = self._works.pop(job_id)
+        # Another host may write results from now on.
+        self._parts.store.in_doubt.add(job_id)
         for item in work.job.items:
             key = (job_id, item.item_id)
             self._partials.pop(key, None)
--- a/guavadyke/controllers/forward_job_store.py
+++ b/guavadyke/controllers/forward_job_store.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import threading
 from collections.abc import Callable
+from typing import TypeAlias
 
 from guavadyke import forward_job_documents as objects
 from guavadyke.adapters.ports import StoredObject
@@ -24,6 +26,11 @@
     PlatformUnavailableError,
 )
 
+_ReadPage: TypeAlias = Callable[[], StoredObject | None]
+# Reads a page by its name, None if it does not exist; gets what reads it from
+# the platform.
+PageReader: TypeAlias = Callable[[str, _ReadPage], StoredObject | None]
+
 # Attempts of a write that loses its version check to other hosts.
 _MAX_ATTEMPTS = 8
 
@@ -37,12 +44,18 @@
 
     Args:
         store: the object store of the platform.
+
+    Attributes:
+        in_doubt: ids of jobs whose pages may have changed without this host.
     """
 
     def __init__(self, store: WriteConfirmingStore) -> None:
         self._store = store
         self._lock = threading.Lock()
         self._pages: dict[str, list[tuple[StoredObject, ResultPage]]] = {}
+        # A write without an answer may take effect later. Only a later write
+        # of this host keeps it from that.
+        self.in_doubt: set[str] = set()
 
     def create(self, job: AcceptedJob) -> bool:
         """Store a new job; return False if the job id already exists.
@@ -99,18 +112,31 @@
             ),
         )
 
-    def pages(self, job_id: str) -> tuple[ResultPage, ...]:
-        """Read the pages of a job from the platform and return all of them.
+    def pages(
+        self, job_id: str, read: PageReader | None = None
+    ) -> tuple[ResultPage, ...]:
+        """Read the pages of a job and return all of them.
 
         Full pages never change and are taken from the cache.
 
+        Args:
+            job_id: the job.
+            read: reads a page, which it may know without the platform; the
+                platform is read without it.
+
         Raises:
-            GuavadykeError: the platform cannot be read.
+            GuavadykeError: the pages cannot be read.
         """
-        known = self._full_pages(job_id)
+        with self._lock:
+            known = [
+                entry for entry in self._pages.get(job_id, ()) if entry[1].full
+            ]
         while True:
             name = objects.page_name(job_id, len(known))
-            stored = self._store.read(objects.PAGE_KIND, name)
+            direct = functools.partial(
+                self._store.read, objects.PAGE_KIND, name
+            )
+            stored = direct() if read is None else read(name, direct)
             if stored is None:
                 break
             page = objects.decode_page(name, stored.body)
@@ -120,6 +146,18 @@
         self._cache(job_id, known)
         return tuple(page for _stored, page in known)
 
+    def certain_pages(self, job_id: str) -> tuple[StoredObject, ...] | None:
+        """Return the pages of a job that only this host writes.
+
+        Returns:
+            None if the pages were never read or are in doubt.
+        """
+        with self._lock:
+            known = self._pages.get(job_id)
+            if known is None or job_id in self.in_doubt:
+                return None
+            return tuple(stored for stored, _page in known)
+
     def cached_pages(self, job_id: str) -> tuple[ResultPage, ...]:
         """Return the pages that this host has read or written so far."""
         with self._lock:
@@ -162,6 +200,7 @@
         self.pages(job_id)
         with self._lock:
             known = list(self._pages.pop(job_id, ()))
+            self.in_doubt.discard(job_id)
         for stored, _page in known:
             self._delete(stored)
         for kind in (objects.PROGRESS_KIND, objects.JOB_KIND):
@@ -208,6 +247,7 @@
         """Write one page with as many of the results as fit."""
         with self._lock:
             known = list(self._pages.get(job_id, ()))
+            self.in_doubt.add(job_id)
         if known and not known[-1][1].full:
             stored, page = known.pop()
             grown = page.with_results(results_for_page(page, missing))
@@ -220,14 +260,7 @@
                 objects.encode_page(grown),
             )
         self._cache(job_id, [*known, (written, grown)])
-
-    def _full_pages(
-        self,
-        job_id: str,
-    ) -> list[tuple[StoredObject, ResultPage]]:
-        with self._lock:
-            known = self._pages.get(job_id, ())
-            return [entry for entry in known if entry[1].full]
+        self.in_doubt.discard(job_id)
 
     def _cache(
         self,
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -163,8 +163,12 @@
                 self._peers.messenger,
                 self.clock,
                 logger,
+                self.metrics,
+                self._peers.reads,
+                lambda: self.connected() and self.ends_known(),
             ),
         )
+        self._peers.answer_locally = self.job_api.pages.answer
         self._retirements = RetirementController(
             RetirementParts(
                 settings.host_id,
--- a/guavadyke/forward_job_documents.py
+++ b/guavadyke/forward_job_documents.py
@@ -175,6 +175,11 @@
     return f'{job_id}.{number}'
 
 
+def job_of_page(name: str) -> str:
+    """Return the id of the job that a result page belongs to."""
+    return name.rpartition('.')[0]
+
+
 def _parse_document(
     model: type[_DocumentT],
     name: str,
--- a/guavadyke/forward_peers.py
+++ b/guavadyke/forward_peers.py
@@ -4,11 +4,13 @@
 
 import collections
 import random
+from collections.abc import Callable
 from typing import Protocol
 
 from guavadyke.adapters import peer_calls as calls
 from guavadyke.adapters.backend import OpenThroughPeer
 from guavadyke.adapters.peer_port import PeerPort
+from guavadyke.adapters.peer_reads import PeerReads
 from guavadyke.adapters.peer_rpc import (
     PeerChannels,
     PeerClient,
@@ -101,6 +103,11 @@
         client = PeerClient(
             port.authenticator, settings.host_id, clock, port.faults
         )
+        self.reads = PeerReads(client)
+        # Answers calls of peers that need no call to the platform.
+        self.answer_locally: Callable[
+            [calls.PlatformCall], calls.PeerReply | None
+        ] = _answer_nothing
         self._store = FallbackStore(
             platform,
             client,
@@ -193,7 +200,8 @@
             return self._watch_hub.answer(request)
         if not isinstance(request, calls.PlatformCall):
             raise TypeError(f'unknown call {request!r}')
-        return self._platform_relay.answer(request)
+        known = self.answer_locally(request)
+        return self._platform_relay.answer(request) if known is None else known
 
     def _plan_watch(self, kind: str) -> tuple[bool, tuple[str, ...]]:
         """Return whether to watch a kind, and the addresses to ask."""
@@ -210,5 +218,9 @@
         )
 
 
+def _answer_nothing(_call: calls.PlatformCall) -> None:
+    """Leave all calls to the platform."""
+
+
 def _ignore_peer_event(_address: str) -> None:
     """Ignore a membership event, because there is no catalogue to sync."""
