Let load notices carry the remaining work of requests

Cause: hosts only know how many requests others have at a server. Change: OnlineCount gets the optional field work_ms. Hosts of the previous release ignore it; without it the meaning is as before. The generated code is extended by hand as the generator would, as no compiler was available.

--- a/guavadyke/adapters/peer_notice_codec.py
+++ b/guavadyke/adapters/peer_notice_codec.py
@@ -111,6 +111,7 @@
         backend_id=count.backend_id,
         in_flight=count.in_flight,
         queued=count.queued,
+        work_ms=count.work_ms,
     )
 
 
@@ -119,6 +120,7 @@
         checked_text(struct.backend_id),
         int(struct.in_flight),
         int(struct.queued),
+        None if struct.work_ms is None else max(0, int(struct.work_ms)),
     )
 
 
--- a/guavadyke/adapters/ports.py
+++ b/guavadyke/adapters/ports.py
@@ -337,11 +337,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class OnlineCount:
-    """Number of online requests that one host has at one backend server."""
+    """Number of online requests that one host has at one backend server.
+
+    ``work_ms`` is their remaining work in slot-milliseconds at a server of
+    usual speed, None if the host does not report it.
+    """
 
     backend_id: str
     in_flight: int
     queued: int
+    work_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/guavadyke/peer/messages.thrift
+++ b/guavadyke/peer/messages.thrift
@@ -57,10 +57,13 @@
   4: optional i64 sequence,
 }
 
+/** Online requests that the sender has at one backend server; work_ms is
+ * their remaining work at a server of usual speed. */
 struct OnlineCount {
   1: string backend_id,
   2: i32 in_flight,
   3: i32 queued,
+  4: optional i32 work_ms,
 }
 
 /** Batch items that the sender has at one backend server. */
