Place requests by work where servers of a service differ

Cause: counts of requests treat servers of uneven speed and requests of uneven cost alike. Change: the pool learns from attempts and item runs, reports remaining work in load notices, and chooses by it from a ratio of learned speeds of forward.speed_spread (1.5) on; below it the choice is by counts as before. Estimates of waits use the remaining work where the choice does.

--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -388,7 +388,7 @@
         if refusal is not None:
             return refusal
         partial = self._partials.get(key, PartialText())
-        lease = _lease_slot(self._parts, service, partial)
+        lease = _lease_slot(self._parts, service, partial, item)
         if lease is None:
             return StartRefusal.no_server
         if not self._parts.prompts.trials.begins(found, lease):
@@ -450,7 +450,10 @@
 
 
 def _lease_slot(
-    parts: RunnerParts, service: str, partial: PartialText
+    parts: RunnerParts,
+    service: str,
+    partial: PartialText,
+    item: ForwardItem,
 ) -> ServerLease | None:
     """Lease a slot, if possible where an item need not begin anew."""
     acquire = functools.partial(
@@ -458,8 +461,8 @@
         service,
         frozenset(parts.limits.exhausted(batch=True)),
     )
-    resuming = acquire(partial.software) if partial.last_id else None
-    return resuming or acquire()
+    resuming = acquire(partial.software, item.size) if partial.last_id else None
+    return resuming or acquire(size=item.size)
 
 
 def _lease_elsewhere(
@@ -476,6 +479,7 @@
         route.service_of(run.item.item_id),
         frozenset((*exhausted, run.lease.server.server_id)),
         run.resumes_at,
+        run.item.size,
     )
 
 
--- a/guavadyke/controllers/item_run.py
+++ b/guavadyke/controllers/item_run.py
@@ -130,6 +130,8 @@
         if partial.software != self._software:
             partial = PartialText()
         self._partial = partial
+        if lease.placed is not None:
+            lease.placed.resumed = partial.last_id > 0
         self._pieces = list(partial.pieces)
         self._event_parser = EventParser(partial.last_id)
         self._tools = tools
@@ -222,6 +224,8 @@
                 disconnected=True,
             )
         self._guarded.completed()
+        if self.lease.placed is not None:
+            self.lease.placed.completed = True
         return self._outcome(RunEnd.completed)
 
     def _read_events(self, answer: BackendAnswer) -> None:
@@ -232,6 +236,8 @@
             if event.event_id is not None:
                 self._pieces.append(event.data)
                 self._progress_at = self._tools.clock.monotonic()
+                if self.lease.placed is not None:
+                    self.lease.placed.record_event(self._progress_at)
                 self._guarded.progressed()
 
     def _end(self, failure: BackendServerError | None) -> None:
--- a/guavadyke/controllers/load_notices.py
+++ b/guavadyke/controllers/load_notices.py
@@ -87,6 +87,7 @@
             {count.backend_id: count.in_flight for count in held.counts},
             now,
         )
+        work = {count.backend_id: count.work_ms for count in held.counts}
         batch = self._batch_changes.due(
             {count.backend_id: count.in_flight for count in held.batch_counts},
             now,
@@ -95,7 +96,8 @@
             return
         notice = PeerNotice(
             counts=tuple(
-                OnlineCount(name, count, 0) for name, count in online.items()
+                OnlineCount(name, count, 0, work.get(name))
+                for name, count in online.items()
             ),
             batch_counts=tuple(starmap(BatchCount, batch.items())),
         )
--- a/guavadyke/controllers/server_pool.py
+++ b/guavadyke/controllers/server_pool.py
@@ -21,6 +21,7 @@
 )
 from guavadyke.controllers.mirror import MirrorSink
 from guavadyke.controllers.other_servers import OtherServers
+from guavadyke.controllers.placement import Placement
 from guavadyke.controllers.pool_parts import PoolParts
 from guavadyke.controllers.preemption_check import PreemptionCheck
 from guavadyke.controllers.urgent_notices import UrgentNotices
@@ -29,6 +30,7 @@
     LoadBalancer,
     group_by_service,
 )
+from guavadyke.decisions.request_cost import NO_SIZE, RequestSize
 from guavadyke.decisions.server_registry import (
     ListedServer,
     ServerLease,
@@ -86,7 +88,14 @@
         self._server_registry = ServerRegistry()
         self._load_balancer = LoadBalancer(here, rng)
         self._preemption_check = PreemptionCheck(self._load_balancer)
-        parts = PoolParts(self._lock, self._load_balancer, self._servers, clock)
+        self.placement = Placement(self._load_balancer, here.zone, logger)
+        parts = PoolParts(
+            self._lock,
+            self._load_balancer,
+            self._servers,
+            clock,
+            self.placement,
+        )
         self._in_flight = parts.in_flight
         self.wait_estimator = WaitEstimator(parts, rng)
         self.others = OtherServers(parts)
@@ -139,6 +148,7 @@
         excluded: frozenset[str],
         key: str,
         software: str | None = None,
+        size: RequestSize = NO_SIZE,
     ) -> ServerLease | None:
         """Lease a server for an online request.
 
@@ -149,18 +159,20 @@
             excluded: ids of servers not to use.
             key: requests with the same key prefer the same server.
             software: the only software version to use, None for any.
+            size: what the request states of its size.
 
         Returns:
             The lease, None if there is no usable server.
         """
         with self._lock:
             now = self._clock.monotonic()
-            chosen = self._load_balancer.choose_online(
+            chosen = self.placement.choose_online(
                 that_may_resume(
                     self._servers(service, now), software, excluded
                 ),
                 excluded,
                 key,
+                size,
                 now,
             )
             if chosen is None:
@@ -174,6 +186,13 @@
                 taken_at=now,
                 online_before=load.online,
                 batch_before=load.batch,
+                placed=self.placement.placed(
+                    chosen,
+                    size,
+                    now,
+                    batch=False,
+                    queued=load.total >= chosen.slots,
+                ),
             )
             self._in_flight.add(lease)
         if load.total >= chosen.slots:
@@ -185,6 +204,7 @@
         service: str,
         excluded: frozenset[str],
         software: str | None = None,
+        size: RequestSize = NO_SIZE,
     ) -> ServerLease | None:
         """Lease a slot for a batch item, None if no server has one free.
 
@@ -192,21 +212,28 @@
             service: the service that has to run the item.
             excluded: ids of servers not to use.
             software: the only software version to use, None for any.
+            size: what the item states of its size.
         """
         with self._lock:
             now = self._clock.monotonic()
+            servers = that_may_resume(
+                self._servers(service, now), software, excluded
+            )
             chosen = self._load_balancer.choose_batch(
-                that_may_resume(
-                    self._servers(service, now), software, excluded
-                ),
-                excluded,
+                servers,
+                excluded | self.placement.without_memory(servers, size, now),
                 now,
             )
             if chosen is None:
                 return None
             self._load_balancer.own_batch[chosen.server_id] += 1
             self._load_balancer.own_waiting -= 1
-            return ServerLease(chosen, batch=True, taken_at=now)
+            return ServerLease(
+                chosen,
+                batch=True,
+                taken_at=now,
+                placed=self.placement.placed(chosen, size, now, batch=True),
+            )
 
     def release(
         self,
@@ -232,6 +259,7 @@
             self._in_flight.remove(lease)
             health = self._load_balancer.health(lease.server)
             now = self._clock.monotonic()
+            self.placement.ended(lease, now)
             if lease.batch and fault is BackendFault.refused:
                 self._load_balancer.refused(server_id, now)
             if fault is None:
@@ -280,9 +308,12 @@
     def load_notice(self) -> PeerNotice:
         """Return this host's in-flight counts as a notice to other hosts."""
         with self._lock:
+            now = self._clock.monotonic()
             return PeerNotice(
                 counts=tuple(
-                    OnlineCount(name, count, 0)
+                    OnlineCount(
+                        name, count, 0, self.placement.reported_ms(name, now)
+                    )
                     for name, count in self._load_balancer.own_online.items()
                 ),
                 batch_counts=tuple(
@@ -295,10 +326,17 @@
     def online_notice(self, server_ids: Collection[str]) -> PeerNotice:
         """Return this host's online requests at some servers as a notice."""
         with self._lock:
+            now = self._clock.monotonic()
             online = self._load_balancer.own_online
             return PeerNotice(
                 counts=tuple(
-                    OnlineCount(name, online[name], 0) for name in server_ids
+                    OnlineCount(
+                        name,
+                        online[name],
+                        0,
+                        self.placement.reported_ms(name, now),
+                    )
+                    for name in server_ids
                 ),
             )
 
@@ -325,6 +363,13 @@
                     count.in_flight,
                     now,
                 )
+                self.placement.record_report(
+                    host_id,
+                    count.backend_id,
+                    count.in_flight,
+                    count.work_ms,
+                    now,
+                )
             for held in notice.batch_counts:
                 self._load_balancer.batch_elsewhere.record_count(
                     host_id,
@@ -373,6 +418,7 @@
         self._by_service = group_by_service(servers)
         self._preemption_check.list_servers(servers)
         self._load_balancer.keep_health_of(servers)
+        self.placement.list_servers(servers)
 
 
 def tell_each(
--- a/guavadyke/controllers/wait_estimator.py
+++ b/guavadyke/controllers/wait_estimator.py
@@ -56,6 +56,8 @@
             ahead = online - server.slots
             if ahead <= 0:
                 return 0
+            if self._parts.placement.by_work(server.service):
+                return self._parts.placement.queue_wait_s(server, ahead, now)
             return self._service_times.wait_s(
                 server.service,
                 ahead - 1,
--- a/guavadyke/decisions/forward_job_records.py
+++ b/guavadyke/decisions/forward_job_records.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 from guavadyke.decisions.prompt_quarantine import whole_item
+from guavadyke.decisions.request_cost import NO_SIZE, RequestSize
 from guavadyke.decisions.request_fingerprint import RequestIdentity, fingerprint
 
 # A result page of this size is full. Appending a result rewrites its whole
@@ -21,7 +22,7 @@
     """One item as submitted; ``path`` may include a query string.
 
     ``prompt_parts`` are the ids of the parts of its prompt that other requests
-    may share, in order.
+    may share, in order; ``size`` is what it states of its size.
     """
 
     item_id: str
@@ -30,6 +31,7 @@
     body: bytes
     tokens: int
     prompt_parts: tuple[str, ...] = ()
+    size: RequestSize = NO_SIZE
 
 
 @dataclasses.dataclass(frozen=True)
--- a/guavadyke/decisions/forward_routes.py
+++ b/guavadyke/decisions/forward_routes.py
@@ -6,6 +6,7 @@
 import enum
 import hashlib
 import itertools
+from collections.abc import Mapping
 
 from guavadyke.decisions.teams import TeamDirectory
 
@@ -108,7 +109,8 @@
 class RouteTable:
     """One version of all routes; version 0 means no configuration.
 
-    Without ``teams`` no request needs a key.
+    Without ``teams`` no request needs a key. ``memory_tokens`` are the tokens
+    that a server of each service holds, where the configuration states them.
     """
 
     version: int = 0
@@ -117,6 +119,7 @@
     teams: TeamDirectory = dataclasses.field(
         default_factory=TeamDirectory, compare=False
     )
+    memory_tokens: Mapping[str, int] = dataclasses.field(default_factory=dict)
 
     @property
     def configured(self) -> bool:
--- a/guavadyke/decisions/load_balancing.py
+++ b/guavadyke/decisions/load_balancing.py
@@ -148,11 +148,7 @@
         Returns:
             None if no server may be chosen.
         """
-        usable = [
-            server
-            for server in self._in_service(servers, now)
-            if server.server_id not in excluded
-        ]
+        usable = self.usable(servers, excluded, now)
         if not usable:
             return None
         ranked = rank_names(key, [server.server_id for server in usable])
@@ -165,6 +161,29 @@
             ),
         )
 
+    def usable(
+        self,
+        servers: Sequence[ListedServer],
+        excluded: frozenset[str],
+        now: float,
+    ) -> list[ListedServer]:
+        """Return the servers that are neither leaving, failing nor excluded.
+
+        If all staying servers fail, they are returned nevertheless.
+        """
+        staying = [server for server in servers if not server.leaving]
+        healthy = [
+            server
+            for server in staying
+            if (self.health(server).ejected_until or 0) <= now
+            and not self.fault_reports.avoids(server.server_id, now)
+        ]
+        return [
+            server
+            for server in healthy or staying
+            if server.server_id not in excluded
+        ]
+
     def refused(self, server_id: str, now: float) -> None:
         """Send no batch items to a server for a short time after a refusal."""
         self._paused_until[server_id] = now + _REFUSAL_PAUSE_S
@@ -183,9 +202,8 @@
         """
         usable = {
             server.server_id: server
-            for server in self._in_service(servers, now)
-            if server.server_id not in excluded
-            and self._paused_until.get(server.server_id, 0) <= now
+            for server in self.usable(servers, excluded, now)
+            if self._paused_until.get(server.server_id, 0) <= now
         }
         free = self._free_slots(usable.values(), now)
         self._unused_slots.update(usable, free, now)
@@ -295,24 +313,6 @@
             penalty += _NO_SLOT_PENALTY
         return round(held / server.slots, 2) + penalty
 
-    def _in_service(
-        self,
-        servers: Sequence[ListedServer],
-        now: float,
-    ) -> list[ListedServer]:
-        """Return the servers that are neither leaving nor failing.
-
-        If all staying servers fail, they are returned nevertheless.
-        """
-        staying = [server for server in servers if not server.leaving]
-        healthy = [
-            server
-            for server in staying
-            if (self.health(server).ejected_until or 0) <= now
-            and not self.fault_reports.avoids(server.server_id, now)
-        ]
-        return healthy or staying
-
 
 def group_by_service(
     servers: Iterable[ListedServer],
--- a/guavadyke/decisions/server_registry.py
+++ b/guavadyke/decisions/server_registry.py
@@ -5,6 +5,8 @@
 import dataclasses
 from collections.abc import Collection, Iterable, Sequence
 
+from guavadyke.decisions.remaining_work import PlacedRequest
+
 # Time in which servers whose entries expired during an outage of the platform
 # register again; stated in the users' operations pages.
 REREGISTRATION_S = 2.0
@@ -45,7 +47,8 @@
 
     ``batch`` tells a batch item from an online request; ``taken_at`` is in
     monotonic seconds. ``online_before`` and ``batch_before`` are the requests
-    that the server had from all hosts, as far as known.
+    that the server had from all hosts, as far as known. ``placed`` observes the
+    request, None where nothing is learned.
     """
 
     server: ListedServer
@@ -53,6 +56,9 @@
     taken_at: float
     online_before: int = 0
     batch_before: int = 0
+    placed: PlacedRequest | None = dataclasses.field(
+        default=None, compare=False
+    )
 
 
 class ServerRegistry:
--- a/guavadyke/filters/forward_admission.py
+++ b/guavadyke/filters/forward_admission.py
@@ -95,6 +95,7 @@
                 excluded,
                 self._request.prompt_key or self._request.request_id,
                 self.software,
+                self._request.size,
             )
             if lease is None:
                 raise self._no_server_error(failed)
--- a/guavadyke/filters/forward_attempt.py
+++ b/guavadyke/filters/forward_attempt.py
@@ -23,6 +23,7 @@
 from guavadyke.decisions.first_event_times import FirstEventTimes
 from guavadyke.decisions.forward_routes import ForwardRoute, RouteKind
 from guavadyke.decisions.prompt_quarantine import whole_request
+from guavadyke.decisions.request_cost import NO_SIZE, RequestSize
 from guavadyke.decisions.server_registry import ServerLease
 from guavadyke.decisions.teams import Team
 from guavadyke.filters.caller_watch import CallerWatch
@@ -45,7 +46,8 @@
     ``fingerprint`` is the same for all repetitions of the request;
     ``began_as`` is the id of the request that brought the first event of a
     stream that the caller resumes, empty if the caller names none; ``team``
-    is the team whose key it carries, None for none.
+    is the team whose key it carries, None for none; ``size`` is what it states
+    of its size.
     """
 
     request_id: str
@@ -61,6 +63,7 @@
     fingerprint: str = ''
     began_as: str = ''
     team: Team | None = None
+    size: RequestSize = NO_SIZE
 
     @property
     def stream_id(self) -> str:
@@ -182,6 +185,8 @@
             BackendServerError: the server sent no response.
         """
         self._resumed_after = last_event_id
+        if last_event_id and self._lease.placed is not None:
+            self._lease.placed.resumed = True
         remaining_s = self._request.deadline - self._tools.clock.monotonic()
         answer = self._tools.servers.send(
             BackendCall(
@@ -233,6 +238,8 @@
         self._guarded.progressed()
         now = self._tools.clock.monotonic()
         self.pace.record_event(now)
+        if self._lease.placed is not None:
+            self._lease.placed.record_event(now)
         if self._started:
             return
         self._started = True
@@ -263,6 +270,8 @@
         """
         if self._answer is not None and self._answer.status == _OK:
             self._guarded.completed()
+            if self._lease.placed is not None:
+                self._lease.placed.completed = True
         self._answer = None
         if self._service_began_at is not None:
             service_s = self._tools.clock.monotonic() - self._service_began_at
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -38,7 +38,7 @@
 from guavadyke.filters.forward_attempt import ForwardTools
 from guavadyke.filters.team_authentication import TeamAuthentication
 from guavadyke.forward_duties import DutyWatch, JobDuty
-from guavadyke.forward_learning import ForwardLearning
+from guavadyke.forward_learning import ForwardLearning, enable_placement
 from guavadyke.forward_peers import ForwardPeers, RoutedBackendServers
 from guavadyke.guarded_threads import BackgroundTask
 from guavadyke.http_server import HttpServer
@@ -137,6 +137,7 @@
                 self._peers.tunnel_relay.servers_listed,
             ),
         )
+        enable_placement(self.pool, settings.forward, self.table, self.metrics)
         self._watch = CallerWatch()
         self.tools = ForwardTools(
             settings.forward,
--- a/guavadyke/forward_job_documents.py
+++ b/guavadyke/forward_job_documents.py
@@ -15,6 +15,7 @@
     JobProgress,
     ResultPage,
 )
+from guavadyke.decisions.request_cost import RequestSize
 from guavadyke.errors import ErrorCode, GuavadykeError
 
 JOB_KIND = 'forward-jobs'
@@ -29,6 +30,13 @@
 _DocumentT = TypeVar('_DocumentT', bound=pydantic.BaseModel)
 
 
+class _SizeDocument(pydantic.BaseModel):
+    prompt: int
+    maximum: int
+    hint: int
+    parts: tuple[tuple[str, int], ...]
+
+
 class _ItemDocument(pydantic.BaseModel):
     item_id: str
     path: str
@@ -36,6 +44,8 @@
     body: _Base64Bytes
     tokens: int
     prompt_parts: tuple[str, ...] = ()
+    # None where nothing is stated, or by hosts of older releases.
+    size: _SizeDocument | None = None
 
 
 class _JobDocument(pydantic.BaseModel):
@@ -81,6 +91,7 @@
                 body=item.body,
                 tokens=item.tokens,
                 prompt_parts=item.prompt_parts,
+                size=_size_document(item.size),
             )
             for item in job.items
         ),
@@ -110,12 +121,32 @@
                 item.body,
                 item.tokens,
                 item.prompt_parts,
+                _size(item.size, document),
             )
             for item in document.items
         ),
     )
 
 
+def _size_document(size: RequestSize) -> _SizeDocument | None:
+    if not (size.memory_tokens or size.output_hint or size.parts):
+        return None
+    return _SizeDocument(
+        prompt=size.prompt_tokens,
+        maximum=size.max_output_tokens,
+        hint=size.output_hint,
+        parts=size.parts,
+    )
+
+
+def _size(size: _SizeDocument | None, job: _JobDocument) -> RequestSize:
+    if size is None:
+        return RequestSize(route=job.route, team=job.team)
+    return RequestSize(
+        size.prompt, size.maximum, size.hint, size.parts, job.route, job.team
+    )
+
+
 def encode_progress(progress: JobProgress) -> bytes:
     """Encode the body of a progress object."""
     return (
--- a/guavadyke/forward_learning.py
+++ b/guavadyke/forward_learning.py
@@ -6,11 +6,15 @@
 
 from guavadyke.adapters.ports import Clock, PeerMessenger
 from guavadyke.adapters.write_confirmation import WriteConfirmingStore
+from guavadyke.controllers.placement import PlacementOptions
+from guavadyke.controllers.server_pool import ServerPool
+from guavadyke.decisions.forward_routes import RouteTable
 from guavadyke.forward_limits import ForwardLimits
 from guavadyke.forward_prompts import ForwardPrompts
 from guavadyke.forward_streams import ForwardStreams
 from guavadyke.log import EventLogger
-from guavadyke.settings import HostSettings
+from guavadyke.metrics import HostMetrics
+from guavadyke.settings import ForwardSettings, HostSettings
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
 
 
@@ -62,3 +66,19 @@
         self.prompts.close()
         self.limits.close()
         self.streams.close()
+
+
+def enable_placement(
+    pool: ServerPool,
+    settings: ForwardSettings,
+    table: SnapshotCell[RouteTable],
+    metrics: HostMetrics,
+) -> None:
+    """Let a pool learn what requests cost and place them by it."""
+    pool.placement.enable(
+        PlacementOptions(
+            settings.speed_spread,
+            lambda service: table.current.memory_tokens.get(service, 0),
+            metrics,
+        )
+    )
--- a/guavadyke/platform/caller_port.py
+++ b/guavadyke/platform/caller_port.py
@@ -32,6 +32,11 @@
 from guavadyke.forward_host import ForwardHost
 from guavadyke.http_application import Route, json_answer, read_body
 from guavadyke.platform.engine_adapter import TEAM_HEADER
+from guavadyke.platform.request_size import (
+    PROMPT_PREFIX_HEADER,
+    shared_prompt_parts,
+    stated_size,
+)
 from guavadyke.settings import validation_findings
 
 _READY_PATTERN = '/api/readyz'
@@ -45,7 +50,6 @@
 _DEADLINE_HEADER = 'deadline-ms'
 _LAST_EVENT_HEADER = 'last-event-id'
 _BEGAN_AS_HEADER = 'resumes'
-_PROMPT_PREFIX_HEADER = 'prompt-prefix'
 _CREDENTIALS_HEADER = 'authorization'
 _CREDENTIALS_SCHEME = 'token'
 # Where there are teams, the host sets the team and servers see no key.
@@ -140,7 +144,7 @@
         host: str,
         caller: _Caller,
     ) -> Answer:
-        items = _parse_items(exchange.body)
+        items = _parse_items(exchange.body, route, caller.team)
         if caller.table.teams:
             items = tuple(map(_without_team_headers, items))
         self._job_api.submit(
@@ -278,11 +282,12 @@
         abandoned=exchange.disconnected,
         last_event_id=int(last_event) if last_event.isdecimal() else 0,
         prompt_parts=_shared_prompt_parts(
-            exchange.headers.get(_PROMPT_PREFIX_HEADER, '')
+            exchange.headers.get(PROMPT_PREFIX_HEADER, '')
         ),
         fingerprint=fingerprint(_identity(exchange, caller.identity(exchange))),
         began_as=exchange.headers.get(_BEGAN_AS_HEADER, ''),
         team=caller.team,
+        size=stated_size(exchange.headers, route, caller.team),
     )
 
 
@@ -313,14 +318,8 @@
 
 
 def _shared_prompt_parts(text: str) -> tuple[str, ...]:
-    """Return the ids of the parts that a prompt may share with others.
-
-    The header lists the parts of the prompt as ID:TOKENS; the last part
-    belongs to this prompt alone.
-    """
-    *shared, _own = text.split(',')
-    names = (entry.partition(':')[0].strip() for entry in shared)
-    return tuple(filter(None, names))
+    """Return the ids of the parts that a prompt may share with others."""
+    return tuple(part for part, _tokens in shared_prompt_parts(text))
 
 
 def _request_id(exchange: Exchange) -> str:
@@ -335,7 +334,9 @@
     return stated
 
 
-def _parse_items(body: bytes) -> tuple[ForwardItem, ...]:
+def _parse_items(
+    body: bytes, route: ForwardRoute, team: Team | None
+) -> tuple[ForwardItem, ...]:
     try:
         document = _JobBody.model_validate_json(body)
         return tuple(
@@ -345,7 +346,8 @@
                 dict(item.headers),
                 base64.b64decode(item.body, validate=True),
                 item.tokens,
-                _shared_prompt_parts(_header(item, _PROMPT_PREFIX_HEADER)),
+                _shared_prompt_parts(_header(item, PROMPT_PREFIX_HEADER)),
+                stated_size(_lower_case(item.headers), route, team),
             )
             for item in document.items
         )
@@ -362,6 +364,10 @@
         ) from error
 
 
+def _lower_case(headers: Mapping[str, str]) -> dict[str, str]:
+    return {name.lower(): text for name, text in headers.items()}
+
+
 def _header(item: _ItemBody, name: str) -> str:
     """Return a header of an item, empty if it has none."""
     return next(
--- a/guavadyke/platform/configuration.py
+++ b/guavadyke/platform/configuration.py
@@ -78,6 +78,16 @@
     burst: float = pydantic.Field(alias='Burst', default=0, ge=0)
 
 
+class _EngineSpec(pydantic.BaseModel):
+    memory_tokens: int = pydantic.Field(alias='KvTokens', default=0, ge=0)
+
+
+class _ServiceSpec(pydantic.BaseModel):
+    name: str = pydantic.Field(alias='Name')
+    # Plain services have none.
+    engine: _EngineSpec | None = pydantic.Field(alias='Engine', default=None)
+
+
 class _ConfigurationSpec(pydantic.BaseModel):
     # Errors are logged, and their text must not contain keys.
     model_config = pydantic.ConfigDict(hide_input_in_errors=True)
@@ -86,6 +96,9 @@
     routes: tuple[_RouteSpec, ...] = pydantic.Field(alias='Routes')
     limits: _LimitsSpec | None = pydantic.Field(alias='Limits', default=None)
     teams: tuple[_TeamSpec, ...] = pydantic.Field(alias='Tenants', default=())
+    services: tuple[_ServiceSpec, ...] = pydantic.Field(
+        alias='Services', default=()
+    )
 
 
 class ConfigurationDecoder:
@@ -118,6 +131,11 @@
             teams=TeamDirectory({
                 _decode_team(team): team.keys for team in document.teams
             }),
+            memory_tokens={
+                service.name: service.engine.memory_tokens
+                for service in document.services
+                if service.engine is not None
+            },
         )
 
 
--- a/guavadyke/settings.py
+++ b/guavadyke/settings.py
@@ -398,6 +398,15 @@
         default=0.1,
         description='Seconds between load notices to other hosts.',
     )
+    # Ratios up to 1.2 were learned from servers of equal speed under load; the
+    # slowest servers that are known run at 0.7 times the usual speed.
+    speed_spread: float = pydantic.Field(
+        default=1.5,
+        ge=0,
+        description='Ratio of the learned speeds of the servers of a service '
+        'from which requests are placed by their expected cost and the '
+        'remaining work of the servers; 0 for never.',
+    )
 
 
 class HostSettings(SettingsModel):
