--- a/guavadyke/controllers/placement.py
+++ b/guavadyke/controllers/placement.py
@@ -97,6 +97,11 @@
         found = self._services.get(service)
         return found is not None and found.switch.by_work
 
+    def speed(self, server: ListedServer, now: float) -> float:
+        """Return the learned speed of a server, 1 for the usual one."""
+        learned = self._service(server.service)
+        return learned.speeds.speed(server.incarnation, now)
+
     def choose_online(
         self,
         servers: Sequence[ListedServer],
