Decide on the allowances of teams, and carry their permits

Cause: RatePerS and Burst of a team were read and had no effect. Two optional fields of the datagram carry requests for permits and their answers.

--- a/guavadyke/adapters/peer_datagram_codec.py
+++ b/guavadyke/adapters/peer_datagram_codec.py
@@ -16,12 +16,12 @@
     RejectionReason,
 )
 from guavadyke.adapters.peer_notice_codec import (
-    checked_text,
     list_or_none,
     notice_fields,
     notice_from_struct,
     parse_all,
 )
+from guavadyke.adapters.text_fields import checked_text
 from guavadyke.decisions import leaving_servers, membership_protocol
 from guavadyke.decisions.object_versions import CatalogueMark
 from guavadyke.peer.generated.messages import ttypes
--- a/guavadyke/adapters/peer_notice_codec.py
+++ b/guavadyke/adapters/peer_notice_codec.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any, TypeVar
 
-from guavadyke.adapters import ports
+from guavadyke.adapters import allowance_codec, ports
+from guavadyke.adapters.text_fields import checked_text
 from guavadyke.decisions.fault_reports import ServerFault
 from guavadyke.decisions.host_abilities import HostAbility
 from guavadyke.decisions.request_permits import Permit, PermitRequest
@@ -13,7 +14,6 @@
 from guavadyke.peer.generated.messages import ttypes
 
 _Parsed = TypeVar('_Parsed')
-_MAX_TEXT_LENGTH = 8192
 _NO_NOTICE = ports.PeerNotice()
 
 
@@ -39,6 +39,12 @@
         ),
         'abilities': list_or_none(map(_ability_to_struct, notice.abilities)),
         'ended_jobs': list_or_none(notice.ended_jobs),
+        'allowance_requests': list_or_none(
+            map(allowance_codec.request_to_struct, notice.allowance_requests)
+        ),
+        'allowance_permits': list_or_none(
+            map(allowance_codec.permit_to_struct, notice.allowance_permits)
+        ),
     }
 
 
@@ -66,6 +72,12 @@
         ),
         abilities=parse_all(_ability_from_struct, struct.abilities),
         ended_jobs=parse_all(checked_text, struct.ended_jobs),
+        allowance_requests=parse_all(
+            allowance_codec.request_from_struct, struct.allowance_requests
+        ),
+        allowance_permits=parse_all(
+            allowance_codec.permit_from_struct, struct.allowance_permits
+        ),
     )
     return None if notice == _NO_NOTICE else notice
 
@@ -224,14 +236,3 @@
 def list_or_none(structs: Iterable[Any]) -> list[Any] | None:
     """Return a list field, which is left out if it is empty."""
     return list(structs) or None
-
-
-def checked_text(text: object) -> str:
-    """Return a text field.
-
-    Raises:
-        ValueError: the text is missing or too long.
-    """
-    if isinstance(text, str) and len(text) <= _MAX_TEXT_LENGTH:
-        return text
-    raise ValueError('a text field is missing or too long')
--- a/guavadyke/adapters/ports.py
+++ b/guavadyke/adapters/ports.py
@@ -12,6 +12,10 @@
 from guavadyke.decisions.host_abilities import HostAbility
 from guavadyke.decisions.request_permits import Permit, PermitRequest
 from guavadyke.decisions.stream_origins import StreamOrigin
+from guavadyke.decisions.team_allowances import (
+    AllowancePermit,
+    AllowanceRequest,
+)
 
 
 class Clock(Protocol):
@@ -372,6 +376,8 @@
     stream_queries: tuple[StreamOrigin, ...] = ()
     abilities: tuple[HostAbility, ...] = ()
     ended_jobs: tuple[str, ...] = ()
+    allowance_requests: tuple[AllowanceRequest, ...] = ()
+    allowance_permits: tuple[AllowancePermit, ...] = ()
 
 
 class PeerMessenger(Protocol):
--- /dev/null
+++ b/guavadyke/decisions/allowance_issuers.py
@@ -0,0 +1,116 @@
+"""Which hosts issue the permits of teams, and for what share of the fleet.
+
+Answers a fleet that is cut in two: the issuers on both sides together stay
+within a team's limit, since each scales it by the share that it sees.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable, Mapping
+
+from guavadyke.decisions.rendezvous_hashing import rank_names
+
+# Time in which a host that is lost still counts as one that may be cut off.
+_PEAK_S = 600.0
+# The issuer and the host that stands in for it.
+_CANDIDATES = 2
+
+
+class SlidingPeak:
+    """The highest of the counts in the last 10 minutes. Not thread-safe."""
+
+    def __init__(self) -> None:
+        # Times and counts; each count is lower than the one before it.
+        self._peaks: collections.deque[tuple[float, int]] = collections.deque()
+
+    def observe(self, count: int, now: float) -> int:
+        """Record a count; return the highest.
+
+        Args:
+            count: the count from now on.
+            now: seconds of the monotonic clock.
+        """
+        peaks = self._peaks
+        while peaks and peaks[-1][1] <= count:
+            peaks.pop()
+        peaks.append((now, count))
+        while peaks[0][0] < now - _PEAK_S:
+            peaks.popleft()
+        return peaks[0][1]
+
+
+class FleetShare:
+    """The share of the fleet that this host sees. Not thread-safe.
+
+    Attributes:
+        share: above 0, up to 1; each zone counts equally.
+        most_hosts: the most hosts that were alive at once in 10 minutes.
+
+    Args:
+        zones: the zones of the settings; those with hosts count as well.
+    """
+
+    def __init__(self, zones: Iterable[str]) -> None:
+        self.share: float = 1
+        self.most_hosts = 1
+        self._total = SlidingPeak()
+        self._peaks = {zone: SlidingPeak() for zone in zones}
+
+    def observe(self, hosts_by_zone: Mapping[str, int], now: float) -> None:
+        """Record how many hosts are alive, this one included.
+
+        Args:
+            hosts_by_zone: number of live hosts by zone.
+            now: seconds of the monotonic clock.
+        """
+        self.most_hosts = self._total.observe(sum(hosts_by_zone.values()), now)
+        new_zones = hosts_by_zone.keys() - self._peaks.keys()
+        self._peaks.update((zone, SlidingPeak()) for zone in new_zones)
+        fractions = (
+            _fraction(hosts_by_zone.get(zone, 0), peak, now)
+            for zone, peak in self._peaks.items()
+        )
+        self.share = sum(fractions) / len(self._peaks)
+
+
+class IssuerRanking:
+    """Ranks the live hosts as issuers of each team. Not thread-safe.
+
+    Ranks are kept until the live hosts change, since ranking hashes the name
+    of each of them.
+
+    Args:
+        host_id: the id of this host.
+    """
+
+    def __init__(self, host_id: str) -> None:
+        self._host_id = host_id
+        self._hosts = frozenset((host_id,))
+        self._candidates: dict[str, tuple[str, ...]] = {}
+
+    def update(self, hosts: frozenset[str]) -> bool:
+        """Set the live hosts; return whether they have changed."""
+        if hosts == self._hosts:
+            return False
+        self._hosts = hosts
+        self._candidates = {}
+        return True
+
+    def candidates(self, team: str) -> tuple[str, ...]:
+        """Return the issuer of a team and the host that stands in for it."""
+        found = self._candidates.get(team)
+        if found is None:
+            ranked = rank_names(f'allowances/{team}', self._hosts)
+            found = tuple(ranked[:_CANDIDATES])
+            self._candidates[team] = found
+        return found
+
+    def is_issuer(self, team: str) -> bool:
+        """Return whether this host is the issuer of a team."""
+        return self.candidates(team)[0] == self._host_id
+
+
+def _fraction(hosts: int, peak: SlidingPeak, now: float) -> float:
+    most = peak.observe(hosts, now)
+    return hosts / most if most else 0
--- a/guavadyke/peer/messages.thrift
+++ b/guavadyke/peer/messages.thrift
@@ -110,6 +110,26 @@
   2: double valid_s,
 }
 
+/** Asks for permits of a team whose limit holds over all hosts; the limit is
+ * that of the version of the configuration that the sender knows. */
+struct AllowanceRequest {
+  1: string team,
+  2: double requests_per_s,
+  3: double burst,
+  4: i64 configuration,
+  5: i32 wanted,
+}
+
+/** Allows the receiver count requests of a team within valid_s, or none for
+ * wait_s; usage is what the team uses of its allowed rate. */
+struct AllowancePermit {
+  1: string team,
+  2: i32 count,
+  3: double valid_s,
+  4: double wait_s,
+  5: double usage,
+}
+
 /** The one datagram; what is absent is not said. ended_jobs are the ids of
  * jobs that their callers have cancelled. */
 struct Datagram {
@@ -138,6 +158,8 @@
   23: optional list<StreamOrigin> stream_queries,
   24: optional list<HostAbility> abilities,
   25: optional list<string> ended_jobs,
+  26: optional list<AllowanceRequest> allowance_requests,
+  27: optional list<AllowancePermit> allowance_permits,
 }
 
 struct ObjectVersion {
