Refuse the requests of teams above their allowance

Cause: nothing kept a team from taking the servers from all others. Change: a request of a team with a limit takes a permit before a server is chosen. The team's issuer answers it, then the next host in rank, then a bucket of this host. Above the allowance the answer is 429, without any answer 503, both with Retry-After. A request that surely did not run gives its permit back. The settings file's zones scale what an issuer gives out.

--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -36,7 +36,10 @@
 from guavadyke.decisions.slot import HostLocation
 from guavadyke.filters.caller_watch import CallerWatch
 from guavadyke.filters.forward_attempt import ForwardTools
-from guavadyke.filters.team_authentication import TeamAuthentication
+from guavadyke.filters.team_admission import (
+    TeamAdmission,
+    TeamAdmissionParts,
+)
 from guavadyke.forward_duties import DutyWatch, JobDuty
 from guavadyke.forward_learning import ForwardLearning
 from guavadyke.forward_peers import ForwardPeers, RoutedBackendServers
@@ -184,8 +187,18 @@
             ports.decode_table,
             self.table,
         )
-        self.authentication = TeamAuthentication(
-            settings.platform, self.table, table_mirror, self.metrics, logger
+        self.teams = TeamAdmission(
+            TeamAdmissionParts(
+                settings,
+                self.table,
+                table_mirror,
+                self._fleet,
+                self._peers.messenger,
+                self.clock,
+                self._child_rng(),
+                self.metrics,
+                logger,
+            ),
         )
         self._add_mirrors(ports)
         self._load_notices = LoadNoticeSender(
@@ -252,6 +265,7 @@
         self.job_api.start()
         self._load_notices.start()
         self._learning.start()
+        self.teams.start()
         self._job_duty.start()
         self.duties.start()
         if self._is_drainable:
@@ -303,6 +317,7 @@
         self._retirements.close()
         self._load_notices.close()
         self._learning.close()
+        self.teams.close()
         self._mirrors.close()
         self._job_duty.close()
         self._watch.close()
--- a/guavadyke/platform/caller_port.py
+++ b/guavadyke/platform/caller_port.py
@@ -120,18 +120,19 @@
         exchange.entry_name = route.name
         caller = _Caller(
             table,
-            self._host.authentication.team_of_request(
+            self._host.teams.authentication.team_of_request(
                 table, route, _key(exchange)
             ),
         )
         exchange.body = read_body(exchange, table.limits.max_body_bytes)
         if route.kind is RouteKind.batch:
             return self._submit(exchange, route, host, caller)
-        return Forwarder(
+        forwarder = Forwarder(
             _forward_request(exchange, route, caller),
             route,
             self._host.tools,
-        ).answer()
+        )
+        return self._host.teams.answer(caller.team, forwarder.answer)
 
     def _submit(
         self,
@@ -177,7 +178,7 @@
         return json_answer({})
 
     def _team_of_job_call(self, exchange: Exchange) -> str | None:
-        return self._host.authentication.team_of_job_call(
+        return self._host.teams.authentication.team_of_job_call(
             self._route_table(), _key(exchange)
         )
 
@@ -224,7 +225,7 @@
                 ErrorCode.not_ready,
                 'startup is incomplete, so nothing can be served yet',
             )
-        self._host.authentication.trust.check()
+        self._host.teams.authentication.trust.check()
         return json_answer({'ready': True})
 
 
--- a/guavadyke/platform/settings_file.py
+++ b/guavadyke/platform/settings_file.py
@@ -78,6 +78,15 @@
         """Return a comma-separated list, empty if the key is missing."""
         return tuple(filter(None, self.values.get(key, '').split(',')))
 
+    def names(self, section: str) -> tuple[str, ...]:
+        """Return the names of the keys of a section, such as its zones."""
+        prefix = f'{section}.'
+        return tuple(
+            key.removeprefix(prefix)
+            for key in self.values
+            if key.startswith(prefix)
+        )
+
 
 def read_settings_file(path: Path) -> SettingsFile:
     """Read a settings file with lines of the form ``a.b=value``.
@@ -141,6 +150,7 @@
             forward=ForwardSettings(
                 result_retention_s=settings_file.number('Bounds.StatusS', 120),
             ),
+            zones=settings_file.names('Zones'),
         )
     except pydantic.ValidationError as error:
         raise _settings_error(validation_findings(error)) from error
--- a/guavadyke/settings.py
+++ b/guavadyke/settings.py
@@ -450,6 +450,11 @@
         description='Port of the readiness check for load balancers.',
     )
     forward: ForwardSettings = ForwardSettings()
+    zones: tuple[str, ...] = pydantic.Field(
+        default=(),
+        description='Availability zones of the fleet. A host that sees fewer '
+        'of their hosts than before issues less of the allowances of teams.',
+    )
 
 
 def validation_findings(error: pydantic.ValidationError) -> tuple[Finding, ...]:
