Keep teams within their limit where datagrams are lost

Change: an issuer that answered less than 2 s ago is not skipped; this host's part of the limit decides then, to which permits of issuers are charged too. The substitute issues by the number of hosts that ask it, and an issuer keeps 0.03 of a limit back for hosts that are cut off unnoticed.

--- a/guavadyke/controllers/team_allowances.py
+++ b/guavadyke/controllers/team_allowances.py
@@ -9,7 +9,11 @@
 
 from guavadyke.adapters.ports import Clock, PeerMessenger, PeerNotice
 from guavadyke.controllers.allowance_reports import AllowanceReports
-from guavadyke.decisions.allowance_issuers import FleetShare, IssuerRanking
+from guavadyke.decisions.allowance_issuers import (
+    FleetShare,
+    IssuerContacts,
+    IssuerRanking,
+)
 from guavadyke.decisions.allowance_stock import (
     AllowanceStock,
     Denial,
@@ -34,9 +38,7 @@
 _ANSWER_S = 0.05
 # Part of that time after which the request is sent again, since one of the two
 # datagrams may have been lost.
-_REPEAT_SHARE = 0.4
-# An issuer that did not answer is not asked again for this time.
-_SKIPPED_S = 2.0
+_REPEAT_SHARE = 0.5
 # Far less than the 2 s of idle time that count for a suspended host.
 _TICK_S = 0.25
 _UNLIMITED = Grant(0)
@@ -79,7 +81,7 @@
         self._local = LocalAllowances(parts.rng)
         self._share = FleetShare(parts.settings.zones)
         self._ranking = IssuerRanking(self._host_id)
-        self._skipped_until: dict[str, float] = {}
+        self._contacts = IssuerContacts()
         self._stopped = threading.Event()
         self._thread = GuardedThread(
             self._run, 'team-allowances', self._stopped
@@ -105,16 +107,11 @@
         team = table.teams.teams.get(team.name, team)
         if not team.limited:
             return _UNLIMITED
+        limit = AllowanceRequest(
+            team.name, team.requests_per_s, team.burst, table.version
+        )
         now = self._parts.clock.monotonic()
-        with self._changed:
-            self._stock.count_request(team.name, now)
-            verdict = self._stock.verdict(team.name, now)
-        if verdict is None:
-            verdict = self._obtain(
-                AllowanceRequest(
-                    team.name, team.requests_per_s, team.burst, table.version
-                )
-            )
+        verdict = self._take_of_issuer(limit) or self._take_locally(limit)
         if isinstance(verdict, Denial):
             self._parts.reports.refused(team.name, verdict, now)
         return verdict
@@ -138,6 +135,7 @@
             )
             for permit in notice.allowance_permits:
                 self._stock.add(permit, now)
+                self._contacts.answered(host_id, now)
             self._changed.notify_all()
         if answers:
             self._parts.messenger.send(
@@ -159,35 +157,49 @@
         while not self._stopped.wait(_TICK_S):
             self.tick()
 
-    def _obtain(self, limit: AllowanceRequest) -> Grant | Denial:
-        """Ask the issuer, then its substitute, then decide here."""
-        for issuer in self._issuers(limit.team):
-            verdict = (
-                self._issue_own(limit)
-                if issuer == self._host_id
-                else self._ask(issuer, limit)
-            )
+    def _take_of_issuer(self, limit: AllowanceRequest) -> Grant | Denial | None:
+        """Take a permit of the issuer or its substitute."""
+        with self._changed:
+            now = self._parts.clock.monotonic()
+            self._stock.count_request(limit.team, now)
+            verdict = self._stock.verdict(limit.team, now)
+        if verdict is None:
+            verdict = self._ask_issuers(limit)
+        if isinstance(verdict, Grant):
+            with self._changed:
+                self._local.charge(limit, self._share.most_hosts, now)
+        return verdict
+
+    def _ask_issuers(self, limit: AllowanceRequest) -> Grant | Denial | None:
+        """Ask the issuer, then its substitute."""
+        with self._changed:
+            candidates = self._ranking.candidates(limit.team)
+        for issuer in candidates:
+            if self._contacts.skips(issuer, self._parts.clock.monotonic()):
+                continue
+            if issuer == self._host_id:
+                return self._issue_own(limit)
+            verdict = self._ask(issuer, limit)
             if verdict is not None:
                 return verdict
+            self._parts.reports.unanswered(limit.team, issuer)
+            with self._changed:
+                now = self._parts.clock.monotonic()
+                skipped = self._contacts.unanswered(issuer, now)
+            if not skipped:
+                break
+        return None
+
+    def _take_locally(self, limit: AllowanceRequest) -> Grant | Denial:
         now = self._parts.clock.monotonic()
         self._parts.reports.decided_locally(limit.team, now)
         with self._changed:
             return self._local.take(limit, self._share.most_hosts, now)
 
-    def _issuers(self, team: str) -> tuple[str, ...]:
-        """Return the issuer and its substitute, without the skipped ones."""
-        with self._changed:
-            now = self._parts.clock.monotonic()
-            return tuple(
-                host_id
-                for host_id in self._ranking.candidates(team)
-                if self._skipped_until.get(host_id, 0) <= now
-            )
-
     def _issue_own(self, limit: AllowanceRequest) -> Grant | Denial | None:
         with self._changed:
             now = self._parts.clock.monotonic()
-            request = self._new_request(limit, now)
+            request = self._stock.ask(limit, now)
             self._stock.add(self._issue(request, self._host_id, now), now)
             return self._stock.verdict(limit.team, now)
 
@@ -196,7 +208,7 @@
     ) -> Grant | Denial | None:
         """Ask an issuer; return None if it does not answer."""
         with self._changed:
-            request = self._new_request(limit, self._parts.clock.monotonic())
+            request = self._stock.ask(limit, self._parts.clock.monotonic())
         answer_s = self._parts.answer_s
         repeat_s = _REPEAT_SHARE * answer_s
         for timeout_s in (repeat_s, answer_s - repeat_s):
@@ -206,18 +218,8 @@
             verdict = self._await_verdict(limit.team, timeout_s)
             if verdict is not None:
                 return verdict
-        now = self._parts.clock.monotonic()
-        with self._changed:
-            self._skipped_until[issuer] = now + _SKIPPED_S
-        self._parts.reports.unanswered(limit.team, issuer)
         return None
 
-    def _new_request(
-        self, limit: AllowanceRequest, now: float
-    ) -> AllowanceRequest:
-        wanted = self._stock.ask(limit.team, now)
-        return dataclasses.replace(limit, wanted=wanted)
-
     def _await_verdict(
         self, team: str, timeout_s: float
     ) -> Grant | Denial | None:
@@ -257,3 +259,4 @@
         hosts = frozenset(peer.host_id for peer in peers)
         if self._ranking.update(hosts | {self._host_id}):
             self._issuer.hosts_changed(self._ranking)
+            self._contacts.keep_only(hosts)
--- a/guavadyke/decisions/allowance_issuers.py
+++ b/guavadyke/decisions/allowance_issuers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections
+import math
 from collections.abc import Iterable, Mapping
 
 from guavadyke.decisions.rendezvous_hashing import rank_names
@@ -15,6 +16,8 @@
 _PEAK_S = 600.0
 # The issuer and the host that stands in for it.
 _CANDIDATES = 2
+# An issuer that did not answer is not asked again for this time.
+_SKIPPED_S = 2.0
 
 
 class SlidingPeak:
@@ -111,6 +114,46 @@
         return self.candidates(team)[0] == self._host_id
 
 
+class IssuerContacts:
+    """Which issuers answer this host. Not thread-safe."""
+
+    def __init__(self) -> None:
+        self._answered_at: dict[str, float] = {}
+        self._skipped_until: dict[str, float] = {}
+
+    def answered(self, host_id: str, now: float) -> None:
+        """Record an answer."""
+        self._answered_at[host_id] = now
+        self._skipped_until.pop(host_id, None)
+
+    def unanswered(self, host_id: str, now: float) -> bool:
+        """Record that a host has not answered; return whether to skip it.
+
+        One that answered a little while ago is presumed alive, with a link
+        that loses datagrams. If hosts went on to its substitute then, both
+        would issue the limit of a team.
+        """
+        if now - self._answered_at.get(host_id, -math.inf) < _SKIPPED_S:
+            return False
+        self._skipped_until[host_id] = now + _SKIPPED_S
+        return True
+
+    def skips(self, host_id: str, now: float) -> bool:
+        """Return whether a host is not to be asked now."""
+        return self._skipped_until.get(host_id, 0) > now
+
+    def keep_only(self, hosts: frozenset[str]) -> None:
+        """Forget all hosts but these."""
+        self._answered_at = _only(self._answered_at, hosts)
+        self._skipped_until = _only(self._skipped_until, hosts)
+
+
+def _only(
+    times: Mapping[str, float], hosts: frozenset[str]
+) -> dict[str, float]:
+    return {name: at for name, at in times.items() if name in hosts}
+
+
 def _fraction(hosts: int, peak: SlidingPeak, now: float) -> float:
     most = peak.observe(hosts, now)
     return hosts / most if most else 0
--- a/guavadyke/decisions/allowance_stock.py
+++ b/guavadyke/decisions/allowance_stock.py
@@ -22,6 +22,8 @@
 
 # An issuer that did not answer is asked again after this time.
 _LONGEST_RETRY_S = 2.0
+# Time's worth of a host's part that permits of issuers may have used ahead.
+_LONGEST_DEBT_S = 2.0
 # Local buckets that are unused for this time are drawn anew.
 _UNUSED_S = 60.0
 
@@ -52,7 +54,6 @@
         self.valid_until: collections.deque[float] = collections.deque()
         self.closed_until: float = 0
         self.asked_at: float = 0
-        self.usage: float = 0
         self._requested_at: collections.deque[float] = collections.deque()
 
     def count_request(self, now: float) -> None:
@@ -79,11 +80,11 @@
         """Record that a request of a team wants to run."""
         self._held[team].count_request(now)
 
-    def ask(self, team: str, now: float) -> int:
-        """Record that permits are asked for; return how many to ask for."""
-        held = self._held[team]
+    def ask(self, limit: AllowanceRequest, now: float) -> AllowanceRequest:
+        """Record that permits are asked for; return the request for them."""
+        held = self._held[limit.team]
         held.asked_at = now
-        return held.wanted
+        return dataclasses.replace(limit, wanted=held.wanted)
 
     def add(self, permit: AllowancePermit, now: float) -> None:
         """Add an answer.
@@ -92,7 +93,6 @@
         those that a suspended host finds when it resumes have expired.
         """
         held = self._held[permit.team]
-        held.usage = permit.usage
         if permit.count:
             valid_s = min(PERMIT_VALID_S, permit.valid_s)
             count = min(MOST_PERMITS, permit.count)
@@ -130,7 +130,11 @@
 
 
 class LocalAllowances:
-    """Buckets of a host that no issuer answers. Not thread-safe.
+    """This host's equal part of each limit, for when no issuer answers.
+
+    The permits of issuers are charged to it as well. So a host that loses
+    some of the answers gets no more than its part besides them. Not
+    thread-safe.
 
     Args:
         rng: draws the first levels, so that the hosts of a fleet without an
@@ -141,6 +145,18 @@
         self._rng = rng
         self._buckets: dict[str, TokenBucket] = {}
 
+    def charge(self, limit: AllowanceRequest, hosts: int, now: float) -> None:
+        """Charge a permit of an issuer.
+
+        Args:
+            limit: the limit.
+            hosts: the most hosts that were alive at once.
+            now: seconds of the monotonic clock.
+        """
+        bucket = self._refilled(limit, hosts, now)
+        least = -1 - _LONGEST_DEBT_S * _part_per_s(limit, hosts)
+        bucket.level = max(least, bucket.level - 1)
+
     def take(
         self, limit: AllowanceRequest, hosts: int, now: float
     ) -> Grant | Denial:
@@ -151,14 +167,9 @@
             hosts: the most hosts that were alive at once.
             now: seconds of the monotonic clock.
         """
-        per_s = max(MIN_RATE_PER_S, limit.requests_per_s / hosts)
-        bucket = self._buckets.get(limit.team)
-        if bucket is None:
-            bucket = TokenBucket(self._rng.random(), now)
-            self._buckets[limit.team] = bucket
-        bucket.refill(per_s, max(1, limit.burst / hosts), now)
+        bucket = self._refilled(limit, hosts, now)
         if bucket.level < 1:
-            wait_s = (1 - bucket.level) / per_s
+            wait_s = (1 - bucket.level) / _part_per_s(limit, hosts)
             return Denial(min(_LONGEST_RETRY_S, wait_s), over=False)
         bucket.level -= 1
         return Grant(now + PERMIT_VALID_S)
@@ -170,3 +181,18 @@
             for team, bucket in self._buckets.items()
             if now - bucket.updated_at < _UNUSED_S
         }
+
+    def _refilled(
+        self, limit: AllowanceRequest, hosts: int, now: float
+    ) -> TokenBucket:
+        bucket = self._buckets.get(limit.team)
+        if bucket is None:
+            bucket = TokenBucket(self._rng.random(), now)
+            self._buckets[limit.team] = bucket
+        capacity = max(1, limit.burst / hosts)
+        bucket.refill(_part_per_s(limit, hosts), capacity, now)
+        return bucket
+
+
+def _part_per_s(limit: AllowanceRequest, hosts: int) -> float:
+    return max(MIN_RATE_PER_S, limit.requests_per_s / hosts)
--- a/guavadyke/decisions/team_allowances.py
+++ b/guavadyke/decisions/team_allowances.py
@@ -25,11 +25,16 @@
 # Idle time that counts for a host that was suspended or was not the issuer:
 # another host may have issued permits then.
 _LONGEST_IDLE_S = 2.0
+# Part of a limit that an issuer gives out. The rest is for hosts that no
+# issuer answers and that decide on their own until the fleet notices.
+_ISSUED_SHARE = 0.97
 # Most of a limit that the host that stands in for an issuer issues: the usual
 # load of a team. Both may issue until a cut of the fleet is noticed.
 _SUBSTITUTE_SHARE = 0.65
 # Time in which a host that asked the substitute counts as one without issuer.
 _SUBSTITUTE_HOSTS_S = 5.0
+# Hosts without issuer for each of those: not every host has a request by then.
+_HOSTS_PER_ASKING_HOST = 3
 # Hosts that wait for a permit return more often than there are permits, since
 # some have no request by then.
 _REQUESTS_PER_PERMIT = 2
@@ -186,14 +191,16 @@
         the hosts that ask it.
         """
         if not role.substitute:
-            return role.share
+            return _ISSUED_SHARE * role.share
         self._asked_at = {
             host: at
             for host, at in self._asked_at.items()
             if at > now - _SUBSTITUTE_HOSTS_S
         }
         asking = len(self._asked_at) / max(1, role.hosts)
-        return role.share * min(_SUBSTITUTE_SHARE, asking)
+        return role.share * min(
+            _SUBSTITUTE_SHARE, _HOSTS_PER_ASKING_HOST * asking
+        )
 
     def _wait_s(self, per_s: float) -> float:
         """Return when a host is to ask again, spread over those that wait."""
