--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -36,7 +36,10 @@
 from guavadyke.decisions.slot import HostLocation
 from guavadyke.filters.caller_watch import CallerWatch
 from guavadyke.filters.forward_attempt import ForwardTools
-from guavadyke.filters.team_authentication import TeamAuthentication
+from guavadyke.filters.team_admission import (
+    TeamAdmission,
+    TeamAdmissionParts,
+)
 from guavadyke.forward_duties import DutyWatch, JobDuty
 from guavadyke.forward_learning import ForwardLearning, enable_placement
 from guavadyke.forward_peers import ForwardPeers, RoutedBackendServers
@@ -189,8 +192,18 @@
             ports.decode_table,
             self.table,
         )
-        self.authentication = TeamAuthentication(
-            settings.platform, self.table, table_mirror, self.metrics, logger
+        self.teams = TeamAdmission(
+            TeamAdmissionParts(
+                settings,
+                self.table,
+                table_mirror,
+                self._fleet,
+                self._peers.messenger,
+                self.clock,
+                self._child_rng(),
+                self.metrics,
+                logger,
+            ),
         )
         self._add_mirrors(ports)
         self._load_notices = LoadNoticeSender(
@@ -240,7 +253,7 @@
     @property
     def keys_trusted(self) -> bool:
         """Whether requests under the known keys may be served now."""
-        return self.authentication.trust.trusted
+        return self.teams.authentication.trust.trusted
 
     def connected(self) -> bool:
         """Return whether the last calls to the platform succeeded."""
@@ -265,6 +278,7 @@
         self.job_api.start()
         self._load_notices.start()
         self._learning.start()
+        self.teams.start()
         self._job_duty.start()
         self.duties.start()
         if self._is_drainable:
@@ -316,6 +330,7 @@
         self._retirements.close()
         self._load_notices.close()
         self._learning.close()
+        self.teams.close()
         self._mirrors.close()
         self._job_duty.close()
         self._watch.close()
--- a/guavadyke/platform/caller_port.py
+++ b/guavadyke/platform/caller_port.py
@@ -125,18 +125,19 @@
         exchange.entry_name = route.name
         caller = _Caller(
             table,
-            self._host.authentication.team_of_request(
+            self._host.teams.authentication.team_of_request(
                 table, route, _key(exchange)
             ),
         )
         exchange.body = read_body(exchange, table.limits.max_body_bytes)
         if route.kind is RouteKind.batch:
             return self._submit(exchange, route, host, caller)
-        return Forwarder(
+        forwarder = Forwarder(
             _forward_request(exchange, route, caller),
             route,
             self._host.tools,
-        ).answer()
+        )
+        return self._host.teams.answer(caller.team, forwarder.answer)
 
     def _submit(
         self,
@@ -182,7 +183,7 @@
         return json_answer({})
 
     def _team_of_job_call(self, exchange: Exchange, job_id: str) -> str | None:
-        return self._host.authentication.team_of_job_call(
+        return self._host.teams.authentication.team_of_job_call(
             self._route_table(),
             _key(exchange),
             lambda: self._job_api.route_without_team(job_id),
