--- a/features/result_pages.feature
+++ b/features/result_pages.feature
@@ -15,7 +15,7 @@
     And the owner does not answer
     Then 20 reads get 2 results with 20 platform calls
     And the owner was asked 1 time
-    When 2.1 seconds pass
+    When the reader waits for 2.1 seconds
     Then 1 reads get 2 results with 1 platform calls
     And the owner was asked 2 times
 
--- a/features/steps/result_pages_steps.py
+++ b/features/steps/result_pages_steps.py
@@ -31,7 +31,7 @@
     context.hosts.reads.silent = True
 
 
-@when('{seconds:g} seconds pass')
+@when('the reader waits for {seconds:g} seconds')
 def step_pass(context: Context, seconds: float) -> None:
     context.hosts.reader.clock.sleep(seconds)
 
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -250,11 +250,6 @@
             and self._learning.streams.ready
         )
 
-    @property
-    def keys_trusted(self) -> bool:
-        """Whether requests under the known keys may be served now."""
-        return self.teams.authentication.trust.trusted
-
     def connected(self) -> bool:
         """Return whether the last calls to the platform succeeded."""
         return not self._mirrors.failing
--- a/guavadyke/platform/caller_port.py
+++ b/guavadyke/platform/caller_port.py
@@ -232,7 +232,7 @@
                 ErrorCode.not_ready,
                 'startup is incomplete, so nothing can be served yet',
             )
-        if not self._host.keys_trusted:
+        if not self._host.teams.authentication.trust.trusted:
             raise GuavadykeError(
                 ErrorCode.not_ready,
                 'the configuration known here may be too old',
