Let the soak use keys of teams

Cause: no test removed a key while hosts, links and engines fail. The promise KEY is that a removed key is not served after its bound, a valid one is not rejected, an engine never sees a key, and the team is that of the key.

--- a/features/builders_forward_processes.py
+++ b/features/builders_forward_processes.py
@@ -40,6 +40,8 @@
     root: Path = ROOT
     process: subprocess.Popen[bytes] | None = None
     module: str = 'guavadyke.platform'
+    # Headers of all calls that do not state others of these names.
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
     @property
     def settings_path(self) -> Path:
@@ -86,7 +88,7 @@
             method,
             target,
             body=body,
-            headers={'Host': users.HOST, **(headers or {})},
+            headers={'Host': users.HOST, **self.headers, **(headers or {})},
             retries=False,
             timeout=_CALL_S,
             preload_content=preload,
@@ -121,6 +123,8 @@
         self.store = users.UsersStore()
         # Changes of the settings of daemons that are started.
         self.settings: dict[str, str] = {}
+        # Headers of all calls of daemons that are started.
+        self.headers: dict[str, str] = {}
         self.engines: list[users.UsersEngine] = []
         self.daemons: list[DaemonProcess] = []
         self._module = module
@@ -163,6 +167,7 @@
             Path(self._folder.name),
             self._root,
             module=self._module,
+            headers=self.headers,
         )
         daemon.settings_path.write_text(
             users.settings_lines(
--- a/features/builders_soak.py
+++ b/features/builders_soak.py
@@ -65,6 +65,17 @@
     return history
 
 
+def _under_key(sent_s: float, key: str, **run: object) -> History:
+    call = Call('team', 'r-1', 0, _PATH, sent_s, sent_s + 0.1, 200, key=key)
+    return History(
+        _HOSTS,
+        calls=[call],
+        runs=[Run('r-1', _ENGINE, sent_s, **{'team': 'birch', **run})],
+        teams={'kept': 'amber', 'removed': 'birch'},
+        key_removed_s=_CHANGED_S,
+    )
+
+
 def _listed(*results: str) -> History:
     return History(_HOSTS, items=['item-0'], results=list(results))
 
@@ -95,6 +106,14 @@
         _HOSTS, calls=[_call('last', 503, 30)]
     ),
     'a request is cut beside an engine that ends': lambda: _kept_ended('r-2'),
+    'a removed key is served after its bound': lambda: _under_key(
+        15.4, 'removed'
+    ),
+    'an engine sees a key': lambda: _under_key(1, 'removed', key_seen=True),
+    'a request runs for another team': lambda: _under_key(1, 'kept'),
+    'a valid key is rejected': lambda: History(
+        _HOSTS, calls=[_call('stream', 401, 1)]
+    ),
     **builders_soak_items.BROKEN,
 })
 ALLOWED: Mapping[str, Callable[[], History]] = types.MappingProxyType({
@@ -113,5 +132,8 @@
     'the run of a request is unknown': lambda: _once(502, 'i-1'),
     'an item is listed once': lambda: _listed('item-0'),
     'an engine that ends cuts its requests': lambda: _kept_ended('r-1'),
+    'a removed key is served before its bound': lambda: _under_key(
+        15.2, 'removed'
+    ),
     **builders_soak_items.ALLOWED,
 })
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -28,6 +28,10 @@
       | MIXED   | an item has half of its text                |
       | MIXED   | an item is given up in its first minute     |
       | UNASKED | an item starts long after its job was cancelled |
+      | KEY     | a removed key is served after its bound     |
+      | KEY     | an engine sees a key                        |
+      | KEY     | a request runs for another team             |
+      | KEY     | a valid key is rejected                     |
       | BUDGET  | a fourth engine ends under a part before its trial |
       | BUDGET  | two engines end in one trial of a part      |
       | BUDGET  | a fourth engine ends under an item before its trial |
@@ -49,6 +53,7 @@
       | the run of a request is unknown               |
       | an item is listed once                        |
       | an engine that ends cuts its requests         |
+      | a removed key is served before its bound      |
       | an item of a cancelled job is never listed    |
       | an item waits for the trial of its part       |
       | an item that failed lately is not listed      |
@@ -69,6 +74,12 @@
     When seed 1 is played for 14 seconds on 3 hosts
     Then it reports nothing
 
+  # Guards against removed keys that are served on, keys that engines see and
+  # teams that are not those of the keys, while hosts and links fail.
+  Scenario: a short soak with teams breaks no promise
+    When seed 34 is played for 20 seconds on 2 hosts with teams
+    Then it reports nothing
+
   # Guards against requests on kept connections that a stop cuts.
   Scenario: a stop among callers that keep their connections breaks no promise
     When a host is stopped and reloaded while callers keep their connections
--- a/features/soak.py
+++ b/features/soak.py
@@ -49,8 +49,10 @@
     Schedule,
     draw_schedule,
     read_schedule,
+    with_teams,
     with_upgrade,
 )
+from features.soak_teams import TeamCallers
 
 _ENGINES = 6
 _ITEMS = 40
@@ -83,6 +85,7 @@
         fleet_faults = FleetFaults(self._fleet)
         self._ending = threading.Event()
         self._jobs = JobCallers(self._fleet, schedule, self._ending)
+        self._teams = TeamCallers(self._fleet, schedule, self._ending)
         self._crash_faults = CrashFaults(self._fleet, self._jobs, schedule.seed)
         self._begin_by_kind = {
             'killed': self._host_faults.kill,
@@ -114,6 +117,8 @@
 
     def run(self) -> None:
         """Play the schedule."""
+        if self._schedule.key_removed_s:
+            self._teams.add()
         self._fleet.start(self._schedule.hosts, _ENGINES)
         self._fleet.begin_time()
         self._submit()
@@ -127,6 +132,7 @@
             for one in (
                 *work,
                 *kept.work,
+                *self._teams.work,
                 *self._jobs.work,
                 self._probe_until_end,
             )
@@ -155,6 +161,9 @@
         for fault in self._schedule.faults:
             begin = functools.partial(self._begin, fault, steps, order)
             heapq.heappush(steps, (fault.at_s, next(order), begin))
+        if self._schedule.key_removed_s:
+            at_s = self._schedule.key_removed_s
+            heapq.heappush(steps, (at_s, next(order), self._teams.remove_key))
         while steps:
             at_s, _order, act = heapq.heappop(steps)
             self._wait_until(at_s)
@@ -310,6 +319,9 @@
     type=click.Path(exists=True, path_type=Path),
     help='Checkout of the version that all hosts run at first.',
 )
+@click.option(
+    '--teams', is_flag=True, help='Callers have keys, and one is removed.'
+)
 def main(
     seed: int,
     seconds: float,
@@ -317,6 +329,7 @@
     folder: Path | None,
     replay: Path | None,
     earlier: Path | None,
+    teams: bool,
 ) -> None:
     """Play a soak and print each broken promise."""
     schedule = draw_schedule(seed, seconds, hosts)
@@ -324,6 +337,8 @@
         schedule = read_schedule(replay / _SCHEDULE_FILE)
     elif earlier is not None:
         schedule = with_upgrade(schedule)
+    if teams:
+        schedule = with_teams(schedule)
     broken = play(schedule, folder, root=earlier or ROOT)
     for line in broken:
         click.echo(line)
--- a/features/soak_checker.py
+++ b/features/soak_checker.py
@@ -6,7 +6,7 @@
 import math
 from collections.abc import Iterator
 
-from features import soak_item_checks
+from features import soak_item_checks, soak_team_checks
 from features.soak_history import SLACK_S, Call, History, is_late
 from features.soak_schedule import CRASH_FAULTS
 
@@ -37,6 +37,7 @@
         _items,
         _exits,
         _last,
+        *soak_team_checks.CHECKS,
         *soak_item_checks.CHECKS,
     )
     return [line for check in checks for line in check(history)]
--- a/features/soak_crash_faults.py
+++ b/features/soak_crash_faults.py
@@ -168,7 +168,7 @@
         answer = connection.call(
             path,
             request_id,
-            self._headers,
+            {**self._headers, **self._fleet.daemons[self._host].headers},
             (self._body or f'{REQUEST_PREFIX}{request_id}').encode(),
         )
         self._fleet.history.calls.append(
--- a/features/soak_fleet.py
+++ b/features/soak_fleet.py
@@ -31,7 +31,7 @@
 class EngineObserver(Protocol):
     """Is told what engines do."""
 
-    def began(self, engine: SoakEngine, request_id: str) -> None:
+    def began(self, engine: SoakEngine, request: StandinRequest) -> None:
         """Record that an engine began to answer a request."""
 
     def crashing_name(self, names: Iterable[str]) -> str | None:
@@ -72,7 +72,7 @@
     def _run(
         self, request: StandinRequest, request_id: str, names: tuple[str, ...]
     ) -> None:
-        self._observer.began(self, request_id)
+        self._observer.began(self, request)
         write = self._start_stream(request)
         first = int(request.headers.get('last-event-id', '0')) + 1
         cause = self._observer.crashing_name(names)
@@ -131,6 +131,8 @@
         super().__init__(root)
         self.history = History(hosts)
         self.deadly: set[str] = set()
+        # The teams of the configuration, as they are written there.
+        self.team_specs: list[dict[str, object]] = []
         self._began_at = time.monotonic()
         self._engine_numbers = itertools.count(1)
         self._versions = itertools.count(1)
@@ -174,7 +176,10 @@
         self.store.put(
             'config',
             'main',
-            users.configuration(*base, once, *added, version=version),
+            {
+                **users.configuration(*base, once, *added, version=version),
+                'Tenants': self.team_specs,
+            },
         )
 
     def record(
@@ -185,9 +190,17 @@
             Trouble(fault.kind, began_s, self.now_s(), frozenset(hosts))
         )
 
-    def began(self, engine: SoakEngine, request_id: str) -> None:
+    def began(self, engine: SoakEngine, request: StandinRequest) -> None:
         """Record that an engine began to answer a request."""
-        self.history.runs.append(Run(request_id, engine.name, self.now_s()))
+        self.history.runs.append(
+            Run(
+                request.headers['request-id'],
+                engine.name,
+                self.now_s(),
+                request.headers.get('tenant-id', ''),
+                'authorization' in request.headers,
+            )
+        )
 
     def crashing_name(self, names: Iterable[str]) -> str | None:
         """Return the name in a prompt that crashes engines, if any does."""
--- a/features/soak_history.py
+++ b/features/soak_history.py
@@ -26,8 +26,9 @@
 
     ``own`` is whether the body is the whole answer to this request. ``kind``
     is stream, once (not idempotent), kept (not idempotent, on a connection
-    that is used until its host closes it), probe (of an added route) or last
-    (after all faults). Times are in seconds of the soak.
+    that is used until its host closes it), probe (of an added route), last
+    (after all faults) or team (under a key that is named by ``key``). Times are
+    in seconds of the soak.
     """
 
     kind: str
@@ -38,15 +39,22 @@
     ended_s: float
     status: int
     own: bool = True
+    key: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
 class Run:
-    """A request that an engine began to answer."""
+    """A request that an engine began to answer.
+
+    ``team`` is the team that it was told, ``key_seen`` whether it was sent
+    credentials.
+    """
 
     request_id: str
     engine: str
     at_s: float
+    team: str = ''
+    key_seen: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -134,7 +142,8 @@
     completed items as they are listed, ``ended`` a line for each process that
     ended by itself or did not stop. A change has to be in force after
     ``in_force_s`` seconds. All faults were over at ``calm_s``, and results of
-    ``jobs`` were read until ``read_until_s``.
+    ``jobs`` were read until ``read_until_s``. ``teams`` are those of the keys
+    by the names of these, and one key was removed at ``key_removed_s``.
     """
 
     hosts: int
@@ -150,6 +159,8 @@
     ends: list[EngineEnd] = dataclasses.field(default_factory=list)
     jobs: list[SoakJob] = dataclasses.field(default_factory=list)
     listings: list[Listing] = dataclasses.field(default_factory=list)
+    teams: dict[str, str] = dataclasses.field(default_factory=dict)
+    key_removed_s: float = math.inf
     calm_s: float = 0
     read_until_s: float = 0
 
--- a/features/soak_kept_callers.py
+++ b/features/soak_kept_callers.py
@@ -65,8 +65,9 @@
     def _call(self, connection: KeptConnection, host: int) -> KeptAnswer:
         request_id = f'kept-{next(self._numbers)}'
         sent_s = self._fleet.now_s()
+        headers = self._fleet.daemons[host].headers
         answer = connection.call(
-            SLOW_PATH, request_id, {'Host': users.HOST, 'Model': 'm'}
+            SLOW_PATH, request_id, {'Host': users.HOST, 'Model': 'm', **headers}
         )
         self._fleet.history.calls.append(
             Call(
--- a/features/soak_schedule.py
+++ b/features/soak_schedule.py
@@ -87,13 +87,18 @@
 
 @dataclasses.dataclass(frozen=True)
 class Schedule:
-    """What a soak does: all of it follows from the seed."""
+    """What a soak does: all of it follows from the seed.
+
+    A key is removed after ``key_removed_s`` seconds, 0 for a soak without
+    teams.
+    """
 
     seed: int
     seconds: float
     hosts: int
     faults: tuple[Fault, ...]
     jobs: tuple[JobPlan, ...] = ()
+    key_removed_s: float = 0
 
     def write(self, path: Path) -> None:
         """Write the schedule as JSON."""
@@ -126,6 +131,11 @@
     return Schedule(seed, seconds, hosts, tuple(faults), tuple(jobs))
 
 
+def with_teams(schedule: Schedule) -> Schedule:
+    """Return a schedule with teams, one of which loses its key halfway."""
+    return dataclasses.replace(schedule, key_removed_s=schedule.seconds / 2)
+
+
 def with_upgrade(schedule: Schedule) -> Schedule:
     """Return a schedule with stops by which every host is upgraded.
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -67,6 +67,18 @@
     context.broken = soak.play(schedule, None, _GENEROUS_S)
 
 
+@when(
+    'seed {seed:d} is played for {seconds:g} seconds on {hosts:d} hosts '
+    'with teams'
+)
+def step_play_teams(
+    context: Context, seed: int, seconds: float, hosts: int
+) -> None:
+    schedule = soak_schedule.draw_schedule(seed, seconds, hosts)
+    schedule = soak_schedule.with_teams(schedule)
+    context.broken = soak.play(schedule, None, _GENEROUS_S)
+
+
 @when('a host is stopped and reloaded while callers keep their connections')
 def step_play_stop(context: Context) -> None:
     faults = (
