Move the check of a configuration to the command line of the platform

Cause: the check is in guavadyke/platform, which no other module may import; the scenario "no other module imports the adapter" found its entry in cli.py.

Change: the command is "python -m guavadyke.platform check-configuration FILE". Any other first argument starts the daemon, as before.

--- a/features/configuration_check.feature
+++ b/features/configuration_check.feature
@@ -5,6 +5,12 @@
     When it is checked
     Then the exit code is 0 and it prints "nothing found"
 
+  # Guards against a command line that starts a daemon instead.
+  Scenario: the command line of the platform has the check
+    Given the configuration with Version as 0
+    When the command line of the platform checks it
+    Then the exit code is 2 and it prints "versions begin at 1"
+
   # Guards against a fault of a configuration that no check names, and against
   # a place that leads the operator to another entry.
   Scenario Outline: <place> as <value> is found
--- a/features/steps/configuration_check_steps.py
+++ b/features/steps/configuration_check_steps.py
@@ -2,18 +2,24 @@
 
 from __future__ import annotations
 
+import contextlib
+import io
 import json
+import runpy
+import sys
 import tempfile
 import types
 from pathlib import Path
+from unittest import mock
 
 from behave import given, then, when
 from behave.runner import Context
 from click.testing import CliRunner
 
 from features import builders_configuration as build
-from guavadyke.cli import main
+from guavadyke.platform.check_command import check_configuration
 
+_COMMAND = 'check-configuration'
 _CONTENTS = types.MappingProxyType({
     'empty': b'',
     'not JSON': b'Version: 7',
@@ -79,12 +85,35 @@
     assert json.loads(context.done.output) == {'findings': expected}
 
 
+@when('the command line of the platform checks it')
+def step_command_line(context: Context) -> None:
+    path = str(context.directory / 'offered')
+    output = io.StringIO()
+    with (
+        mock.patch.object(sys, 'argv', ['platform', _COMMAND, path]),
+        contextlib.redirect_stdout(output),
+    ):
+        code = _exit_code()
+    context.done = types.SimpleNamespace(
+        exit_code=code, output=output.getvalue()
+    )
+
+
 @then('no key is printed')
 def step_no_key(context: Context) -> None:
     for key in (build.FIRST_KEY, build.SECOND_KEY, 'sk-new'):
         assert key not in context.done.output, context.done.output
 
 
+def _exit_code() -> object:
+    """Run the package as a program and return its exit code."""
+    try:
+        runpy.run_module('guavadyke.platform', run_name='__main__')
+    except SystemExit as ended:
+        return ended.code
+    return None
+
+
 def _write(context: Context, name: str, body: bytes) -> None:
     if 'directory' not in context:
         directory = tempfile.TemporaryDirectory()
@@ -95,6 +124,4 @@
 
 def _check(context: Context, *options: str) -> None:
     path = str(context.directory / 'offered')
-    context.done = CliRunner().invoke(
-        main, ['check-configuration', path, *options]
-    )
+    context.done = CliRunner().invoke(check_configuration, [path, *options])
--- a/guavadyke/cli.py
+++ b/guavadyke/cli.py
@@ -19,7 +19,6 @@
     'batch': 'guavadyke.cli_batch',
     'chat': 'guavadyke.cli_chat',
     'catalogue': 'guavadyke.cli_catalogue',
-    'check-configuration': 'guavadyke.platform.check_command',
     'drain': 'guavadyke.cli_fleet',
     'fleet': 'guavadyke.cli_fleet',
     'measure': 'guavadyke.cli_measure',
@@ -43,8 +42,7 @@
         module = _COMMAND_MODULES.get(cmd_name)
         if module is None:
             return super().get_command(ctx, cmd_name)
-        attribute = cmd_name.replace('-', '_')
-        command = getattr(importlib.import_module(module), attribute)
+        command = getattr(importlib.import_module(module), cmd_name)
         return command if isinstance(command, click.Command) else None
 
 
--- a/guavadyke/platform/__main__.py
+++ b/guavadyke/platform/__main__.py
@@ -1,6 +1,13 @@
-"""Command line entry point of the daemon on the users' platform."""
+"""Command line entry point on the users' platform: the daemon and its tools."""
 
+import sys
+
+from guavadyke.platform.check_command import check_configuration
 from guavadyke.platform.daemon import main
 
 if __name__ == '__main__':
-    main()
+    # The daemon takes any other first argument for its role.
+    if sys.argv[1:2] == [check_configuration.name]:
+        check_configuration(sys.argv[2:])
+    else:
+        main()
