--- a/features/forward_placement.feature
+++ b/features/forward_placement.feature
@@ -113,3 +113,17 @@
       | 60      | x    | 0      | 0       | 0      |
       | -1,40   | 1e9  | 0      | 40      | 0      |
       | 1,2,3   | ²    | 0      | 0       | 0      |
+
+  Scenario: a host learns from forwarded requests and from items
+    When a stream and an item have whole answers of 6 events for hints of 3
+    Then 6 events are expected for a hint of 3
+
+  Scenario: a stream that breaks off teaches nothing
+    When a stream breaks off after 2 events for a hint of 3
+    Then 3 events are expected for a hint of 3
+
+  Scenario: the size of an item is stored with its job
+    Then an item with a size and one of the release before are read as stored
+
+  Scenario: the configuration states the memory of engines
+    Then a configuration with services of 500 tokens and without an engine is read
--- a/features/steps/forward_placement_steps.py
+++ b/features/steps/forward_placement_steps.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import itertools
+import json
 import random
 
 from behave import given, then, when
@@ -17,7 +18,14 @@
     decode_datagram,
     encode_datagram,
 )
-from guavadyke.adapters.ports import BatchCount, OnlineCount, PeerNotice
+from guavadyke.adapters.ports import (
+    BackendFault,
+    BatchCount,
+    OnlineCount,
+    PeerNotice,
+    StoredObject,
+)
+from guavadyke.controllers.item_run import ItemRun, PartialText, RunEnd
 from guavadyke.decisions.object_versions import CatalogueMark
 from guavadyke.decisions.remote_work import RemoteWork
 from guavadyke.decisions.request_cost import (
@@ -26,7 +34,13 @@
     RequestSize,
 )
 from guavadyke.decisions.server_speed import MethodSwitch
+from guavadyke.errors import GuavadykeError
+from guavadyke.filters.forward import Forwarder
+from guavadyke.forward_job_documents import decode_job, encode_job
+from guavadyke.log import EventLogger
+from guavadyke.platform.configuration import ConfigurationDecoder
 from guavadyke.platform.request_size import stated_size
+from guavadyke.settings import ForwardSettings
 
 _MEAN_COST_S = 1.5
 _EXACT = 1e-6
@@ -448,3 +462,83 @@
     assert stated == RequestSize(
         prompt, maximum, tokens, parts, 'replies', ''
     ), stated
+
+
+@when(
+    'a stream and an item have whole answers of {events:d} events for hints '
+    'of {hint:d}'
+)
+def step_whole(context: Context, events: int, hint: int) -> None:
+    assert events == build.EVENTS
+    context.host = placing.Host(1, [placing.server(1)])
+    servers = build.FakeServers()
+    assert _forward(context, servers, hint)
+    lease = context.host.pool.acquire_batch(
+        build.SERVICE, frozenset(), None, placing.size(hint)
+    )
+    run = ItemRun(
+        build.job(),
+        build.item(0),
+        lease,
+        PartialText(),
+        build.item_run_tools(context.host.pool),
+    )
+    assert run.perform(servers, ForwardSettings()).end is RunEnd.completed
+    assert lease.placed.completed and lease.placed.events == events
+
+
+@when('a stream breaks off after {events:d} events for a hint of {hint:d}')
+def step_broken(context: Context, events: int, hint: int) -> None:
+    context.host = placing.Host(1, [placing.server(1)])
+    script = build.Scripted(fault=BackendFault.broken, sent=events)
+    assert not _forward(context, build.FakeServers(script), hint)
+
+
+def _forward(context: Context, servers: build.FakeServers, hint: int) -> bool:
+    """Forward a streamed request; return whether its answer was whole."""
+    tools = build.tools(servers, context.host.pool)
+    request = dataclasses.replace(build.request(), size=placing.size(hint))
+    answer = Forwarder(request, build.route(max_attempts=1), tools).answer()
+    try:
+        return b''.join(answer.body) == build.stream()
+    except GuavadykeError:
+        return False
+
+
+@then('{events:d} events are expected for a hint of {hint:d}')
+def step_expected(context: Context, events: int, hint: int) -> None:
+    lease = context.host.acquire(hint=hint)
+    assert round(lease.placed.cost.events) == events, lease.placed
+
+
+@then('an item with a size and one of the release before are read as stored')
+def step_stored(_context: Context) -> None:
+    stated = RequestSize(60, 40, 10, (('intro', 40),), 'replies', 'owls')
+    job = dataclasses.replace(build.job(items=1), route='replies', team='owls')
+    items = tuple(dataclasses.replace(item, size=stated) for item in job.items)
+    job = dataclasses.replace(job, items=items)
+    body = encode_job(job)
+    assert decode_job(job.job_id, body) == job
+    document = json.loads(body)
+    document['items'][0].pop('size')
+    older = decode_job(job.job_id, json.dumps(document).encode())
+    assert older.items[0].size == RequestSize(route='replies', team='owls')
+
+
+@then(
+    'a configuration with services of {memory:d} tokens and without an engine '
+    'is read'
+)
+def step_configuration(_context: Context, memory: int) -> None:
+    document = {
+        'Version': 3,
+        'Routes': [],
+        'Services': [
+            {'Name': 'engines', 'Engine': {'Slots': 8, 'KvTokens': memory}},
+            {'Name': 'plain'},
+        ],
+    }
+    stored = StoredObject('config', 'main', 1, json.dumps(document).encode())
+    table = ConfigurationDecoder(EventLogger())(stored)
+    assert table is not None
+    assert table.memory_tokens == {'engines': memory}, table
--- a/guavadyke/controllers/placement.py
+++ b/guavadyke/controllers/placement.py
@@ -134,10 +134,11 @@
         """Return the ids of servers whose memory does not hold an item."""
         if not servers or not self.by_work(servers[0].service):
             return frozenset()
+        memory = self._options.memory_tokens(servers[0].service)
+        if not memory:
+            return frozenset()
         return without_memory(
-            self._candidates(servers, size, now),
-            size.memory_tokens,
-            self._options.memory_tokens(servers[0].service),
+            self._candidates(servers, size, now), size.memory_tokens, memory
         )
 
     def placed(
--- a/guavadyke/decisions/forward_routes.py
+++ b/guavadyke/decisions/forward_routes.py
@@ -119,7 +119,9 @@
     teams: TeamDirectory = dataclasses.field(
         default_factory=TeamDirectory, compare=False
     )
-    memory_tokens: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    memory_tokens: Mapping[str, int] = dataclasses.field(
+        default_factory=dict, hash=False
+    )
 
     @property
     def configured(self) -> bool:
