Learn speeds from the times between events alone

Cause: a wait behind requests of other hosts before the first event, or an answer of unknown length, counted as a slow server, so that equal servers could look uneven and change the method. Change: only answers with 4 events or more count, from the first event on.

--- a/features/builders_placement.py
+++ b/features/builders_placement.py
@@ -89,6 +89,7 @@
         speed: float,
         requests: int = 1,
         events: int = HINT,
+        wait_s: float = 0,
     ) -> None:
         """Complete requests, one after the other, at a server."""
         others = tuple(
@@ -97,6 +98,7 @@
         for _ in range(requests):
             lease = self.acquire(excluded=others)
             assert lease is not None and lease.placed is not None
+            self.clock.sleep(wait_s)
             for _ in range(events):
                 self.clock.sleep(EVENT_S / speed)
                 lease.placed.record_event(self.clock.monotonic())
--- a/features/forward_placement.feature
+++ b/features/forward_placement.feature
@@ -18,6 +18,16 @@
     And s1 completes 1 requests at the speed 0.01
     Then requests are placed by counts
 
+  Scenario: waits for first events do not count as speed
+    Given a host and servers of the speeds 1, 1 and 1
+    When each has completed 20 requests with random waits of up to 3 s
+    Then requests are placed by counts
+
+  Scenario: lengths of answers without events do not count as speed
+    Given a host and servers of the speeds 1, 1 and 1
+    When each has completed 20 answers without events of 0.1 to 3 s
+    Then requests are placed by counts
+
   Scenario: a spread of 0 never places by work
     Given a host with a spread of 0 and servers of the speeds 0.2 and 4
     When each has completed 20 requests
--- a/features/steps/forward_placement_steps.py
+++ b/features/steps/forward_placement_steps.py
@@ -88,6 +88,28 @@
     context.host.learn_speeds(context.servers, context.speeds, count)
 
 
+@when(
+    'each has completed {count:d} requests with random waits of up to '
+    '{most:g} s'
+)
+def step_learn_waits(context: Context, count: int, most: float) -> None:
+    rng = random.Random(1)
+    for one in context.servers * count:
+        context.host.learn(one, 1, wait_s=rng.choice((0, most)))
+
+
+@when(
+    'each has completed {count:d} answers without events of {low:g} to '
+    '{high:g} s'
+)
+def step_learn_whole(
+    context: Context, count: int, low: float, high: float
+) -> None:
+    rng = random.Random(1)
+    for one in context.servers * count:
+        context.host.learn(one, 1, events=0, wait_s=rng.choice((low, high)))
+
+
 @when('{name} completes {count:d} requests at the speed {speed:g}')
 def step_learn_one(
     context: Context, name: str, count: int, speed: float
--- a/guavadyke/controllers/placement.py
+++ b/guavadyke/controllers/placement.py
@@ -26,6 +26,11 @@
 # The speeds of all servers of a service are compared at most this often: it
 # takes 3 ms at 2,700 servers.
 _COMPARE_INTERVAL_S = 1.0
+# Speeds are learned from the times between events alone, of answers with at
+# least so many. First events may have waited behind requests of other hosts,
+# and answers without events may have any length: at equal servers both would
+# look like speeds that differ by more than 1.5.
+_MIN_EVENTS = 4
 _MS_PER_S = 1000
 # A report is a thrift i32.
 _MAX_WORK_MS = 2**31 - 1
@@ -273,12 +278,13 @@
             self._options.metrics.record(
                 'placement_estimate_error', abs(expected_s - observed_s)
             )
-        learned.speeds.observe(
-            server.incarnation,
-            costs.expected_duration_s(placed.size, placed.cached_tokens, seen),
-            observed_s,
-            now,
-        )
+        if seen.events >= _MIN_EVENTS:
+            learned.speeds.observe(
+                server.incarnation,
+                costs.expected_events_s(seen.events),
+                seen.events_s,
+                now,
+            )
         costs.observe(placed.size, placed.cached_tokens, seen)
         if now - learned.compared_at >= _COMPARE_INTERVAL_S:
             learned.compared_at = now
--- a/guavadyke/decisions/request_cost.py
+++ b/guavadyke/decisions/request_cost.py
@@ -153,17 +153,9 @@
             self._learn_length(size, seen.events)
             self._total.add(self._first_event.at(uncached) + seen.events_s, 1)
 
-    def expected_duration_s(
-        self, size: RequestSize, cached_tokens: int, seen: Observation
-    ) -> float:
-        """Return how long what was observed takes at usual speed."""
-        if not seen.events:
-            return self.expect(size, cached_tokens).first_event_s
-        events_s = self._event.mean * (seen.events - 1)
-        if seen.first_event_s is None:
-            return events_s
-        uncached = max(0, size.prompt_tokens - cached_tokens)
-        return events_s + self._first_event.at(uncached)
+    def expected_events_s(self, events: int) -> float:
+        """Return the time from the first of some events to the last one."""
+        return self._event.mean * (events - 1)
 
     def _learn_length(self, size: RequestSize, events: int) -> None:
         for team in dict.fromkeys(('', size.team)):
