--- a/features/forward_placement.feature
+++ b/features/forward_placement.feature
@@ -18,6 +18,16 @@
     And s1 completes 1 requests at the speed 0.01
     Then requests are placed by counts
 
+  Scenario: waits for first events do not count as speed
+    Given a host and servers of the speeds 1, 1 and 1
+    When each has completed 20 requests with random waits of up to 3 s
+    Then requests are placed by counts
+
+  Scenario: lengths of answers without events do not count as speed
+    Given a host and servers of the speeds 1, 1 and 1
+    When each has completed 20 answers without events of 0.1 to 3 s
+    Then requests are placed by counts
+
   Scenario: a spread of 0 never places by work
     Given a host with a spread of 0 and servers of the speeds 0.2 and 4
     When each has completed 20 requests
@@ -113,3 +123,17 @@
       | 60      | x    | 0      | 0       | 0      |
       | -1,40   | 1e9  | 0      | 40      | 0      |
       | 1,2,3   | ²    | 0      | 0       | 0      |
+
+  Scenario: a host learns from forwarded requests and from items
+    When a stream and an item have whole answers of 6 events for hints of 3
+    Then 6 events are expected for a hint of 3
+
+  Scenario: a stream that breaks off teaches nothing
+    When a stream breaks off after 2 events for a hint of 3
+    Then 3 events are expected for a hint of 3
+
+  Scenario: the size of an item is stored with its job
+    Then an item with a size and one of the release before are read as stored
+
+  Scenario: the configuration states the memory of engines
+    Then a configuration with services of 500 tokens and without an engine is read
