Reset the connection of a call that is cancelled

A call was cancelled by a shutdown of its connection. Where its reader had fallen behind, the server's send window was full: the reader took what had arrived, closed the connection in order, and the server went on probing a receiver that no longer existed (its socket in CLOSE_WAIT with 4.1 MB to send).

--- a/features/forward_endless.feature
+++ b/features/forward_endless.feature
@@ -68,3 +68,9 @@
       | header lines               |
       | interim responses          |
       | a body without length      |
+
+  # Guards against a slot that stays taken since its server waits for a reader.
+  Scenario: a server whose reader has fallen behind sees a cancelled call end
+    Given a server that sends events without ids until its caller closes
+    When a call to it is cancelled after 1.5 seconds without a read
+    Then the server sees its connection closed
--- a/features/steps/forward_endless_steps.py
+++ b/features/steps/forward_endless_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import contextlib
 import threading
 import time
@@ -79,6 +80,19 @@
     context.outcomes = outcomes
 
 
+@when('a call to it is cancelled after {seconds:g} seconds without a read')
+def step_slow_reader(context: Context, seconds: float) -> None:
+    answer = HttpBackendServers().send(
+        outside.backend_call(context.server.address, b'')
+    )
+    pieces = answer.chunks()
+    next(pieces)
+    time.sleep(seconds)
+    answer.cancel()
+    with contextlib.suppress(BackendServerError):
+        collections.deque(pieces, maxlen=0)
+
+
 @when('the {call} is read from it')
 def step_call(context: Context, call: str) -> None:
     read = {
--- a/guavadyke/adapters/backend.py
+++ b/guavadyke/adapters/backend.py
@@ -11,6 +11,7 @@
 import functools
 import math
 import socket
+import struct
 import threading
 import time
 from collections.abc import Callable, Iterator, Mapping
@@ -46,6 +47,7 @@
 _MAX_IDLE_S = 5
 _MAX_READ_BYTES = 65_536
 _BLOCK_BYTES = 16_384
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _MAX_LOAD_BYTES = 1_048_576
 _TRANSPORT_ERRORS = (OSError, HTTPError, client.HTTPException)
 
@@ -349,6 +351,11 @@
                 return
             self._cancelled = True
             with contextlib.suppress(OSError):
+                # After an orderly end, a server whose send window is full
+                # would wait on: nothing tells it that its reader has gone.
+                self._socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
                 self._socket.shutdown(socket.SHUT_RDWR)
 
     def discard(self) -> None:
