--- a/guavadyke/adapters/backend.py
+++ b/guavadyke/adapters/backend.py
@@ -12,6 +12,7 @@
 import math
 import select
 import socket
+import struct
 import threading
 import time
 from collections.abc import Callable, Iterator, Mapping
@@ -47,6 +48,7 @@
 _MAX_IDLE_S = 5
 _MAX_READ_BYTES = 65_536
 _BLOCK_BYTES = 16_384
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _MAX_LOAD_BYTES = 1_048_576
 # A server that closes a connection with a part of a long upload unread ends
 # its answer in order and resets the connection right after it. The two follow
@@ -360,6 +362,11 @@
                 return
             self._cancelled = True
             with contextlib.suppress(OSError):
+                # After an orderly end, a server whose send window is full
+                # would wait on: nothing tells it that its reader has gone.
+                self._socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
                 self._socket.shutdown(socket.SHUT_RDWR)
 
     def discard(self) -> None:
