--- a/guavadyke/decisions/work_placement.py
+++ b/guavadyke/decisions/work_placement.py
@@ -15,9 +15,7 @@
 from guavadyke.decisions.server_registry import ListedServer
 
 # Servers whose scores differ by this share of a request's mean cost have
-# weights that differ by a factor of e. In trials with uneven servers and a
-# load in steps 0.85 and 0.80 of the requests were in time at 0.4, 0.88 and
-# 0.87 at 1, and 0.88 and 0.85 at 2 (two seeds): with less, hosts choose too
+# weights that differ by a factor of e. With a smaller share, hosts choose too
 # much alike between two reports.
 _NEAR_SHARE = 1.0
 # A server whose score is higher than the best by this many times that share,
