--- a/guavadyke/decisions/allowance_issuers.py
+++ b/guavadyke/decisions/allowance_issuers.py
@@ -14,6 +14,10 @@
 
 # Time in which a host that is lost still counts as one that may be cut off.
 _PEAK_S = 600.0
+# A cut of the fleet is noticed host by host. While the share falls, the issuers
+# of both sides would together issue more than the limit.
+_FALL_S = 3.0
+_LEAST_OF_SEEN = 0.6
 # The issuer and the host that stands in for it.
 _CANDIDATES = 2
 # An issuer that did not answer is not asked again for this time.
@@ -21,24 +25,31 @@
 
 
 class SlidingPeak:
-    """The highest of the counts in the last 10 minutes. Not thread-safe."""
+    """The highest of the recent values. Not thread-safe.
 
-    def __init__(self) -> None:
-        # Times and counts; each count is lower than the one before it.
-        self._peaks: collections.deque[tuple[float, int]] = collections.deque()
+    Args:
+        seconds: for how long a value counts.
+    """
+
+    def __init__(self, seconds: float = _PEAK_S) -> None:
+        self._seconds = seconds
+        # Times and values; each value is lower than the one before it.
+        self._peaks: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
 
-    def observe(self, count: int, now: float) -> int:
-        """Record a count; return the highest.
+    def observe(self, count: float, now: float) -> float:
+        """Record a value; return the highest.
 
         Args:
-            count: the count from now on.
+            count: the value from now on.
             now: seconds of the monotonic clock.
         """
         peaks = self._peaks
         while peaks and peaks[-1][1] <= count:
             peaks.pop()
         peaks.append((now, count))
-        while peaks[0][0] < now - _PEAK_S:
+        while peaks[0][0] < now - self._seconds:
             peaks.popleft()
         return peaks[0][1]
 
@@ -47,7 +58,8 @@
     """The share of the fleet that this host sees. Not thread-safe.
 
     Attributes:
-        share: above 0, up to 1; each zone counts equally.
+        share: above 0, up to 1; each zone counts equally. While the hosts
+            that are seen become fewer, it is lower by as much as it fell.
         most_hosts: the most hosts that were alive at once in 10 minutes.
 
     Args:
@@ -58,6 +70,7 @@
         self.share: float = 1
         self.most_hosts = 1
         self._total = SlidingPeak()
+        self._recent = SlidingPeak(_FALL_S)
         self._peaks = {zone: SlidingPeak() for zone in zones}
 
     def observe(self, hosts_by_zone: Mapping[str, int], now: float) -> None:
@@ -67,14 +80,17 @@
             hosts_by_zone: number of live hosts by zone.
             now: seconds of the monotonic clock.
         """
-        self.most_hosts = self._total.observe(sum(hosts_by_zone.values()), now)
+        hosts = sum(hosts_by_zone.values())
+        self.most_hosts = int(self._total.observe(hosts, now))
         new_zones = hosts_by_zone.keys() - self._peaks.keys()
         self._peaks.update((zone, SlidingPeak()) for zone in new_zones)
         fractions = (
             _fraction(hosts_by_zone.get(zone, 0), peak, now)
             for zone, peak in self._peaks.items()
         )
-        self.share = sum(fractions) / len(self._peaks)
+        seen = sum(fractions) / len(self._peaks)
+        fall = self._recent.observe(seen, now) - seen
+        self.share = max(_LEAST_OF_SEEN * seen, seen - fall)
 
 
 class IssuerRanking:
