--- a/guavadyke/measure/slopes/capacity.py
+++ b/guavadyke/measure/slopes/capacity.py
@@ -52,6 +52,10 @@
 
 - **Order owner**: no slope is measured of its state and calls.
 - **Disk host**: no slope is measured of its cache and spool.
+- **Issuer of allowances**: no slope is measured of its state and calls;
+  [allowances](design/allowances.md) has single figures.
+- **Placement by work**: no slope is measured of its state and choices;
+  [placement](design/placement.md) has single figures.
 - **Tokens**: what one entry host relays is under
   [measurements](MEASUREMENTS.md); it is no cost of control.
 """
