Read routes of a configuration whose services are odd

Cause: since the memory of engines is read, a list of services that cannot be parsed made the whole configuration unreadable. Change: such services are logged and left out.

--- a/guavadyke/platform/configuration.py
+++ b/guavadyke/platform/configuration.py
@@ -92,6 +92,11 @@
     engine: _EngineSpec | None = pydantic.Field(alias='Engine', default=None)
 
 
+_SERVICES: pydantic.TypeAdapter[tuple[_ServiceSpec, ...]] = (
+    pydantic.TypeAdapter(tuple[_ServiceSpec, ...])
+)
+
+
 class _ConfigurationSpec(pydantic.BaseModel):
     # Errors are logged, and their text must not contain keys.
     model_config = pydantic.ConfigDict(hide_input_in_errors=True)
@@ -100,9 +105,9 @@
     routes: tuple[_RouteSpec, ...] = pydantic.Field(alias='Routes')
     limits: _LimitsSpec | None = pydantic.Field(alias='Limits', default=None)
     teams: tuple[_TeamSpec, ...] = pydantic.Field(alias='Tenants', default=())
-    services: tuple[_ServiceSpec, ...] = pydantic.Field(
-        alias='Services', default=()
-    )
+    # They only tell the memory of engines, so that an odd one must not make
+    # the routes unreadable.
+    services: Any = pydantic.Field(alias='Services', default=())
 
 
 class ConfigurationDecoder:
@@ -133,13 +138,22 @@
             routes=tuple(map(_decode_route, document.routes)),
             limits=_decode_limits(document.limits),
             teams=_decode_teams(document.teams),
-            memory_tokens={
-                service.name: service.engine.memory_tokens
-                for service in document.services
-                if service.engine is not None
-            },
+            memory_tokens=self._memory_tokens(document.services),
         )
 
+    def _memory_tokens(self, services: Any) -> dict[str, int]:
+        """Return the memory of engines in tokens, by service."""
+        try:
+            listed = _SERVICES.validate_python(services)
+        except pydantic.ValidationError as error:
+            self._logger.warning('services_unreadable', reason=str(error))
+            return {}
+        return {
+            service.name: service.engine.memory_tokens
+            for service in listed
+            if service.engine is not None
+        }
+
 
 @dataclasses.dataclass(frozen=True)
 class ReadConfiguration:
