--- a/guavadyke/platform/configuration.py
+++ b/guavadyke/platform/configuration.py
@@ -146,7 +146,10 @@
         try:
             listed = _SERVICES.validate_python(services)
         except pydantic.ValidationError as error:
-            self._logger.warning('services_unreadable', reason=str(error))
+            # The text of the error shows parts of the configuration.
+            self._logger.warning(
+                'services_unreadable', faults=error.error_count()
+            )
             return {}
         return {
             service.name: service.engine.memory_tokens
