Remove a job before what says that it has ended

Cause: a job's progress, which says that it has ended, was deleted before the job. Each host mirrors the two kinds on its own, so that for a moment a host saw a job without progress, which looks like one that has just been accepted; its first owner took it. A removal that ended between the two deletions left the job open for good.

Change: the job goes first. A host reads a job before it starts the first item of it, as it may have read the jobs before a removal and their progress after it. A job that was read for a caller just before its removal is forgotten; before, it stayed known as open.

This holds in any order in which mirrors hear of the deletions: while a host knows the job, either it knows that the job has ended, or it has seen that knowledge vanish.

--- a/features/builders_forward_runner.py
+++ b/features/builders_forward_runner.py
@@ -112,7 +112,7 @@
         self.fleet = SnapshotCell(FleetSnapshot())
         self.knows_ends = True
         self.ends_known: Callable[[], bool] = lambda: self.knows_ends
-        busy = SnapshotCell(initial=False)
+        self._busy = SnapshotCell(initial=False)
         self._runner = JobRunner.start(
             RunnerParts(
                 host_settings(item_workers),
@@ -127,15 +127,20 @@
                 build.host_abilities(ME, self.fleet),
                 lambda: True,
                 self._are_ends_known,
-                busy,
+                self._busy,
                 clock,
                 self.logger,
                 HostMetrics(),
             ),
         )
-        self._ticker = RunnerTicker(tell_function(self._runner), busy)
+        self._ticker = RunnerTicker(tell_function(self._runner), self._busy)
         self._ticker.start()
 
+    @property
+    def busy(self) -> bool:
+        """Whether the host seems to own open jobs."""
+        return self._busy.current
+
     def accept(
         self,
         items: int,
--- a/guavadyke/controllers/forward_job_maintenance.py
+++ b/guavadyke/controllers/forward_job_maintenance.py
@@ -4,9 +4,11 @@
 
 from collections.abc import Mapping
 
+from guavadyke.controllers.forward_job_registry import JobRegistry
 from guavadyke.controllers.forward_job_writer import JobWriter
 from guavadyke.controllers.host_abilities import HostAbilities
 from guavadyke.decisions.forward_job_items import JobItemTracker
+from guavadyke.decisions.forward_job_leftovers import LeftoverTracker
 from guavadyke.decisions.forward_job_ownership import (
     AbsenceTracker,
     choose_owner,
@@ -36,6 +38,7 @@
         settings: the id of this host and the retention of results.
         fleet: the other hosts.
         abilities: which hosts cannot run items.
+        registry: tells of which jobs only a part is left.
         writer: writes the changes to the platform in the background.
     """
 
@@ -44,14 +47,18 @@
         settings: ForwardHostSettings,
         fleet: SnapshotCell[FleetSnapshot],
         abilities: HostAbilities,
+        registry: JobRegistry,
         writer: JobWriter,
     ) -> None:
         self._me = settings.host_id
         self._retention_s = settings.forward.result_retention_s
         self._fleet = fleet
         self._abilities = abilities
+        self._registry = registry
         self._writer = writer
         self._absences = AbsenceTracker()
+        self._leftovers = LeftoverTracker()
+        self._late_drops: set[str] = set()
         self._next_check_at: float = 0
 
     def run_if_due(
@@ -73,6 +80,14 @@
         alive = self._peers_in(frozenset((_ALIVE,)))
         self._take_over_lost(views, alive, now)
         self._remove_expired(views, alive, wall)
+        self._remove_leftovers(alive, now)
+
+    def dropped_late(self, job_id: str) -> None:
+        """Note that this host has worked on a job until after its removal.
+
+        It may have stored results after that, which are removed later.
+        """
+        self._late_drops.add(job_id)
 
     def reassign(
         self,
@@ -123,9 +138,22 @@
             if view.job.accepted_at < before and not view.open
         )
         for job_id in expired:
-            if rendezvous(job_id, {self._me, *alive}) == self._me:
+            if self._is_elected(job_id, alive):
                 self._writer.remove(job_id)
 
+    def _remove_leftovers(self, alive: list[str], now: float) -> None:
+        """Remove what is left of jobs that are known in part for long."""
+        own = self._registry.unconfirmed.union(self._late_drops)
+        found = self._registry.orphans | own
+        for job_id in self._leftovers.due(found, now):
+            if job_id in own or self._is_elected(job_id, alive):
+                self._writer.remove_leftovers(job_id)
+                self._late_drops.discard(job_id)
+
+    def _is_elected(self, job_id: str, alive: list[str]) -> bool:
+        """Return whether this host removes a job, of all live hosts."""
+        return rendezvous(job_id, {self._me, *alive}) == self._me
+
     def _peers_in(self, states: frozenset[str]) -> list[str]:
         return [
             peer.host_id
--- a/guavadyke/controllers/forward_job_registry.py
+++ b/guavadyke/controllers/forward_job_registry.py
@@ -29,6 +29,8 @@
     Args:
         decode: decodes an object.
         changed: called after each change, from the mirror's thread.
+        seen: called before that with the name of an object that was put or
+            removed.
         logger: logs objects that cannot be decoded.
     """
 
@@ -36,10 +38,12 @@
         self,
         decode: Callable[[StoredObject], Decoded],
         changed: Callable[[], None],
+        seen: Callable[[str], None],
         logger: EventLogger,
     ) -> None:
         self._decode = decode
         self._changed = changed
+        self._seen = seen
         self._logger = logger
         self._decoded: dict[str, Decoded] = {}
 
@@ -64,15 +68,20 @@
     def put(self, stored: StoredObject) -> None:
         """Add or replace an object."""
         self._decoded = {**self._decoded, **dict(self._decode_all((stored,)))}
+        if stored.name in self._decoded:
+            self._seen(stored.name)
         self._changed()
 
     def remove(self, name: str) -> None:
         """Remove an object."""
+        if name not in self._decoded:
+            return
         self._decoded = {
             other: decoded
             for other, decoded in self._decoded.items()
             if other != name
         }
+        self._seen(name)
         self._changed()
 
     def _decode_all(
@@ -97,6 +106,10 @@
     Writes of this host are visible at once: they are overlaid on the
     mirrored objects until the mirrors have caught up with them.
 
+    The mirrors of jobs and of their progress are independent. A job is deleted
+    before its progress, so that one whose progress has gone is gone as well,
+    even if the mirror of jobs still holds it.
+
     Args:
         changed: called after each change, from any thread.
         logger: logs objects that cannot be decoded.
@@ -111,17 +124,39 @@
         self._lock = threading.Lock()
         self._own_jobs: dict[str, AcceptedJob] = {}
         self._own_progress: dict[str, JobProgress] = {}
+        # Jobs that were removed from the store but are still mirrored.
+        self._removed: frozenset[str] = frozenset()
         self.jobs: DecodingSink[AcceptedJob] = DecodingSink(
             lambda stored: decode_job(stored.name, stored.body),
             self._drop_mirrored,
+            self._job_seen,
             logger,
         )
         self.progress: DecodingSink[JobProgress] = DecodingSink(
             _versioned_progress,
             self._drop_mirrored,
+            self._progress_seen,
             logger,
         )
 
+    @property
+    def orphans(self) -> frozenset[str]:
+        """Ids of jobs of which only the progress is mirrored.
+
+        That is usual for as long as the mirrors take to catch up.
+        """
+        return frozenset(self.progress.held.keys() - self.jobs.held.keys())
+
+    @property
+    def unconfirmed(self) -> frozenset[str]:
+        """Ids of jobs that this host knows differently from its mirror.
+
+        It has written or read them, or takes them for removed. That is usual
+        for as long as the mirror takes to catch up.
+        """
+        with self._lock:
+            return self._removed.union(self._own_jobs)
+
     def views(self) -> dict[str, JobView]:
         """Return all jobs by job id."""
         with self._lock:
@@ -132,12 +167,13 @@
         return {
             job_id: JobView(job, _merged(mirrored, own_progress, job_id))
             for job_id, job in jobs.items()
+            if job_id not in self._removed
         }
 
     def view(self, job_id: str) -> JobView | None:
         """Return a job, or None if this host does not know it."""
         job = self.jobs.held.get(job_id) or self._own_jobs.get(job_id)
-        if job is None:
+        if job is None or self.is_removed(job_id):
             return None
         return JobView(
             job,
@@ -162,11 +198,34 @@
             self._merge_own(job_id, JobProgress(cancelled=True))
         self._changed()
 
-    def forget(self, job_id: str) -> None:
-        """Drop the overlay of a job that was removed from the store."""
+    def removed(self, job_id: str) -> None:
+        """Drop a job that was removed from the store."""
         with self._lock:
             self._own_jobs.pop(job_id, None)
             self._own_progress.pop(job_id, None)
+            if job_id in self.jobs.held:
+                self._removed |= {job_id}
+        self._changed()
+
+    def is_removed(self, job_id: str) -> bool:
+        """Return whether a job was removed but is still mirrored."""
+        return job_id in self._removed
+
+    def restore(self, job_id: str) -> None:
+        """Show a mirrored job again that was not removed after all."""
+        with self._lock:
+            self._removed -= {job_id}
+        self._changed()
+
+    def _job_seen(self, job_id: str) -> None:
+        """Note that a job has left the mirror, or was created anew."""
+        with self._lock:
+            self._removed -= {job_id}
+
+    def _progress_seen(self, job_id: str) -> None:
+        """Drop a job whose progress was deleted."""
+        if job_id not in self.progress.held:
+            self.removed(job_id)
 
     def _merge_own(self, job_id: str, progress: JobProgress) -> None:
         known = self._own_progress.get(job_id, JobProgress())
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -142,7 +142,11 @@
             lambda job_id, pages: self._tell(StepEnded(job_id, pages)),
         )
         self._maintenance = JobMaintenance(
-            parts.settings, parts.fleet, parts.abilities, self._writer
+            parts.settings,
+            parts.fleet,
+            parts.abilities,
+            parts.registry,
+            self._writer,
         )
         self._run_tools = ItemRunTools(
             parts.pool,
@@ -309,6 +313,8 @@
         work = self._works.pop(job_id)
         # Another host may write results from now on.
         self._parts.store.in_doubt.add(job_id)
+        if self._parts.registry.view(job_id) is None:
+            self._maintenance.dropped_late(job_id)
         for item in work.job.items:
             key = (job_id, item.item_id)
             self._partials.pop(key, None)
--- a/guavadyke/controllers/forward_job_store.py
+++ b/guavadyke/controllers/forward_job_store.py
@@ -19,12 +19,7 @@
     results_for_page,
     unstored_results,
 )
-from guavadyke.errors import (
-    ErrorCode,
-    GuavadykeError,
-    ObjectConflictError,
-    PlatformUnavailableError,
-)
+from guavadyke.errors import ObjectConflictError, PlatformUnavailableError
 
 _ReadPage: TypeAlias = Callable[[], StoredObject | None]
 # Reads a page by its name, None if it does not exist; gets what reads it from
@@ -46,11 +41,12 @@
         store: the object store of the platform.
 
     Attributes:
+        platform: the object store of the platform.
         in_doubt: ids of jobs whose pages may have changed without this host.
     """
 
     def __init__(self, store: WriteConfirmingStore) -> None:
-        self._store = store
+        self.platform = store
         self._lock = threading.Lock()
         self._pages: dict[str, list[tuple[StoredObject, ResultPage]]] = {}
         # A write without an answer may take effect later. Only a later write
@@ -65,7 +61,7 @@
             PlatformOutcomeUnknownError: it may have been stored.
         """
         try:
-            self._store.create(
+            self.platform.create(
                 objects.JOB_KIND, job.job_id, objects.encode_job(job)
             )
         except ObjectConflictError:
@@ -78,7 +74,7 @@
         Raises:
             PlatformUnavailableError: the platform cannot be reached.
         """
-        stored = self._store.read(objects.JOB_KIND, job_id)
+        stored = self.platform.read(objects.JOB_KIND, job_id)
         return (
             None if stored is None else objects.decode_job(job_id, stored.body)
         )
@@ -134,7 +130,7 @@
         while True:
             name = objects.page_name(job_id, len(known))
             direct = functools.partial(
-                self._store.read, objects.PAGE_KIND, name
+                self.platform.read, objects.PAGE_KIND, name
             )
             stored = direct() if read is None else read(name, direct)
             if stored is None:
@@ -191,22 +187,11 @@
             )
         return pages
 
-    def remove(self, job_id: str) -> None:
-        """Delete a job, its progress and its results.
-
-        Raises:
-            GuavadykeError: a delete failed; some objects may remain.
-        """
-        self.pages(job_id)
+    def forget_pages(self, job_id: str) -> None:
+        """Drop the pages of a job that this host has read or written."""
         with self._lock:
-            known = list(self._pages.pop(job_id, ()))
+            self._pages.pop(job_id, None)
             self.in_doubt.discard(job_id)
-        for stored, _page in known:
-            self._delete(stored)
-        for kind in (objects.PROGRESS_KIND, objects.JOB_KIND):
-            left = self._store.read(kind, job_id)
-            if left is not None:
-                self._delete(left)
 
     def _merge(
         self, job_id: str, change_of: Callable[[JobProgress], JobProgress]
@@ -226,7 +211,7 @@
         self, job_id: str, change_of: Callable[[JobProgress], JobProgress]
     ) -> JobProgress | None:
         """Try one merge; return None if another host wrote in between."""
-        stored = self._store.read(objects.PROGRESS_KIND, job_id)
+        stored = self.platform.read(objects.PROGRESS_KIND, job_id)
         known = JobProgress()
         if stored is not None:
             known = objects.decode_progress(job_id, stored.body)
@@ -251,10 +236,10 @@
         if known and not known[-1][1].full:
             stored, page = known.pop()
             grown = page.with_results(results_for_page(page, missing))
-            written = self._store.update(stored, objects.encode_page(grown))
+            written = self.platform.update(stored, objects.encode_page(grown))
         else:
             grown = ResultPage(results_for_page(ResultPage(), missing))
-            written = self._store.create(
+            written = self.platform.create(
                 objects.PAGE_KIND,
                 objects.page_name(job_id, len(known)),
                 objects.encode_page(grown),
@@ -273,15 +258,6 @@
             if _recency_key(pages) >= _recency_key(before):
                 self._pages[job_id] = pages
 
-    def _delete(self, stored: StoredObject) -> None:
-        try:
-            self._store.delete(stored)
-        except ObjectConflictError as error:
-            raise GuavadykeError(
-                ErrorCode.version_conflict,
-                f'{stored.kind}/{stored.name} changed while it was removed',
-            ) from error
-
     def _write_progress(
         self,
         job_id: str,
@@ -290,8 +266,8 @@
     ) -> StoredObject:
         body = objects.encode_progress(progress)
         if stored is None:
-            return self._store.create(objects.PROGRESS_KIND, job_id, body)
-        return self._store.update(stored, body)
+            return self.platform.create(objects.PROGRESS_KIND, job_id, body)
+        return self.platform.update(stored, body)
 
 
 def _recency_key(
--- a/guavadyke/controllers/forward_job_writer.py
+++ b/guavadyke/controllers/forward_job_writer.py
@@ -8,6 +8,7 @@
 
 from guavadyke.adapters.ports import Clock
 from guavadyke.controllers.forward_job_registry import JobRegistry
+from guavadyke.controllers.forward_job_removal import JobRemover
 from guavadyke.controllers.forward_job_store import JobStore
 from guavadyke.decisions.forward_job_items import JobItemTracker
 from guavadyke.decisions.forward_job_records import (
@@ -59,6 +60,7 @@
         self._clock = clock
         self._logger = logger
         self._report = report
+        self._remover = JobRemover(store, registry, logger)
         self._busy: set[str] = set()
         self._delays = GrowingDelays(_RETRY_DELAY_S, _LONGEST_RETRY_DELAY_S)
         self._finish_written: set[str] = set()
@@ -94,8 +96,16 @@
         self._start(job_id, self._claim, me, owner_before)
 
     def remove(self, job_id: str) -> None:
-        """Remove a job and its results from the platform."""
-        self._start(job_id, self._remove)
+        """Delete a job that has ended from the platform.
+
+        Its progress and results are left to ``remove_leftovers``.
+        """
+        self._finish_written.discard(job_id)
+        self._start(job_id, self._remover.remove)
+
+    def remove_leftovers(self, job_id: str) -> None:
+        """Delete what is left of a job, unless the platform holds the job."""
+        self._start(job_id, self._remover.remove_leftovers)
 
     def reassign(
         self,
@@ -162,6 +172,15 @@
         self._report(job_id, pages)
 
     def _load(self, job_id: str) -> Pages:
+        """Read the results of a job, unless it has been removed.
+
+        A host that has just started may have read the jobs before this one
+        was deleted and their progress after that.
+        """
+        if self._remover.is_gone(job_id):
+            self._registry.removed(job_id)
+            self._logger.info('job_removed_before', job_id=job_id)
+            return None
         return self._store.pages(job_id)
 
     def _append(
@@ -192,12 +211,6 @@
         )
         self._registry.progress_written(job_id, progress)
 
-    def _remove(self, job_id: str) -> None:
-        self._store.remove(job_id)
-        self._registry.forget(job_id)
-        self._finish_written.discard(job_id)
-        self._logger.info('job_removed', job_id=job_id)
-
     def _pass_on(
         self,
         job_id: str,
