Send servers no framing that the caller of an item chose

Cause: the headers of requests were filtered where they come in, those of items were stored and sent as written, beside the length that the host adds. Chunks go before a length, so the body ended where its caller wanted. In a run of the new tests on the code before, Content-Length on an item without a body swallowed the next request of the connection, and Request-ID, HOST and accept-encoding came twice, since names were compared as they were spelled.

Change: one module knows the headers that concern one connection and compares names in any spelling. The adapter to servers drops them from every call, so that the length is the only framing whoever makes the call. Headers that Connection names are dropped, of requests too. Items are stored with the headers that servers get, so that hosts of the release before send them soundly, and stored ones are filtered when they are sent.

--- a/guavadyke/adapters/backend.py
+++ b/guavadyke/adapters/backend.py
@@ -39,6 +39,10 @@
     BackendServerError,
     ReportedLoad,
 )
+from guavadyke.decisions.request_headers import (
+    CONNECTION_HEADERS,
+    without_headers,
+)
 from guavadyke.decisions.server_ways import ServerWays
 
 NOT_RUN_HEADER = 'Engine-Not-Run'
@@ -396,7 +400,12 @@
         return response
 
     def _request_headers(self, dialect: BackendDialect) -> HTTPHeaderDict:
-        headers = HTTPHeaderDict(dialect.request_headers(self._call))
+        """Return the headers, whose only framing is the length of the body."""
+        headers = HTTPHeaderDict(
+            without_headers(
+                dialect.request_headers(self._call), CONNECTION_HEADERS
+            )
+        )
         if self._call.body:
             headers['Content-Length'] = str(len(self._call.body))
         return headers
--- a/guavadyke/controllers/item_run.py
+++ b/guavadyke/controllers/item_run.py
@@ -24,6 +24,7 @@
 from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.decisions.forward_job_records import AcceptedJob, ForwardItem
 from guavadyke.decisions.forward_routes import RouteTable
+from guavadyke.decisions.request_headers import without_headers
 from guavadyke.decisions.server_registry import ServerLease
 from guavadyke.decisions.server_sent_events import EventOrderError, EventParser
 from guavadyke.settings import ForwardSettings
@@ -37,6 +38,7 @@
 _STATUS_OK = 200
 _STATUS_REJECTED = 422
 _STATUS_FAILED = 500
+_HOST_KEYS = frozenset(('host',))
 
 # Ids of a job and an item; items of two jobs may have the same id.
 ItemKey: TypeAlias = tuple[str, str]
@@ -298,7 +300,10 @@
             address=self.lease.server.address,
             method='POST',
             path=self.item.path,
-            headers={**self.item.headers, 'Host': self._host},
+            headers={
+                **without_headers(self.item.headers, _HOST_KEYS),
+                'Host': self._host,
+            },
             body=self.item.body,
             connect_timeout_s=settings.connect_timeout_s,
             first_byte_timeout_s=settings.item_silence_s,
--- a/guavadyke/filters/dispatch.py
+++ b/guavadyke/filters/dispatch.py
@@ -13,6 +13,10 @@
     BackendFault,
     BackendServerError,
 )
+from guavadyke.decisions.request_headers import (
+    CONNECTION_HEADERS,
+    end_to_end_headers,
+)
 from guavadyke.decisions.slot import Slot
 from guavadyke.errors import ErrorCode, GuavadykeError, RunStatus
 from guavadyke.filters.attempt_silence import UnseenAnswer
@@ -29,22 +33,15 @@
 
 _MAX_AFFINITY_KEY_BYTES = 256
 _MAX_ANSWER_BYTES = 16_777_216
-_UNFORWARDED_HEADERS = frozenset((
-    'accept-encoding',
-    'authorization',
-    'connection',
-    'content-length',
-    'expect',
-    'host',
-    'keep-alive',
-    'te',
-    'trailer',
-    'transfer-encoding',
-    'upgrade',
-))
+# Headers of the caller's request that servers do not get.
+_UNFORWARDED_HEADERS = frozenset(('accept-encoding', 'authorization', 'host'))
 _INTERNAL_HEADER_PREFIXES = ('guavadyke-', 'proxy-', 'x-request-id')
 _NON_TEXT_KEYS = ('tools', 'functions', 'logprobs', 'top_logprobs', 'audio')
-_UNRETURNED_HEADERS = _UNFORWARDED_HEADERS | {'content-type', 'server', 'date'}
+_UNRETURNED_HEADERS = (
+    CONNECTION_HEADERS
+    | _UNFORWARDED_HEADERS
+    | {'content-type', 'server', 'date'}
+)
 _HOST_HEADER = 'guavadyke-host'
 
 
@@ -179,7 +176,7 @@
     def _build_request(self, exchange: Exchange) -> BackendRequest:
         headers = {
             name: text
-            for name, text in exchange.headers.items()
+            for name, text in end_to_end_headers(exchange.headers).items()
             if name not in _UNFORWARDED_HEADERS
             and not name.startswith(_INTERNAL_HEADER_PREFIXES)
         }
--- a/guavadyke/http_application.py
+++ b/guavadyke/http_application.py
@@ -13,6 +13,7 @@
 from urllib.parse import parse_qsl
 
 from guavadyke.adapters.ports import Clock
+from guavadyke.decisions.request_headers import is_target, is_token
 from guavadyke.errors import ErrorCode, Finding, GuavadykeError
 from guavadyke.filters.base import Answer, Exchange, Handler
 from guavadyke.log import EventLogger
@@ -185,6 +186,7 @@
             )
 
     def _find_handler(self, exchange: Exchange) -> Handler:
+        _check_request_line(exchange)
         for pattern, route in self._routes:
             match = pattern.fullmatch(exchange.path)
             if match is None:
@@ -235,6 +237,29 @@
             self._in_flight += change
 
 
+def _check_request_line(exchange: Exchange) -> None:
+    """Check that a request could be sent on to a server as it is.
+
+    Raises:
+        GuavadykeError: ``bad_request``.
+    """
+    parts = (
+        ('method', is_token(exchange.method)),
+        ('path', is_target(exchange.target or exchange.path)),
+    )
+    findings = tuple(
+        Finding(place, 'it has characters that HTTP does not allow')
+        for place, is_sound in parts
+        if not is_sound
+    )
+    if findings:
+        raise GuavadykeError(
+            ErrorCode.bad_request,
+            'the first line of the request is not valid',
+            findings=findings,
+        )
+
+
 def _handler_of(route: Route, method: str) -> Handler:
     """Return the handler of a method.
 
--- a/guavadyke/platform/caller_port.py
+++ b/guavadyke/platform/caller_port.py
@@ -2,18 +2,11 @@
 
 from __future__ import annotations
 
-import base64
 import dataclasses
 import types
-from collections.abc import Mapping
-
-import pydantic
 
 from guavadyke.controllers.forward_job_api import JobApi
-from guavadyke.decisions.forward_job_records import (
-    ForwardItem,
-    ForwardItemResult,
-)
+from guavadyke.decisions.forward_job_records import ForwardItemResult
 from guavadyke.decisions.forward_routes import (
     ForwardRoute,
     RouteKind,
@@ -24,6 +17,7 @@
     RequestIdentity,
     fingerprint,
 )
+from guavadyke.decisions.request_headers import end_to_end_headers
 from guavadyke.decisions.teams import Team
 from guavadyke.errors import ErrorCode, Finding, GuavadykeError
 from guavadyke.filters.base import Answer, Exchange
@@ -33,15 +27,15 @@
 from guavadyke.http_application import Route, json_answer, read_body
 from guavadyke.platform.engine_adapter import (
     CREDENTIALS_HEADER,
+    END_TO_END_HEADERS,
     TEAM_HEADERS,
-    team_headers,
 )
+from guavadyke.platform.job_submission import item_of_team, parse_items
 from guavadyke.platform.request_size import (
     PROMPT_PREFIX_HEADER,
-    shared_prompt_parts,
+    shared_prompt_part_ids,
     stated_size,
 )
-from guavadyke.settings import validation_findings
 
 _READY_PATTERN = '/api/readyz'
 _JOB_PATTERN = '/api/lots/(?P<job>[^/]+)'
@@ -55,20 +49,10 @@
 _LAST_EVENT_HEADER = 'last-event-id'
 _BEGAN_AS_HEADER = 'resumes'
 _CREDENTIALS_SCHEME = 'token'
-# Headers of one connection, and headers that are set again per attempt.
+# Headers that are set again per attempt.
 _UNFORWARDED_HEADERS = frozenset((
     'accept-encoding',
-    'connection',
-    'content-length',
-    'expect',
     'expect-instance',
-    'keep-alive',
-    'proxy-authenticate',
-    'proxy-authorization',
-    'te',
-    'trailer',
-    'transfer-encoding',
-    'upgrade',
     _DEADLINE_HEADER,
     _LAST_EVENT_HEADER,
 ))
@@ -78,19 +62,6 @@
 })
 
 
-class _ItemBody(pydantic.BaseModel):
-    item_id: str = pydantic.Field(alias='Id', min_length=1)
-    path: str = pydantic.Field(alias='Path', pattern='^/')
-    headers: Mapping[str, str] = pydantic.Field(alias='Headers', default={})
-    body: str = pydantic.Field(alias='Body', default='')
-    # Tokens of the prompt plus the maximum that may be generated.
-    tokens: int = pydantic.Field(alias='Tokens', ge=0)
-
-
-class _JobBody(pydantic.BaseModel):
-    items: tuple[_ItemBody, ...] = pydantic.Field(alias='Items', min_length=1)
-
-
 class CallerPort:
     """Handlers of the caller port: requests, batch jobs and their results.
 
@@ -146,10 +117,10 @@
         host: str,
         caller: _Caller,
     ) -> Answer:
-        items = _parse_items(exchange.body, route, caller.team)
+        items = parse_items(exchange.body, route, caller.team)
         if caller.table.teams:
             items = tuple(
-                _item_of_team(item, caller.team_name) for item in items
+                item_of_team(item, caller.team_name) for item in items
             )
         self._job_api.submit(
             _request_id(exchange),
@@ -281,7 +252,9 @@
         target=exchange.target,
         headers={
             name.title(): text
-            for name, text in exchange.headers.items()
+            for name, text in end_to_end_headers(
+                exchange.headers, END_TO_END_HEADERS
+            ).items()
             if name not in unforwarded and text
         },
         body=exchange.body,
@@ -289,7 +262,7 @@
         deadline=exchange.received_at + timeout_s,
         abandoned=exchange.disconnected,
         last_event_id=int(last_event) if last_event.isdecimal() else 0,
-        prompt_parts=_shared_prompt_parts(
+        prompt_parts=shared_prompt_part_ids(
             exchange.headers.get(PROMPT_PREFIX_HEADER, '')
         ),
         fingerprint=fingerprint(_identity(exchange, caller.identity(exchange))),
@@ -306,19 +279,6 @@
     return key.strip() if scheme.lower() == _CREDENTIALS_SCHEME else ''
 
 
-def _item_of_team(item: ForwardItem, team: str) -> ForwardItem:
-    """Return an item whose headers name its team and no key.
-
-    A host of an older release that runs the item sends these headers.
-    """
-    headers = {
-        name: text
-        for name, text in item.headers.items()
-        if name.strip().lower() not in TEAM_HEADERS
-    }
-    return dataclasses.replace(item, headers={**headers, **team_headers(team)})
-
-
 def _identity(exchange: Exchange, caller: str) -> RequestIdentity:
     return RequestIdentity(
         host=split_host(exchange.headers.get('host', '')),
@@ -329,11 +289,6 @@
     )
 
 
-def _shared_prompt_parts(text: str) -> tuple[str, ...]:
-    """Return the ids of the parts that a prompt may share with others."""
-    return tuple(part for part, _tokens in shared_prompt_parts(text))
-
-
 def _request_id(exchange: Exchange) -> str:
     stated = exchange.headers.get(_REQUEST_ID_HEADER, '')
     if not stated:
@@ -346,47 +301,6 @@
     return stated
 
 
-def _parse_items(
-    body: bytes, route: ForwardRoute, team: Team | None
-) -> tuple[ForwardItem, ...]:
-    try:
-        document = _JobBody.model_validate_json(body)
-        return tuple(
-            ForwardItem(
-                item.item_id,
-                item.path,
-                dict(item.headers),
-                base64.b64decode(item.body, validate=True),
-                item.tokens,
-                _shared_prompt_parts(_header(item, PROMPT_PREFIX_HEADER)),
-                stated_size(_lower_case(item.headers), route, team),
-            )
-            for item in document.items
-        )
-    except pydantic.ValidationError as error:
-        raise GuavadykeError(
-            ErrorCode.bad_request,
-            'the job cannot be read',
-            findings=validation_findings(error),
-        ) from error
-    except ValueError as error:
-        raise GuavadykeError(
-            ErrorCode.bad_request,
-            'an item has a body that is not base64',
-        ) from error
-
-
-def _lower_case(headers: Mapping[str, str]) -> dict[str, str]:
-    return {name.lower(): text for name, text in headers.items()}
-
-
-def _header(item: _ItemBody, name: str) -> str:
-    """Return a header of an item, empty if it has none."""
-    return next(
-        (text for key, text in item.headers.items() if key.lower() == name), ''
-    )
-
-
 def _result_document(listing: ForwardItemResult) -> dict[str, object]:
     return {
         'Id': listing.item_id,
--- a/guavadyke/platform/engine_adapter.py
+++ b/guavadyke/platform/engine_adapter.py
@@ -13,6 +13,10 @@
 
 from guavadyke.adapters.backend import BackendDialect
 from guavadyke.adapters.ports import BackendCall, StoredObject
+from guavadyke.decisions.request_headers import (
+    end_to_end_headers,
+    without_headers,
+)
 from guavadyke.decisions.server_registry import ListedServer
 from guavadyke.log import EventLogger
 
@@ -37,10 +41,20 @@
 CREDENTIALS_HEADER = 'authorization'
 # Where there are teams, the host states the team and servers see no key.
 TEAM_HEADERS = frozenset((CREDENTIALS_HEADER, _TEAM_HEADER.lower()))
-_MANAGED_HEADERS = frozenset((
+# Headers that the host sets for each attempt.
+MANAGED_HEADERS = frozenset((
+    'accept-encoding',
     'deadline-ms',
     'expect-instance',
     'last-event-id',
+    'request-id',
+))
+# Headers that engines get even if a caller names them in ``Connection``.
+END_TO_END_HEADERS = frozenset((
+    'host',
+    'model',
+    'prompt-prefix',
+    'token-counts',
 ))
 
 
@@ -114,14 +128,12 @@
 
     def request_headers(self, call: BackendCall) -> Mapping[str, str]:
         """Return the headers of a request."""
-        managed = _MANAGED_HEADERS
+        managed = MANAGED_HEADERS
         if call.names_team or call.team:
             managed = managed.union(TEAM_HEADERS)
-        headers = {
-            name: text
-            for name, text in call.headers.items()
-            if name.strip().lower() not in managed
-        }
+        headers = without_headers(
+            end_to_end_headers(call.headers, END_TO_END_HEADERS), managed
+        )
         headers.update(team_headers(call.team))
         if call.request_id:
             headers['Request-Id'] = call.request_id
--- a/guavadyke/platform/request_size.py
+++ b/guavadyke/platform/request_size.py
@@ -60,6 +60,11 @@
     )
 
 
+def shared_prompt_part_ids(text: str) -> tuple[str, ...]:
+    """Return the ids of the parts that a prompt may share with others."""
+    return tuple(part for part, _tokens_of in shared_prompt_parts(text))
+
+
 def _tokens(text: str) -> int:
     stated = text.strip()
     if not stated.isdecimal() or len(stated) > len(str(_MAX_TOKENS)):
