Remove results of a job without holding all of them at once

A host that removes a job read all pages of its results before it deleted the first, to delete them in the reverse order. Only names and versions are needed, so the bodies are dropped as they are read.

--- a/guavadyke/controllers/forward_job_removal.py
+++ b/guavadyke/controllers/forward_job_removal.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import itertools
 from collections.abc import Iterator
 
@@ -94,13 +95,13 @@
             self._registry.restore(job_id)
 
     def _pages(self, job_id: str) -> Iterator[StoredObject]:
-        """Read the pages of a job from the platform, whatever they hold."""
+        """Read the pages of a job from the platform, without their bodies."""
         for number in itertools.count():
             name = objects.page_name(job_id, number)
             stored = self._platform.read(objects.PAGE_KIND, name)
             if stored is None:
                 return
-            yield stored
+            yield dataclasses.replace(stored, body=b'')
 
     def _delete_named(self, kind: str, name: str) -> None:
         stored = self._platform.read(kind, name)
