Keep the upkeep of jobs apart from what is left of removed ones

JobMaintenance got the registry as a further argument when it learned to remove what is left of jobs. The lookups are a class of their own, JobLeftovers, and JobMaintenance is as it was before.

58 scenarios of the removal of jobs, abilities, owners and the runner pass.

--- a/features/builders_job_owners.py
+++ b/features/builders_job_owners.py
@@ -64,7 +64,6 @@
             host_settings(1, host_id),
             self._fleet,
             build.host_abilities(host_id, self._fleet),
-            self.host.registry,
             self._writer,
         )
 
--- a/features/builders_removed_jobs.py
+++ b/features/builders_removed_jobs.py
@@ -7,7 +7,9 @@
 
 from features import builders_forward as build
 from features.builders_batch_platform import MemoryPlatform
+from features.builders_forward_runner import host_settings
 from features.builders_job_owners import JOB, OwnerFleet, OwnerHost
+from guavadyke.controllers.forward_job_maintenance import JobLeftovers
 from guavadyke.controllers.mirror import Mirror, MirrorSettings
 from guavadyke.decisions.forward_job_records import (
     ForwardItemResult,
@@ -44,6 +46,12 @@
         self.ended = False
         self.took_open = False
         self.host.link.faults.waits = False
+        self._leftovers = JobLeftovers(
+            host_settings(1, host_id),
+            self._fleet,
+            self.host.registry,
+            self._writer,
+        )
         # The mirrors have a link of their own, which has no faults.
         link = build.MemoryStore(platform)
         link.faults.waits = False
@@ -62,6 +70,12 @@
             )
         }
 
+    def tick(self, now: float) -> None:
+        """Remove jobs and what is left of them, as the runner does."""
+        super().tick(now)
+        if not self.host.link.faults.cut:
+            self._leftovers.run_if_due(now)
+
     def catch_up(self) -> None:
         """Let the mirrors that are not late catch up."""
         for kind, mirror in self._mirrors.items():
--- a/guavadyke/controllers/forward_job_maintenance.py
+++ b/guavadyke/controllers/forward_job_maintenance.py
@@ -1,4 +1,4 @@
-"""Takes over jobs of lost hosts, reassigns jobs and removes expired ones."""
+"""Takes over jobs of lost hosts, reassigns jobs and removes old ones."""
 
 from __future__ import annotations
 
@@ -38,7 +38,6 @@
         settings: the id of this host and the retention of results.
         fleet: the other hosts.
         abilities: which hosts cannot run items.
-        registry: tells of which jobs only a part is left.
         writer: writes the changes to the platform in the background.
     """
 
@@ -47,18 +46,14 @@
         settings: ForwardHostSettings,
         fleet: SnapshotCell[FleetSnapshot],
         abilities: HostAbilities,
-        registry: JobRegistry,
         writer: JobWriter,
     ) -> None:
         self._me = settings.host_id
         self._retention_s = settings.forward.result_retention_s
         self._fleet = fleet
         self._abilities = abilities
-        self._registry = registry
         self._writer = writer
         self._absences = AbsenceTracker()
-        self._leftovers = LeftoverTracker()
-        self._late_drops: set[str] = set()
         self._next_check_at: float = 0
 
     def run_if_due(
@@ -80,14 +75,6 @@
         alive = self._peers_in(frozenset((_ALIVE,)))
         self._take_over_lost(views, alive, now)
         self._remove_expired(views, alive, wall)
-        self._remove_leftovers(alive, now)
-
-    def dropped_late(self, job_id: str) -> None:
-        """Note that this host has worked on a job until after its removal.
-
-        It may have stored results after that, which are removed later.
-        """
-        self._late_drops.add(job_id)
 
     def reassign(
         self,
@@ -138,25 +125,67 @@
             if view.job.accepted_at < before and not view.open
         )
         for job_id in expired:
-            if self._is_elected(job_id, alive):
+            if rendezvous(job_id, {self._me, *alive}) == self._me:
                 self._writer.remove(job_id)
 
-    def _remove_leftovers(self, alive: list[str], now: float) -> None:
-        """Remove what is left of jobs that are known in part for long."""
-        own = self._registry.unconfirmed.union(self._late_drops)
-        found = self._registry.orphans | own
-        for job_id in self._leftovers.due(found, now):
-            if job_id in own or self._is_elected(job_id, alive):
-                self._writer.remove_leftovers(job_id)
-                self._late_drops.discard(job_id)
-
-    def _is_elected(self, job_id: str, alive: list[str]) -> bool:
-        """Return whether this host removes a job, of all live hosts."""
-        return rendezvous(job_id, {self._me, *alive}) == self._me
-
     def _peers_in(self, states: frozenset[str]) -> list[str]:
         return [
             peer.host_id
             for peer in self._fleet.current.peers
             if peer.state in states
         ]
+
+
+class JobLeftovers:
+    """Looks up jobs of which this host knows only a part for long.
+
+    Of all live hosts one does so for a job of which only the progress is
+    mirrored. What it knows differently from its mirror each host looks up.
+
+    Args:
+        settings: the id of this host.
+        fleet: the other hosts.
+        registry: tells of which jobs only a part is known.
+        writer: deletes what is left, in the background.
+    """
+
+    def __init__(
+        self,
+        settings: ForwardHostSettings,
+        fleet: SnapshotCell[FleetSnapshot],
+        registry: JobRegistry,
+        writer: JobWriter,
+    ) -> None:
+        self._me = settings.host_id
+        self._fleet = fleet
+        self._registry = registry
+        self._writer = writer
+        self._tracker = LeftoverTracker()
+        self._late_drops: set[str] = set()
+        self._next_check_at: float = 0
+
+    def dropped_late(self, job_id: str) -> None:
+        """Note that this host has worked on a job until after its removal.
+
+        It may have stored results after that, which are removed later.
+        """
+        self._late_drops.add(job_id)
+
+    def run_if_due(self, now: float) -> None:
+        """Remove what is left of jobs, if the interval has passed.
+
+        Args:
+            now: seconds of the monotonic clock.
+        """
+        if now < self._next_check_at:
+            return
+        self._next_check_at = now + _CHECK_INTERVAL_S
+        own = self._registry.unconfirmed.union(self._late_drops)
+        for job_id in self._tracker.due(self._registry.orphans | own, now):
+            if job_id in own or self._is_elected(job_id):
+                self._writer.remove_leftovers(job_id)
+                self._late_drops.discard(job_id)
+
+    def _is_elected(self, job_id: str) -> bool:
+        alive = {peer.host_id for peer in self._fleet.current.alive}
+        return rendezvous(job_id, {self._me, *alive}) == self._me
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -12,7 +12,10 @@
 from guavadyke.adapters.ports import BackendFault, BackendServers, Clock
 from guavadyke.controllers.actors import GuardedActor, tell_function
 from guavadyke.controllers.failing_jobs import FailingJobs
-from guavadyke.controllers.forward_job_maintenance import JobMaintenance
+from guavadyke.controllers.forward_job_maintenance import (
+    JobLeftovers,
+    JobMaintenance,
+)
 from guavadyke.controllers.forward_job_registry import JobRegistry
 from guavadyke.controllers.forward_job_store import JobStore
 from guavadyke.controllers.forward_job_writer import JobWriter
@@ -142,11 +145,10 @@
             lambda job_id, pages: self._tell(StepEnded(job_id, pages)),
         )
         self._maintenance = JobMaintenance(
-            parts.settings,
-            parts.fleet,
-            parts.abilities,
-            parts.registry,
-            self._writer,
+            parts.settings, parts.fleet, parts.abilities, self._writer
+        )
+        self._leftovers = JobLeftovers(
+            parts.settings, parts.fleet, parts.registry, self._writer
         )
         self._run_tools = ItemRunTools(
             parts.pool,
@@ -204,6 +206,7 @@
                 self._maintenance.run_if_due(
                     views, now, self._parts.clock.wall()
                 )
+                self._leftovers.run_if_due(now)
         self._failing_jobs.each(works.items(), self._writer.advance)
         self._failing_jobs.raise_if_all_fail(self._works)
 
@@ -314,7 +317,7 @@
         # Another host may write results from now on.
         self._parts.store.in_doubt.add(job_id)
         if self._parts.registry.view(job_id) is None:
-            self._maintenance.dropped_late(job_id)
+            self._leftovers.dropped_late(job_id)
         for item in work.job.items:
             key = (job_id, item.item_id)
             self._partials.pop(key, None)
