List no fewer results than any host has listed, whoever owns the job

What callers saw: results of a job that had been read were missing when the job was read again at another host, or at the same one.

Cause: the owner of a job answers other hosts from memory where it takes its pages for certain. Pages counted as certain wherever they were cached, unless the host itself had a write in doubt. A host that had read pages for a caller and claimed the job later answered with these until it had loaded them anew, and what a host read replaced what it knew, also when it was less. The same held where an earlier owner that lived wrote on: after a conflict it read the page again and appended to it, so that the new owner's pages were old although it had loaded them; and where a write whose answer was lost had been followed by another host's.

Change: pages are certain for a term of ownership only, after a write of this host in it; for a job that no other process can have written to, after the load. Cached pages are never replaced by older ones. An owner whose append conflicts reads who owns the job and leaves it to that host. A host that has claimed a job stores no result until an earlier owner that lives must know of the claim or answers no more. Where a job is passed on, its owner stops answering before it does so, and the next one stores at once.

--- a/features/builders_abilities.py
+++ b/features/builders_abilities.py
@@ -45,12 +45,13 @@
 class ClaimRecorder:
     """Records the claims of a host in place of its writer."""
 
-    def __init__(self, claims: dict[str, set[str]]) -> None:
+    def __init__(self, host_id: str, claims: dict[str, set[str]]) -> None:
+        self._host_id = host_id
         self._claims = claims
 
-    def claim(self, job_id: str, me: str, _owner_before: str) -> None:
+    def claim(self, job_id: str, _owner_before: str) -> None:
         """Record a claim."""
-        self._claims[job_id].add(me)
+        self._claims[job_id].add(self._host_id)
 
 
 class AbilityFleet:
@@ -123,7 +124,7 @@
             host_settings(1).model_copy(update={'host_id': name}),
             peers,
             abilities,
-            ClaimRecorder(self.claims),
+            ClaimRecorder(name, self.claims),
         )
 
     def _is_able(self, name: str) -> bool:
--- a/features/builders_job_owners.py
+++ b/features/builders_job_owners.py
@@ -10,7 +10,9 @@
 from guavadyke.adapters.ports import StoredObject
 from guavadyke.controllers.forward_job_maintenance import JobMaintenance
 from guavadyke.controllers.forward_job_writer import JobWriter
+from guavadyke.decisions.forward_job_items import JobItemTracker
 from guavadyke.decisions.forward_job_ownership import batch_hosts
+from guavadyke.decisions.forward_job_records import listings
 from guavadyke.decisions.rendezvous_hashing import rank_names
 from guavadyke.forward_job_documents import JOB_KIND, encode_job
 from guavadyke.snapshots import FleetSnapshot, PeerView, SnapshotCell
@@ -52,6 +54,7 @@
         self.logger = build.RecordingLogger()
         self._fleet = SnapshotCell(FleetSnapshot())
         self._writer = JobWriter(
+            host_settings(1, host_id),
             self.host.store,
             self.host.registry,
             self.clock,
@@ -105,7 +108,20 @@
 
     def claim(self, job_id: str, owner_before: str) -> None:
         """Claim a job of another host."""
-        self._writer.claim(job_id, self.host_id, owner_before)
+        self._writer.claim(job_id, owner_before)
+
+    def complete_item(self, job_id: str) -> None:
+        """Complete the first item of a job, whose result is not stored yet."""
+        view = self.host.registry.view(job_id)
+        self._work = JobItemTracker(view.job)
+        self._work.drop_stored(self.host.store.pages(job_id))
+        self._work.completed(view.job.items[0].item_id, 'text')
+
+    def listed_at(self, job_id: str, now: float) -> int:
+        """Advance the job whose item is complete; return what is listed."""
+        self.clock.now = now
+        self._writer.advance(self._work)
+        return len(tuple(listings(self.host.store.pages(job_id))))
 
     def pass_on(self, job_id: str, owner: str) -> None:
         """Pass a job on to another host, as a host does that leaves."""
--- a/features/forward_job_owners.feature
+++ b/features/forward_job_owners.feature
@@ -67,6 +67,17 @@
     When host-1 takes it over, and host-2 from it before host-1 has recorded its claim
     Then host-1 takes host-2 for the owner
 
+  Scenario: results of a claimed job are not listed while its earlier owner may answer without them
+    Given 5 hosts, of which host-0 owns a job
+    When host-1 claims the job and completes an item
+    Then host-1 lists 0 results after 4 seconds
+    And host-1 lists 1 result after 5 seconds
+
+  Scenario: results of a job that was passed on are listed at once
+    Given 5 hosts, of which host-0 owns a job
+    When host-0 passes the job on to host-1, which completes an item
+    Then host-1 lists 1 result after 0 seconds
+
   Scenario: each job has one owner soon after views agree, whatever hosts saw before
     When hosts own jobs in any sequence of views and faults
     Then each open job has had one owner within 6.5 seconds of healing
--- a/features/result_pages.feature
+++ b/features/result_pages.feature
@@ -39,3 +39,38 @@
     When the owner lists 1 result
     And another host takes the job over and lists 1 more result
     Then 5 reads get 2 results with 5 platform calls
+
+  Scenario: what a host has read before it takes a job over hides no later results
+    Given a host that reads the results of a job of another host
+    When the owner lists 1 result
+    And the third host reads 1 result for a caller
+    And the owner lists 2 results
+    Then 1 reads get 2 results with 0 platform calls
+    When the third host takes the job over
+    Then 3 reads get 2 results with 3 platform calls
+    And a host that has read nothing yet gets 2 results
+
+  Scenario: what the new owner of a job has loaded hides no results of an owner that writes on
+    Given a host that reads the results of a job of another host
+    When the owner lists 1 result
+    And the third host takes the job over and loads its results
+    And the owner lists 2 results
+    Then 3 reads get 2 results with 3 platform calls
+
+  Scenario: a host lists no fewer results than it has listed, whatever an owner answers
+    Given a host that reads the results of a job of another host
+    When the owner lists 2 results
+    Then 1 reads get 2 results with 0 platform calls
+    When the owner answers as if it had listed nothing
+    Then 3 reads get 2 results with 0 platform calls
+
+  Scenario: a host that has lost its job unnoticed lists nothing after the new owner has
+    Given a host that reads the results of a job of another host
+    When the owner lists 1 result
+    And another host takes the job over unnoticed and lists 1 more result
+    Then the owner cannot list another result
+
+  Scenario: a host whose write another one has followed asks the platform
+    Given a host that reads the results of a job of another host
+    When the owner lists a result that another host follows before the answer
+    Then 3 reads get 3 results with 1 platform calls
--- a/features/steps/forward_job_owners_steps.py
+++ b/features/steps/forward_job_owners_steps.py
@@ -153,6 +153,29 @@
     first.host.registry.progress_written(owners.JOB, claimed)
 
 
+@when('host-1 claims the job and completes an item')
+def step_claims_and_completes(context: Context) -> None:
+    context.fleet.hosts['host-1'].claim(owners.JOB, _OWNER)
+    context.fleet.hosts['host-1'].complete_item(owners.JOB)
+
+
+@when('host-0 passes the job on to host-1, which completes an item')
+def step_passed_and_completes(context: Context) -> None:
+    context.fleet.hosts[_OWNER].pass_on(owners.JOB, 'host-1')
+    context.fleet.catch_up()
+    context.fleet.hosts['host-1'].complete_item(owners.JOB)
+
+
+@then('{host_id} lists {count:d} results after {seconds:d} seconds')
+@then('{host_id} lists {count:d} result after {seconds:d} seconds')
+def step_lists(
+    context: Context, host_id: str, count: int, seconds: int
+) -> None:
+    host = context.fleet.hosts[host_id]
+    listed = host.listed_at(owners.JOB, context.fleet.now + seconds)
+    assert listed == count, listed
+
+
 @then('{host_id} takes itself for the owner')
 def step_takes_itself(context: Context, host_id: str) -> None:
     assert context.fleet.hosts[host_id].owns(owners.JOB)
--- a/features/steps/result_pages_steps.py
+++ b/features/steps/result_pages_steps.py
@@ -6,9 +6,11 @@
 from behave.runner import Context
 
 from features import builders_forward as build
-from features.builders_result_pages import OwnerAndReader
-from guavadyke.decisions.forward_job_records import ForwardItemResult
-from guavadyke.errors import PlatformOutcomeUnknownError
+from features.builders_result_pages import OWNER, TAKER, OwnerAndReader, result
+from guavadyke.errors import (
+    ObjectConflictError,
+    PlatformOutcomeUnknownError,
+)
 from guavadyke.forward_job_documents import PAGE_KIND
 
 _READS = f'read {PAGE_KIND}'
@@ -60,15 +62,66 @@
 
 @when('another host takes the job over and lists 1 more result')
 def step_taken_over(context: Context) -> None:
-    third = build.job_host(context.hosts.platform, 'host-3')
-    third.store.claim('job-1', 'host-3', 'host-1')
-    third.store.pages('job-1')
-    third.store.append(
-        'job-1', (ForwardItemResult('item-2', completed=True, text='y'),)
-    )
+    _take_over_and_list(context)
     context.hosts.owner.catch_up()
 
 
+@when('another host takes the job over unnoticed and lists 1 more result')
+def step_taken_over_unnoticed(context: Context) -> None:
+    _take_over_and_list(context)
+
+
+def _take_over_and_list(context: Context) -> None:
+    third = build.job_host(context.hosts.platform, TAKER)
+    third.store.claim('job-1', TAKER, OWNER)
+    third.store.pages('job-1')
+    third.store.append('job-1', (result(2),))
+
+
+@when('the third host reads {count:d} result for a caller')
+def step_third_reads(context: Context, count: int) -> None:
+    context.hosts.taker.catch_up()
+    answer = context.hosts.taker.job_api.results('job-1', 0)
+    assert len(answer.listings) == count, answer
+
+
+@when('the third host takes the job over')
+def step_third_takes(context: Context) -> None:
+    context.hosts.take_over()
+
+
+@when('the third host takes the job over and loads its results')
+def step_third_loads(context: Context) -> None:
+    context.hosts.take_over()
+    context.hosts.taker.store.load('job-1')
+
+
+@when('the owner answers as if it had listed nothing')
+def step_answers_less(context: Context) -> None:
+    context.hosts.owner.store._pages['job-1'] = []
+
+
+@when('the owner lists a result that another host follows before the answer')
+def step_followed(context: Context) -> None:
+    context.hosts.list_result(0)
+    context.hosts.list_followed_result(1)
+
+
+@then('the owner cannot list another result')
+def step_cannot_list(context: Context) -> None:
+    try:
+        context.hosts.owner.store.append('job-1', (result(1),), OWNER)
+    except ObjectConflictError:
+        return
+    raise AssertionError('the result is listed')
+
+
+@then('a host that has read nothing yet gets {count:d} results')
+def step_new_reader(context: Context, count: int) -> None:
+    answer = context.hosts.new_reader().job_api.results('job-1', 0)
+    assert len(answer.listings) == count, answer
+
+
 @then('{reads:d} reads get {count:d} results with {calls:d} platform calls')
 def step_read(context: Context, reads: int, count: int, calls: int) -> None:
     before = context.hosts.platform.calls[_READS]
--- a/guavadyke/controllers/forward_job_maintenance.py
+++ b/guavadyke/controllers/forward_job_maintenance.py
@@ -110,7 +110,7 @@
         for view in jobs_to_take_over(
             views.values(), lost, self._me, alive, unable
         ):
-            self._writer.claim(view.job.job_id, self._me, view.owner)
+            self._writer.claim(view.job.job_id, view.owner)
 
     def _remove_expired(
         self,
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -137,7 +137,9 @@
         self._runs: dict[ItemKey, ItemRun] = {}
         self._partials: dict[ItemKey, PartialText] = {}
         self._tell = tell_function(self.actor_ref)
+        self._started_at = parts.clock.wall()
         self._writer = JobWriter(
+            parts.settings,
             parts.store,
             parts.registry,
             parts.clock,
@@ -303,6 +305,7 @@
                 continue
             job = own_views[job_id].job
             self._works[job_id] = JobItemTracker(job)
+            self._parts.store.terms.begin(own_views[job_id], self._started_at)
             self._parts.logger.info(
                 'job_taken',
                 job_id=job_id,
@@ -314,8 +317,7 @@
     def _drop_job(self, job_id: str) -> None:
         """Stop working on a job that has ended or has another owner."""
         work = self._works.pop(job_id)
-        # Another host may write results from now on.
-        self._parts.store.in_doubt.add(job_id)
+        self._parts.store.terms.end(job_id)
         if self._parts.registry.view(job_id) is None:
             self._leftovers.dropped_late(job_id)
         for item in work.job.items:
--- a/guavadyke/controllers/forward_job_store.py
+++ b/guavadyke/controllers/forward_job_store.py
@@ -19,6 +19,7 @@
     results_for_page,
     unstored_results,
 )
+from guavadyke.decisions.page_certainty import OwnershipTerms
 from guavadyke.errors import ObjectConflictError, PlatformUnavailableError
 
 _ReadPage: TypeAlias = Callable[[], StoredObject | None]
@@ -35,23 +36,22 @@
 
     Each item gets exactly one result: a page is updated only if its version
     is the one that was read, and a page is started only when the previous one
-    is full. Pages that were read or written are cached. Thread-safe.
+    is full. Pages that were read or written are cached, and never replaced by
+    older ones. Thread-safe.
 
     Args:
         store: the object store of the platform.
 
     Attributes:
         platform: the object store of the platform.
-        in_doubt: ids of jobs whose pages may have changed without this host.
+        terms: the jobs that this host owns.
     """
 
     def __init__(self, store: WriteConfirmingStore) -> None:
         self.platform = store
         self._lock = threading.Lock()
         self._pages: dict[str, list[tuple[StoredObject, ResultPage]]] = {}
-        # A write without an answer may take effect later. Only a later write
-        # of this host keeps it from that.
-        self.in_doubt: set[str] = set()
+        self.terms = OwnershipTerms()
 
     def create(self, job: AcceptedJob) -> bool:
         """Store a new job; return False if the job id already exists.
@@ -79,6 +79,14 @@
             None if stored is None else objects.decode_job(job_id, stored.body)
         )
 
+    def progress(self, job_id: str) -> JobProgress:
+        """Read the progress of a job.
+
+        Raises:
+            GuavadykeError: it cannot be read.
+        """
+        return _read_progress(self.platform, job_id)[1]
+
     def merge_progress(self, job_id: str, change: JobProgress) -> JobProgress:
         """Merge a change into a job's progress; return the merged progress.
 
@@ -108,12 +116,24 @@
             ),
         )
 
+    def load(self, job_id: str) -> tuple[ResultPage, ...]:
+        """Read the pages of a job as its owner and return all of them.
+
+        Raises:
+            GuavadykeError: the pages cannot be read.
+        """
+        term = self.terms.of(job_id)
+        pages = self.pages(job_id)
+        term.loaded()
+        return pages
+
     def pages(
         self, job_id: str, read: PageReader | None = None
     ) -> tuple[ResultPage, ...]:
         """Read the pages of a job and return all of them.
 
-        Full pages never change and are taken from the cache.
+        Full pages never change and are taken from the cache. So are all pages
+        if what was read is older.
 
         Args:
             job_id: the job.
@@ -140,18 +160,18 @@
             if not page.full:
                 break
         self._cache(job_id, known)
-        return tuple(page for _stored, page in known)
+        return self.cached_pages(job_id)
 
     def certain_pages(self, job_id: str) -> tuple[StoredObject, ...] | None:
         """Return the pages of a job that only this host writes.
 
         Returns:
-            None if the pages were never read or are in doubt.
+            None if they may have changed without this host.
         """
         with self._lock:
-            known = self._pages.get(job_id)
-            if known is None or job_id in self.in_doubt:
+            if not self.terms.of(job_id).certain:
                 return None
+            known = self._pages.get(job_id, ())
             return tuple(stored for stored, _page in known)
 
     def cached_pages(self, job_id: str) -> tuple[ResultPage, ...]:
@@ -164,10 +184,18 @@
         self,
         job_id: str,
         waiting: tuple[ForwardItemResult, ...],
+        owner: str = '',
     ) -> tuple[ResultPage, ...]:
         """Append results of items that have none yet; return all pages.
 
+        Args:
+            job_id: the job.
+            waiting: the results.
+            owner: the host that appends them as the owner of the job, empty
+                if any host may.
+
         Raises:
+            ObjectConflictError: another host owns the job and has written.
             GuavadykeError: a write failed, or its outcome is unknown.
         """
         attempts = _MAX_ATTEMPTS + len(waiting)
@@ -178,6 +206,8 @@
             try:
                 self._append_page(job_id, missing)
             except ObjectConflictError:
+                if _is_other(self.progress(job_id).owner, owner):
+                    raise
                 self.pages(job_id)
             pages = self.cached_pages(job_id)
             missing = unstored_results(pages, waiting)
@@ -191,7 +221,6 @@
         """Drop the pages of a job that this host has read or written."""
         with self._lock:
             self._pages.pop(job_id, None)
-            self.in_doubt.discard(job_id)
 
     def _merge(
         self, job_id: str, change_of: Callable[[JobProgress], JobProgress]
@@ -211,15 +240,12 @@
         self, job_id: str, change_of: Callable[[JobProgress], JobProgress]
     ) -> JobProgress | None:
         """Try one merge; return None if another host wrote in between."""
-        stored = self.platform.read(objects.PROGRESS_KIND, job_id)
-        known = JobProgress()
-        if stored is not None:
-            known = objects.decode_progress(job_id, stored.body)
+        stored, known = _read_progress(self.platform, job_id)
         joined = known.merged(change_of(known))
         if stored is not None and joined == known:
             return dataclasses.replace(joined, version=stored.version)
         try:
-            written = self._write_progress(job_id, stored, joined)
+            written = _write_progress(self.platform, job_id, stored, joined)
         except ObjectConflictError:
             return None
         return dataclasses.replace(joined, version=written.version)
@@ -232,9 +258,12 @@
         """Write one page with as many of the results as fit."""
         with self._lock:
             known = list(self._pages.get(job_id, ()))
-            self.in_doubt.add(job_id)
+            term = self.terms.of(job_id)
+            term.writing()
+        version_before = 0
         if known and not known[-1][1].full:
             stored, page = known.pop()
+            version_before = stored.version
             grown = page.with_results(results_for_page(page, missing))
             written = self.platform.update(stored, objects.encode_page(grown))
         else:
@@ -245,7 +274,7 @@
                 objects.encode_page(grown),
             )
         self._cache(job_id, [*known, (written, grown)])
-        self.in_doubt.discard(job_id)
+        term.written(version_before, written.version)
 
     def _cache(
         self,
@@ -258,16 +287,31 @@
             if _recency_key(pages) >= _recency_key(before):
                 self._pages[job_id] = pages
 
-    def _write_progress(
-        self,
-        job_id: str,
-        stored: StoredObject | None,
-        progress: JobProgress,
-    ) -> StoredObject:
-        body = objects.encode_progress(progress)
-        if stored is None:
-            return self.platform.create(objects.PROGRESS_KIND, job_id, body)
-        return self.platform.update(stored, body)
+
+def _is_other(owner: str, expected: str) -> bool:
+    return bool(expected) and owner not in {'', expected}
+
+
+def _read_progress(
+    platform: WriteConfirmingStore, job_id: str
+) -> tuple[StoredObject | None, JobProgress]:
+    stored = platform.read(objects.PROGRESS_KIND, job_id)
+    if stored is None:
+        return None, JobProgress()
+    progress = objects.decode_progress(job_id, stored.body)
+    return stored, dataclasses.replace(progress, version=stored.version)
+
+
+def _write_progress(
+    platform: WriteConfirmingStore,
+    job_id: str,
+    stored: StoredObject | None,
+    progress: JobProgress,
+) -> StoredObject:
+    body = objects.encode_progress(progress)
+    if stored is None:
+        return platform.create(objects.PROGRESS_KIND, job_id, body)
+    return platform.update(stored, body)
 
 
 def _recency_key(
--- a/guavadyke/controllers/forward_job_writer.py
+++ b/guavadyke/controllers/forward_job_writer.py
@@ -17,8 +17,11 @@
     ResultPage,
 )
 from guavadyke.decisions.growing_delays import GrowingDelays
-from guavadyke.errors import GuavadykeError
+from guavadyke.decisions.page_certainty import RecentClaims
+from guavadyke.decisions.watch_sharing import watch_times
+from guavadyke.errors import GuavadykeError, ObjectConflictError
 from guavadyke.log import EventLogger
+from guavadyke.settings import ForwardHostSettings
 
 # A write takes one or two round trips to the platform.
 _WRITER_THREADS = 4
@@ -38,6 +41,7 @@
     methods are logged as the field ``step`` of ``job_write_failed``.
 
     Args:
+        settings: the id of this host and its bounds for what it mirrors.
         store: the jobs on the platform.
         registry: updated after each write.
         clock: delays the next step after a failure.
@@ -49,12 +53,15 @@
 
     def __init__(
         self,
+        settings: ForwardHostSettings,
         store: JobStore,
         registry: JobRegistry,
         clock: Clock,
         logger: EventLogger,
         report: Callable[[str, Pages], object],
     ) -> None:
+        self._me = settings.host_id
+        self._claims = RecentClaims(_claim_known_s(settings))
         self._store = store
         self._registry = registry
         self._clock = clock
@@ -84,16 +91,17 @@
     def advance(self, work: JobItemTracker) -> None:
         """Start the next step of a job, if one is due and none runs."""
         job_id = work.job.job_id
+        now = self._clock.monotonic()
         if not work.loaded:
             self._start(job_id, self._load)
-        elif work.unstored_results:
+        elif work.unstored_results and self._claims.may_append(job_id, now):
             self._start(job_id, self._append, work.unstored_results)
         elif work.finished and job_id not in self._finish_written:
             self._start(job_id, self._finish, work.job.tokens)
 
-    def claim(self, job_id: str, me: str, owner_before: str) -> None:
+    def claim(self, job_id: str, owner_before: str) -> None:
         """Write that this host takes a job over, unless another one has."""
-        self._start(job_id, self._claim, me, owner_before)
+        self._start(job_id, self._claim, owner_before)
 
     def remove(self, job_id: str) -> None:
         """Delete a job that has ended from the platform.
@@ -181,14 +189,23 @@
             self._registry.removed(job_id)
             self._logger.info('job_removed_before', job_id=job_id)
             return None
-        return self._store.pages(job_id)
+        return self._store.load(job_id)
 
     def _append(
         self,
         job_id: str,
         unlisted: tuple[ForwardItemResult, ...],
     ) -> Pages:
-        return self._store.append(job_id, unlisted)
+        """Store results, unless another host has taken the job over."""
+        try:
+            return self._store.append(job_id, unlisted, self._me)
+        except ObjectConflictError:
+            progress = self._store.progress(job_id)
+        self._logger.info(
+            'job_lost_unnoticed', job_id=job_id, owner=progress.owner
+        )
+        self._registry.progress_written(job_id, progress)
+        return None
 
     def _finish(self, job_id: str, tokens: int) -> None:
         progress = self._store.merge_progress(
@@ -198,13 +215,16 @@
         self._finish_written.add(job_id)
         self._registry.progress_written(job_id, progress)
 
-    def _claim(self, job_id: str, me: str, owner_before: str) -> None:
+    def _claim(self, job_id: str, owner_before: str) -> None:
         known = self._registry.view(job_id)
         if known is None or known.owner != owner_before:
             return
-        progress = self._store.claim(job_id, me, owner_before)
+        progress = self._store.claim(job_id, self._me, owner_before)
+        taken = progress.owner == self._me
+        if taken:
+            self._claims.claimed(job_id, self._clock.monotonic())
         self._logger.info(
-            'job_taken_over' if progress.owner == me else 'job_claimed_before',
+            'job_taken_over' if taken else 'job_claimed_before',
             job_id=job_id,
             owner=progress.owner,
             owner_before=owner_before,
@@ -217,7 +237,18 @@
         owner: str,
         unlisted: tuple[ForwardItemResult, ...],
     ) -> None:
-        self._store.append(job_id, unlisted)
+        if self._claims.may_append(job_id, self._clock.monotonic()):
+            self._store.append(job_id, unlisted, self._me)
+        self._store.terms.end(job_id)
         progress = self._store.merge_progress(job_id, JobProgress(owner=owner))
         self._registry.progress_written(job_id, progress)
         self._logger.info('job_passed_on', job_id=job_id, owner=owner)
+
+
+def _claim_known_s(settings: ForwardHostSettings) -> float:
+    """Return the seconds after which all hosts act on the claim of a job.
+
+    Until then an earlier owner may answer other hosts from memory.
+    """
+    sources = watch_times(settings.platform.freshness_s)
+    return settings.platform.job_end_s + sources.longest_lag_s
--- a/guavadyke/decisions/forward_job_items.py
+++ b/guavadyke/decisions/forward_job_items.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable, Iterator
 
 from guavadyke.decisions.forward_job_records import (
+    MAX_CLOCK_SKEW_S,
     AcceptedJob,
     ForwardItem,
     ForwardItemResult,
@@ -20,9 +21,6 @@
 _MIN_RETRY_DELAY_S = 0.05
 _MAX_RETRY_DELAY_S = 2.0
 _MAX_DOUBLINGS = 6
-# Maximum clock difference between hosts. An item is given up only once the
-# clocks of all hosts are past its time.
-_MAX_CLOCK_SKEW_S = 5.0
 # Items are given up only after their route has been missing for this time.
 _ROUTE_MISSING_GRACE_S = 3.0
 
@@ -165,7 +163,8 @@
         if route is not None:
             self._route_missing_since = None
             limit_s = route.abandon_after_s
-            abandon_at = self.job.accepted_at + limit_s + _MAX_CLOCK_SKEW_S
+            # The clocks of all hosts are past it.
+            abandon_at = self.job.accepted_at + limit_s + MAX_CLOCK_SKEW_S
             if limit_s and wall > abandon_at:
                 self._give_up_all()
             return
--- a/guavadyke/decisions/forward_job_records.py
+++ b/guavadyke/decisions/forward_job_records.py
@@ -14,6 +14,8 @@
 # A result page of this size is full. Appending a result rewrites its whole
 # page, so this bounds the bytes written again for each result.
 PAGE_BYTES = 49_152
+# Maximum clock difference between hosts.
+MAX_CLOCK_SKEW_S = 5.0
 _EMPTY_RESULT_BYTES = 64
 
 
