Take jobs over from hosts that are known to be gone, not from unknown ones

What callers saw: items of jobs began anew at another host, and results came late. After all hosts of a large fleet had started anew, jobs went to and fro between live hosts.

Cause: an owner that was not among the live hosts seen so far counted as absent. A host that has just started has seen few.

Change: the fleet that a host sees has the hosts that are known to be gone and the time at which it last learned of a live one. An owner that is gone is lost after 1.5 s as before; one that is unknown only after 4 s and once the host has learned of no other for 3 s, or after 12 s. The same holds for the retirement of a lost host.

--- a/features/builders_job_owners.py
+++ b/features/builders_job_owners.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 
 from features import builders_forward as build
@@ -18,6 +19,7 @@
 from guavadyke.snapshots import FleetSnapshot, PeerView, SnapshotCell
 
 _TICK_S = 0.5
+_GONE = frozenset(('dead', 'left'))
 JOB = 'job-1'
 
 
@@ -70,24 +72,30 @@
             self._writer,
         )
 
-    def see(self, states: Mapping[str, str]) -> None:
+    def see(
+        self, states: Mapping[str, str], grown_at: float = -math.inf
+    ) -> None:
         """Take a view of the other hosts, their states by host id."""
         self._fleet.publish(
             FleetSnapshot(
                 tuple(
                     PeerView(name, build.ZONE, 'south', '::1', state, 1, 0)
                     for name, state in states.items()
-                    if name != self.host_id
-                )
+                    if name != self.host_id and state not in _GONE
+                ),
+                frozenset(
+                    name for name, state in states.items() if state in _GONE
+                ),
+                grown_at,
             )
         )
 
     def see_one(self, host_id: str, state: str) -> None:
         """Change the view of one other host."""
-        states = {
-            peer.host_id: peer.state for peer in self._fleet.current.peers
-        }
-        self.see({**states, host_id: state})
+        fleet = self._fleet.current
+        states = {peer.host_id: peer.state for peer in fleet.peers}
+        gone = dict.fromkeys(fleet.gone, 'dead')
+        self.see({**gone, **states, host_id: state})
 
     def heal(self) -> None:
         """End all faults of this host's link and mirrors."""
--- a/features/forward_job_owners.feature
+++ b/features/forward_job_owners.feature
@@ -19,6 +19,28 @@
     Then the host that comes first owns the job
     And the job has been taken over once
 
+  Scenario: a host that has just started leaves the jobs of hosts that it does not know yet
+    Given 5 hosts, of which host-0 owns a job
+    When host-1 starts anew, and learns of another host each second for 8 seconds
+    Then host-0 owns the job after 10 seconds
+    And the job has been taken over 0 times
+
+  Scenario: hosts that have all started anew leave each other the jobs while they learn of each other
+    Given 5 hosts, of which host-0 owns a job
+    When all hosts start anew, and learn of another host each second for 4 seconds
+    Then host-0 owns the job after 10 seconds
+    And the job has been taken over 0 times
+
+  Scenario: a job is taken over though none of the hosts, which have all started anew, knows its owner
+    Given 5 hosts, of which host-0 owns a job
+    When all hosts but host-0 start anew and know each other
+    Then one other host owns the job within 5 seconds
+
+  Scenario: a job of an unknown host is taken over though other hosts come and go all the time
+    Given 5 hosts, of which host-0 owns a job
+    When all hosts but host-0 start anew, and learn of another host each second for 14 seconds
+    Then one other host owns the job within 0 seconds
+
   Scenario: a job that its leaving host cannot pass on is taken over
     Given 5 hosts, of which host-0 owns a job
     When host-0 leaves and its write that passes the job on fails
--- a/features/steps/forward_decisions_steps.py
+++ b/features/steps/forward_decisions_steps.py
@@ -28,6 +28,7 @@
 from guavadyke.decisions.forward_job_items import JobItemTracker
 from guavadyke.decisions.forward_job_ownership import (
     AbsenceTracker,
+    HostView,
     batch_hosts,
     check_quota,
     choose_owner,
@@ -370,12 +371,9 @@
 @when('h1 is absent for {seconds:d} seconds')
 def step_absent(context: Context, seconds: int) -> None:
     owners = {view.owner for view in context.jobs.values()}
-    context.absences.update(owners, ('h2', 'h3'), build.NOW)
-    context.lost = context.absences.update(
-        owners,
-        ('h2', 'h3'),
-        build.NOW + seconds,
-    )
+    view = HostView(frozenset(('h2', 'h3')), frozenset(('h1',)))
+    context.absences.update(owners, view, build.NOW)
+    context.lost = context.absences.update(owners, view, build.NOW + seconds)
 
 
 @then('no job is taken over')
--- a/features/steps/forward_job_owners_steps.py
+++ b/features/steps/forward_job_owners_steps.py
@@ -199,6 +199,61 @@
     assert context.fleet.owners() == [context.first]
 
 
+@when(
+    'host-1 starts anew, and learns of another host each second for '
+    '{seconds:d} seconds'
+)
+def step_one_starts(context: Context, seconds: int) -> None:
+    _learn_slowly(context, {'host-1'}, seconds)
+
+
+@when(
+    'all hosts start anew, and learn of another host each second for '
+    '{seconds:d} seconds'
+)
+def step_all_start(context: Context, seconds: int) -> None:
+    _learn_slowly(context, set(context.states), seconds)
+
+
+@when(
+    'all hosts but host-0 start anew, and learn of another host each second '
+    'for {seconds:d} seconds'
+)
+def step_others_start(context: Context, seconds: int) -> None:
+    context.states.pop(_OWNER)
+    context.gone = {_OWNER: 'dead'}
+    _learn_slowly(context, set(context.states), seconds)
+
+
+@when('all hosts but host-0 start anew and know each other')
+def step_others_know(context: Context) -> None:
+    context.gone = {}
+    context.states.pop(_OWNER)
+    for host in context.fleet.hosts.values():
+        host.see(context.states, context.fleet.now)
+
+
+def _learn_slowly(context: Context, starting: set[str], seconds: int) -> None:
+    """Let hosts learn of the others, host-0 last, one after another."""
+    others = sorted(context.states, reverse=True)
+    lost = set(context.fleet.hosts) - set(context.states)
+    for second in range(seconds):
+        known = dict.fromkeys(others[: second + 1], 'alive')
+        for name in starting:
+            context.fleet.hosts[name].see(known, context.fleet.now)
+        context.fleet.run(1, lost)
+
+
+@then('the job has been taken over 0 times')
+def step_never(context: Context) -> None:
+    taken = [
+        event
+        for host in context.fleet.hosts.values()
+        for event in host.logger.named('job_taken_over')
+    ]
+    assert not taken, taken
+
+
 @then('the job has been taken over once')
 def step_once(context: Context) -> None:
     taken = [
--- a/guavadyke/controllers/forward_job_maintenance.py
+++ b/guavadyke/controllers/forward_job_maintenance.py
@@ -11,6 +11,7 @@
 from guavadyke.decisions.forward_job_leftovers import LeftoverTracker
 from guavadyke.decisions.forward_job_ownership import (
     AbsenceTracker,
+    HostView,
     choose_owner,
     jobs_to_take_over,
 )
@@ -104,9 +105,13 @@
     ) -> None:
         owners = {view.owner for view in views.values() if view.open}
         unable = self._abilities.unable()
-        reachable = {self._me, *self._peers_in(_REACHABLE)}
+        fleet = self._fleet.current
+        reachable = frozenset((self._me, *self._peers_in(_REACHABLE)))
         running = able_hosts(reachable, unable)
-        lost = self._absences.update(owners, running, now)
+        known = HostView(
+            running, fleet.gone | (reachable - running), fleet.grown_at
+        )
+        lost = self._absences.update(owners, known, now)
         for view in jobs_to_take_over(
             views.values(), lost, self._me, alive, unable
         ):
--- a/guavadyke/controllers/membership.py
+++ b/guavadyke/controllers/membership.py
@@ -229,6 +229,12 @@
                     for member in self._member_list.members.values()
                     if _is_shown(member, now)
                 ),
+                gone=frozenset(
+                    host_id
+                    for host_id, member in self._member_list.members.items()
+                    if not member.record.state.reachable
+                ),
+                grown_at=self._member_list.grown_at,
                 leaving=self._leaving_servers(),
                 platform_reachable=_platform_reachable(
                     self._deps.local_status,
--- a/guavadyke/controllers/retirement_controller.py
+++ b/guavadyke/controllers/retirement_controller.py
@@ -8,7 +8,10 @@
 
 from guavadyke.adapters.ports import Clock, StoredObject
 from guavadyke.controllers.mirror import MirrorSink
-from guavadyke.decisions.forward_job_ownership import AbsenceTracker
+from guavadyke.decisions.forward_job_ownership import (
+    AbsenceTracker,
+    HostView,
+)
 from guavadyke.decisions.rendezvous_hashing import place
 from guavadyke.errors import GuavadykeError
 from guavadyke.guarded_threads import GuardedThread
@@ -24,8 +27,7 @@
 # some of them handle requests.
 _TURN_SPACING_S = 0.5
 _LONGEST_TURN_S = 3.0
-_ALIVE = 'alive'
-_REACHABLE = frozenset((_ALIVE, 'suspect'))
+_REACHABLE = frozenset(('alive', 'suspect'))
 
 
 @dataclasses.dataclass(frozen=True)
@@ -142,13 +144,15 @@
 
     def _lost_hosts(self, due: Mapping[str, RetirementRequest]) -> list[str]:
         """Return the lost hosts whose requests this host has to complete."""
-        peers = self._parts.fleet.current.peers
-        alive = {peer.host_id for peer in peers if peer.state == _ALIVE}
-        reachable = {peer.host_id for peer in peers if peer.state in _REACHABLE}
+        fleet = self._parts.fleet.current
+        alive = {peer.host_id for peer in fleet.alive}
+        reachable = frozenset(
+            peer.host_id for peer in fleet.peers if peer.state in _REACHABLE
+        )
         me = self._parts.host_id
         lost = self._absences.update(
             due.keys(),
-            reachable,
+            HostView(reachable, fleet.gone, fleet.grown_at),
             self._parts.clock.monotonic(),
         )
         return [
--- a/guavadyke/decisions/forward_job_ownership.py
+++ b/guavadyke/decisions/forward_job_ownership.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import math
 from collections.abc import Collection, Iterable, Mapping
 
 from guavadyke.decisions.forward_job_records import AcceptedJob, JobView
@@ -11,9 +12,17 @@
 from guavadyke.decisions.host_abilities import able_hosts
 from guavadyke.decisions.rendezvous_hashing import place, rank_names
 
-# Time for which a job's owner has to be unknown or dead before another host
-# takes the job over. Longer than a restart, after which the owner goes on.
+# Time for which a job's owner has to be gone before another host takes the job
+# over. Longer than a restart, after which the owner goes on.
 _TAKE_OVER_AFTER_S = 1.5
+# The same for an owner of which a host has never heard. Hosts that saw it go
+# take the job over long before; only a host that is alone, or one of a fleet
+# that has started anew, has to wait for so long.
+_UNKNOWN_LOST_AFTER_S = 4.0
+# A host that still learns of others does not know who is missing.
+_SETTLED_AFTER_S = 3.0
+# Bounds the wait where hosts come and go all the time.
+_LONGEST_UNKNOWN_S = 12.0
 # The hosts that may take a job over do so one after the other at this distance,
 # as those before may be unable to. Longer than hosts need to learn of a claim.
 _TAKE_OVER_SPACING_S = 1.0
@@ -95,38 +104,84 @@
     return tuple(dict.fromkeys(view.owner for view in by_due))
 
 
+@dataclasses.dataclass(frozen=True)
+class HostView:
+    """What a host knows of the others, by their ids.
+
+    It may know nothing of hosts that live, above all after its start.
+    ``grown_at`` is when it last learned of a live host, in seconds of the
+    monotonic clock.
+    """
+
+    alive: frozenset[str]
+    gone: frozenset[str]
+    grown_at: float = -math.inf
+
+    def is_settled(self, now: float) -> bool:
+        """Return whether it has learned of no live host for a while."""
+        return now - self.grown_at >= _SETTLED_AFTER_S
+
+
 class AbsenceTracker:
-    """Tracks how long owners of open jobs have been absent from the fleet."""
+    """Tracks how long owners of open jobs have been absent from the fleet.
+
+    A host that is not known is no lost host: a host that has just started
+    knows few of those that live.
+    """
 
     def __init__(self) -> None:
-        self._since: dict[str, float] = {}
+        self._gone_since: dict[str, float] = {}
+        self._unknown_since: dict[str, float] = {}
 
     def update(
-        self,
-        owners: Collection[str],
-        alive: Collection[str],
-        now: float,
+        self, owners: Collection[str], view: HostView, now: float
     ) -> dict[str, float]:
         """Update the absences and return the owners that are lost.
 
         Args:
             owners: ids of the hosts that own something.
-            alive: ids of the hosts that are not dead.
+            view: what this host knows of the others.
             now: seconds of the monotonic clock.
 
         Returns:
-            Owners absent for at least ``_TAKE_OVER_AFTER_S``, each with the
-            seconds since then.
+            Owners that have been gone, or unknown, for long enough, each with
+            the seconds since then.
         """
-        absent = set(owners) - set(alive)
-        self._since = {owner: self._since.get(owner, now) for owner in absent}
+        absent = frozenset(owners) - view.alive
+        self._gone_since = _still_since(
+            self._gone_since, absent & view.gone, now
+        )
+        self._unknown_since = _still_since(
+            self._unknown_since, absent - view.gone, now
+        )
+        unknown_after_s = (
+            _UNKNOWN_LOST_AFTER_S
+            if view.is_settled(now)
+            else _LONGEST_UNKNOWN_S
+        )
         return {
-            owner: now - since - _TAKE_OVER_AFTER_S
-            for owner, since in self._since.items()
-            if now - since >= _TAKE_OVER_AFTER_S
+            **_past(self._unknown_since, unknown_after_s, now),
+            **_past(self._gone_since, _TAKE_OVER_AFTER_S, now),
         }
 
 
+def _still_since(
+    since: Mapping[str, float], names: Iterable[str], now: float
+) -> dict[str, float]:
+    return {name: since.get(name, now) for name in names}
+
+
+def _past(
+    since: Mapping[str, float], after_s: float, now: float
+) -> dict[str, float]:
+    """Return the seconds by which hosts have been absent for longer."""
+    return {
+        name: now - began_at - after_s
+        for name, began_at in since.items()
+        if now - began_at >= after_s
+    }
+
+
 def jobs_to_take_over(
     jobs: Iterable[JobView],
     lost: Mapping[str, float],
--- a/guavadyke/decisions/member_list.py
+++ b/guavadyke/decisions/member_list.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from collections.abc import Iterable, Mapping
 
 from guavadyke.decisions.membership_protocol import (
@@ -38,6 +39,8 @@
     def __init__(self, me: PeerRecord, policy: MembershipPolicy) -> None:
         self.me = me
         self.suspicions = SuspicionTimers(policy.suspicion_s)
+        # When this host last learned of a live peer, as after its own start.
+        self.grown_at: float = -math.inf
         self._policy = policy
         self._members: dict[str, Member] = {}
         self._changes: list[PeerRecord] = []
@@ -141,11 +144,14 @@
         member = self._members.get(record.host_id)
         if member is None:
             if record.state.reachable:
+                self.grown_at = now
                 self._members[record.host_id] = Member(record, now, now)
                 self._record_change(record, now)
             return
         if record.rank <= member.record.rank:
             return
+        if record.state.reachable and not member.record.state.reachable:
+            self.grown_at = now
         member.record = record
         member.changed_at = now
         self._record_change(record, now)
--- a/guavadyke/forward_peers.py
+++ b/guavadyke/forward_peers.py
@@ -30,6 +30,7 @@
     SharedWatches,
     WatchHub,
 )
+from guavadyke.controllers.fleet_pulls import FleetPulls
 from guavadyke.controllers.host_abilities import HostAbilities
 from guavadyke.controllers.membership import FleetCells, PeerEvents
 from guavadyke.decisions.watch_sharing import plan_watch, watch_times
@@ -138,6 +139,14 @@
             rng,
             logger,
         )
+        self._fleet_pulls = FleetPulls(
+            settings.host_id,
+            client,
+            fleet,
+            self._membership.tell,
+            random.Random(rng.getrandbits(64)),
+            logger,
+        )
         servers.open_through_peer = PeerTunnels(
             client,
             fleet,
@@ -174,6 +183,7 @@
         self.tunnel_relay.start()
         self._peer_server.start()
         self._membership.start(self._seeds)
+        self._fleet_pulls.start()
 
     def leave(self) -> None:
         """Announce to the peers that this host leaves the fleet."""
@@ -181,6 +191,7 @@
 
     def close(self) -> None:
         """Stop membership and close the peer port."""
+        self._fleet_pulls.close()
         self._peer_server.close()
         self.tunnel_relay.close()
         self._membership.close()
@@ -193,9 +204,12 @@
         _sender: str,
         request: calls.PeerRequest,
     ) -> calls.PeerReply:
-        """Make a platform call for a peer, or tell it what has changed."""
+        """Make a platform call for a peer, or tell it what this host knows."""
         if isinstance(request, calls.WatchQuery):
             return self._watch_hub.answer(request)
+        if isinstance(request, calls.FleetQuery):
+            known_fleet = self._membership.fleet_state()
+            return calls.PeerReply(records=known_fleet.records)
         if not isinstance(request, calls.PlatformCall):
             raise TypeError(f'unknown call {request!r}')
         known = self.answer_locally(request)
--- a/guavadyke/snapshots.py
+++ b/guavadyke/snapshots.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from collections.abc import Mapping
 from typing import Generic, TypeVar
 
@@ -61,12 +62,17 @@
 class FleetSnapshot:
     """State of the fleet as seen by this host.
 
+    ``gone`` are the ids of hosts that are known to have left or to be dead;
+    ``grown_at`` is when this host last learned of a live one, in seconds of the
+    monotonic clock. A host that is in neither ``peers`` nor ``gone`` may live.
     ``leaving`` holds the ids of backend servers that get no new work.
     ``platform_reachable`` is true if this host reaches the platform, either
     directly or through a peer.
     """
 
     peers: tuple[PeerView, ...] = ()
+    gone: frozenset[str] = frozenset()
+    grown_at: float = -math.inf
     leaving: frozenset[str] = frozenset()
     platform_reachable: bool = True
 
