Take answers with an unclear length for broken

What callers saw: answers of a server that broke off passed for whole where the head had a line that is no header, a length that is no number or an unknown transfer coding. The caller got status 200 and a part of the body.

Cause: the base class skips the rest of a head from the first line on that is no header, which was only logged, and takes a length that it cannot read, or a coding other than chunked, for none. The end of the connection then is the end of the body.

Evidence: 5 of 5 such heads were accepted on every path before, for requests, streams, items, chats, reports, and through other hosts.

Change: a head has to consist of headers, with at most one length in digits and no coding but chunked.

--- a/features/forward_invalid_answers.feature
+++ b/features/forward_invalid_answers.feature
@@ -66,6 +66,19 @@
       | HTTP/1.1 600 A, HTTP/1.1 200 OK   |
       | HTTP/1.1 101 A, HTTP/1.1 200 OK   |
 
+  # Guards against answers that break off and pass for whole since their length is unclear.
+  Scenario Outline: an answer with <line> in place of its length passes for whole nowhere
+    When an answer with <line> in place of its length is sent on every path
+    Then none of the answers passes for whole
+
+    Examples:
+      | line                              |
+      | no colon here                     |
+      | Content-Length : 9999             |
+      | Content-Length: 9999x             |
+      | Content-Length: -1                |
+      | Transfer-Encoding: gzip, chunked  |
+
   # Guards against an interim answer that is taken for the answer itself.
   Scenario Outline: an answer after the interim answer <interim> passes for whole everywhere
     When an answer that begins with HTTP/1.1 <interim> A, HTTP/1.1 200 OK is sent on every path
--- a/features/steps/forward_invalid_answers_steps.py
+++ b/features/steps/forward_invalid_answers_steps.py
@@ -5,6 +5,8 @@
 import dataclasses
 import functools
 import itertools
+import re
+from collections.abc import Callable
 from concurrent import futures
 
 from behave import given, then, when
@@ -26,6 +28,7 @@
 # More than the requests of one call and its further attempts.
 _ANSWERS = 8
 _BAD_STATUS = 'HTTP/1.1 600 OK'
+_LENGTH = re.compile(rb'Content-Length: \d+')
 
 
 @given(
@@ -65,14 +68,12 @@
 
 @when('an answer that begins with {head} is sent on every path')
 def step_every_path(context: Context, head: str) -> None:
-    context.passed = [
-        _answered(path, head) for path in paths.names(tunnelled=True)
-    ]
-    with futures.ThreadPoolExecutor() as pool:
-        context.passed += pool.map(
-            functools.partial(_answered, head=head),
-            paths.names(tunnelled=False),
-        )
+    context.passed = _on_every_path(functools.partial(_answered, head=head))
+
+
+@when('an answer with {line} in place of its length is sent on every path')
+def step_no_length(context: Context, line: str) -> None:
+    context.passed = _on_every_path(functools.partial(_unclear, line=line))
 
 
 @when('an answer that begins with {head} is sent as {path}')
@@ -144,6 +145,14 @@
         server.close()
 
 
+def _on_every_path(
+    send: Callable[[str], paths.Passed],
+) -> list[paths.Passed]:
+    passed = [send(path) for path in paths.names(tunnelled=True)]
+    with futures.ThreadPoolExecutor() as pool:
+        return [*passed, *pool.map(send, paths.names(tunnelled=False))]
+
+
 def _answered(path: str, head: str) -> paths.Passed:
     """Send a request to a server whose answers begin with heads."""
     first = head.replace(', ', '\r\n\r\n')
@@ -152,6 +161,16 @@
         if head == 'no status line'
         else paths.proper_answer(path, first)
     )
+    return _sent(path, answer)
+
+
+def _unclear(path: str, line: str) -> paths.Passed:
+    """Send a request to a server whose answers have a line for their length."""
+    answer = paths.proper_answer(path, 'HTTP/1.1 200 OK')
+    return _sent(path, _LENGTH.sub(line.encode(), answer, count=1))
+
+
+def _sent(path: str, answer: bytes) -> paths.Passed:
     server = framed.FramedServer('s1', itertools.repeat(answer, _ANSWERS))
     try:
         return paths.pass_on(path, server, _TEXT)
--- a/guavadyke/adapters/connection_pool.py
+++ b/guavadyke/adapters/connection_pool.py
@@ -15,6 +15,8 @@
 from urllib3.connection import HTTPConnection, HTTPSConnection
 from urllib3.util import parse_url
 
+from guavadyke.adapters.response_framing import check_head
+
 _MAX_IDLE_CONNECTIONS = 64
 # A server may send interim responses, such as 100, before its answer.
 _MAX_HEADS = 8
@@ -89,6 +91,15 @@
         super().__init__(opened, *args, **named)
         self.fp = _WholeLineReader(self.fp.detach())
 
+    def begin(self) -> None:
+        """Read the head.
+
+        Raises:
+            HTTPException: it is malformed or does not end.
+        """
+        super().begin()
+        check_head(self.msg)
+
     def _read_status(self) -> tuple[str, int, str]:
         self._heads += 1
         if self._heads > _MAX_HEADS:
