Pass on answers whose headers concern one connection

What callers saw: status 500 instead of the answer of a server that sent Proxy-Authenticate or Trailers with it. The error said that the request had not run. The host took the request for one in flight until it ended, so that a stop waited for its whole grace period.

Cause: such headers may not be sent through WSGI, and the list of headers that are left out lacked them. An exception from the head left the count of requests in flight as it was, and the answer of a server open. All errors that the HTTP server itself answers were said to have not run, also crashes.

Change: answers are passed on without all headers that concern one connection, by the list that requests use. A head that cannot be sent closes the answer. An error says what its code says of the run.

--- a/features/steps/forward_stops_steps.py
+++ b/features/steps/forward_stops_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import signal
 import threading
 import time
@@ -10,14 +11,22 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from features import builders_answer_paths as paths
+from features import builders_forward as build
 from features import builders_forward_processes as processes
+from features import builders_framed_server as framed
 from features import builders_users_platform as users
 from features.builders_kept_connections import KeptAnswer, KeptConnection
+from guavadyke.adapters.backend import HttpBackendServers
 from guavadyke.adapters.clock import SystemClock
-from guavadyke.filters.base import Answer, Exchange
+from guavadyke.decisions.forward_routes import RouteKind
+from guavadyke.errors import RunStatus
+from guavadyke.filters.base import Answer, Exchange, Handler
+from guavadyke.filters.forward import Forwarder
 from guavadyke.http_application import HttpApplication, Route
 from guavadyke.http_server import HttpServer, HttpServerSettings
 from guavadyke.log import EventLogger
+from guavadyke.platform.engine_adapter import EngineDialect
 from guavadyke.settings import ListenSettings
 
 _ORDERS_PREFIX = '/bofi118/'
@@ -142,6 +151,67 @@
     context.callers.shutdown()
 
 
+@given('an HTTP server whose answer has a header that it cannot send')
+def step_odd_answer(context: Context) -> None:
+    _serve(context, lambda _exchange: Answer(200, headers={'Upgrade': 'h2c'}))
+
+
+@given('a backend server whose answer has a header {name}')
+def step_odd_backend(context: Context, name: str) -> None:
+    path = 'idempotent request'
+    backend = framed.FramedServer(
+        's1', [paths.proper_answer(path, f'HTTP/1.1 200 OK\r\n{name}: h2c')]
+    )
+    context.add_cleanup(backend.close)
+    tools = build.tools(
+        HttpBackendServers(dialect=EngineDialect()),
+        build.pool((backend.listed,)),
+    )
+    route = build.route(RouteKind.idempotent)
+    _serve(
+        context,
+        lambda _exchange: Forwarder(build.request(), route, tools).answer(),
+    )
+
+
+@when('the answer is called for')
+def step_call(context: Context) -> None:
+    connection = KeptConnection(users.LOOPBACK, context.server.port)
+    context.answer = connection.call('/', 'r-1', {})
+
+
+@then('the call is answered with status 500 and may have run')
+def step_failed(context: Context) -> None:
+    assert context.answer.status == 500, context.answer
+    error = json.loads(context.answer.body)['error']
+    assert error['run'] == RunStatus.unknown, error
+
+
+@then('the server is idle')
+def step_idle(context: Context) -> None:
+    assert context.server.wait_until_idle(SystemClock(), _SETTLED_S)
+
+
+@then('the call is answered with status 200 and no header {name}')
+def step_passed_on(context: Context, name: str) -> None:
+    assert context.answer.status == 200, context.answer
+    assert context.answer.headers['response-signature']
+    assert name.lower() not in context.answer.headers
+    step_idle(context)
+
+
+def _serve(context: Context, handler: Handler) -> None:
+    application = HttpApplication(
+        [Route('.*', {'*': handler})], SystemClock(), EventLogger()
+    )
+    listen = ListenSettings.model_validate({'ip': users.LOOPBACK, 'port': 0})
+    context.server = HttpServer(
+        application, HttpServerSettings(listen, threads=1)
+    )
+    context.server.start()
+    context.add_cleanup(context.server.close)
+
+
 def _wait_for(context: Context):
     def answer_slowly(_exchange: Exchange) -> Answer:
         context.arrived.set()
--- a/guavadyke/decisions/request_headers.py
+++ b/guavadyke/decisions/request_headers.py
@@ -11,8 +11,9 @@
 import re
 from collections.abc import Collection, Iterator, Mapping
 
-# Headers that concern one connection (RFC 9110, 7.6.1), and the length of the
-# body, which is stated anew on each connection.
+# Headers that concern one connection (RFC 9110, 7.6.1, and by its older name
+# RFC 2616, 13.5.1), and the length of the body, which is stated anew on each
+# connection.
 CONNECTION_HEADERS = frozenset((
     'connection',
     'content-length',
@@ -24,6 +25,7 @@
     'proxy-connection',
     'te',
     'trailer',
+    'trailers',
     'transfer-encoding',
     'upgrade',
 ))
--- a/guavadyke/filters/forward.py
+++ b/guavadyke/filters/forward.py
@@ -14,6 +14,7 @@
 )
 from guavadyke.decisions.forward_routes import ForwardRoute, RouteKind
 from guavadyke.decisions.request_attempts import RequestAttempts, retry_after_s
+from guavadyke.decisions.request_headers import CONNECTION_HEADERS
 from guavadyke.decisions.server_registry import ServerLease
 from guavadyke.decisions.server_sent_events import EventOrderError, EventParser
 from guavadyke.decisions.stream_origins import StreamOrigin
@@ -38,18 +39,7 @@
 _MAX_BODY_BYTES = 8_388_608
 _OK = 200
 _FIRST_SERVER_ERROR = 500
-_FRAMING_HEADERS = frozenset((
-    'connection',
-    'content-length',
-    'content-type',
-    'date',
-    'keep-alive',
-    'server',
-    'te',
-    'trailer',
-    'transfer-encoding',
-    'upgrade',
-))
+_UNRETURNED_HEADERS = CONNECTION_HEADERS | {'content-type', 'date', 'server'}
 
 
 class Forwarder:
@@ -387,7 +377,7 @@
         headers={
             name.title(): text
             for name, text in answer.headers.items()
-            if name not in _FRAMING_HEADERS
+            if name not in _UNRETURNED_HEADERS
         },
     )
 
--- a/guavadyke/http_application.py
+++ b/guavadyke/http_application.py
@@ -147,12 +147,17 @@
         except BaseException:
             self._change_in_flight(-1)
             raise
-        _send_head(answer, exchange, start_response)
-        return _AnswerBody(
+        body = _AnswerBody(
             answer.body,
             lambda: self._finish_request(exchange, answer),
             lambda error: self._log_broken_off(exchange, error),
         )
+        try:
+            _send_head(answer, exchange, start_response)
+        except BaseException:
+            body.close()
+            raise
+        return body
 
     @property
     def in_flight(self) -> int:
--- a/guavadyke/http_server.py
+++ b/guavadyke/http_server.py
@@ -18,7 +18,7 @@
 from waitress.wasyncore import dispatcher
 
 from guavadyke.adapters.ports import Clock
-from guavadyke.errors import ErrorCode, Finding, GuavadykeError, RunStatus
+from guavadyke.errors import ErrorCode, Finding, GuavadykeError
 from guavadyke.guarded_threads import GuardedThread
 from guavadyke.http_application import (
     HttpApplication,
@@ -34,7 +34,7 @@
 
 
 class _JsonErrorTask(ErrorTask):  # type: ignore[misc]
-    """Answers a malformed request with a JSON error document."""
+    """Answers a request that is malformed or crashed with a JSON document."""
 
     def execute(self) -> None:
         """Write the answer."""
@@ -44,7 +44,6 @@
             code,
             request_error.reason,
             findings=(Finding('request', str(request_error.body)),),
-            run=RunStatus.not_run,
         )
         request_id = f'req-{uuid.uuid4().hex}'
         body = json.dumps(error_document(error, request_id)).encode()
