Accept a job again where nothing more may wait on its route

What callers saw: a job that had been accepted was refused with 429 when it was submitted again at another host, for example since the first answer was lost.

Cause: a host that had not heard of the job yet, or has fallen behind, checked it against the limit of waiting tokens like a new one. The limit may have been lowered meanwhile, or other jobs may have taken what is left.

Change: before a host refuses a job over the limit it asks the platform whether the job exists. That is one read for each refused submission.

--- a/features/forward_jobs.feature
+++ b/features/forward_jobs.feature
@@ -5,6 +5,14 @@
     When a job is submitted at both hosts and again at the first
     Then every submission is accepted and the platform holds one job
 
+  # Guards against an accepted job that is turned away as over the quota.
+  Scenario: a job submitted again where nothing more may wait is accepted
+    Given two hosts on one platform
+    When a job is submitted at the first host
+    And it is submitted again at the second host, whose quota it exceeds
+    Then the platform holds one job
+    And another job that exceeds the quota is limit_exceeded
+
   Scenario: an accepted job is visible at every host at once
     Given two hosts on one platform
     When a job is submitted at the first host
--- a/features/steps/forward_jobs_steps.py
+++ b/features/steps/forward_jobs_steps.py
@@ -41,6 +41,17 @@
         context.error = error
 
 
+@when('it is submitted again at the second host, whose quota it exceeds')
+def step_submit_over_quota(context: Context) -> None:
+    _submit(context.second, waiting_tokens=1)
+
+
+@then('another job that exceeds the quota is limit_exceeded')
+def step_over_quota(context: Context) -> None:
+    code = _code_of(lambda: _submit(context.second, 'job-2', waiting_tokens=1))
+    assert code is ErrorCode.limit_exceeded
+
+
 @when('the first host is cut off from the platform')
 def step_lose(context: Context) -> None:
     context.first.link.faults.cut = True
@@ -201,9 +212,11 @@
     )
 
 
-def _submit(host: build.JobHost) -> None:
-    route = build.route()
-    host.job_api.submit('job-1', route, route.host, build.job().items)
+def _submit(
+    host: build.JobHost, job_id: str = 'job-1', waiting_tokens: int = 0
+) -> None:
+    route = build.route(waiting_tokens=waiting_tokens)
+    host.job_api.submit(job_id, route, route.host, build.job().items)
 
 
 def _listing(number: int, text: str = 'done') -> ForwardItemResult:
--- a/guavadyke/controllers/forward_job_api.py
+++ b/guavadyke/controllers/forward_job_api.py
@@ -168,10 +168,13 @@
                 team,
             )
             if not verdict.fits:
-                self._raise_over_quota(job, verdict.excess)
+                raise _OverQuotaError(job, verdict.excess)
 
-        with self._submissions.admitted(job, check):
-            self._create(job, team)
+        try:
+            with self._submissions.admitted(job, check):
+                self._create(job, team)
+        except _OverQuotaError as refusal:
+            self._refuse_if_new(refusal, team)
 
     def results(
         self, job_id: str, after: int, team: str | None = None
@@ -322,23 +325,44 @@
             )
             return known
 
-    def _raise_over_quota(self, job: AcceptedJob, excess: int) -> None:
-        retry_after_s = max(
-            _MIN_RETRY_AFTER_S,
-            min(_MAX_RETRY_AFTER_S, excess / _HOST_TOKENS_PER_S),
-        )
+    def _refuse_if_new(
+        self, refusal: _OverQuotaError, team: str | None
+    ) -> None:
+        """Refuse a job, unless it was accepted and this host has yet to hear.
+
+        Raises:
+            GuavadykeError: the job is refused, another team has it, or the
+                platform cannot be read.
+        """
+        job = refusal.job
+        accepted = self._read_job(job.job_id)
+        if accepted is not None:
+            _check_same_team(accepted, team)
+            return
         self._parts.logger.info(
             'job_refused',
             job_id=job.job_id,
             route=job.route,
             tokens=job.tokens,
-            excess=excess,
+            excess=refusal.excess,
         )
-        raise GuavadykeError(
+        raise refusal
+
+
+class _OverQuotaError(GuavadykeError):
+    """A job has more tokens than may still wait on its route."""
+
+    def __init__(self, job: AcceptedJob, excess: int) -> None:
+        super().__init__(
             ErrorCode.limit_exceeded,
             f'{excess} tokens over the quota would have to wait on {job.route}',
-            retry_after_s=retry_after_s,
+            retry_after_s=max(
+                _MIN_RETRY_AFTER_S,
+                min(_MAX_RETRY_AFTER_S, excess / _HOST_TOKENS_PER_S),
+            ),
         )
+        self.job = job
+        self.excess = excess
 
 
 def _check_same_team(job: AcceptedJob, team: str | None) -> None:
