Count no time for which a host was suspended as absence of an owner

What callers saw: items of a job began anew at another host although the host that owned it had only restarted.

Cause: the time for which an owner has been gone was the difference of two clock readings. A host that was suspended just after an owner had left found it gone for seconds when it resumed, so it claimed the owner's jobs at once, whatever its rank, before it had heard that the owner was back.

Change: a time of more than 2 s between two looks at the fleet counts for 0.5 s.

Where a step of the tests let seconds pass between two looks, it now looks each half second, as hosts do.

--- a/features/forward_job_owners.feature
+++ b/features/forward_job_owners.feature
@@ -68,6 +68,12 @@
     And host-0 is back
     Then host-0 owns the job after 10 seconds
 
+  Scenario: a host that is suspended while an owner restarts leaves it its job when it resumes
+    Given 5 hosts, of which host-0 owns a job
+    When the host that comes first is suspended for 6 seconds, just after host-0 has left to restart
+    Then host-0 owns the job after 10 seconds
+    And the job has been taken over 0 times
+
   Scenario: a host that claims a job after another one leaves it to that host
     Given 5 hosts, of which host-0 owns a job
     When host-0 is lost, and host-1 claims its job before host-2, which has not learned of it
--- a/features/steps/forward_decisions_steps.py
+++ b/features/steps/forward_decisions_steps.py
@@ -372,8 +372,10 @@
 def step_absent(context: Context, seconds: int) -> None:
     owners = {view.owner for view in context.jobs.values()}
     view = HostView(frozenset(('h2', 'h3')), frozenset(('h1',)))
-    context.absences.update(owners, view, build.NOW)
-    context.lost = context.absences.update(owners, view, build.NOW + seconds)
+    for half_seconds in range(2 * seconds + 1):
+        context.lost = context.absences.update(
+            owners, view, build.NOW + half_seconds / 2
+        )
 
 
 @then('no job is taken over')
--- a/features/steps/forward_job_owners_steps.py
+++ b/features/steps/forward_job_owners_steps.py
@@ -88,6 +88,22 @@
     context.gone = {_OWNER: 'left', 'host-3': 'dead'}
 
 
+@when(
+    'the host that comes first is suspended for {seconds:d} seconds, just '
+    'after host-0 has left to restart'
+)
+def step_suspended(context: Context, seconds: int) -> None:
+    fleet = context.fleet
+    fleet.see({**context.states, _OWNER: 'left'})
+    fleet.run(0.5, lost={_OWNER})
+    for name in set(fleet.hosts) - {context.first}:
+        fleet.hosts[name].see(context.states)
+    fleet.run(seconds, lost={context.first})
+    # It decides before it has heard that the owner is back.
+    fleet.run(0.5)
+    context.gone = {}
+
+
 @when('host-0 is back')
 def step_back(context: Context) -> None:
     context.gone = {}
--- a/guavadyke/decisions/forward_job_ownership.py
+++ b/guavadyke/decisions/forward_job_ownership.py
@@ -23,6 +23,11 @@
 _SETTLED_AFTER_S = 3.0
 # Bounds the wait where hosts come and go all the time.
 _LONGEST_UNKNOWN_S = 12.0
+# A longer time between two looks at the fleet means that this host was
+# suspended. What it knows is as old; owners may have come back since.
+_PAUSE_S = 2.0
+# What such a time counts for, so that an overloaded host is only slower.
+_PAUSE_COUNTS_S = 0.5
 # The hosts that may take a job over do so one after the other at this distance,
 # as those before may be unable to. Longer than hosts need to learn of a claim.
 _TAKE_OVER_SPACING_S = 1.0
@@ -126,10 +131,13 @@
     """Tracks how long owners of open jobs have been absent from the fleet.
 
     A host that is not known is no lost host: a host that has just started
-    knows few of those that live.
+    knows few of those that live. Nor does time count for which this host
+    was suspended.
     """
 
     def __init__(self) -> None:
+        self._updated_at = -math.inf
+        self._active_s: float = 0
         self._gone_since: dict[str, float] = {}
         self._unknown_since: dict[str, float] = {}
 
@@ -147,12 +155,16 @@
             Owners that have been gone, or unknown, for long enough, each with
             the seconds since then.
         """
+        idle_s = now - self._updated_at
+        self._updated_at = now
+        self._active_s += _PAUSE_COUNTS_S if idle_s > _PAUSE_S else idle_s
+        active_s = self._active_s
         absent = frozenset(owners) - view.alive
         self._gone_since = _still_since(
-            self._gone_since, absent & view.gone, now
+            self._gone_since, absent & view.gone, active_s
         )
         self._unknown_since = _still_since(
-            self._unknown_since, absent - view.gone, now
+            self._unknown_since, absent - view.gone, active_s
         )
         unknown_after_s = (
             _UNKNOWN_LOST_AFTER_S
@@ -160,8 +172,8 @@
             else _LONGEST_UNKNOWN_S
         )
         return {
-            **_past(self._unknown_since, unknown_after_s, now),
-            **_past(self._gone_since, _TAKE_OVER_AFTER_S, now),
+            **_past(self._unknown_since, unknown_after_s, active_s),
+            **_past(self._gone_since, _TAKE_OVER_AFTER_S, active_s),
         }
 
 
