Soak jobs that move between hosts while their results are read

The soak checked results of jobs only at the end, and its callers asked all hosts in turn, so that every host had read every job lately: no host that took a job over knew less of it than another. Results that disappeared when jobs moved were not found.

Each job is read at a few hosts at a time. The checker reports a read that lists fewer results than a read that ended a second before it was sent, and a 404 or 410 a second after the 202, at a host that hears the platform throughout.

--- a/features/builders_soak_items.py
+++ b/features/builders_soak_items.py
@@ -39,6 +39,21 @@
     return Listing(_JOB, 0, read_s, listed, final)
 
 
+def _read_at(
+    sent_s: float, *listed: ListedItem, host: int = 0, unknown: bool = False
+) -> Listing:
+    return Listing(
+        _JOB, host, sent_s + 0.1, listed, sent_s=sent_s, unknown=unknown
+    )
+
+
+def _read_less(sent_s: float, *troubles: Trouble) -> History:
+    """Return a read of nothing at a host after another had listed an item."""
+    history = _history(_read_at(5, _whole()), _read_at(sent_s, host=1))
+    history.troubles.extend(troubles)
+    return history
+
+
 def _history(
     *listings: Listing,
     ends: tuple[EngineEnd, ...] = (),
@@ -102,6 +117,15 @@
     'a result that was read is not listed at the end': lambda: _history(
         _listing(2, _whole()), _listing(30, final=True)
     ),
+    'a host lists fewer results than another had listed': lambda: _read_less(
+        6.2
+    ),
+    'a host lists fewer results while another is paused': lambda: _read_less(
+        6.2, Trouble('paused', 2, 9, frozenset((0,)))
+    ),
+    'a host does not know a job that was accepted': lambda: _history(
+        _read_at(2.1, unknown=True)
+    ),
     'an item stands at two positions': lambda: _history(
         _listing(2, _whole(), _whole())
     ),
@@ -135,6 +159,13 @@
     'an item of a cancelled job is never listed': lambda: _history(
         read_until_s=_LONG_S, cancelled_s=10
     ),
+    'a result is not listed yet by another host': lambda: _read_less(6),
+    'a host that has just been cut off lists fewer results': lambda: _read_less(
+        6.2, _cut_off(5, 5.5)
+    ),
+    'a host does not know a job yet': lambda: _history(
+        _read_at(1.9, unknown=True)
+    ),
     'an item waits for the trial of its part': lambda: _history(
         ends=_held_from(18, 18.2, 18.4, 23.5), read_until_s=43.4
     ),
--- a/features/builders_users_platform.py
+++ b/features/builders_users_platform.py
@@ -35,6 +35,8 @@
 _NAME_PATH = re.compile(r'/api/objects/([^/]+)/([^/]+)')
 _STATUS_PATH = re.compile(r'/api/objects/([^/]+)/([^/]+)/status')
 _S_PER_MS = 0.001
+# Time that a call of a slow host takes in each direction.
+_SLOW_S = 0.2
 _MAX_REQUEST_BYTES = 65_536
 _RAW_MARK = 'raw contents of '
 EVENT = b'id: 1\ndata: word 1\n\n'
@@ -109,6 +111,8 @@
         self.rejected_hosts: frozenset[str] = frozenset()
         # Hosts whose calls get no answer; their connections stay open.
         self.silent_hosts: frozenset[str] = frozenset()
+        # Hosts whose calls take some time to arrive and to be answered.
+        self.slow_hosts: frozenset[str] = frozenset()
         self._connections: dict[str, Connection] = {}
         self._silent_connections: frozenset[str] = frozenset()
         self._raw_specs: dict[str, str] = {}
@@ -159,7 +163,10 @@
         host = request.headers.get('guavadyke-host')
         if host in self.rejected_hosts:
             return json_answer({}, 503)
+        delay_s = _SLOW_S if host in self.slow_hosts else 0
+        time.sleep(delay_s)
         answer = self._with_raw_specs(self._result(request))
+        time.sleep(delay_s)
         is_silent = request.connection.name in self._silent_connections
         if host in self.silent_hosts or is_silent:
             request.connection.hang(bool)
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -23,6 +23,9 @@
       | LOST    | an item is listed long after all faults     |
       | LOST    | an item waits long after its trial is due   |
       | LOST    | a result that was read is not listed at the end |
+      | LOST    | a host lists fewer results than another had listed |
+      | LOST    | a host lists fewer results while another is paused |
+      | LOST    | a host does not know a job that was accepted |
       | TWICE   | an item stands at two positions             |
       | TWICE   | a position holds another result than before |
       | MIXED   | an item has half of its text                |
@@ -55,6 +58,9 @@
       | an engine that ends cuts its requests         |
       | a removed key is served before its bound      |
       | an item of a cancelled job is never listed    |
+      | a result is not listed yet by another host    |
+      | a host that has just been cut off lists fewer results |
+      | a host does not know a job yet                |
       | an item waits for the trial of its part       |
       | an item that failed lately is not listed      |
       | an item is given up after its longest wait    |
@@ -69,6 +75,7 @@
     Given the schedule of seed 7
     Then the seed draws the same schedule again
     And its file holds the same schedule
+    And its jobs that move are the same each time
 
   Scenario: a short soak breaks no promise
     When seed 1 is played for 14 seconds on 3 hosts
@@ -80,6 +87,11 @@
     When seed 34 is played for 20 seconds on 2 hosts with teams
     Then it reports nothing
 
+  # Guards against results that are no longer listed once another host owns their job.
+  Scenario: a short soak with jobs that move breaks no promise
+    When seed 2 is played for 14 seconds on 5 hosts whose jobs move
+    Then it reports nothing
+
   # Guards against requests on kept connections that a stop cuts.
   Scenario: a stop among callers that keep their connections breaks no promise
     When a host is stopped and reloaded while callers keep their connections
--- a/features/soak.py
+++ b/features/soak.py
@@ -19,6 +19,7 @@
 import time
 from collections.abc import Callable, Iterator, Mapping
 from pathlib import Path
+from typing import Any
 
 import click
 import urllib3
@@ -49,6 +50,7 @@
     Schedule,
     draw_schedule,
     read_schedule,
+    with_moves,
     with_teams,
     with_upgrade,
 )
@@ -94,6 +96,7 @@
             'reloaded': self._host_faults.reload,
             'platform_silent': self._host_faults.silence,
             'platform_rejects': self._host_faults.reject,
+            'platform_slow': self._host_faults.slow,
             'route_added': fleet_faults.add_route,
             'engine_leaves': fleet_faults.leave,
             'engine_crashes': fleet_faults.crash,
@@ -299,6 +302,16 @@
         click.option('--seed', default=1, help='Draws the faults.'),
         click.option('--seconds', default=30.0, help='Length of the soak.'),
         click.option('--hosts', default=4, help='Number of hosts.'),
+        click.option(
+            '--teams',
+            is_flag=True,
+            help='Callers have keys, and one is removed.',
+        ),
+        click.option(
+            '--moves',
+            is_flag=True,
+            help='Long jobs move between hosts all the time.',
+        ),
     )
     return functools.reduce(_decorated, options, command)
 
@@ -319,26 +332,24 @@
     type=click.Path(exists=True, path_type=Path),
     help='Checkout of the version that all hosts run at first.',
 )
-@click.option(
-    '--teams', is_flag=True, help='Callers have keys, and one is removed.'
-)
 def main(
-    seed: int,
-    seconds: float,
-    hosts: int,
     folder: Path | None,
     replay: Path | None,
     earlier: Path | None,
     teams: bool,
+    moves: bool,
+    **drawn: Any,
 ) -> None:
     """Play a soak and print each broken promise."""
-    schedule = draw_schedule(seed, seconds, hosts)
+    schedule = draw_schedule(**drawn)
     if replay is not None:
         schedule = read_schedule(replay / _SCHEDULE_FILE)
     elif earlier is not None:
         schedule = with_upgrade(schedule)
     if teams:
         schedule = with_teams(schedule)
+    if moves:
+        schedule = with_moves(schedule)
     broken = play(schedule, folder, root=earlier or ROOT)
     for line in broken:
         click.echo(line)
--- a/features/soak_bounds.py
+++ b/features/soak_bounds.py
@@ -8,6 +8,7 @@
 from features.soak_history import History, SoakItem, SoakJob
 
 PART_PREFIX = 'part-'
+LONG_PART_PREFIX = f'{PART_PREFIX}long-'
 REQUEST_PREFIX = 'request-'
 ITEM_PREFIX = 'item-'
 # After all faults items have to be done within this time.
--- a/features/soak_fleet.py
+++ b/features/soak_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import random
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -11,7 +12,7 @@
 
 from features import builders_forward_processes as processes
 from features import builders_users_platform as users
-from features.soak_bounds import ITEM_PREFIX
+from features.soak_bounds import ITEM_PREFIX, LONG_PART_PREFIX
 from features.soak_history import EngineEnd, History, Run, Trouble
 from features.soak_schedule import Fault
 from guavadyke.standins.http import StandinRequest
@@ -22,6 +23,7 @@
 _SLOW_PAUSE_S = 0.2
 # Items run for about as long as those of the users.
 _ITEM_PAUSE_S = 0.15
+_LONG_ITEM_PAUSES_S = (0.2, 0.6)
 # Time after which the entry of an engine that has ended is removed.
 _ENDED_ENTRY_S = 0.5
 # Time after which an engine that has ended is back as a new incarnation.
@@ -88,6 +90,9 @@
     def _pause_s(self, request: StandinRequest) -> float:
         if request.path == SLOW_PATH:
             return _SLOW_PAUSE_S
+        if prompt_names(request)[0].startswith(LONG_PART_PREFIX):
+            rng = random.Random(request.headers['request-id'])
+            return rng.uniform(*_LONG_ITEM_PAUSES_S)
         if request.path.startswith(f'{users.JOB_PREFIX}{ITEM_PREFIX}'):
             return _ITEM_PAUSE_S
         return self.script.pause_s
--- a/features/soak_history.py
+++ b/features/soak_history.py
@@ -109,7 +109,8 @@
 class Listing:
     """What a host lists of a job, from its first position on.
 
-    ``final`` is whether it was read after everything else.
+    ``final`` is whether it was read after everything else, ``sent_s`` when it
+    was asked for, ``unknown`` whether the host knew of no such job.
     """
 
     job_id: str
@@ -117,6 +118,8 @@
     read_s: float
     listed: tuple[ListedItem, ...]
     final: bool = False
+    sent_s: float = 0
+    unknown: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -206,16 +209,24 @@
     )
 
 
-def in_touch_since(history: History, since_s: float, bound_s: float) -> float:
+def in_touch_since(
+    history: History,
+    since_s: float,
+    bound_s: float,
+    host: int | None = None,
+) -> float:
     """Return when a time began that every host hears the platform throughout.
 
     Args:
         history: has the faults.
         since_s: the time begins no sooner.
         bound_s: its length.
+        host: the only host that has to hear it, None for all.
     """
     for trouble in sorted(history.troubles, key=_began):
-        is_deaf = trouble.kind in _DEAF_KINDS
+        is_deaf = trouble.kind in _DEAF_KINDS and (
+            host is None or host in trouble.hosts
+        )
         if is_deaf and trouble.overlaps(since_s, since_s + bound_s):
             since_s = max(since_s, trouble.ended_s)
     return since_s
--- a/features/soak_host_faults.py
+++ b/features/soak_host_faults.py
@@ -86,6 +86,10 @@
         """Have the platform answer calls of hosts with 503."""
         return self._cut_platform(fault, 'rejected_hosts')
 
+    def slow(self, fault: Fault) -> Callable[[], None]:
+        """Have calls of hosts take longer, which the platform answers."""
+        return self._cut_platform(fault, 'slow_hosts')
+
     def _take_down(self, fault: Fault) -> list[int]:
         """Return those hosts of a fault that no other fault holds down."""
         taken = [number for number in fault.hosts if number not in self._down]
--- a/features/soak_item_checks.py
+++ b/features/soak_item_checks.py
@@ -31,6 +31,8 @@
 _KNOWN_S = 2.0
 # A host takes ends of so many engines in this time for a fault of its own.
 _AT_ONCE_S = 0.05
+# Any host lists what any host has listed after this time.
+_SETTLE_S = 1.0
 _COMPLETED = 'completed'
 
 
@@ -89,6 +91,36 @@
             )
 
 
+def _settled(history: History) -> Iterator[str]:
+    """Find reads that miss a job or positions that hosts had to know of."""
+    for job in history.jobs:
+        reads = [one for one in history.listings if one.job_id == job.job_id]
+        for read in reads:
+            if _is_short(history, job, reads, read):
+                listed = 'no job' if read.unknown else len(read.listed)
+                yield (
+                    f'LOST: host {read.host} lists {listed} of {job.job_id}, '
+                    f'asked at {read.sent_s:.2f} s'
+                )
+
+
+def _is_short(
+    history: History, job: SoakJob, reads: Iterable[Listing], read: Listing
+) -> bool:
+    """Return whether a host had to know of a job, or of more results."""
+    due_s = read.sent_s - _SETTLE_S
+    if job.accepted_s > due_s or not _is_in_touch(history, read, due_s):
+        return False
+    known = (len(one.listed) for one in reads if one.read_s < due_s)
+    return read.unknown or len(read.listed) < max(known, default=0)
+
+
+def _is_in_touch(history: History, read: Listing, since_s: float) -> bool:
+    """Return whether a host hears the platform until it has answered."""
+    for_s = read.read_s - since_s
+    return in_touch_since(history, since_s, for_s, read.host) == since_s
+
+
 def _texts(history: History) -> Iterator[str]:
     jobs = {job.job_id: job for job in history.jobs}
     listings = sorted(history.listings, key=_read_at, reverse=True)
@@ -193,6 +225,7 @@
     _late,
     _positions,
     _readable,
+    _settled,
     _texts,
     _cancelled,
     _budget,
--- a/features/soak_jobs.py
+++ b/features/soak_jobs.py
@@ -6,6 +6,8 @@
 import functools
 import itertools
 import json
+import math
+import random
 import threading
 import time
 from collections.abc import Callable, Mapping
@@ -23,10 +25,15 @@
 )
 from features.soak_schedule import JobPlan, Schedule
 
-_READ_PAUSE_S = 0.1
+_READERS = 12
+_READ_PAUSE_S = 0.05
+# Each job is read at a share of the hosts for so long, then at others.
+_ASKED_S = 3.0
+_ASKED_SHARE = 1 / 3
 _FINAL_PAUSE_S = 0.5
 _ACCEPTED = 202
 _OK = 200
+_UNKNOWN = frozenset((404, 410))
 _MOST_ATTEMPTS = 4
 _RETRY_S = 0.3
 _TOKENS = 10
@@ -56,7 +63,10 @@
     def work(self) -> list[Callable[[], None]]:
         """What each caller does until the end."""
         return [
-            self._read_until_end,
+            *(
+                functools.partial(self._read_until_end, reader)
+                for reader in range(_READERS)
+            ),
             *(
                 functools.partial(self._play, plan)
                 for plan in self._schedule.jobs
@@ -139,27 +149,49 @@
         )
         return status == _ACCEPTED
 
-    def _read_until_end(self) -> None:
+    def _read_until_end(self, reader: int) -> None:
+        rng = random.Random(f'{self._schedule.seed} reads {reader}')
         while not self._ending.wait(_READ_PAUSE_S):
-            number = next(self._reads)
             jobs = tuple(self._fleet.history.jobs)
             if jobs:
-                hosts = self._schedule.hosts
-                self._read(jobs[number % len(jobs)].job_id, number % hosts)
+                # Long jobs are read more often.
+                weights = [len(job.items) for job in jobs]
+                job = rng.choices(jobs, weights)[0]
+                self._read(job.job_id, rng.choice(self._asked(job.job_id)))
+
+    def _asked(self, job_id: str) -> list[int]:
+        """Return the few hosts that callers ask for a job now.
+
+        Another host may take the job over though it has read it long ago.
+        """
+        turn = int(self._fleet.now_s() / _ASKED_S)
+        rng = random.Random(f'{self._schedule.seed} {job_id} {turn}')
+        hosts = self._schedule.hosts
+        return rng.sample(range(hosts), math.ceil(hosts * _ASKED_SHARE))
 
     def _read(self, job_id: str, host: int, *, final: bool = False) -> None:
+        sent_s = self._fleet.now_s()
         status, body = self._call(host, 'GET', f'/api/lots/{job_id}?After=0')
+        unknown = status in _UNKNOWN
         if status == _OK:
             listed = tuple(
                 ListedItem(one['Id'], one['State'], one['Text'])
                 for one in json.loads(body)['Results']
             )
-        elif final:
+        elif final or unknown:
             listed = ()
         else:
             return
         self._fleet.history.listings.append(
-            Listing(job_id, host, self._fleet.now_s(), listed, final)
+            Listing(
+                job_id,
+                host,
+                self._fleet.now_s(),
+                listed,
+                final,
+                sent_s,
+                unknown,
+            )
         )
 
     def _call(
--- a/features/soak_schedule.py
+++ b/features/soak_schedule.py
@@ -7,10 +7,12 @@
 import json
 import math
 import random
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from pathlib import Path
 from typing import Any
 
+from features.soak_bounds import LONG_PART_PREFIX
+
 # A soak begins and ends without faults, so that hosts start and recover.
 QUIET_START_S = 2.0
 QUIET_END_S = 6.0
@@ -56,6 +58,23 @@
 _ITEM_PARTS = 10
 # The first parts are drawn much more often than the last ones.
 _PART_SKEW = 1.7
+# Long jobs run throughout the faults and move, as hosts fail one after another,
+# often while the platform is slow.
+_MOVED_JOBS_PER_S = 0.3
+_MOVED_ITEMS = 40
+_LONG_PARTS = 20
+_MOVES_PER_S = 0.6
+_MOVE_KINDS = (
+    *(('killed', 'restarted', 'paused') * 2),
+    'platform_silent',
+    'platform_rejects',
+)
+# Long enough for other hosts to take jobs over.
+_LONGEST_MOVE_S = 6.0
+_LONGEST_MOVE_GAP_S = 2.0
+_SLOW_SHARE = 0.7
+# The platform is still slow when the last host's jobs are taken over.
+_SLOW_S = 5.0
 FLEET_FAULTS = ('route_added', 'engine_leaves', 'engine_crashes', 'odd_entry')
 
 
@@ -136,6 +155,39 @@
     return dataclasses.replace(schedule, key_removed_s=schedule.seconds / 2)
 
 
+def with_moves(schedule: Schedule) -> Schedule:
+    """Return a schedule with long jobs and faults that move them.
+
+    Of the other faults of hosts, those of single hosts are kept, so that there
+    are always hosts that take jobs over.
+    """
+    rng = random.Random(f'{schedule.seed} moves')
+    until_s = schedule.seconds - QUIET_END_S
+    length_s = max(0, until_s - QUIET_START_S)
+    moves = (
+        _draw_move(rng, length_s, schedule.hosts)
+        for _ in range(math.ceil(length_s * _MOVES_PER_S))
+    )
+    kept = [fault for fault in schedule.faults if len(fault.hosts) <= 1]
+    faults = sorted(
+        (*kept, *itertools.chain.from_iterable(moves)),
+        key=lambda fault: fault.at_s,
+    )
+    jobs = [
+        JobPlan(
+            round(rng.uniform(0, until_s / 2), 3),
+            rng.randrange(schedule.hosts),
+            tuple(
+                f'{LONG_PART_PREFIX}{rng.randint(1, _LONG_PARTS)}'
+                for _ in range(_MOVED_ITEMS)
+            ),
+        )
+        for _ in range(math.ceil(length_s * _MOVED_JOBS_PER_S))
+    ]
+    jobs = sorted((*schedule.jobs, *jobs), key=lambda plan: plan.at_s)
+    return dataclasses.replace(schedule, faults=tuple(faults), jobs=tuple(jobs))
+
+
 def with_upgrade(schedule: Schedule) -> Schedule:
     """Return a schedule with stops by which every host is upgraded.
 
@@ -191,6 +243,28 @@
     return _repeat(rng, first, QUIET_START_S + length_s)
 
 
+def _draw_move(rng: random.Random, length_s: float, hosts: int) -> list[Fault]:
+    """Draw faults of hosts one after another, maybe on a slow platform."""
+    kind = rng.choice(_MOVE_KINDS)
+    first_s = QUIET_START_S + rng.uniform(0, length_s)
+    gap_s = rng.uniform(_SHORTEST_S, _LONGEST_MOVE_GAP_S)
+    hit = rng.sample(range(hosts), rng.randint(1, max(1, hosts // 2)))
+    drawn = [
+        Fault(
+            kind,
+            first_s + rank * gap_s,
+            rng.uniform(1, _LONGEST_MOVE_S),
+            (host,),
+        )
+        for rank, host in enumerate(hit)
+    ]
+    if rng.random() < _SLOW_SHARE:
+        everyone = tuple(range(hosts))
+        slow_s = gap_s * len(hit) + _SLOW_S
+        drawn.append(Fault('platform_slow', first_s, slow_s, everyone))
+    return _ended_by(drawn, QUIET_START_S + length_s)
+
+
 def _repeat(rng: random.Random, first: Fault, until_s: float) -> list[Fault]:
     times = 1
     if rng.random() < _SERIES_SHARE:
@@ -200,11 +274,17 @@
         dataclasses.replace(first, at_s=round(first.at_s + number * gap_s, 3))
         for number in range(times)
     )
+    return _ended_by(repeated, until_s)
+
+
+def _ended_by(faults: Iterable[Fault], until_s: float) -> list[Fault]:
     return [
         dataclasses.replace(
-            fault, for_s=round(min(fault.for_s, until_s - fault.at_s), 3)
+            fault,
+            at_s=round(fault.at_s, 3),
+            for_s=round(min(fault.for_s, until_s - fault.at_s), 3),
         )
-        for fault in repeated
+        for fault in faults
         if fault.at_s < until_s
     ]
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -61,6 +61,14 @@
         assert soak_schedule.read_schedule(path) == context.schedule
 
 
+@then('its jobs that move are the same each time')
+def step_same_moves(context: Context) -> None:
+    moved = soak_schedule.with_moves(context.schedule)
+    again = soak_schedule.draw_schedule(context.seed, _SECONDS, _HOSTS)
+    assert soak_schedule.with_moves(again) == moved, moved
+    assert set(context.schedule.jobs) < set(moved.jobs), moved
+
+
 @when('seed {seed:d} is played for {seconds:g} seconds on {hosts:d} hosts')
 def step_play(context: Context, seed: int, seconds: float, hosts: int) -> None:
     schedule = soak_schedule.draw_schedule(seed, seconds, hosts)
@@ -79,6 +87,18 @@
     context.broken = soak.play(schedule, None, _GENEROUS_S)
 
 
+@when(
+    'seed {seed:d} is played for {seconds:g} seconds on {hosts:d} hosts '
+    'whose jobs move'
+)
+def step_play_moves(
+    context: Context, seed: int, seconds: float, hosts: int
+) -> None:
+    schedule = soak_schedule.draw_schedule(seed, seconds, hosts)
+    schedule = soak_schedule.with_moves(schedule)
+    context.broken = soak.play(schedule, None, _GENEROUS_S)
+
+
 @when('a host is stopped and reloaded while callers keep their connections')
 def step_play_stop(context: Context) -> None:
     faults = (
