--- a/features/soak_fleet.py
+++ b/features/soak_fleet.py
@@ -23,7 +23,7 @@
 _SLOW_PAUSE_S = 0.2
 # Items run for about as long as those of the users.
 _ITEM_PAUSE_S = 0.15
-_LONG_ITEM_PAUSES_S = (0.2, 0.6)
+_LONG_ITEM_PAUSES_S = (0.05, 0.85)
 # Time after which the entry of an engine that has ended is removed.
 _ENDED_ENTRY_S = 0.5
 # Time after which an engine that has ended is back as a new incarnation.
--- a/features/soak_schedule.py
+++ b/features/soak_schedule.py
@@ -60,10 +60,10 @@
 _PART_SKEW = 1.7
 # Long jobs run throughout the faults and move, as hosts fail one after another,
 # often while the platform is slow.
-_MOVED_JOBS_PER_S = 0.3
-_MOVED_ITEMS = 40
+_MOVED_JOBS_PER_S = 0.6
+_MOVED_ITEMS = 20
 _LONG_PARTS = 20
-_MOVES_PER_S = 0.6
+_MOVES_PER_S = 0.4
 _MOVE_KINDS = (
     *(('killed', 'restarted', 'paused') * 2),
     'platform_silent',
