Let a host that is starting survive a signal to read its settings again

What callers saw: nothing at once; the host was missing until it was started again.

Cause: signals are handled from the start of the daemon's code on. Before that its modules are imported, which took some 0.6 s here and takes longer on small hosts. SIGHUP ends a process by default.

Change: the entry point ignores SIGHUP before it imports anything large. The settings are read after that, so that the signal is not missed.

--- a/features/forward_processes.feature
+++ b/features/forward_processes.feature
@@ -1,5 +1,11 @@
 Feature: Daemons on the users' platform, as processes
 
+  # Guards against hosts that a reload signal ends while they start.
+  Scenario: a daemon that is told to reload before its modules are imported goes on
+    Given a daemon that is importing its modules
+    When it gets a reload signal then
+    Then it goes on to import them
+
   Scenario: a stream and a job are served whole
     Given 1 daemon on the users' platform with 2 engines
     When a stream is requested
--- a/features/steps/forward_processes_steps.py
+++ b/features/steps/forward_processes_steps.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
+import os
+import shutil
 import signal
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
 
 from behave import given, then, when
 from behave.runner import Context
@@ -14,6 +20,13 @@
 _EVENTS = 5
 _RESULTS_S = 15.0
 _LEFT_S = 2.0
+_SLOW_MODULE = """
+import pathlib, time
+folder = pathlib.Path(__file__).parent
+(folder / 'begun').touch()
+time.sleep(1)
+(folder / 'goes_on').touch()
+"""
 
 
 @given("{daemons:d} daemon on the users' platform with {engines:d} engines")
@@ -118,6 +131,35 @@
     context.fleet.configure()
 
 
+@given('a daemon that is importing its modules')
+def step_importing(context: Context) -> None:
+    folder = Path(tempfile.mkdtemp())
+    context.add_cleanup(shutil.rmtree, folder)
+    context.goes_on = folder / 'goes_on'
+    begun = folder / 'begun'
+    # Takes the place of the library.
+    (folder / 'click.py').write_text(_SLOW_MODULE, encoding='utf-8')
+    context.process = subprocess.Popen(
+        [sys.executable, '-m', 'guavadyke.platform', 'entry'],
+        cwd=processes.ROOT,
+        env={**os.environ, 'PYTHONPATH': str(folder)},
+        stderr=subprocess.DEVNULL,
+    )
+    context.add_cleanup(context.process.wait)
+    context.add_cleanup(context.process.kill)
+    assert wait_until(begun.exists, processes.START_S)
+
+
+@when('it gets a reload signal then')
+def step_early_reload(context: Context) -> None:
+    context.process.send_signal(signal.SIGHUP)
+
+
+@then('it goes on to import them')
+def step_goes_on(context: Context) -> None:
+    assert wait_until(context.goes_on.exists, _RESULTS_S), context.process
+
+
 @when('its settings file is made invalid and it gets a reload signal')
 def step_reload(context: Context) -> None:
     daemon = context.fleet.daemons[0]
--- a/guavadyke/platform/__main__.py
+++ b/guavadyke/platform/__main__.py
@@ -1,16 +1,10 @@
 """Command line entry point on the users' platform: the daemon and its tools."""
 
-import sys
-
-from guavadyke.platform.check_command import check_configuration
-from guavadyke.platform.daemon import main
+import importlib
+import signal
 
 if __name__ == '__main__':
-    # The daemon takes any other first argument for its role.
-    if sys.argv[1:2] == [check_configuration.name]:
-        check_configuration(
-            sys.argv[2:],
-            prog_name=f'python -m guavadyke.platform {sys.argv[1]}',
-        )
-    else:
-        main()
+    # A signal to read the settings again would end a host whose modules are
+    # still being imported. It reads the settings after that.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    importlib.import_module('guavadyke.platform.command_line').run_command()
