Hand the texts of items over to the next owner at a planned stop

At a planned stop of its host a job started no items for 3 s, then all of its items began anew at the next owner, whatever they had written.

Cause: the events that an item has written so far were known to its host alone, and lost with it. So the host waited for runs to end before it passed jobs on, while waiting items of the same jobs stood still.

Now a host that stops cancels its runs at once. As soon as the runs of a job have ended, it sends the texts of the job's open items to the next owner in one call between hosts, and then writes who that is, so that the texts are there before the first item starts. The next owner resumes each item after its last event; an item of which it has a text of its own keeps that, and ItemRun begins anew at another software version, as before. A host with callers stays in the fleet for the balancer's delay as before; jobs that arrive in that time are passed on as well, and jobs that it accepts name other owners. A host without other live hosts lets its runs go on as before.

Hosts of earlier releases skip the new field of the request, refuse the call and close the connection: the items begin anew there.

features/forward_handover.feature: before, the first scenario failed as the runs of all 4 items went on after events [0, 0]; now after [0, n], n being the last event that was read.

--- a/features/builders_forward_runner.py
+++ b/features/builders_forward_runner.py
@@ -10,6 +10,9 @@
 from features import builders_forward as build
 from features.builders_batch_platform import MemoryPlatform
 from guavadyke.adapters.clock import SystemClock
+from guavadyke.adapters.message_authentication import MessageAuthenticator
+from guavadyke.adapters.peer_rpc import PeerClient
+from guavadyke.adapters.peer_sockets import TransportFaults
 from guavadyke.adapters.ports import (
     BackendAnswer,
     BackendCall,
@@ -23,8 +26,10 @@
     JobRunner,
     RunnerParts,
 )
+from guavadyke.controllers.item_texts import ItemTexts
 from guavadyke.controllers.prompt_guard import PromptGuard
 from guavadyke.controllers.runner_ticker import RunnerTicker
+from guavadyke.controllers.text_handover import TextHandover
 from guavadyke.decisions.forward_job_records import (
     AcceptedJob,
     ForwardItemResult,
@@ -38,6 +43,7 @@
 from guavadyke.snapshots import FleetSnapshot, PeerView, SnapshotCell
 
 ME = 'host-1'
+FLEET_KEY = b'key of the fleet'
 _LOOK_S = 0.02
 _HELD_S = 20
 _BROKEN_AFTER = 'broken after '
@@ -59,6 +65,16 @@
     return scripts[end]
 
 
+def text_handover(
+    fleet: SnapshotCell[FleetSnapshot], clock: Clock, logger: EventLogger
+) -> TextHandover:
+    """Return what carries texts of items between hosts."""
+    client = PeerClient(
+        MessageAuthenticator(FLEET_KEY), ME, SystemClock(), TransportFaults()
+    )
+    return TextHandover(client, fleet, clock, logger)
+
+
 class HeldServers(build.FakeServers):
     """Servers that answer only once they are released."""
 
@@ -110,6 +126,7 @@
             clock,
         )
         self.fleet = SnapshotCell(FleetSnapshot())
+        self.handover = text_handover(self.fleet, clock, self.logger)
         self.knows_ends = True
         self.ends_known: Callable[[], bool] = lambda: self.knows_ends
         self._busy = SnapshotCell(initial=False)
@@ -131,6 +148,7 @@
                 clock,
                 self.logger,
                 HostMetrics(),
+                ItemTexts(self.handover),
             ),
         )
         self._ticker = RunnerTicker(tell_function(self._runner), self._busy)
--- a/features/builders_job_owners.py
+++ b/features/builders_job_owners.py
@@ -14,6 +14,7 @@
 from guavadyke.decisions.forward_job_items import JobItemTracker
 from guavadyke.decisions.forward_job_ownership import batch_hosts
 from guavadyke.decisions.forward_job_records import listings
+from guavadyke.decisions.partial_texts import JobTexts
 from guavadyke.decisions.rendezvous_hashing import rank_names
 from guavadyke.forward_job_documents import JOB_KIND, encode_job
 from guavadyke.snapshots import FleetSnapshot, PeerView, SnapshotCell
@@ -62,6 +63,7 @@
             self.clock,
             self.logger,
             lambda job_id, _pages: self._writer.ended(job_id),
+            lambda _owner, _texts: None,
         )
         self._writer.close()
         self._writer._writers = _DirectExecutor()
@@ -133,7 +135,7 @@
 
     def pass_on(self, job_id: str, owner: str) -> None:
         """Pass a job on to another host, as a host does that leaves."""
-        self._writer.reassign(job_id, owner, ())
+        self._writer.reassign(owner, (), JobTexts(job_id, {}))
 
     def cut_off(self) -> None:
         """Cut this host off from the platform."""
--- a/guavadyke/adapters/peer_call_codec.py
+++ b/guavadyke/adapters/peer_call_codec.py
@@ -7,6 +7,10 @@
 from typing import Any
 
 from guavadyke.adapters import peer_calls as calls
+from guavadyke.adapters.job_texts_codec import (
+    job_texts_from_struct,
+    job_texts_to_struct,
+)
 from guavadyke.adapters.message_authentication import (
     FORMAT_VERSION,
     PeerMessageError,
@@ -23,6 +27,7 @@
 )
 from guavadyke.adapters.ports import ListedHost, ObjectEvent, StoredObject
 from guavadyke.decisions.object_versions import ObjectVersion
+from guavadyke.decisions.partial_texts import JobTexts
 from guavadyke.errors import ErrorCode
 from guavadyke.peer.generated.messages import ttypes
 
@@ -187,6 +192,11 @@
     struct.tunnel_call = ttypes.TunnelCall(address=request.address)
 
 
+@_set_request.register
+def _set_job_texts(request: JobTexts, struct: Any) -> None:
+    struct.partial_texts = job_texts_to_struct(request)
+
+
 def _request_from_struct(struct: Any) -> calls.PeerRequest:
     if struct.catalogue_query is not None:
         return calls.CatalogueQuery(tuple(struct.catalogue_query.digests))
@@ -202,7 +212,11 @@
         )
     if struct.tunnel_call is not None:
         return calls.TunnelCall(str(struct.tunnel_call.address))
-    return _platform_call_from_struct(struct.platform_call)
+    return (
+        _platform_call_from_struct(struct.platform_call)
+        if struct.partial_texts is None
+        else job_texts_from_struct(struct.partial_texts)
+    )
 
 
 def _platform_call_from_struct(call: Any) -> calls.PlatformCall:
--- a/guavadyke/adapters/peer_calls.py
+++ b/guavadyke/adapters/peer_calls.py
@@ -10,6 +10,7 @@
 from guavadyke.decisions.leaving_servers import LeavingMark
 from guavadyke.decisions.membership_protocol import PeerRecord
 from guavadyke.decisions.object_versions import ObjectVersion
+from guavadyke.decisions.partial_texts import JobTexts
 from guavadyke.errors import ErrorCode
 
 
@@ -105,6 +106,7 @@
     | PlatformCall
     | WatchQuery
     | TunnelCall
+    | JobTexts
 )
 
 
--- a/guavadyke/controllers/forward_job_maintenance.py
+++ b/guavadyke/controllers/forward_job_maintenance.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from guavadyke.controllers.forward_job_registry import JobRegistry
 from guavadyke.controllers.forward_job_writer import JobWriter
@@ -17,6 +17,7 @@
 )
 from guavadyke.decisions.forward_job_records import JobProgress, JobView
 from guavadyke.decisions.host_abilities import able_hosts
+from guavadyke.decisions.partial_texts import JobTexts
 from guavadyke.decisions.rendezvous_hashing import rendezvous
 from guavadyke.settings import ForwardHostSettings
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
@@ -78,18 +79,21 @@
         self._take_over_lost(views, alive, now)
         self._remove_expired(views, alive, wall)
 
+    @property
+    def can_reassign(self) -> bool:
+        """Whether another host is alive."""
+        return bool(self._fleet.current.alive)
+
     def reassign(
         self,
-        works: Mapping[str, JobItemTracker],
+        leaving: Collection[tuple[JobItemTracker, JobTexts]],
         views: Mapping[str, JobView],
         started_at: float,
-    ) -> int:
-        """Assign jobs to live hosts; return how many are reassigned.
-
-        Returns 0 and does nothing when no other host is alive.
+    ) -> None:
+        """Assign jobs to live hosts, if there are any.
 
         Args:
-            works: the jobs.
+            leaving: the jobs, and the texts of their unfinished items.
             views: all jobs.
             started_at: when this host started, in seconds since the epoch.
         """
@@ -98,16 +102,15 @@
             for peer in self._fleet.current.alive
         }
         if not others:
-            return 0
+            return
         unable = self._abilities.unable()
         held = dict(views)
-        for job_id, work in works.items():
+        for work, texts in leaving:
             owner = choose_next_owner(
-                job_id, started_at, others, held.values(), unable
+                texts.job_id, started_at, others, held.values(), unable
             )
-            held[job_id] = JobView(work.job, JobProgress(owner=owner))
-            self._writer.reassign(job_id, owner, work.unstored_results)
-        return len(works)
+            held[texts.job_id] = JobView(work.job, JobProgress(owner=owner))
+            self._writer.reassign(owner, work.unstored_results, texts)
 
     def _take_over_lost(
         self,
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -4,7 +4,6 @@
 
 import dataclasses
 import functools
-import math
 from collections.abc import Callable, Collection, Iterable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
@@ -24,15 +23,15 @@
     ItemKey,
     ItemRun,
     ItemRunTools,
-    PartialText,
     RunEnd,
     RunOutcome,
 )
 from guavadyke.controllers.item_starts import StartRefusal, start_items
+from guavadyke.controllers.item_texts import ItemTexts
 from guavadyke.controllers.prompt_guard import PromptGuard
 from guavadyke.controllers.server_limits import ServerLimits
 from guavadyke.controllers.server_pool import ServerPool
-from guavadyke.controllers.silent_items import SilentItems
+from guavadyke.controllers.silent_items import SilentItems, may_go_on
 from guavadyke.controllers.waiting_jobs import WaitingJobs
 from guavadyke.decisions.forward_job_items import (
     JobItemTracker,
@@ -66,9 +65,9 @@
 
     ``connected`` returns whether this host reaches the platform,
     ``ends_known`` whether it has read which jobs have ended, and all else
-    that takes away the right to start an item, and has heard of it lately; the
-    runner publishes to ``busy`` whether this host has jobs, and records its
-    failures in ``health``.
+    that takes away the right to start an item, and has heard of it lately;
+    ``texts`` are those of its items so far; the runner publishes to ``busy``
+    whether this host has jobs, and records its failures in ``health``.
     """
 
     settings: ForwardHostSettings
@@ -87,6 +86,7 @@
     clock: Clock
     logger: EventLogger
     metrics: HostMetrics
+    texts: ItemTexts
     health: PartHealth | None = None
 
 
@@ -117,11 +117,25 @@
 
 @dataclasses.dataclass(frozen=True)
 class HandOver:
-    """Start no more items; with ``leave``, also reassign all jobs."""
+    """Start no more items and reassign the jobs of which none runs.
+
+    With ``leave``, reassign all jobs.
+    """
 
     leave: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class UnfinishedWork:
+    """Runs in progress and jobs that a host has not passed on yet.
+
+    Jobs that no other host could get do not count.
+    """
+
+    runs: int = 0
+    jobs: int = 0
+
+
 class JobRunner(GuardedActor):
     """Runs items on servers with free slots and stores their results.
 
@@ -135,7 +149,7 @@
         self._me = parts.settings.host_id
         self._works: dict[str, JobItemTracker] = {}
         self._runs: dict[ItemKey, ItemRun] = {}
-        self._partials: dict[ItemKey, PartialText] = {}
+        self._texts = parts.texts
         self._tell = tell_function(self.actor_ref)
         self._started_at = parts.clock.wall()
         self._writer = JobWriter(
@@ -145,6 +159,7 @@
             parts.clock,
             parts.logger,
             lambda job_id, pages: self._tell(StepEnded(job_id, pages)),
+            parts.texts.handover.send,
         )
         self._maintenance = JobMaintenance(
             parts.settings, parts.fleet, parts.abilities, self._writer
@@ -165,6 +180,7 @@
         self._waiting_jobs = WaitingJobs(parts.logger, parts.metrics)
         self._failing_jobs = FailingJobs(parts.clock, parts.logger)
         self._stopping = False
+        self._passed_on: set[str] = set()
         self._workers = ThreadPoolExecutor(
             parts.settings.forward.item_workers,
             thread_name_prefix='item',
@@ -176,8 +192,7 @@
 
     def on_stop(self) -> None:
         """Cancel all runs and stop the writer."""
-        for run in tuple(self._runs.values()):
-            run.cancellation.cancel()
+        _cancel(self._runs.values())
         self._workers.shutdown(wait=False, cancel_futures=True)
         self._writer.close()
 
@@ -186,6 +201,7 @@
         now = self._parts.clock.monotonic()
         views = self._parts.registry.views()
         self._parts.busy.publish(self._sync_works(views))
+        self._texts.receive(self._works)
         self._preempt_surplus()
         works = self._failing_jobs.sound(self._works)
         self._failing_jobs.each(
@@ -229,7 +245,7 @@
         work = self._works.get(run.job_id)
         reserved = self._silent_items.take(run)
         if work is not None:
-            self._partials[run.key] = outcome.partial
+            self._texts.record(run.key, outcome.partial)
             recorded = self._failing_jobs.each(
                 ((run.job_id, work),),
                 functools.partial(self._apply_outcome, item_id, outcome),
@@ -239,7 +255,7 @@
             goes_on = (
                 not self._stopping
                 and self._parts.ends_known()
-                and _may_go_on(work, run, outcome, self._parts.prompts)
+                and may_go_on(work, run, outcome, self._parts.prompts)
             )
             if reserved is not None and goes_on:
                 self._start_run(work, run.item, reserved)
@@ -264,28 +280,38 @@
             )
             self.tick()
 
-    def hand_over(self, *, leave: bool) -> int:
+    def hand_over(self, *, leave: bool) -> UnfinishedWork:
         """Start no more items, so that this host can leave the fleet.
 
+        Cancels all runs and reassigns the unfinished jobs, each once and with
+        the texts of its items. While no other host is alive, the runs go on.
+
         Args:
-            leave: also cancel all runs and reassign the unfinished jobs.
+            leave: also reassign jobs whose runs have not ended yet, and cancel
+                runs though no other host is alive.
 
         Returns:
-            The number of runs still in progress, or with ``leave`` the
-            number of jobs being reassigned.
+            What this host still has.
         """
         self._stopping = True
-        if not leave:
-            return len(self._runs)
-        for run in tuple(self._runs.values()):
-            run.cancellation.cancel()
-        left = {
-            job_id: work
-            for job_id, work in self._works.items()
-            if not work.finished
-        }
-        return self._maintenance.reassign(
-            left, self._parts.registry.views(), self._started_at
+        others_alive = self._maintenance.can_reassign
+        if leave or others_alive:
+            _cancel(self._runs.values())
+        unfinished = _unfinished(self._works)
+        running = () if leave else (job_id for job_id, _item in self._runs)
+        left = unfinished.keys() - self._passed_on.union(running)
+        if others_alive:
+            self._passed_on.update(left)
+            self._maintenance.reassign(
+                [
+                    (unfinished[job_id], self._texts.of_job(unfinished[job_id]))
+                    for job_id in left
+                ],
+                self._parts.registry.views(),
+                self._started_at,
+            )
+        return UnfinishedWork(
+            len(self._runs), len(unfinished) if others_alive else 0
         )
 
     def _sync_works(self, views: dict[str, JobView]) -> bool:
@@ -319,12 +345,13 @@
     def _drop_job(self, job_id: str) -> None:
         """Stop working on a job that has ended or has another owner."""
         work = self._works.pop(job_id)
+        self._passed_on.discard(job_id)
         self._parts.store.terms.end(job_id)
         if self._parts.registry.view(job_id) is None:
             self._leftovers.dropped_late(job_id)
         for item in work.job.items:
             key = (job_id, item.item_id)
-            self._partials.pop(key, None)
+            self._texts.forget(key)
             run = self._runs.get(key)
             if run is not None:
                 run.cancellation.cancel()
@@ -413,8 +440,7 @@
         )
         if refusal is not None:
             return refusal
-        partial = self._partials.get(key, PartialText())
-        lease = _lease_slot(self._parts, service, partial, item)
+        lease = _lease_slot(self._parts, service, work, item)
         if lease is None:
             return StartRefusal.no_server
         if not self._parts.prompts.trials.begins(found, lease):
@@ -427,7 +453,7 @@
         self, work: JobItemTracker, item: ForwardItem, lease: ServerLease
     ) -> None:
         key = (work.job.job_id, item.item_id)
-        partial = self._partials.get(key, PartialText())
+        partial = self._texts.of_item(key)
         run = ItemRun(work.job, item, lease, partial, self._run_tools)
         self._runs[run.key] = run
         work.started(item.item_id)
@@ -446,10 +472,21 @@
                 item_id=run.item.item_id,
                 reason=repr(error),
             )
-            outcome = RunOutcome(RunEnd.broken, PartialText(), repr(error))
+            outcome = RunOutcome(RunEnd.broken, reason=repr(error))
         self._tell(RunEnded(run, outcome))
 
 
+def _cancel(runs: Iterable[ItemRun]) -> None:
+    for run in tuple(runs):
+        run.cancellation.cancel()
+
+
+def _unfinished(
+    works: Mapping[str, JobItemTracker],
+) -> dict[str, JobItemTracker]:
+    return {job_id: work for job_id, work in works.items() if not work.finished}
+
+
 def _own_refusal(
     parts: RunnerParts,
     runs: Collection[ItemKey],
@@ -478,10 +515,11 @@
 def _lease_slot(
     parts: RunnerParts,
     service: str,
-    partial: PartialText,
+    work: JobItemTracker,
     item: ForwardItem,
 ) -> ServerLease | None:
     """Lease a slot, if possible where an item need not begin anew."""
+    partial = parts.texts.of_item((work.job.job_id, item.item_id))
     acquire = functools.partial(
         parts.pool.acquire_batch,
         service,
@@ -509,20 +547,6 @@
     )
 
 
-def _may_go_on(
-    work: JobItemTracker,
-    run: ItemRun,
-    outcome: RunOutcome,
-    prompts: PromptGuard,
-) -> bool:
-    """Return whether the item of a run that was left goes on at once."""
-    return (
-        outcome.end is RunEnd.broken
-        and run.item in work.startable_items(math.inf)
-        and prompts.check(work.job.suspect_parts(run.item)) is None
-    )
-
-
 @functools.singledispatch
 def _handle(message: object, runner: JobRunner) -> Any:
     raise TypeError(f'unknown message {message!r}')
@@ -544,7 +568,7 @@
 
 
 @_handle.register
-def _handle_hand_over(message: HandOver, runner: JobRunner) -> int:
+def _handle_hand_over(message: HandOver, runner: JobRunner) -> UnfinishedWork:
     return runner.hand_over(leave=message.leave)
 
 
--- a/guavadyke/controllers/forward_job_writer.py
+++ b/guavadyke/controllers/forward_job_writer.py
@@ -18,6 +18,7 @@
 )
 from guavadyke.decisions.growing_delays import GrowingDelays
 from guavadyke.decisions.page_certainty import RecentClaims
+from guavadyke.decisions.partial_texts import JobTexts
 from guavadyke.decisions.watch_sharing import watch_times
 from guavadyke.errors import GuavadykeError, ObjectConflictError
 from guavadyke.log import EventLogger
@@ -49,6 +50,8 @@
         report: called from the pool at the end of each step with the job id
             and the pages of results, None if the step failed or does not
             handle results.
+        send_texts: sends texts of items to the next owner of their job;
+            called from the pool.
     """
 
     def __init__(
@@ -59,6 +62,7 @@
         clock: Clock,
         logger: EventLogger,
         report: Callable[[str, Pages], object],
+        send_texts: Callable[[str, JobTexts], object],
     ) -> None:
         self._me = settings.host_id
         self._claims = RecentClaims(_claim_known_s(settings))
@@ -67,6 +71,7 @@
         self._clock = clock
         self._logger = logger
         self._report = report
+        self._send_texts = send_texts
         self._remover = JobRemover(store, registry, logger)
         self._busy: set[str] = set()
         self._delays = GrowingDelays(_RETRY_DELAY_S, _LONGEST_RETRY_DELAY_S)
@@ -117,17 +122,24 @@
 
     def reassign(
         self,
-        job_id: str,
         owner: str,
         unlisted: tuple[ForwardItemResult, ...],
+        texts: JobTexts,
     ) -> None:
-        """Assign a job to another host, even while another step runs."""
+        """Assign a job to another host, even while another step runs.
+
+        Args:
+            owner: the other host.
+            unlisted: results that are not stored yet.
+            texts: what is known of the texts of its other items.
+        """
         self._writers.submit(
             self._run_step,
-            job_id,
+            texts.job_id,
             self._pass_on,
             owner,
             unlisted,
+            texts,
         )
 
     def _start(
@@ -236,9 +248,12 @@
         job_id: str,
         owner: str,
         unlisted: tuple[ForwardItemResult, ...],
+        texts: JobTexts,
     ) -> None:
         if self._claims.may_append(job_id, self._clock.monotonic()):
             self._store.append(job_id, unlisted, self._me)
+        # The next owner starts the items as soon as it hears of the job.
+        self._send_texts(owner, texts)
         self._store.terms.end(job_id)
         progress = self._store.merge_progress(job_id, JobProgress(owner=owner))
         self._registry.progress_written(job_id, progress)
--- a/guavadyke/controllers/host_abilities.py
+++ b/guavadyke/controllers/host_abilities.py
@@ -14,7 +14,9 @@
 class HostAbilities:
     """Which hosts of the fleet cannot run items of jobs. Thread-safe.
 
-    ``is_able`` returns whether this host has routes and all that it mirrors.
+    ``is_able`` returns whether this host has routes and all that it mirrors;
+    ``leaving`` is set once it hands its jobs over, so that it takes no new
+    ones.
 
     Args:
         host_id: id of this host.
@@ -33,6 +35,7 @@
         logger: EventLogger,
     ) -> None:
         self.is_able: Callable[[], bool] = _always
+        self.leaving = False
         self._host_id = host_id
         self._fleet = fleet
         self._messenger = messenger
@@ -74,11 +77,13 @@
     def unable(self) -> frozenset[str]:
         """Return the ids of the hosts that cannot run items.
 
-        This host is one of them where it lacks its routes or servers.
+        This host is one of them where it lacks its routes or servers, or is
+        leaving.
         """
         with self._lock:
             others = self._others.names(self._clock.monotonic())
-        return others if self.is_able() else others | {self._host_id}
+        takes_jobs = self.is_able() and not self.leaving
+        return others if takes_jobs else others | {self._host_id}
 
 
 def _always() -> bool:
--- a/guavadyke/controllers/item_run.py
+++ b/guavadyke/controllers/item_run.py
@@ -24,6 +24,7 @@
 from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.decisions.forward_job_records import AcceptedJob, ForwardItem
 from guavadyke.decisions.forward_routes import RouteTable
+from guavadyke.decisions.partial_texts import PartialText
 from guavadyke.decisions.request_headers import without_headers
 from guavadyke.decisions.server_registry import ServerLease
 from guavadyke.decisions.server_sent_events import EventOrderError, EventParser
@@ -62,29 +63,12 @@
     preempted = 'preempted'
 
 
-@dataclasses.dataclass(frozen=True)
-class PartialText:
-    """Events of an item received so far: their data and the last event id.
-
-    ``software`` is the version that wrote them; others can't continue them.
-    """
-
-    last_id: int = 0
-    pieces: tuple[bytes, ...] = ()
-    software: str = ''
-
-    @property
-    def text(self) -> str:
-        """The data of all events, one per line."""
-        return b'\n'.join(self.pieces).decode(errors='replace')
-
-
 @dataclasses.dataclass(frozen=True)
 class RunOutcome:
     """How a run ended, with the events of the item received so far."""
 
     end: RunEnd
-    partial: PartialText
+    partial: PartialText = dataclasses.field(default_factory=PartialText)
     reason: str = ''
 
 
--- a/guavadyke/controllers/retirement_controller.py
+++ b/guavadyke/controllers/retirement_controller.py
@@ -20,7 +20,8 @@
 
 # Also the delay before a failed completion is written again.
 _CHECK_INTERVAL_S = 0.5
-# Share of the requested time in which runs may end before they are cancelled.
+# Share of the requested time in which cancelled runs have to end before their
+# jobs are reassigned without them.
 _GRACE_SHARE = 0.4
 _MAX_GRACE_S = 6.0
 # Live hosts complete the request of a lost one after one another, since only
@@ -43,8 +44,8 @@
     """Dependencies of ``RetirementController``.
 
     ``decode`` returns None for an object that is no request; ``hand_over``
-    lets the runs of this host end for up to the given seconds, then
-    reassigns its jobs; ``complete`` writes to the platform that the host
+    cancels the runs of this host and reassigns its jobs, at the latest after
+    the given seconds; ``complete`` writes to the platform that the host
     with the given id is drained, ``is_completed`` reads whether it says so.
     """
 
--- a/guavadyke/controllers/silent_items.py
+++ b/guavadyke/controllers/silent_items.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Collection, Iterable
 
 from guavadyke.adapters.ports import BackendFault
-from guavadyke.controllers.item_run import ItemKey, ItemRun
+from guavadyke.controllers.item_run import (
+    ItemKey,
+    ItemRun,
+    RunEnd,
+    RunOutcome,
+)
+from guavadyke.controllers.prompt_guard import PromptGuard
 from guavadyke.controllers.server_pool import ServerPool
 from guavadyke.decisions.common_pause import CommonPause
+from guavadyke.decisions.forward_job_items import JobItemTracker
 from guavadyke.decisions.server_registry import ServerLease
 
 LeaseForRun = Callable[[ItemRun], ServerLease | None]
@@ -72,3 +80,17 @@
             if other.lease.server.server_id != server_id
         ]
         return bool(others) and min(others) >= self._silence_s / 2
+
+
+def may_go_on(
+    work: JobItemTracker,
+    run: ItemRun,
+    outcome: RunOutcome,
+    prompts: PromptGuard,
+) -> bool:
+    """Return whether the item of a run that was left goes on at once."""
+    return (
+        outcome.end is RunEnd.broken
+        and run.item in work.startable_items(math.inf)
+        and prompts.check(work.job.suspect_parts(run.item)) is None
+    )
--- a/guavadyke/forward_duties.py
+++ b/guavadyke/forward_duties.py
@@ -13,6 +13,7 @@
     HandOver,
     JobRunner,
     RunnerParts,
+    UnfinishedWork,
 )
 from guavadyke.controllers.runner_ticker import RunnerTicker
 from guavadyke.guarded_threads import GuardedThread
@@ -22,6 +23,7 @@
 
 # The writes of new owners may take as long.
 _REASSIGNMENT_S = 1.0
+_HAND_OVER_CHECK_S = 0.05
 # Hosts that fail by one cause at once end one after the other.
 _SHORTEST_CHECK_S = 1.0
 _LONGEST_CHECK_S = 5.0
@@ -61,25 +63,41 @@
         """Look at the jobs at once, after they or the servers have changed."""
         self._ticker.wake()
 
-    def hand_over(self, longest_s: float) -> None:
-        """Hand the jobs over to other hosts.
+    def hand_over(self, longest_s: float, stay_s: float = 0) -> None:
+        """Hand the jobs over to other hosts at once.
 
         Args:
-            longest_s: seconds for which items in flight may go on.
+            longest_s: seconds after which a job is handed over though a
+                cancelled run of it has not ended.
+            stay_s: seconds in which jobs that arrive are handed over too;
+                unless this host has no job now.
         """
-        until = self._clock.monotonic() + longest_s
-        while self._ask(HandOver(leave=False)):
-            if self._clock.monotonic() >= until:
-                break
-            self._clock.sleep(_REASSIGNMENT_S / 10)
-        if self._ask(HandOver(leave=True)):
-            self._clock.sleep(_REASSIGNMENT_S)
+        began_at = self._clock.monotonic()
+        left = self._hand_over(leave=False)
+        if left == UnfinishedWork():
+            return
+        while left.runs and self._clock.monotonic() - began_at < longest_s:
+            self._clock.sleep(_HAND_OVER_CHECK_S)
+            left = self._hand_over(leave=False)
+        until = self._clock.monotonic() + _REASSIGNMENT_S
+        left = self._hand_over(leave=True)
+        while left.jobs and self._clock.monotonic() < until:
+            self._clock.sleep(_HAND_OVER_CHECK_S)
+            left = self._hand_over(leave=True)
+        while self._clock.monotonic() - began_at < stay_s:
+            self._clock.sleep(_HAND_OVER_CHECK_S)
+            self._hand_over(leave=True)
 
     def close(self) -> None:
         """Stop working on the jobs."""
         self._ticker.close()
         self._runner.stop()
 
+    def _hand_over(self, *, leave: bool) -> UnfinishedWork:
+        """Hand over what can be now; return what this host still has."""
+        left = self._ask(HandOver(leave=leave))
+        return left if isinstance(left, UnfinishedWork) else UnfinishedWork()
+
 
 class DutyWatch:
     """Ends a host that does not do its duties, so that others take them over.
--- a/guavadyke/forward_host.py
+++ b/guavadyke/forward_host.py
@@ -232,6 +232,7 @@
                 self.clock,
                 logger,
                 self.metrics,
+                self._peers.item_texts,
             ),
         )
         self.pool.urgent.on_own_items(self._job_duty.wake)
@@ -284,13 +285,17 @@
             seeds=','.join(self.settings.peer.seeds),
         )
 
-    def hand_over(self, longest_s: float) -> None:
-        """Hand this host's jobs over to other hosts.
+    def hand_over(self, longest_s: float, stay_s: float = 0) -> None:
+        """Hand this host's jobs over to other hosts and leave the fleet.
 
-        Items in flight may finish for up to ``longest_s`` seconds.
+        Args:
+            longest_s: seconds after which a job is handed over though a
+                cancelled run of it has not ended.
+            stay_s: seconds in which callers may still submit jobs.
         """
+        self._peers.abilities.leaving = True
         try:
-            self._job_duty.hand_over(longest_s)
+            self._job_duty.hand_over(longest_s, stay_s)
         finally:
             self._peers.leave()
 
@@ -309,8 +314,9 @@
         )
         self.logger.info('host_stopping')
         self.stopping = True
+        stay_s = 0 if port is None else settings.balancer_delay_s
         handing_over = BackgroundTask(
-            lambda: self.hand_over(settings.balancer_delay_s),
+            lambda: self.hand_over(settings.balancer_delay_s, stay_s),
             'hand-over',
             self.logger,
         )
--- a/guavadyke/forward_peers.py
+++ b/guavadyke/forward_peers.py
@@ -32,7 +32,10 @@
 )
 from guavadyke.controllers.fleet_pulls import FleetPulls
 from guavadyke.controllers.host_abilities import HostAbilities
+from guavadyke.controllers.item_texts import ItemTexts
 from guavadyke.controllers.membership import FleetCells, PeerEvents
+from guavadyke.controllers.text_handover import TextHandover
+from guavadyke.decisions.partial_texts import JobTexts
 from guavadyke.decisions.watch_sharing import plan_watch, watch_times
 from guavadyke.log import EventLogger
 from guavadyke.membership_service import MembershipService
@@ -103,6 +106,7 @@
             port.authenticator, settings.host_id, clock, port.faults
         )
         self.reads = PeerReads(client)
+        self.item_texts = ItemTexts(TextHandover(client, fleet, clock, logger))
         # Answers calls of peers that need no call to the platform.
         self.answer_locally: Callable[
             [calls.PlatformCall], calls.PeerReply | None
@@ -204,12 +208,15 @@
         _sender: str,
         request: calls.PeerRequest,
     ) -> calls.PeerReply:
-        """Make a platform call for a peer, or tell it what this host knows."""
+        """Make a platform call for a peer, or tell or keep what it asks to."""
         if isinstance(request, calls.WatchQuery):
             return self._watch_hub.answer(request)
         if isinstance(request, calls.FleetQuery):
             known_fleet = self._membership.fleet_state()
             return calls.PeerReply(records=known_fleet.records)
+        if isinstance(request, JobTexts):
+            self.item_texts.handover.receive(request)
+            return calls.PeerReply()
         if not isinstance(request, calls.PlatformCall):
             raise TypeError(f'unknown call {request!r}')
         known = self.answer_locally(request)
--- a/guavadyke/peer/messages.thrift
+++ b/guavadyke/peer/messages.thrift
@@ -230,6 +230,20 @@
   1: string address,
 }
 
+/** What is known of an item's text: the data of its first events, in order.
+ * Only the software version that wrote them can continue them. */
+struct PartialText {
+  1: string item_id,
+  2: string software,
+  3: list<binary> events,
+}
+
+/** Hands the texts of a job's unfinished items to its next owner. */
+struct PartialTexts {
+  1: string job_id,
+  2: list<PartialText> texts,
+}
+
 /** A change of an object; without its state it was deleted. */
 struct ObjectEvent {
   1: string name,
@@ -264,6 +278,7 @@
   8: optional PlatformCall platform_call,
   9: optional WatchQuery watch_query,
   10: optional TunnelCall tunnel_call,
+  11: optional PartialTexts partial_texts,
 }
 
 struct Reply {
