--- a/guavadyke/controllers/forward_job_maintenance.py
+++ b/guavadyke/controllers/forward_job_maintenance.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from guavadyke.controllers.forward_job_registry import JobRegistry
 from guavadyke.controllers.forward_job_writer import JobWriter
@@ -12,11 +12,12 @@
 from guavadyke.decisions.forward_job_ownership import (
     AbsenceTracker,
     HostView,
-    choose_owner,
+    choose_next_owner,
     jobs_to_take_over,
 )
-from guavadyke.decisions.forward_job_records import JobView
+from guavadyke.decisions.forward_job_records import JobProgress, JobView
 from guavadyke.decisions.host_abilities import able_hosts
+from guavadyke.decisions.partial_texts import JobTexts
 from guavadyke.decisions.rendezvous_hashing import rendezvous
 from guavadyke.settings import ForwardHostSettings
 from guavadyke.snapshots import FleetSnapshot, SnapshotCell
@@ -26,6 +27,7 @@
 # differ agree that it has expired.
 _REMOVAL_MARGIN_S = 60.0
 _ALIVE = 'alive'
+_MS_PER_S = 1000
 _REACHABLE = frozenset((_ALIVE, 'suspect'))
 
 
@@ -77,25 +79,38 @@
         self._take_over_lost(views, alive, now)
         self._remove_expired(views, alive, wall)
 
+    @property
+    def can_reassign(self) -> bool:
+        """Whether another host is alive."""
+        return bool(self._fleet.current.alive)
+
     def reassign(
         self,
-        works: Mapping[str, JobItemTracker],
+        leaving: Collection[tuple[JobItemTracker, JobTexts]],
         views: Mapping[str, JobView],
-    ) -> int:
-        """Assign jobs to live hosts; return how many are reassigned.
+        started_at: float,
+    ) -> None:
+        """Assign jobs to live hosts, if there are any.
 
-        Returns 0 and does nothing when no other host is alive.
+        Args:
+            leaving: the jobs, and the texts of their unfinished items.
+            views: all jobs.
+            started_at: when this host started, in seconds since the epoch.
         """
-        others = self._peers_in(frozenset((_ALIVE,)))
+        others = {
+            peer.host_id: peer.incarnation / _MS_PER_S
+            for peer in self._fleet.current.alive
+        }
         if not others:
-            return 0
+            return
         unable = self._abilities.unable()
-        for job_id, work in works.items():
-            owner = choose_owner(
-                job_id, others[0], others[1:], views.values(), unable
+        held = dict(views)
+        for work, texts in leaving:
+            owner = choose_next_owner(
+                texts.job_id, started_at, others, held.values(), unable
             )
-            self._writer.reassign(job_id, owner, work.unstored_results)
-        return len(works)
+            held[texts.job_id] = JobView(work.job, JobProgress(owner=owner))
+            self._writer.reassign(owner, work.unstored_results, texts)
 
     def _take_over_lost(
         self,
