Let no owner that has been replaced write to a job, or pass it on

Cause: an owner that had been replaced without knowing it was found out by a conflict alone. Where it had read the new owner's page for a caller, its append was conditional on that page and took effect, and the new owner, which was certain of its pages, listed fewer results than others had. After a conflict it asked who owns the job before it read the pages, so that a page could come in between. The wait after a claim was known to the claiming process alone: a host to which the job was passed on meanwhile, or a claim whose answer was lost, had none. A job was passed on whoever owned it by then.

Change: an owner appends to pages that it has loaded or written in its term; else it reads the pages, then the owner. Progress has an optional field by which all hosts know that a job was claimed; its owner waits from when it takes the job. A job is passed on only by its owner. The wait covers the lag of the watch of progress, 5.3 s at the defaults. Jobs and progress have a module of their own. Sound multipart answers with an encoded part are no longer taken for broken.

--- a/features/builders_job_owners.py
+++ b/features/builders_job_owners.py
@@ -123,6 +123,7 @@
     def complete_item(self, job_id: str) -> None:
         """Complete the first item of a job, whose result is not stored yet."""
         view = self.host.registry.view(job_id)
+        self._writer.claims.take(view, self.clock.now)
         self._work = JobItemTracker(view.job)
         self._work.drop_stored(self.host.store.pages(job_id))
         self._work.completed(view.job.items[0].item_id, 'text')
--- a/features/forward_job_owners.feature
+++ b/features/forward_job_owners.feature
@@ -98,8 +98,25 @@
   Scenario: results of a claimed job are not listed while its earlier owner may answer without them
     Given 5 hosts, of which host-0 owns a job
     When host-1 claims the job and completes an item
-    Then host-1 lists 0 results after 4 seconds
-    And host-1 lists 1 result after 5 seconds
+    Then host-1 lists 0 results after 5 seconds
+    And host-1 lists 1 result after 6 seconds
+
+  Scenario: results of a claimed job that is passed on are not listed earlier
+    Given 5 hosts, of which host-0 owns a job
+    When host-1 claims the job and passes it on to host-2, which completes an item
+    Then host-2 lists 0 results after 5 seconds
+    And host-2 lists 1 result after 6 seconds
+
+  Scenario: results of a job whose claim takes effect late are not listed earlier
+    Given 5 hosts, of which host-0 owns a job
+    When host-1 claims the job without an answer and completes an item
+    Then host-1 lists 0 results after 5 seconds
+    And host-1 lists 1 result after 6 seconds
+
+  Scenario: a host that passes on a job that it has lost unnoticed leaves it to its new owner
+    Given 5 hosts, of which host-0 owns a job
+    When host-1 claims the job, and host-0 passes it on to host-3 before it learns so
+    Then one host owns the job, which is host-1
 
   Scenario: results of a job that was passed on are listed at once
     Given 5 hosts, of which host-0 owns a job
--- a/features/result_pages.feature
+++ b/features/result_pages.feature
@@ -70,6 +70,13 @@
     And another host takes the job over unnoticed and lists 1 more result
     Then the owner cannot list another result
 
+  Scenario: a host that has lost its job unnoticed lists nothing after it has read the new owner's results
+    Given a host that reads the results of a job of another host
+    When the owner lists 1 result
+    And another host takes the job over unnoticed and lists 1 more result
+    And the owner reads 2 results for a caller
+    Then the owner cannot list another result
+
   Scenario: a host whose write another one has followed asks the platform
     Given a host that reads the results of a job of another host
     When the owner lists a result that another host follows before the answer
--- a/features/steps/forward_job_owners_steps.py
+++ b/features/steps/forward_job_owners_steps.py
@@ -175,6 +175,44 @@
     context.fleet.hosts['host-1'].complete_item(owners.JOB)
 
 
+@when(
+    'host-1 claims the job and passes it on to host-2, which completes an item'
+)
+def step_claims_and_passes_on(context: Context) -> None:
+    hosts = context.fleet.hosts
+    hosts['host-1'].claim(owners.JOB, _OWNER)
+    hosts['host-1'].complete_item(owners.JOB)
+    hosts['host-1'].pass_on(owners.JOB, 'host-2')
+    context.fleet.catch_up()
+    hosts['host-2'].complete_item(owners.JOB)
+
+
+@when('host-1 claims the job without an answer and completes an item')
+def step_claims_late(context: Context) -> None:
+    claiming = context.fleet.hosts['host-1']
+    claiming.host.link.faults.delay_write_every = 1
+    claiming.claim(owners.JOB, _OWNER)
+    claiming.heal()
+    context.fleet.platform.apply_late_writes()
+    context.fleet.catch_up()
+    claiming.complete_item(owners.JOB)
+
+
+@when(
+    'host-1 claims the job, and host-0 passes it on to host-3 before it learns '
+    'so'
+)
+def step_passes_on_lost(context: Context) -> None:
+    context.fleet.hosts['host-1'].claim(owners.JOB, _OWNER)
+    context.fleet.hosts[_OWNER].pass_on(owners.JOB, 'host-3')
+    context.fleet.catch_up()
+
+
+@then('one host owns the job, which is {host_id}')
+def step_one_owner_is(context: Context, host_id: str) -> None:
+    assert context.fleet.owners() == [host_id], context.fleet.owners()
+
+
 @when('host-0 passes the job on to host-1, which completes an item')
 def step_passed_and_completes(context: Context) -> None:
     context.fleet.hosts[_OWNER].pass_on(owners.JOB, 'host-1')
--- a/features/steps/result_pages_steps.py
+++ b/features/steps/result_pages_steps.py
@@ -85,6 +85,12 @@
     assert len(answer.listings) == count, answer
 
 
+@when('the owner reads {count:d} results for a caller')
+def step_owner_reads(context: Context, count: int) -> None:
+    answer = context.hosts.owner.job_api.results('job-1', 0)
+    assert len(answer.listings) == count, answer
+
+
 @when('the third host takes the job over')
 def step_third_takes(context: Context) -> None:
     context.hosts.take_over()
--- a/guavadyke/adapters/response_framing.py
+++ b/guavadyke/adapters/response_framing.py
@@ -13,6 +13,7 @@
 _LENGTH = re.compile(r'\d+', re.ASCII)
 # Defects of parts that a body has; a head has none.
 _BODY_DEFECTS = (
+    errors.InvalidMultipartContentTransferEncodingDefect,
     errors.MultipartInvariantViolationDefect,
     errors.NoBoundaryInMultipartDefect,
     errors.StartBoundaryNotFoundDefect,
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -334,6 +334,9 @@
             job = own_views[job_id].job
             self._works[job_id] = JobItemTracker(job)
             self._parts.store.terms.begin(own_views[job_id], self._started_at)
+            self._writer.claims.take(
+                own_views[job_id], self._parts.clock.monotonic()
+            )
             self._parts.logger.info(
                 'job_taken',
                 job_id=job_id,
--- a/guavadyke/controllers/forward_job_store.py
+++ b/guavadyke/controllers/forward_job_store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import functools
 import threading
 from collections.abc import Callable
@@ -11,15 +10,17 @@
 from guavadyke import forward_job_documents as objects
 from guavadyke.adapters.ports import StoredObject
 from guavadyke.adapters.write_confirmation import WriteConfirmingStore
+from guavadyke.controllers.forward_job_record_store import (
+    MAX_ATTEMPTS,
+    JobRecordStore,
+)
 from guavadyke.decisions.forward_job_records import (
-    AcceptedJob,
     ForwardItemResult,
-    JobProgress,
     ResultPage,
     results_for_page,
     unstored_results,
 )
-from guavadyke.decisions.page_certainty import OwnershipTerms
+from guavadyke.decisions.page_certainty import OwnershipTerms, PagesState
 from guavadyke.errors import ObjectConflictError, PlatformUnavailableError
 
 _ReadPage: TypeAlias = Callable[[], StoredObject | None]
@@ -27,11 +28,10 @@
 # the platform.
 PageReader: TypeAlias = Callable[[str, _ReadPage], StoredObject | None]
 
-# Attempts of a write that loses its version check to other hosts.
-_MAX_ATTEMPTS = 8
+_Pages: TypeAlias = list[tuple[StoredObject, ResultPage]]
 
 
-class JobStore:
+class JobStore(JobRecordStore):
     """Jobs, their progress and their results as objects of the platform.
 
     Each item gets exactly one result: a page is updated only if its version
@@ -48,84 +48,19 @@
     """
 
     def __init__(self, store: WriteConfirmingStore) -> None:
-        self.platform = store
+        super().__init__(store)
         self._lock = threading.Lock()
-        self._pages: dict[str, list[tuple[StoredObject, ResultPage]]] = {}
+        self._pages: dict[str, _Pages] = {}
         self.terms = OwnershipTerms()
 
-    def create(self, job: AcceptedJob) -> bool:
-        """Store a new job; return False if the job id already exists.
-
-        Raises:
-            PlatformUnavailableError: the job was not stored.
-            PlatformOutcomeUnknownError: it may have been stored.
-        """
-        try:
-            self.platform.create(
-                objects.JOB_KIND, job.job_id, objects.encode_job(job)
-            )
-        except ObjectConflictError:
-            return False
-        return True
-
-    def read(self, job_id: str) -> AcceptedJob | None:
-        """Return a job, or None if it does not exist.
-
-        Raises:
-            PlatformUnavailableError: the platform cannot be reached.
-        """
-        stored = self.platform.read(objects.JOB_KIND, job_id)
-        return (
-            None if stored is None else objects.decode_job(job_id, stored.body)
-        )
-
-    def progress(self, job_id: str) -> JobProgress:
-        """Read the progress of a job.
-
-        Raises:
-            GuavadykeError: it cannot be read.
-        """
-        return _read_progress(self.platform, job_id)[1]
-
-    def merge_progress(self, job_id: str, change: JobProgress) -> JobProgress:
-        """Merge a change into a job's progress; return the merged progress.
-
-        Raises:
-            GuavadykeError: the write failed, or its outcome is unknown.
-        """
-        return self._merge(job_id, lambda _known: change)
-
-    def claim(self, job_id: str, me: str, owner_before: str) -> JobProgress:
-        """Make a host the owner of a job, unless the owner has changed.
-
-        Args:
-            job_id: the job.
-            me: the host that claims it.
-            owner_before: the owner that it takes the job over from.
-
-        Returns:
-            The progress, whose owner may be another host.
-
-        Raises:
-            GuavadykeError: the write failed, or its outcome is unknown.
-        """
-        return self._merge(
-            job_id,
-            lambda known: JobProgress(
-                owner=me if known.owner in {'', owner_before} else ''
-            ),
-        )
-
     def load(self, job_id: str) -> tuple[ResultPage, ...]:
         """Read the pages of a job as its owner and return all of them.
 
         Raises:
             GuavadykeError: the pages cannot be read.
         """
-        term = self.terms.of(job_id)
-        pages = self.pages(job_id)
-        term.loaded()
-        return pages
+        self._read_as_owner(job_id, '')
+        return self.cached_pages(job_id)
 
     def pages(
         self, job_id: str, read: PageReader | None = None
@@ -198,66 +133,62 @@
             ObjectConflictError: another host owns the job and has written.
             GuavadykeError: a write failed, or its outcome is unknown.
         """
-        attempts = _MAX_ATTEMPTS + len(waiting)
-        pages = self.cached_pages(job_id)
-        missing = unstored_results(pages, waiting)
+        attempts = MAX_ATTEMPTS + len(waiting)
+        known = self._base(job_id, owner)
+        missing = unstored_results(_pages_of(known), waiting)
         while missing and attempts:
             attempts -= 1
             try:
-                self._append_page(job_id, missing)
+                known = self._append_page(job_id, known, missing)
             except ObjectConflictError:
-                if _is_other(self.progress(job_id).owner, owner):
-                    raise
-                self.pages(job_id)
-            pages = self.cached_pages(job_id)
-            missing = unstored_results(pages, waiting)
+                known = self._read_as_owner(job_id, owner)
+            missing = unstored_results(_pages_of(known), waiting)
         if missing:
             raise PlatformUnavailableError(
                 f'{job_id}: too many conflicts with other hosts',
             )
-        return pages
+        return _pages_of(known)
 
     def forget_pages(self, job_id: str) -> None:
         """Drop the pages of a job that this host has read or written."""
         with self._lock:
             self._pages.pop(job_id, None)
 
-    def _merge(
-        self, job_id: str, change_of: Callable[[JobProgress], JobProgress]
-    ) -> JobProgress:
-        attempts = (
-            self._try_merge(job_id, change_of)
-            for _attempt in range(_MAX_ATTEMPTS)
-        )
-        joined = next(filter(None, attempts), None)
-        if joined is None:
-            raise PlatformUnavailableError(
-                f'{job_id}: too many conflicts with other hosts',
-            )
-        return joined
-
-    def _try_merge(
-        self, job_id: str, change_of: Callable[[JobProgress], JobProgress]
-    ) -> JobProgress | None:
-        """Try one merge; return None if another host wrote in between."""
-        stored, known = _read_progress(self.platform, job_id)
-        joined = known.merged(change_of(known))
-        if stored is not None and joined == known:
-            return dataclasses.replace(joined, version=stored.version)
-        try:
-            written = _write_progress(self.platform, job_id, stored, joined)
-        except ObjectConflictError:
-            return None
-        return dataclasses.replace(joined, version=written.version)
+    def _base(self, job_id: str, owner: str) -> _Pages:
+        """Return the pages to which the owner of a job may append."""
+        with self._lock:
+            known = list(self._pages.get(job_id, ()))
+        term = self.terms.of(job_id)
+        if not owner or term.may_append_to(_recency_key(known)):
+            return known
+        return self._read_as_owner(job_id, owner)
+
+    def _read_as_owner(self, job_id: str, owner: str) -> _Pages:
+        """Read the pages of a job, then whether it has another owner.
+
+        In this order, a page of another owner is never appended to.
+
+        Raises:
+            ObjectConflictError: it has another owner.
+        """
+        term = self.terms.of(job_id)
+        self.pages(job_id)
+        with self._lock:
+            known = list(self._pages.get(job_id, ()))
+        if owner and self.progress(job_id).owner not in {'', owner}:
+            raise ObjectConflictError(f'{job_id} has another owner', 0)
+        term.loaded(_recency_key(known))
+        return known
 
     def _append_page(
         self,
         job_id: str,
+        before: _Pages,
         missing: tuple[ForwardItemResult, ...],
-    ) -> None:
+    ) -> _Pages:
         """Write one page with as many of the results as fit."""
+        known = list(before)
         with self._lock:
-            known = list(self._pages.get(job_id, ()))
             term = self.terms.of(job_id)
             term.writing()
         version_before = 0
@@ -273,13 +204,15 @@
                 objects.page_name(job_id, len(known)),
                 objects.encode_page(grown),
             )
-        self._cache(job_id, [*known, (written, grown)])
-        term.written(version_before, written.version)
+        known.append((written, grown))
+        self._cache(job_id, known)
+        term.written(version_before, _recency_key(known))
+        return known
 
     def _cache(
         self,
         job_id: str,
-        pages: list[tuple[StoredObject, ResultPage]],
+        pages: _Pages,
     ) -> None:
         """Cache pages, unless another thread has cached newer ones."""
         with self._lock:
@@ -288,35 +221,11 @@
                 self._pages[job_id] = pages
 
 
-def _is_other(owner: str, expected: str) -> bool:
-    return bool(expected) and owner not in {'', expected}
-
-
-def _read_progress(
-    platform: WriteConfirmingStore, job_id: str
-) -> tuple[StoredObject | None, JobProgress]:
-    stored = platform.read(objects.PROGRESS_KIND, job_id)
-    if stored is None:
-        return None, JobProgress()
-    progress = objects.decode_progress(job_id, stored.body)
-    return stored, dataclasses.replace(progress, version=stored.version)
-
-
-def _write_progress(
-    platform: WriteConfirmingStore,
-    job_id: str,
-    stored: StoredObject | None,
-    progress: JobProgress,
-) -> StoredObject:
-    body = objects.encode_progress(progress)
-    if stored is None:
-        return platform.create(objects.PROGRESS_KIND, job_id, body)
-    return platform.update(stored, body)
+def _pages_of(known: _Pages) -> tuple[ResultPage, ...]:
+    return tuple(page for _stored, page in known)
 
 
-def _recency_key(
-    pages: list[tuple[StoredObject, ResultPage]],
-) -> tuple[int, int]:
+def _recency_key(pages: _Pages) -> PagesState:
     """Return a sort key: the number of pages and the last one's version."""
     newest = pages[-1][0].version if pages else 0
     return (len(pages), newest)
--- a/guavadyke/controllers/forward_job_writer.py
+++ b/guavadyke/controllers/forward_job_writer.py
@@ -52,6 +52,9 @@
             handle results.
         send_texts: sends texts of items to the next owner of their job;
             called from the pool.
+
+    Attributes:
+        claims: jobs whose earlier owners may not know of this host yet.
     """
 
     def __init__(
@@ -65,7 +68,7 @@
         send_texts: Callable[[str, JobTexts], object],
     ) -> None:
         self._me = settings.host_id
-        self._claims = RecentClaims(_claim_known_s(settings))
+        self.claims = RecentClaims(_claim_known_s(settings))
         self._store = store
         self._registry = registry
         self._clock = clock
@@ -99,7 +102,7 @@
         now = self._clock.monotonic()
         if not work.loaded:
             self._start(job_id, self._load)
-        elif work.unstored_results and self._claims.may_append(job_id, now):
+        elif work.unstored_results and self.claims.may_append(job_id, now):
             self._start(job_id, self._append, work.unstored_results)
         elif work.finished and job_id not in self._finish_written:
             self._start(job_id, self._finish, work.job.tokens)
@@ -233,8 +236,6 @@
             return
         progress = self._store.claim(job_id, self._me, owner_before)
         taken = progress.owner == self._me
-        if taken:
-            self._claims.claimed(job_id, self._clock.monotonic())
         self._logger.info(
             'job_taken_over' if taken else 'job_claimed_before',
             job_id=job_id,
@@ -250,14 +251,25 @@
         unlisted: tuple[ForwardItemResult, ...],
         texts: JobTexts,
     ) -> None:
-        if self._claims.may_append(job_id, self._clock.monotonic()):
+        is_claim_known = self.claims.may_append(job_id, self._clock.monotonic())
+        if is_claim_known:
             self._store.append(job_id, unlisted, self._me)
         # The next owner starts the items as soon as it hears of the job.
         self._send_texts(owner, texts)
         self._store.terms.end(job_id)
-        progress = self._store.merge_progress(job_id, JobProgress(owner=owner))
+        progress = self._store.pass_on(
+            job_id,
+            self._me,
+            JobProgress(owner=owner, claimed=not is_claim_known),
+        )
         self._registry.progress_written(job_id, progress)
-        self._logger.info('job_passed_on', job_id=job_id, owner=owner)
+        self._logger.info(
+            'job_passed_on'
+            if progress.owner == owner
+            else 'job_lost_unnoticed',
+            job_id=job_id,
+            owner=progress.owner,
+        )
 
 
 def _claim_known_s(settings: ForwardHostSettings) -> float:
@@ -265,5 +277,9 @@
 
     Until then an earlier owner may answer other hosts from memory.
     """
-    sources = watch_times(settings.platform.freshness_s)
-    return settings.platform.job_end_s + sources.longest_lag_s
+    platform = settings.platform
+    return (
+        platform.job_end_s
+        + watch_times(platform.job_end_s).wait_s
+        + watch_times(platform.freshness_s).source_margin_s
+    )
--- a/guavadyke/decisions/forward_job_records.py
+++ b/guavadyke/decisions/forward_job_records.py
@@ -98,12 +98,14 @@
     """Mutable state of a job apart from its results.
 
     ``owner`` is the host that has taken the job over, empty while the first
-    owner runs it. ``listed_tokens`` counts the tokens of the items whose
+    owner runs it; ``claimed`` is whether it did so from a host that may not
+    know it yet. ``listed_tokens`` counts the tokens of the items whose
     results are stored. ``version`` is that of the platform's object, 0 where
     it is not known.
     """
 
     owner: str = ''
+    claimed: bool = False
     cancelled: bool = False
     finished: bool = False
     listed_tokens: int = 0
@@ -117,6 +119,7 @@
         """
         return JobProgress(
             owner=other.owner or self.owner,
+            claimed=other.claimed if other.owner else self.claimed,
             cancelled=self.cancelled or other.cancelled,
             finished=self.finished or other.finished,
             listed_tokens=max(self.listed_tokens, other.listed_tokens),
--- a/guavadyke/decisions/page_certainty.py
+++ b/guavadyke/decisions/page_certainty.py
@@ -9,41 +9,56 @@
 from __future__ import annotations
 
 import threading
+from typing import TypeAlias
 
 from guavadyke.decisions.forward_job_records import MAX_CLOCK_SKEW_S, JobView
 
+# Identifies a state of the pages of a job: their number and the last version.
+PagesState: TypeAlias = tuple[int, int]
+
 
 class OwnershipTerm:
     """A period in which this host owns a job.
 
     Args:
-        alone: whether no other process can have written results of the job.
+        is_only_writer: whether no other process can have written results of
+            the job.
 
     Attributes:
         certain: whether the pages that this host knows are all there are.
     """
 
-    def __init__(self, *, alone: bool) -> None:
+    def __init__(self, *, is_only_writer: bool) -> None:
         self.certain = False
-        self._alone = alone
+        self._is_only_writer = is_only_writer
+        self._base: PagesState | None = None
+
+    def loaded(self, base: PagesState) -> None:
+        """Record that pages were read while this host owned the job."""
+        self._base = base
+        self.certain = self.certain or self._is_only_writer
 
-    def loaded(self) -> None:
-        """Record that all pages were read from the platform."""
-        self.certain = self.certain or self._alone
+    def may_append_to(self, base: PagesState) -> bool:
+        """Return whether this host has loaded or written these pages.
+
+        Pages that it has read for a caller may be those of a later owner.
+        """
+        return base == self._base
 
     def writing(self) -> None:
         """Record that a write begins, which may take effect late."""
         self.certain = False
 
-    def written(self, version_before: int, version: int) -> None:
+    def written(self, version_before: int, written: PagesState) -> None:
         """Record the end of a write.
 
         Args:
             version_before: version of the page that it replaced, 0 if none.
-            version: version that it left; not a newer one if another host has
-                written the page after it.
+            written: the pages that it left; without a newer version if
+                another host has written the page after it.
         """
-        self.certain = version > version_before
+        self._base = written
+        self.certain = written[1] > version_before
 
 
 class OwnershipTerms:
@@ -60,7 +75,7 @@
             view: the job.
             started_at: when this process started, in seconds since the epoch.
         """
-        term = OwnershipTerm(alone=_is_only_writer(view, started_at))
+        term = OwnershipTerm(is_only_writer=_is_only_writer(view, started_at))
         with self._lock:
             self._terms[view.job.job_id] = term
 
@@ -72,11 +87,13 @@
     def of(self, job_id: str) -> OwnershipTerm:
         """Return the term of a job, which is never certain if there is none."""
         with self._lock:
-            return self._terms.get(job_id) or OwnershipTerm(alone=False)
+            return self._terms.get(job_id) or OwnershipTerm(
+                is_only_writer=False
+            )
 
 
 class RecentClaims:
-    """Jobs that this host has claimed from hosts that may not know it yet.
+    """Jobs that were claimed from hosts that may not know it yet.
 
     An earlier owner that lives answers other hosts from memory until it knows
     of the claim. All times are in seconds of the monotonic clock. Thread-safe.
@@ -90,8 +107,11 @@
         self._lock = threading.Lock()
         self._known_at: dict[str, float] = {}
 
-    def claimed(self, job_id: str, now: float) -> None:
-        """Record that this host has just claimed a job."""
+    def take(self, view: JobView, now: float) -> None:
+        """Record that this host takes a job, which may have been claimed."""
+        if not view.progress.claimed:
+            return
+        job_id = view.job.job_id
         with self._lock:
             recent = {
                 other: known_at
--- a/guavadyke/forward_job_documents.py
+++ b/guavadyke/forward_job_documents.py
@@ -60,6 +60,8 @@
 
 class _ProgressDocument(pydantic.BaseModel):
     owner: str = ''
+    # False also where a host of an older release has written.
+    claimed: bool = False
     cancelled: bool = False
     finished: bool = False
     listed_tokens: int = 0
@@ -152,6 +154,7 @@
     return (
         _ProgressDocument(
             owner=progress.owner,
+            claimed=progress.claimed,
             cancelled=progress.cancelled,
             finished=progress.finished,
             listed_tokens=progress.listed_tokens,
