Log how long a run of an item has held its slot

item_run_ended told the events that an item has by now, not those that the run brought, nor when it began, so that waits for slots and the time that runs took could not be told apart from the log. It now has resumed_at and held_s.

--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -232,6 +232,7 @@
         """Handle the end of a run."""
         item_id = run.item.item_id
         self._runs.pop(run.key, None)
+        held_s = self._parts.clock.monotonic() - run.lease.taken_at
         self._parts.logger.info(
             'item_run_ended',
             job_id=run.job_id,
@@ -240,6 +241,8 @@
             prompt_parts=','.join(run.suspect_parts),
             end=outcome.end.value,
             events=outcome.partial.last_id,
+            resumed_at=outcome.resumed_at,
+            held_s=round(held_s, 3),
             reason=outcome.reason,
         )
         work = self._works.get(run.job_id)
--- a/guavadyke/controllers/item_run.py
+++ b/guavadyke/controllers/item_run.py
@@ -65,11 +65,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class RunOutcome:
-    """How a run ended, with the events of the item received so far."""
+    """How a run ended, with the events of the item received so far.
+
+    ``resumed_at`` is the last of them that an earlier run had received.
+    """
 
     end: RunEnd
     partial: PartialText = dataclasses.field(default_factory=PartialText)
     reason: str = ''
+    resumed_at: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -276,7 +280,7 @@
         partial = PartialText(
             self._event_parser.last_id, tuple(self._pieces), self._software
         )
-        return RunOutcome(end, partial, reason)
+        return RunOutcome(end, partial, reason, self._partial.last_id)
 
     def _backend_call(self, settings: ForwardSettings) -> BackendCall:
         return BackendCall(
