Let items that would be late go after all others

Cause: the job that is due first went first, on its host and over all hosts, for as long as it was open. Once the backlog is as long as the jobs' time, each job waits for one that gains nothing any more, and so ends late itself.

Change: an item that would end too late if it started now goes after all that can be in time. Hosts tell each other how many of their waiting items are late, under a server id that hosts of the release before ignore, so that a host's turn is that of its items in time. The order of jobs moves from forward_job_ownership to forward_job_order.

--- a/features/builders_batch_overload.py
+++ b/features/builders_batch_overload.py
@@ -6,23 +6,27 @@
 from collections.abc import Mapping, Sequence
 
 from features import builders_forward as build
-from guavadyke.controllers.item_starts import StartRefusal, start_items
+from guavadyke.controllers.item_starts import (
+    ItemOrder,
+    StartRefusal,
+    start_items,
+)
 from guavadyke.decisions.forward_job_items import JobItemTracker, count_items
-from guavadyke.decisions.forward_job_ownership import due_order
+from guavadyke.decisions.forward_job_order import ItemRunTimes, JobOrder
 from guavadyke.decisions.forward_job_records import ForwardItem, JobView
 from guavadyke.decisions.forward_routes import RouteKind
 
 TARGET_S = 18.0
 ITEM_S = 5.0
+_EVENTS = 282
 _STEP_S = 0.1
 # Slots of each server that items may take.
 _SLOTS = 7
 _SERVERS = tuple(build.server(f's{number}') for number in range(3))
-_TABLE = build.table(
-    dataclasses.replace(
-        build.route(RouteKind.batch), target_complete_s=TARGET_S
-    )
+_ROUTE = dataclasses.replace(
+    build.route(RouteKind.batch), target_complete_s=TARGET_S
 )
+_TABLE = build.table(_ROUTE)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -52,6 +56,7 @@
         self.balancer = build.load_balancer(host_id, seed=1)
         self.works: list[JobItemTracker] = []
         self.in_time = 0
+        self._run_times = ItemRunTimes()
         self._running: list[tuple[float, str, JobItemTracker, ForwardItem]] = []
 
     @property
@@ -67,12 +72,18 @@
             self._running.remove(run)
             self.balancer.own_batch[server_id] -= 1
             work.completed(item.item_id, 'text')
+            self._run_times.record_run(
+                work.job.route, ITEM_S, _EVENTS, whole=True
+            )
             self.in_time += now <= work.job.accepted_at + TARGET_S
 
     def start_items(self, views: Sequence[JobView], now: float) -> None:
         """Start the items that may start."""
-        self.balancer.due_order = due_order(views, _TABLE)
+        jobs = JobOrder(_TABLE, now)
+        order = ItemOrder(jobs, self._run_times, _no_events)
+        self.balancer.due_order = jobs.owners(views)
         self.balancer.own_waiting = self.waiting
+        self.balancer.own_late = order.late_items(self.works)
 
         def start(
             work: JobItemTracker, item: ForwardItem, _service: str
@@ -86,7 +97,63 @@
             self._running.append((now + ITEM_S, chosen.server_id, work, item))
             return None
 
-        start_items(self.works, _TABLE, now, start)
+        start_items(self.works, order, now, start)
+
+
+class StartedItems:
+    """Items in the order in which a host starts them.
+
+    Args:
+        run_s: how long an item runs, 0 if none has been completed.
+        abandon_after_s: seconds after which items may be given up.
+    """
+
+    def __init__(self, run_s: float, abandon_after_s: float) -> None:
+        self.job_ids: list[str] = []
+        self._run_s = run_s
+        self._route = dataclasses.replace(
+            _ROUTE, abandon_after_s=abandon_after_s
+        )
+
+    def start(
+        self, ages_s: Mapping[str, float], done_s: Mapping[str, float]
+    ) -> None:
+        """Start the items of jobs with one item each.
+
+        Args:
+            ages_s: the ages of the jobs.
+            done_s: for how long their items have run before, 0 if left out.
+        """
+        run_times = ItemRunTimes()
+        if self._run_s:
+            run_times.record_run(
+                self._route.name, self._run_s, _EVENTS, whole=True
+            )
+
+        def events_of(work: JobItemTracker, _item: ForwardItem) -> int:
+            done = done_s.get(work.job.job_id, 0)
+            return round(_EVENTS * done / self._run_s) if done else 0
+
+        def start(
+            work: JobItemTracker, _item: ForwardItem, _service: str
+        ) -> None:
+            self.job_ids.append(work.job.job_id)
+
+        works = [
+            JobItemTracker(
+                build.job(job_id, items=1, accepted_at=build.NOW - age_s)
+            )
+            for job_id, age_s in ages_s.items()
+        ]
+        for work in works:
+            work.drop_stored(())
+        jobs = JobOrder(build.table(self._route), build.NOW)
+        order = ItemOrder(jobs, run_times, events_of)
+        start_items(works, order, build.NOW, start)
+
+
+def _no_events(_work: JobItemTracker, _item: ForwardItem) -> int:
+    return 0
 
 
 def run_overload(stream: JobStream, hosts: int) -> int:
--- a/features/steps/forward_item_starts_steps.py
+++ b/features/steps/forward_item_starts_steps.py
@@ -12,8 +12,13 @@
 from features.builders_forward_runner import RunnerBench
 from features.builders_processes import wait_until
 from guavadyke.controllers.item_run import ItemRun, PartialText
-from guavadyke.controllers.item_starts import StartRefusal, start_items
+from guavadyke.controllers.item_starts import (
+    ItemOrder,
+    StartRefusal,
+    start_items,
+)
 from guavadyke.decisions.forward_job_items import JobItemTracker
+from guavadyke.decisions.forward_job_order import ItemRunTimes, JobOrder
 from guavadyke.decisions.forward_job_records import ForwardItem, JobProgress
 from guavadyke.decisions.server_registry import ListedServer
 from guavadyke.forward_job_documents import JOB_KIND
@@ -205,5 +210,12 @@
         return None
 
     context.refusals = start_items(
-        context.works, build.table(build.route()), build.NOW, start
+        context.works,
+        ItemOrder(
+            JobOrder(build.table(build.route()), build.NOW),
+            ItemRunTimes(),
+            lambda _work, _item: 0,
+        ),
+        build.NOW,
+        start,
     )
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -26,7 +26,11 @@
     RunEnd,
     RunOutcome,
 )
-from guavadyke.controllers.item_starts import StartRefusal, start_items
+from guavadyke.controllers.item_starts import (
+    ItemOrder,
+    StartRefusal,
+    start_items,
+)
 from guavadyke.controllers.item_texts import ItemTexts
 from guavadyke.controllers.prompt_guard import PromptGuard
 from guavadyke.controllers.server_limits import ServerLimits
@@ -37,10 +41,7 @@
     JobItemTracker,
     count_items,
 )
-from guavadyke.decisions.forward_job_ownership import (
-    due_order,
-    is_pressing,
-)
+from guavadyke.decisions.forward_job_order import ItemRunTimes, JobOrder
 from guavadyke.decisions.forward_job_records import (
     AcceptedJob,
     ForwardItem,
@@ -179,6 +180,7 @@
         )
         self._waiting_jobs = WaitingJobs(parts.logger, parts.metrics)
         self._failing_jobs = FailingJobs(parts.clock, parts.logger)
+        self._run_times = ItemRunTimes()
         self._stopping = False
         self._passed_on: set[str] = set()
         self._workers = ThreadPoolExecutor(
@@ -249,6 +251,13 @@
         reserved = self._silent_items.take(run)
         if work is not None:
             self._texts.record(run.key, outcome.partial)
+            self._run_times.record_run(
+                work.job.route,
+                held_s,
+                outcome.partial.last_id,
+                outcome.resumed_at,
+                whole=outcome.end is RunEnd.completed,
+            )
             recorded = self._failing_jobs.each(
                 ((run.job_id, work),),
                 functools.partial(self._apply_outcome, item_id, outcome),
@@ -405,18 +414,19 @@
     def _start_items(
         self,
         now: float,
-        views: Iterable[JobView],
+        views: Collection[JobView],
         works: Mapping[str, JobItemTracker],
     ) -> None:
-        """Start items while servers have free slots, earliest job first."""
-        table = self._parts.table.current
+        """Start items, in the order of jobs, while servers have free slots."""
+        jobs = JobOrder(self._parts.table.current, self._parts.clock.wall())
+        order = ItemOrder(jobs, self._run_times, self._texts.events_of)
         publish_backlog = functools.partial(
             self._parts.pool.set_batch_backlog,
-            due_order=due_order(views, table),
+            late=order.late_items(works.values()),
+            due_order=jobs.owners(views),
             pressing=_any_pressing(
                 works.values(),
-                table,
-                self._parts.clock.wall(),
+                jobs,
                 self._parts.settings.forward.item_workers,
             ),
         )
@@ -428,7 +438,7 @@
             silent,
             functools.partial(_lease_elsewhere, self._parts, self._works),
         )
-        refusals = start_items(works.values(), table, now, self._start_item)
+        refusals = start_items(works.values(), order, now, self._start_item)
         publish_backlog(_waiting_for_slot(self._parts, works, self._runs))
         self._waiting_jobs.report_due(works, refusals, now)
 
@@ -600,17 +610,14 @@
 
 
 def _any_pressing(
-    works: Collection[JobItemTracker],
-    table: RouteTable,
-    wall: float,
-    max_runs: int,
+    works: Collection[JobItemTracker], order: JobOrder, max_runs: int
 ) -> bool:
     """Return whether items that wait would be late without all slots.
 
     That is so where more of them wait than this host runs at once.
     """
     return _waiting_items(works) > max_runs or any(
-        count_items(work)['waiting'] and is_pressing(work.job, table, wall)
+        count_items(work)['waiting'] and order.is_pressing(work.job)
         for work in works
     )
 
--- a/guavadyke/controllers/item_starts.py
+++ b/guavadyke/controllers/item_starts.py
@@ -1,15 +1,15 @@
-"""Starts the waiting items of a host's jobs, earliest job first."""
+"""Starts the waiting items of a host's jobs, in the order of the jobs."""
 
 from __future__ import annotations
 
+import dataclasses
 import enum
 from collections.abc import Callable, Iterable, Iterator
 from typing import TypeAlias
 
 from guavadyke.decisions.forward_job_items import JobItemTracker
-from guavadyke.decisions.forward_job_ownership import due_at
+from guavadyke.decisions.forward_job_order import ItemRunTimes, JobOrder
 from guavadyke.decisions.forward_job_records import ForwardItem
-from guavadyke.decisions.forward_routes import RouteTable
 
 
 class StartRefusal(enum.Enum):
@@ -37,9 +37,43 @@
 ]
 
 
+@dataclasses.dataclass(frozen=True)
+class ItemOrder:
+    """Tells which items go first at one moment.
+
+    Those that cannot be in time any more go after all others.
+
+    Args:
+        jobs: the order of the jobs.
+        run_times: how long items run.
+        events_of: returns how many events an item of a job has by now.
+    """
+
+    jobs: JobOrder
+    run_times: ItemRunTimes
+    events_of: Callable[[JobItemTracker, ForwardItem], int]
+
+    def is_late(self, work: JobItemTracker, item: ForwardItem) -> bool:
+        """Return whether an item ends too late if it starts now."""
+        route = self.jobs.route(work.job)
+        if route is None:
+            return False
+        left_s = self.run_times.left_s(route, self.events_of(work, item))
+        return self.jobs.is_late(work.job, left_s)
+
+    def late_items(self, works: Iterable[JobItemTracker]) -> int:
+        """Return how many of the waiting items are late."""
+        return sum(
+            self.is_late(work, state.item)
+            for work in works
+            for state in work.open_items
+            if not (state.running or state.held)
+        )
+
+
 def start_items(
     works: Iterable[JobItemTracker],
-    table: RouteTable,
+    order: ItemOrder,
     now: float,
     start: StartItem,
 ) -> dict[str, StartRefusal]:
@@ -47,7 +81,7 @@
 
     Args:
         works: the jobs.
-        table: the routes.
+        order: which items go first.
         now: seconds of the monotonic clock.
         start: starts an item, or returns why it does not.
 
@@ -56,7 +90,7 @@
     """
     by_service: dict[str, StartRefusal] = {}
     by_job: dict[str, StartRefusal] = {}
-    for work, item, service in _ready_items(works, table, now):
+    for work, item, service in _ready_items(works, order, now):
         refusal = by_service.get(service) or start(work, item, service)
         if refusal is not None:
             by_job[work.job.job_id] = refusal
@@ -66,13 +100,19 @@
 
 
 def _ready_items(
-    works: Iterable[JobItemTracker], table: RouteTable, now: float
+    works: Iterable[JobItemTracker], order: ItemOrder, now: float
 ) -> Iterator[tuple[JobItemTracker, ForwardItem, str]]:
     """Yield the items that may start now, each with its service."""
-    by_due = sorted(works, key=lambda work: due_at(work.job, table))
-    for work in by_due:
-        route = table.route_by_name(work.job.route)
+    ranked = sorted(works, key=lambda work: order.jobs.rank(work.job))
+    late = []
+    for work in ranked:
+        route = order.jobs.route(work.job)
         if route is None:
             continue
         for item in work.startable_items(now):
-            yield work, item, route.service_of(item.item_id)
+            ready = (work, item, route.service_of(item.item_id))
+            if order.is_late(work, item):
+                late.append(ready)
+            else:
+                yield ready
+    yield from late
--- a/guavadyke/controllers/item_texts.py
+++ b/guavadyke/controllers/item_texts.py
@@ -7,6 +7,7 @@
 from guavadyke.controllers.item_run import ItemKey
 from guavadyke.controllers.text_handover import TextHandover
 from guavadyke.decisions.forward_job_items import JobItemTracker
+from guavadyke.decisions.forward_job_records import ForwardItem
 from guavadyke.decisions.partial_texts import JobTexts, PartialText
 
 
@@ -25,6 +26,10 @@
         """Return the text of an item, which may be empty."""
         return self._partials.get(key, PartialText())
 
+    def events_of(self, work: JobItemTracker, item: ForwardItem) -> int:
+        """Return how many events an item of a job has by now."""
+        return self.of_item((work.job.job_id, item.item_id)).last_id
+
     def of_job(self, work: JobItemTracker) -> JobTexts:
         """Return the texts of the open items of a job."""
         job_id = work.job.job_id
--- a/guavadyke/controllers/server_pool.py
+++ b/guavadyke/controllers/server_pool.py
@@ -283,20 +283,27 @@
                 self._refresh()
 
     def set_batch_backlog(
-        self, items: int, due_order: tuple[str, ...], *, pressing: bool
+        self,
+        items: int,
+        due_order: tuple[str, ...],
+        *,
+        pressing: bool,
+        late: int = 0,
     ) -> None:
         """Record the items that wait for a slot.
 
         Args:
             items: how many items of this host wait.
-            due_order: the hosts with open jobs, the one with the earliest
-                due job first.
+            due_order: the hosts with open jobs, that of the job that goes
+                first first.
             pressing: whether items would be late without the slots that are
                 kept for the next peak of online requests.
+            late: how many of the items cannot be in time any more.
         """
         with self._lock:
             self._load_balancer.pressing = pressing
             self._load_balancer.own_waiting = items
+            self._load_balancer.own_late = late
             self._load_balancer.due_order = due_order
 
     def items_to_preempt(self) -> dict[str, int]:
--- a/guavadyke/decisions/batch_allocation.py
+++ b/guavadyke/decisions/batch_allocation.py
@@ -2,8 +2,9 @@
 
 When there are more items than slots, the items whose job is due first
 start first, on whichever host, so that jobs end one after the other and in
-time instead of all of them late. Every host computes the same allocation
-from the item counts that the hosts exchange, without any coordination.
+time instead of all of them late. Items that would be late anyway follow.
+Every host computes the same allocation from the item counts that the hosts
+exchange, without any coordination.
 """
 
 from __future__ import annotations
@@ -86,6 +87,27 @@
     return {}
 
 
+def waiting_by_turn(
+    waiting: Mapping[str, int], late: Mapping[str, int], ordered: Sequence[str]
+) -> dict[str, int]:
+    """Return the items that hosts may start next, in the order of their turns.
+
+    Hosts with items that can be in time go first, with these alone; those
+    whose items are all late follow.
+
+    Args:
+        waiting: items that wait, by host id.
+        late: how many of them would be late; hosts that do not tell count
+            as having none.
+        ordered: the host ids in the order in which jobs go first.
+    """
+    in_time = {host: waiting[host] - late.get(host, 0) for host in ordered}
+    first = {host: count for host, count in in_time.items() if count > 0}
+    return first | {
+        host: waiting[host] for host in ordered if host not in first
+    }
+
+
 def _remainder_offset(host_id: str, count: int) -> int:
     """Return the index of the server that gets a host's first extra item."""
     digest = hashlib.blake2b(host_id.encode(), digest_size=4).digest()
--- a/guavadyke/decisions/forward_job_ownership.py
+++ b/guavadyke/decisions/forward_job_ownership.py
@@ -1,4 +1,4 @@
-"""Ownership of forwarded batch jobs, their order, and route quotas."""
+"""Ownership of forwarded batch jobs, and route quotas."""
 
 from __future__ import annotations
 
@@ -9,10 +9,8 @@
 
 from guavadyke.decisions.forward_job_records import (
     MAX_CLOCK_SKEW_S,
-    AcceptedJob,
     JobView,
 )
-from guavadyke.decisions.forward_routes import RouteTable
 from guavadyke.decisions.host_abilities import able_hosts
 from guavadyke.decisions.rendezvous_hashing import place, rank_names
 
@@ -36,9 +34,6 @@
 # as those before may be unable to. Longer than hosts need to learn of a claim.
 _TAKE_OVER_SPACING_S = 1.0
 
-# Share of the time until a job is due after which its items no longer leave
-# room for the next peak of online requests.
-_PRESSING_SHARE = 0.4
 # Hosts that run batch items. All hosts have to know what each of them has in
 # flight, so a large fleet has few, each of which runs many items.
 _MIN_BATCH_HOSTS = 16
@@ -109,42 +104,6 @@
     return min(rank_names(job_id, hosts), key=lambda host: held[host])
 
 
-def due_at(job: AcceptedJob, table: RouteTable) -> float:
-    """Return when a job's results are due, in seconds since the epoch.
-
-    A job whose route is not configured is due at once.
-    """
-    route = table.route_by_name(job.route)
-    if route is None:
-        return job.accepted_at
-    return job.accepted_at + route.target_complete_s
-
-
-def is_pressing(job: AcceptedJob, table: RouteTable, wall: float) -> bool:
-    """Return whether a job has used a large part of its time.
-
-    Args:
-        job: the job.
-        table: the routes.
-        wall: seconds since the epoch.
-    """
-    return wall - job.accepted_at >= _PRESSING_SHARE * (
-        due_at(job, table) - job.accepted_at
-    )
-
-
-def due_order(
-    jobs: Iterable[JobView],
-    table: RouteTable,
-) -> tuple[str, ...]:
-    """Return the owners of open jobs, the one whose job is due first first."""
-    by_due = sorted(
-        (view for view in jobs if view.open),
-        key=lambda view: (due_at(view.job, table), view.job.job_id),
-    )
-    return tuple(dict.fromkeys(view.owner for view in by_due))
-
-
 @dataclasses.dataclass(frozen=True)
 class HostView:
     """What a host knows of the others, by their ids.
--- a/guavadyke/decisions/load_balancing.py
+++ b/guavadyke/decisions/load_balancing.py
@@ -8,12 +8,14 @@
 
 import collections
 import dataclasses
+import itertools
 import random
 from collections.abc import Iterable, Mapping, Sequence
 
 from guavadyke.decisions.batch_allocation import (
     HostBacklog,
     allocate_batch_slots,
+    waiting_by_turn,
 )
 from guavadyke.decisions.fault_reports import FaultReports
 from guavadyke.decisions.health import ServerHealth
@@ -36,6 +38,8 @@
 _MAX_WAITING_PER_SLOT = 1.5
 # Server id under which hosts report items that wait for any server.
 ANY_SERVER = '*'
+# Server id under which they report how many of these would be late.
+LATE_ITEMS = '*late'
 # A server that refused a batch item gets no further one for this time.
 _REFUSAL_PAUSE_S = 0.4
 
@@ -71,6 +75,7 @@
         self.own_online: collections.Counter[str] = collections.Counter()
         self.own_batch: collections.Counter[str] = collections.Counter()
         self.own_waiting = 0
+        self.own_late = 0
         # Ids of hosts with open jobs, the one whose job is due first first.
         self.due_order: tuple[str, ...] = ()
         self.online_elsewhere = RemoteCounts()
@@ -101,9 +106,10 @@
     def batch_counts(self) -> dict[str, int]:
         """Return this host's items by server, and those that wait."""
         held = dict(self.own_batch)
-        if self.own_waiting <= 0:
-            return held
-        return {**held, ANY_SERVER: self.own_waiting}
+        if self.own_waiting > 0:
+            held[ANY_SERVER] = self.own_waiting
+            held[LATE_ITEMS] = min(self.own_late, self.own_waiting)
+        return held
 
     def own_share(
         self,
@@ -281,20 +287,23 @@
     ) -> dict[str, HostBacklog]:
         """Return the backlog of hosts with waiting items, by due order.
 
-        Hosts after this one are left out, since they don't change what it
-        may start.
+        Items that can be in time go before late ones. Hosts after this one
+        are left out, since they don't change what it may start.
         """
         me = self._here.host_id
-        elsewhere = self.batch_elsewhere.by_host(ANY_SERVER, now)
-        waiting = {**elsewhere, me: max(1, self.own_waiting)}
+        waiting = self.batch_elsewhere.by_host(ANY_SERVER, now)
+        waiting[me] = max(1, self.own_waiting)
+        late = self.batch_elsewhere.by_host(LATE_ITEMS, now)
+        late[me] = min(self.own_late, self.own_waiting)
         held: dict[str, dict[str, int]] = collections.defaultdict(dict)
         for name in server_ids:
             for holder, count in self.batch_by_host(name, now).items():
                 held[holder][name] = count
-        ordered = self._in_due_order(waiting)
+        turns = waiting_by_turn(waiting, late, self._in_due_order(waiting))
+        before_me = itertools.takewhile(lambda host: host != me, turns)
         return {
-            host: HostBacklog(waiting[host], held[host])
-            for host in ordered[: ordered.index(me) + 1]
+            host: HostBacklog(turns[host], held[host])
+            for host in (*before_me, me)
         }
 
     def _in_due_order(self, hosts: Iterable[str]) -> list[str]:
