Tell other hosts of late items only beyond those in time

A host with more waiting items than it runs at once told the late ones first, so that items in time lost their turn to other hosts, and counted items of jobs that it had not read yet as late. It now counts the items in time, and what remains as late.

--- a/features/batch_overload.feature
+++ b/features/batch_overload.feature
@@ -50,3 +50,7 @@
     Given a host with 5 waiting items, 0 of them late, after one with 40 of an older release
     When it looks for slots at 2 servers
     Then it has started 0 items
+
+  Scenario: other hosts are told how many of the waiting items are late
+    When a host has 50 items that wait for a slot and 10 that would be in time
+    Then it tells other hosts of 50 waiting items, 40 of them late
--- a/features/builders_batch_overload.py
+++ b/features/builders_batch_overload.py
@@ -83,7 +83,7 @@
         order = ItemOrder(jobs, self._run_times, _no_events)
         self.balancer.due_order = jobs.owners(views)
         self.balancer.own_waiting = self.waiting
-        self.balancer.own_late = order.late_items(self.works)
+        self.balancer.own_late = self.waiting - order.items_in_time(self.works)
 
         def start(
             work: JobItemTracker, item: ForwardItem, _service: str
--- a/features/steps/batch_overload_steps.py
+++ b/features/steps/batch_overload_steps.py
@@ -84,6 +84,24 @@
     context.hosts[0].look(servers, build.NOW)
 
 
+@when(
+    'a host has {items:d} items that wait for a slot and {in_time:d} that '
+    'would be in time'
+)
+def step_backlog(context: Context, items: int, in_time: int) -> None:
+    context.pool = build.pool((build.server('s0'),))
+    context.pool.set_batch_backlog(items, in_time, (), pressing=False)
+
+
+@then('it tells other hosts of {items:d} waiting items, {late:d} of them late')
+def step_told(context: Context, items: int, late: int) -> None:
+    told = {
+        count.backend_id: count.in_flight
+        for count in context.pool.load_notice().batch_counts
+    }
+    assert told == {ANY_SERVER: items, LATE_ITEMS: late}, told
+
+
 def _host_after(own: int, late: int, counts: Mapping[str, int]) -> WaitingHost:
     """Return a host whose jobs go after those of one with these counts."""
     host = WaitingHost('h2', own, ('h1', 'h2'))
--- a/guavadyke/controllers/forward_job_runner.py
+++ b/guavadyke/controllers/forward_job_runner.py
@@ -422,7 +422,6 @@
         order = ItemOrder(jobs, self._run_times, self._texts.events_of)
         publish_backlog = functools.partial(
             self._parts.pool.set_batch_backlog,
-            late=order.late_items(works.values()),
             due_order=jobs.owners(views),
             pressing=_any_pressing(
                 works.values(),
@@ -432,14 +431,18 @@
         )
         silent = self._silent_items.due(self._runs.values(), now)
         publish_backlog(
-            _waiting_for_slot(self._parts, works, self._runs) + len(silent)
+            _waiting_for_slot(self._parts, works, self._runs) + len(silent),
+            order.items_in_time(works.values()) + len(silent),
         )
         self._silent_items.leave(
             silent,
             functools.partial(_lease_elsewhere, self._parts, self._works),
         )
         refusals = start_items(works.values(), order, now, self._start_item)
-        publish_backlog(_waiting_for_slot(self._parts, works, self._runs))
+        publish_backlog(
+            _waiting_for_slot(self._parts, works, self._runs),
+            order.items_in_time(works.values()),
+        )
         self._waiting_jobs.report_due(works, refusals, now)
 
     def _start_item(
--- a/guavadyke/controllers/item_starts.py
+++ b/guavadyke/controllers/item_starts.py
@@ -61,11 +61,12 @@
         left_s = self.run_times.left_s(route, self.events_of(work, item))
         return self.jobs.is_late(work.job, left_s)
 
-    def late_items(self, works: Iterable[JobItemTracker]) -> int:
-        """Return how many of the waiting items are late."""
+    def items_in_time(self, works: Iterable[JobItemTracker]) -> int:
+        """Return how many of the waiting items are not late."""
         return sum(
-            self.is_late(work, state.item)
+            not self.is_late(work, state.item)
             for work in works
+            if work.loaded
             for state in work.open_items
             if not (state.running or state.held)
         )
--- a/guavadyke/controllers/server_pool.py
+++ b/guavadyke/controllers/server_pool.py
@@ -285,25 +285,25 @@
     def set_batch_backlog(
         self,
         items: int,
+        in_time: int,
         due_order: tuple[str, ...],
         *,
         pressing: bool,
-        late: int = 0,
     ) -> None:
         """Record the items that wait for a slot.
 
         Args:
-            items: how many items of this host wait.
+            items: how many items of this host wait for a slot.
+            in_time: how many of all that wait would not be late.
             due_order: the hosts with open jobs, that of the job that goes
                 first first.
             pressing: whether items would be late without the slots that are
                 kept for the next peak of online requests.
-            late: how many of the items cannot be in time any more.
         """
         with self._lock:
             self._load_balancer.pressing = pressing
             self._load_balancer.own_waiting = items
-            self._load_balancer.own_late = late
+            self._load_balancer.own_late = max(0, items - in_time)
             self._load_balancer.due_order = due_order
 
     def items_to_preempt(self) -> dict[str, int]:
