--- a/guavadyke/decisions/load_balancing.py
+++ b/guavadyke/decisions/load_balancing.py
@@ -105,11 +105,13 @@
 
     def batch_counts(self) -> dict[str, int]:
         """Return this host's items by server, and those that wait."""
-        held = dict(self.own_batch)
-        if self.own_waiting > 0:
-            held[ANY_SERVER] = self.own_waiting
-            held[LATE_ITEMS] = min(self.own_late, self.own_waiting)
-        return held
+        waiting = max(0, self.own_waiting)
+        late = min(self.own_late, waiting)
+        unserved = {ANY_SERVER: waiting, LATE_ITEMS: late}
+        return {
+            **self.own_batch,
+            **{name: count for name, count in unserved.items() if count},
+        }
 
     def own_share(
         self,
